--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/chart/ChartReader.java
@@ -0,0 +1,156 @@
+package org.carobhoist.core.chart;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.Reader;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.apache.commons.configuration2.INIConfiguration;
+import org.apache.commons.configuration2.SubnodeConfiguration;
+import org.apache.commons.configuration2.ex.ConfigurationException;
+
+/**
+ * Reads a {@link StateChart} from an INI resource. Section {@code chart} has {@code initial} and
+ * {@code final} (names apart by spaces); each other section is a state, each of its keys an event,
+ * and the value is the next state, followed by the actions: {@code START = ROUTING ROUTE}. A hyphen
+ * as the next state means that the event is ignored.
+ *
+ * @param <S> the states
+ * @param <E> the events
+ * @param <A> the actions
+ */
+public final class ChartReader<S extends Enum<S>, E extends Enum<E>, A extends Enum<A>> {
+
+  private static final String HEAD = "chart";
+  private static final String IGNORED = "-";
+
+  private final String name;
+  private final Class<S> states;
+  private final Class<E> events;
+  private final Class<A> actions;
+
+  private ChartReader(String name, Class<S> states, Class<E> events, Class<A> actions) {
+    this.name = name;
+    this.states = states;
+    this.events = events;
+    this.actions = actions;
+  }
+
+  /**
+   * Reads the chart {@code charts/NAME.ini} from the class path.
+   *
+   * @throws ChartException if the file is missing or broken
+   */
+  public static <S extends Enum<S>, E extends Enum<E>, A extends Enum<A>>
+      StateChart<S, E, A> readResource(
+          String name, Class<S> states, Class<E> events, Class<A> actions) {
+    String path = "/charts/" + name + ".ini";
+    try (InputStream in = ChartReader.class.getResourceAsStream(path)) {
+      if (in == null) {
+        throw new ChartException("chart " + name + ": no resource " + path);
+      }
+      return read(name, new InputStreamReader(in, StandardCharsets.UTF_8), states, events, actions);
+    } catch (IOException e) {
+      throw new ChartException("chart " + name + ": " + e.getMessage());
+    }
+  }
+
+  /**
+   * Reads a chart from text.
+   *
+   * @throws ChartException if the text is broken
+   */
+  public static <S extends Enum<S>, E extends Enum<E>, A extends Enum<A>> StateChart<S, E, A> read(
+      String name, Reader text, Class<S> states, Class<E> events, Class<A> actions) {
+    INIConfiguration ini = new INIConfiguration();
+    try {
+      ini.read(text);
+    } catch (ConfigurationException | IOException e) {
+      throw new ChartException("chart " + name + ": " + e.getMessage());
+    }
+    return new ChartReader<>(name, states, events, actions).build(ini);
+  }
+
+  private StateChart<S, E, A> build(INIConfiguration ini) {
+    SubnodeConfiguration head = ini.getSection(HEAD);
+    S initial = parse(states, "state", head.getString("initial", ""));
+    Set<S> finals = EnumSet.noneOf(states);
+    for (String f : words(head.getString("final", ""))) {
+      finals.add(parse(states, "state", f));
+    }
+    Map<S, Map<E, Transition<S, A>>> table = new EnumMap<>(states);
+    for (String section : ini.getSections()) {
+      if (!HEAD.equals(section)) {
+        S state = parse(states, "state", section);
+        table.put(state, row(state, ini.getSection(section)));
+      }
+    }
+    StateChart<S, E, A> chart = new StateChart<>(name, initial, finals, table);
+    check(chart, table);
+    return chart;
+  }
+
+  private Map<E, Transition<S, A>> row(S state, SubnodeConfiguration section) {
+    Map<E, Transition<S, A>> row = new EnumMap<>(events);
+    section
+        .getKeys()
+        .forEachRemaining(
+            key -> {
+              E event = parse(events, "event in " + state, key);
+              row.put(event, transition(state, section.getString(key)));
+            });
+    return row;
+  }
+
+  private Transition<S, A> transition(S state, String text) {
+    List<String> words = words(text);
+    if (words.isEmpty()) {
+      throw new ChartException("chart " + name + ": state " + state + " has an empty cell");
+    }
+    S next = words.get(0).equals(IGNORED) ? state : parse(states, "state", words.get(0));
+    List<A> todo = new ArrayList<>();
+    for (String word : words.subList(1, words.size())) {
+      todo.add(parse(actions, "action", word));
+    }
+    return new Transition<>(next, List.copyOf(todo));
+  }
+
+  private void check(StateChart<S, E, A> chart, Map<S, Map<E, Transition<S, A>>> table) {
+    for (S state : states.getEnumConstants()) {
+      if (chart.isFinal(state)) {
+        continue;
+      }
+      for (E event : events.getEnumConstants()) {
+        if (!table.containsKey(state) || !table.get(state).containsKey(event)) {
+          throw new ChartException(
+              "chart " + name + ": state " + state + " has no cell for event " + event);
+        }
+      }
+    }
+    Set<S> unreachable = EnumSet.allOf(states);
+    unreachable.removeAll(chart.reachable());
+    if (!unreachable.isEmpty()) {
+      throw new ChartException("chart " + name + ": unreachable: " + unreachable);
+    }
+  }
+
+  private <T extends Enum<T>> T parse(Class<T> type, String what, String text) {
+    for (T value : type.getEnumConstants()) {
+      if (value.name().equals(text)) {
+        return value;
+      }
+    }
+    throw new ChartException("chart " + name + ": unknown " + what + ": '" + text + "'");
+  }
+
+  private static List<String> words(String text) {
+    String trimmed = text.trim();
+    return trimmed.isEmpty() ? List.of() : List.of(trimmed.split("\\s+"));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/common/RefusedException.java
@@ -0,0 +1,22 @@
+package org.carobhoist.core.common;
+
+/** Completes a future exceptionally where a request is refused; carries the {@link Refusal}. */
+public final class RefusedException extends RuntimeException {
+
+  private final transient Refusal refusal;
+
+  private RefusedException(Refusal refusal) {
+    super(refusal.reason() + ": " + refusal.detail(), null, false, false);
+    this.refusal = refusal;
+  }
+
+  /** Returns an exception that carries the refusal. */
+  public static RefusedException of(Refusal refusal) {
+    return new RefusedException(refusal);
+  }
+
+  /** Returns the refusal. */
+  public Refusal refusal() {
+    return refusal;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/idempotency/package-info.java
@@ -0,0 +1,2 @@
+/** At most one run of a non-idempotent request: keys, home endpoint and duplicate table. */
+package org.carobhoist.core.idempotency;
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/limit/AdmissionTicket.java
@@ -0,0 +1,25 @@
+package org.carobhoist.core.limit;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.carobhoist.core.common.Priority;
+import org.carobhoist.core.common.Refusal;
+
+/**
+ * A request that asks a sidecar for admission.
+ *
+ * @param id identity at this sidecar
+ * @param priority class in the queue
+ * @param tenant whose share of the endpoint it uses: a profile, or a trainer's profile
+ * @param deadline point of {@link org.carobhoist.core.common.Clock#elapsed()} after which the
+ *     answer is worthless, if the caller has one
+ * @param onAdmit runs the request
+ * @param onRefuse tells why it won't run; the verdict is always NOT_RUN
+ */
+public record AdmissionTicket(
+    long id,
+    Priority priority,
+    String tenant,
+    Optional<Duration> deadline,
+    Runnable onAdmit,
+    java.util.function.Consumer<Refusal> onRefuse) {}
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/limit/package-info.java
@@ -0,0 +1,2 @@
+/** Admission at a sidecar: concurrency limit, bounded queue and priorities. */
+package org.carobhoist.core.limit;
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
@@ -0,0 +1,97 @@
+package org.carobhoist.core.profile;
+
+import java.time.Duration;
+import java.util.List;
+import org.carobhoist.core.common.EndpointKind;
+import org.carobhoist.core.common.Priority;
+import org.carobhoist.core.common.ProfileName;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.request.RetryPolicy;
+import org.carobhoist.core.rollout.RolloutPolicy;
+import org.carobhoist.core.rollout.RolloutPolicy.SwapPolicy;
+import org.carobhoist.core.settings.SettingSpec;
+import org.carobhoist.core.settings.SettingTypes;
+import org.carobhoist.core.settings.SettingsDocument;
+import org.carobhoist.core.settings.SettingsException;
+import org.carobhoist.core.settings.SettingsReader;
+
+/** Reads a profile from its INI document. */
+public final class ProfileReader {
+
+  private static final SettingSpec<ServiceName> SERVICE =
+      SettingTypes.value(
+          "profile",
+          "service",
+          "name of a service",
+          null,
+          "Service to which the profile applies.",
+          ServiceName::new);
+  private static final SettingSpec<EndpointKind> KIND =
+      SettingTypes.choice(
+          "profile",
+          "kind",
+          EndpointKind.class,
+          null,
+          "What serves it: a model or a plain service.");
+  private static final SettingSpec<Long> MAX_STALENESS =
+      SettingTypes.whole(
+          "rollout",
+          "max-staleness",
+          0,
+          1_000,
+          "1",
+          "Most versions that a sample may lie behind the trainer's at hand-over.");
+  private static final SettingSpec<SwapPolicy> SWAP_POLICY =
+      SettingTypes.choice(
+          "rollout",
+          "swap-policy",
+          SwapPolicy.class,
+          "keep",
+          "What happens to a sample in flight when its engine changes version.");
+  private static final SettingSpec<Double> IDLE_WEIGHT =
+      SettingTypes.decimal(
+          "rollout",
+          "idle-weight",
+          0,
+          1,
+          "0.5",
+          "Weight between staleness (0) and trainer idle time (1).");
+  private static final SettingSpec<Long> MAX_ATTEMPTS =
+      SettingTypes.whole(
+          "requests", "max-attempts", 1, 10, "3", "Attempts at a request, the first one included.");
+  private static final SettingSpec<Duration> DEADLINE =
+      SettingTypes.duration(
+          "requests",
+          "deadline",
+          Duration.ofMillis(10),
+          Duration.ofHours(1),
+          "30s",
+          "Deadline of a request whose caller names none.");
+  private static final SettingSpec<Priority> PRIORITY =
+      SettingTypes.choice(
+          "requests", "priority", Priority.class, "standard", "Class of its requests in a queue.");
+
+  /** Every key that a profile's document may have. */
+  public static final List<SettingSpec<?>> SPECS =
+      List.of(
+          SERVICE, KIND, MAX_STALENESS, SWAP_POLICY, IDLE_WEIGHT, MAX_ATTEMPTS, DEADLINE, PRIORITY);
+
+  private ProfileReader() {}
+
+  /**
+   * Reads a profile.
+   *
+   * @throws SettingsException if the document is refused
+   */
+  public static Profile read(ProfileName name, String document) throws SettingsException {
+    SettingsDocument doc = SettingsReader.read(name.value(), document, SPECS);
+    return new Profile(
+        name,
+        doc.get(SERVICE),
+        doc.get(KIND),
+        new RolloutPolicy(doc.get(MAX_STALENESS), doc.get(SWAP_POLICY), doc.get(IDLE_WEIGHT)),
+        new RetryPolicy(doc.get(MAX_ATTEMPTS).intValue()),
+        doc.get(DEADLINE),
+        doc.get(PRIORITY));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/request/RequestRun.java
@@ -0,0 +1,154 @@
+package org.carobhoist.core.request;
+
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.carobhoist.core.chart.ChartReader;
+import org.carobhoist.core.chart.ChartRun;
+import org.carobhoist.core.chart.StateChart;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.core.common.Verdict;
+
+/**
+ * One request at an entry, from its arrival to its final answer. It interprets the chart {@code
+ * request}: chooses an endpoint, sends, and after a failed attempt asks the retry policy. The
+ * verdict over all attempts is the worst one: once an attempt may have run, the caller is never
+ * told that the request did not run. Events of an attempt that has been given up are dropped.
+ */
+public final class RequestRun {
+
+  private static final StateChart<RequestState, RequestEvent, RequestAction> CHART =
+      ChartReader.readResource(
+          "request", RequestState.class, RequestEvent.class, RequestAction.class);
+
+  private final RequestPort port;
+  private final RetryPolicy policy;
+  private final RetryBudget budget;
+  private final boolean idempotent;
+  private final ChartRun<RequestState, RequestEvent, RequestAction> run;
+  private final Set<InstanceId> tried = new HashSet<>();
+  private Verdict worst = Verdict.NOT_RUN;
+  private Refusal last = Refusal.notRun(RefusalReason.NO_ENDPOINT, "no endpoint is usable");
+  private InstanceId endpoint;
+  private int attempt;
+
+  private RequestRun(RequestPort port, RetryPolicy policy, RetryBudget budget, boolean idempotent) {
+    this.port = port;
+    this.policy = policy;
+    this.budget = budget;
+    this.idempotent = idempotent;
+    this.run = ChartRun.start(CHART, this::act);
+  }
+
+  /** Returns a request that has not started. */
+  public static RequestRun create(
+      RequestPort port, RetryPolicy policy, RetryBudget budget, boolean idempotent) {
+    return new RequestRun(port, policy, budget, idempotent);
+  }
+
+  /** Returns the chart that every request follows. */
+  public static StateChart<RequestState, RequestEvent, RequestAction> chart() {
+    return CHART;
+  }
+
+  /** Starts the request. */
+  public void start() {
+    budget.onRequest();
+    run.fire(RequestEvent.START);
+  }
+
+  /** Takes an event of the given attempt; one of an earlier attempt is dropped. */
+  public void on(int ofAttempt, RequestEvent event) {
+    if (ofAttempt == attempt) {
+      run.fire(event);
+    }
+  }
+
+  /** Takes the sidecar's refusal of the given attempt. */
+  public void onRefused(int ofAttempt, Refusal refusal) {
+    if (ofAttempt != attempt || run.isDone()) {
+      return;
+    }
+    last = refusal;
+    run.fire(
+        refusal.verdict() == Verdict.NOT_RUN ? RequestEvent.NOT_RUN : RequestEvent.MAY_HAVE_RUN);
+  }
+
+  /** Takes the passing of the caller's deadline. */
+  public void onDeadline() {
+    run.fire(RequestEvent.DEADLINE);
+  }
+
+  /** Takes the caller's going away. */
+  public void onCancel() {
+    run.fire(RequestEvent.CANCEL);
+  }
+
+  /** Returns the present state. */
+  public RequestState state() {
+    return run.state();
+  }
+
+  /** Returns the number of the present attempt, from 1; 0 before the first. */
+  public int attempt() {
+    return attempt;
+  }
+
+  private void act(RequestAction action) {
+    switch (action) {
+      case CHOOSE -> choose();
+      case SEND -> port.send(endpoint, attempt);
+      case NOTE_NOT_RUN -> tried.add(endpoint);
+      case NOTE_MAY_HAVE_RUN -> noteMayHaveRun();
+      case DECIDE -> run.fire(mayRetry() ? RequestEvent.RETRY : RequestEvent.GIVE_UP);
+      case PASS_HEAD -> port.passHead();
+      case FINISH -> port.finish();
+      case REFUSE -> port.refuse(outcome());
+      case ABORT -> port.abort(outcome());
+      case CANCEL_REMOTE -> port.cancel(endpoint, attempt);
+      case NOTE_DEADLINE -> note(RefusalReason.DEADLINE, "the deadline has passed");
+      case NOTE_CANCELLED -> note(RefusalReason.CANCELLED, "the caller has gone away");
+      case NOTE_NO_ENDPOINT -> noteNoEndpoint();
+    }
+  }
+
+  private void choose() {
+    Optional<InstanceId> found = port.choose(Set.copyOf(tried));
+    if (found.isEmpty()) {
+      run.fire(RequestEvent.NONE_LEFT);
+      return;
+    }
+    endpoint = found.get();
+    attempt++;
+    run.fire(RequestEvent.CHOSEN);
+  }
+
+  private void noteMayHaveRun() {
+    tried.add(endpoint);
+    worst = Verdict.MAY_HAVE_RUN;
+    if (last.verdict() == Verdict.NOT_RUN) {
+      last = Refusal.mayHaveRun(RefusalReason.LINK_LOST, "the link to the sidecar broke");
+    }
+  }
+
+  /** Keeps the refusal of an earlier attempt, which says more than the lack of an endpoint. */
+  private void noteNoEndpoint() {
+    if (attempt == 0) {
+      note(RefusalReason.NO_ENDPOINT, "no endpoint is usable");
+    }
+  }
+
+  private void note(RefusalReason reason, String detail) {
+    last = new Refusal(worst, reason, detail, last.retryAfter());
+  }
+
+  private boolean mayRetry() {
+    return attempt < policy.maxAttempts() && worst.allowsRetry(idempotent) && budget.tryRetry();
+  }
+
+  private Refusal outcome() {
+    return new Refusal(worst, last.reason(), last.detail(), last.retryAfter());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/request/package-info.java
@@ -0,0 +1,2 @@
+/** The life of one request at an entry: routing, retries and the final verdict. */
+package org.carobhoist.core.request;
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/rollout/StepKey.java
@@ -0,0 +1,14 @@
+package org.carobhoist.core.rollout;
+
+import org.carobhoist.core.common.ProfileName;
+import org.carobhoist.core.common.StepId;
+import org.carobhoist.core.common.TrainerId;
+
+/**
+ * Names a step of a trainer.
+ *
+ * @param profile the profile under which it runs
+ * @param trainer the trainer
+ * @param step the step
+ */
+public record StepKey(ProfileName profile, TrainerId trainer, StepId step) {}
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/rollout/VersionSpan.java
@@ -0,0 +1,24 @@
+package org.carobhoist.core.rollout;
+
+import org.carobhoist.core.common.WeightVersion;
+
+/**
+ * A run of tokens that one weight version produced.
+ *
+ * @param version the version, as the engine's own stream named it
+ * @param from first token, inclusive
+ * @param to last token, exclusive; greater than {@code from}
+ */
+public record VersionSpan(WeightVersion version, int from, int to) {
+
+  /**
+   * Checks the range.
+   *
+   * @throws IllegalArgumentException if the span is empty or starts below 0
+   */
+  public VersionSpan {
+    if (from < 0 || to <= from) {
+      throw new IllegalArgumentException("empty span: " + from + " to " + to);
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Typed reading of INI documents with exact error reports. */
+package org.carobhoist.core.settings;
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/chart/ChartReaderTest.java
@@ -0,0 +1,69 @@
+package org.carobhoist.core.chart;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import java.io.StringReader;
+import org.junit.jupiter.api.Test;
+
+/** Charts are refused when they are loaded, with the state or event at fault. */
+final class ChartReaderTest {
+
+  private static final String HEAD = "[chart]\ninitial = OFF\nfinal = BROKEN\n";
+  private static final String OFF = "[OFF]\nPRESS = ON LIGHT\nFAIL = BROKEN\n";
+  private static final String ON = "[ON]\nPRESS = OFF\nFAIL = BROKEN\n";
+
+  private enum State {
+    OFF,
+    ON,
+    BROKEN
+  }
+
+  private enum Event {
+    PRESS,
+    FAIL
+  }
+
+  private enum Action {
+    LIGHT
+  }
+
+  @Test
+  void runsTransitionsAndActions() {
+    StringBuilder done = new StringBuilder();
+    ChartRun<State, Event, Action> run = ChartRun.start(read(HEAD + OFF + ON), done::append);
+    run.fire(Event.PRESS);
+    assertThat(run.state()).isEqualTo(State.ON);
+    assertThat(done.toString()).isEqualTo("LIGHT");
+    run.fire(Event.FAIL);
+    run.fire(Event.PRESS);
+    assertThat(run.state()).isEqualTo(State.BROKEN);
+  }
+
+  @Test
+  void namesMissingEvent() {
+    assertThat(failure(HEAD + OFF + "[ON]\nPRESS = OFF\n"))
+        .contains("ON has no cell for event FAIL");
+  }
+
+  @Test
+  void namesUnreachableState() {
+    String off = "[OFF]\nPRESS = -\nFAIL = BROKEN\n";
+    assertThat(failure(HEAD + off + ON)).contains("unreachable: [ON]");
+  }
+
+  @Test
+  void namesUnknownNames() {
+    assertThat(failure(HEAD + OFF + ON + "KICK = OFF\n")).contains("KICK");
+    assertThat(failure(HEAD + OFF.replace("LIGHT", "BEEP") + ON)).contains("BEEP");
+  }
+
+  private static String failure(String text) {
+    return assertThrows(ChartException.class, () -> read(text)).getMessage();
+  }
+
+  private static StateChart<State, Event, Action> read(String text) {
+    return ChartReader.read(
+        "switch", new StringReader(text), State.class, Event.class, Action.class);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/testing/EventQueue.java
@@ -0,0 +1,38 @@
+package org.carobhoist.core.testing;
+
+import java.time.Duration;
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** Runs tasks in the order of their times on a {@link ManualClock}; ties run in order of entry. */
+public final class EventQueue {
+
+  private final ManualClock clock;
+  private final PriorityQueue<Task> tasks =
+      new PriorityQueue<>(Comparator.comparing(Task::at).thenComparing(Task::order));
+  private long count;
+
+  private record Task(Duration at, long order, Runnable body) {}
+
+  /** Creates an empty queue that moves the given clock. */
+  public EventQueue(ManualClock clock) {
+    this.clock = clock;
+  }
+
+  /** Adds a task that runs after a delay. */
+  public void after(Duration delay, Runnable body) {
+    tasks.add(new Task(clock.elapsed().plus(delay), count++, body));
+  }
+
+  /** Runs tasks until none is left or the next one lies beyond the limit; returns how many ran. */
+  public int run(Duration limit) {
+    int ran = 0;
+    while (!tasks.isEmpty() && tasks.peek().at().compareTo(limit) <= 0) {
+      Task task = tasks.poll();
+      clock.advance(task.at().minus(clock.elapsed()));
+      task.body().run();
+      ran++;
+    }
+    return ran;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/testing/FaultMatrix.java
@@ -0,0 +1,104 @@
+package org.carobhoist.core.testing;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * Tries every fault at every step, alone and in pairs, and writes what it saw to {@code
+ * target/matrix/NAME.txt}: for each cell whether the oracle was content, and how many cells were
+ * tried and broke.
+ *
+ * @param <S> the steps
+ * @param <F> the faults
+ */
+public final class FaultMatrix<S extends Enum<S>, F extends Enum<F>> {
+
+  private static final Path FOLDER = Path.of("target", "matrix");
+
+  private final String name;
+  private final List<Injection<S, F>> injections = new ArrayList<>();
+  private final TreeMap<String, Optional<String>> cells = new TreeMap<>();
+
+  /**
+   * One fault at one step.
+   *
+   * @param step where
+   * @param fault what
+   */
+  public record Injection<S, F>(S step, F fault) {
+
+    @Override
+    public String toString() {
+      return fault + " at " + step;
+    }
+  }
+
+  /** Runs one scenario under faults; returns what broke, or empty. */
+  @FunctionalInterface
+  public interface Scenario<S, F> {
+
+    /** Runs the scenario; the list has one injection or two. */
+    Optional<String> run(List<Injection<S, F>> injections);
+  }
+
+  private FaultMatrix(String name, Class<S> steps, Class<F> faults) {
+    this.name = name;
+    for (S step : steps.getEnumConstants()) {
+      for (F fault : faults.getEnumConstants()) {
+        injections.add(new Injection<>(step, fault));
+      }
+    }
+  }
+
+  /** Returns the matrix over all steps and faults. */
+  public static <S extends Enum<S>, F extends Enum<F>> FaultMatrix<S, F> of(
+      String name, Class<S> steps, Class<F> faults) {
+    return new FaultMatrix<>(name, steps, faults);
+  }
+
+  /** Runs every cell, single and in pairs; returns the cells that broke, with what broke. */
+  public List<String> run(Scenario<S, F> scenario) throws IOException {
+    for (int i = 0; i < injections.size(); i++) {
+      runCell(scenario, List.of(injections.get(i)));
+      for (int j = i; j < injections.size(); j++) {
+        runCell(scenario, List.of(injections.get(i), injections.get(j)));
+      }
+    }
+    List<String> broken = new ArrayList<>();
+    cells.forEach((cell, result) -> result.ifPresent(why -> broken.add(cell + ": " + why)));
+    write(broken.size());
+    return broken;
+  }
+
+  /** Returns the number of cells tried. */
+  public int tried() {
+    return cells.size();
+  }
+
+  private void runCell(Scenario<S, F> scenario, List<Injection<S, F>> cell) {
+    Optional<String> result;
+    try {
+      result = scenario.run(cell);
+    } catch (RuntimeException e) {
+      result = Optional.of("threw " + e);
+    }
+    cells.put(cell.toString(), result);
+  }
+
+  private void write(int broken) throws IOException {
+    StringBuilder out = new StringBuilder();
+    out.append("matrix ").append(name).append('\n');
+    out.append("cells tried ").append(cells.size()).append('\n');
+    out.append("cells broken ").append(broken).append('\n');
+    cells.forEach(
+        (cell, result) ->
+            out.append(cell).append(" = ").append(result.orElse("held")).append('\n'));
+    Files.createDirectories(FOLDER);
+    Files.writeString(FOLDER.resolve(name + ".txt"), out);
+  }
+}
--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/RoleProcess.java
@@ -0,0 +1,64 @@
+package org.carobhoist.it;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+
+/** A process of the binary under test. */
+final class RoleProcess {
+
+  private static final Path BINARY = Path.of("..", "server", "target", "carobhoist");
+  private static final long STOP_SECONDS = 30;
+
+  private final String role;
+  private final Path settings;
+  private final Path log;
+  private Process process;
+
+  private RoleProcess(String role, Path settings, Path log) {
+    this.role = role;
+    this.settings = settings;
+    this.log = log;
+  }
+
+  static RoleProcess start(String role, Path folder, String name, String ini) throws IOException {
+    Path file = folder.resolve(name + ".ini");
+    Files.writeString(file, ini);
+    RoleProcess p = new RoleProcess(role, file, folder.resolve(name + ".log"));
+    p.restart();
+    return p;
+  }
+
+  /** Starts the process again with the same settings. */
+  void restart() throws IOException {
+    process =
+        new ProcessBuilder(BINARY.toString(), role, "--settings", settings.toString())
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
+            .start();
+  }
+
+  /** Asks the process to end, as a planned stop does, and returns its exit code. */
+  int terminate() {
+    process.destroy();
+    return process.onExit().orTimeout(STOP_SECONDS, TimeUnit.SECONDS).join().exitValue();
+  }
+
+  /** Ends the process at once, as a crash does. */
+  void kill() {
+    process.destroyForcibly().onExit().join();
+  }
+
+  long pid() {
+    return process.pid();
+  }
+
+  boolean isAlive() {
+    return process.isAlive();
+  }
+
+  String log() throws IOException {
+    return Files.readString(log);
+  }
+}
--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -0,0 +1,155 @@
+package org.carobhoist.it;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpStatus;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.UUID;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.ProfileName;
+import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.membership.ListedInstance;
+import org.carobhoist.core.profile.ProfileChange;
+import org.carobhoist.core.profile.Revision;
+import org.carobhoist.server.platform.HttpPlatform;
+import org.carobhoist.server.platform.LogRecords;
+import org.carobhoist.standin.PlatformStandIn;
+
+/** A platform stand-in and the processes that run on it; everything ends with close. */
+final class TestCluster implements AutoCloseable {
+
+  private static final Duration PATIENCE = Duration.ofSeconds(60);
+  private static final Duration POLL = Duration.ofMillis(20);
+
+  private final Path folder;
+  private final PlatformStandIn platform = new PlatformStandIn();
+  private final Map<String, RoleProcess> processes = new LinkedHashMap<>();
+  private final Map<String, URI> https = new LinkedHashMap<>();
+
+  private TestCluster(Path folder) {
+    this.folder = folder;
+  }
+
+  static TestCluster start(Path folder) {
+    TestCluster cluster = new TestCluster(folder);
+    cluster.platform.start();
+    return cluster;
+  }
+
+  PlatformStandIn platform() {
+    return platform;
+  }
+
+  RoleProcess process(String name) {
+    return processes.get(name);
+  }
+
+  URI http(String name) {
+    return https.get(name);
+  }
+
+  void startEntry(String name, String zone) throws IOException {
+    launch("entry", name, zone, "");
+  }
+
+  void startSidecar(String name, String zone, String service, String kind, URI endpoint)
+      throws IOException {
+    String section =
+        "[endpoint]\nservice = %s\nkind = %s\nurl = %s\n".formatted(service, kind, endpoint);
+    launch("sidecar", name, zone, section);
+  }
+
+  void publish(String profile, String document) {
+    ProfileChange change =
+        new ProfileChange(
+            UUID.randomUUID().toString(),
+            ProfileChange.Kind.PUBLISH,
+            new ProfileName(profile),
+            Revision.NONE,
+            document,
+            "test");
+    HttpPlatform.at(platform.uri()).append(LogRecords.encode(change)).join();
+  }
+
+  /** Waits until every process is ready. */
+  void awaitReady() {
+    https.values().forEach(uri -> await("ready: " + uri, () -> isReady(uri)));
+  }
+
+  /** Waits until an entry has links to the given number of sidecars. */
+  void awaitLinks(String entry, int count) {
+    await(entry + " has " + count + " links", () -> state(entry).contains("\"links\":" + count));
+  }
+
+  String state(String name) {
+    return WebClient.of(https.get(name)).get("/state").aggregate().join().contentUtf8();
+  }
+
+  static void await(String what, BooleanSupplier condition) {
+    long end = System.nanoTime() + PATIENCE.toNanos();
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("not reached: " + what);
+      }
+      LockSupport.parkNanos(POLL.toNanos());
+    }
+  }
+
+  @Override
+  public void close() {
+    for (RoleProcess p : processes.values()) {
+      p.kill();
+    }
+    platform.stop();
+  }
+
+  private void launch(String role, String name, String zone, String more) throws IOException {
+    List<Integer> ports = freePorts(2);
+    String ini =
+        "[instance]\nid = %s\nzone = %s\nhttp = 127.0.0.1:%d\nlink = 127.0.0.1:%d\n"
+                .formatted(name, zone, ports.get(0), ports.get(1))
+            + "[platform]\nurl = %s\n".formatted(platform.uri())
+            + more;
+    processes.put(name, RoleProcess.start(role, folder, name, ini));
+    https.put(name, URI.create("http://127.0.0.1:" + ports.get(0)));
+    platform.list(
+        new ListedInstance(
+            new InstanceId(name), role, new Zone(zone), "127.0.0.1", ports.get(1), false));
+  }
+
+  private static boolean isReady(URI uri) {
+    try {
+      return WebClient.of(uri)
+          .get("/health/ready")
+          .aggregate()
+          .join()
+          .status()
+          .equals(HttpStatus.OK);
+    } catch (java.util.concurrent.CompletionException e) {
+      return false;
+    }
+  }
+
+  private static List<Integer> freePorts(int count) throws IOException {
+    List<ServerSocket> sockets = new ArrayList<>();
+    List<Integer> ports = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      ServerSocket socket = new ServerSocket(0);
+      sockets.add(socket);
+      ports.add(socket.getLocalPort());
+    }
+    for (ServerSocket socket : sockets) {
+      socket.close();
+    }
+    return ports;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/app/EntryCommand.java
@@ -0,0 +1,25 @@
+package org.carobhoist.server.app;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.carobhoist.server.entry.EntryService;
+import org.carobhoist.server.settings.SettingsLoader;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** Runs the entry role. */
+@Command(name = "entry", description = "Runs an entry: takes requests of callers and trainers.")
+final class EntryCommand implements Callable<Integer> {
+
+  @Option(
+      names = {"-s", "--settings"},
+      required = true,
+      paramLabel = "FILE",
+      description = "Settings file (INI).")
+  private Path settings;
+
+  @Override
+  public Integer call() {
+    return RoleRunner.run(() -> EntryService.create(SettingsLoader.loadEntry(settings)));
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -0,0 +1,51 @@
+package org.carobhoist.server.app;
+
+import picocli.AutoComplete;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.HelpCommand;
+import picocli.CommandLine.IVersionProvider;
+
+/** The binary's entry point. */
+@Command(
+    name = "carobhoist",
+    mixinStandardHelpOptions = true,
+    scope = CommandLine.ScopeType.INHERIT,
+    versionProvider = Main.Version.class,
+    description = "Rollout service for reinforcement learning.",
+    exitCodeListHeading = "%nExit codes:%n",
+    exitCodeList = {
+      "0:done",
+      "1:failed",
+      "2:wrong usage, settings or profile",
+      "3:conflict with another operator's change"
+    },
+    subcommands = {
+      EntryCommand.class,
+      SidecarCommand.class,
+      HelpCommand.class,
+      AutoComplete.GenerateCompletion.class
+    })
+public final class Main {
+
+  private Main() {}
+
+  /** Runs the command line and ends the process with its exit code. */
+  public static void main(String[] args) {
+    System.exit(commandLine().execute(args));
+  }
+
+  static CommandLine commandLine() {
+    return new CommandLine(new Main()).setCaseInsensitiveEnumValuesAllowed(true);
+  }
+
+  /** Reads the version from the binary's manifest. */
+  static final class Version implements IVersionProvider {
+
+    @Override
+    public String[] getVersion() {
+      String version = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"carobhoist " + (version == null ? "development" : version)};
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
@@ -0,0 +1,56 @@
+package org.carobhoist.server.app;
+
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.CountDownLatch;
+import org.carobhoist.core.settings.SettingsException;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+import org.carobhoist.server.runtime.Service;
+
+/** Runs a role until the process is asked to end, then stops it in an orderly way. */
+final class RoleRunner {
+
+  /** Makes the service from its settings. */
+  interface Maker {
+
+    /** Returns the service, not yet started. */
+    Service make() throws SettingsException;
+  }
+
+  private RoleRunner() {}
+
+  /** Runs the role; returns the process's exit code. */
+  static int run(Maker maker) {
+    Service service;
+    try {
+      service = maker.make();
+    } catch (SettingsException e) {
+      System.err.println(e.getMessage());
+      return ExitCodes.USAGE;
+    }
+    try {
+      service.start().join();
+    } catch (CompletionException e) {
+      EventLog.error(LogEvent.STOPPED, e.getCause());
+      return ExitCodes.FAILED;
+    }
+    awaitEnd(service);
+    return ExitCodes.DONE;
+  }
+
+  private static void awaitEnd(Service service) {
+    CountDownLatch forever = new CountDownLatch(1);
+    Thread hook = new Thread(() -> stop(service), "shutdown");
+    Runtime.getRuntime().addShutdownHook(hook);
+    try {
+      forever.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
+  private static void stop(Service service) {
+    service.stop().join();
+    EventLog.info(LogEvent.STOPPED);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/app/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: one class for each subcommand. */
+package org.carobhoist.server.app;
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/entry/CallRoutes.java
@@ -0,0 +1,173 @@
+package org.carobhoist.server.entry;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import java.util.function.BooleanSupplier;
+import org.carobhoist.core.common.Priority;
+import org.carobhoist.core.common.ProfileName;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.core.common.RefusedException;
+import org.carobhoist.core.common.RequestId;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.profile.Profile;
+import org.carobhoist.core.profile.ProfileFold;
+import org.carobhoist.core.request.RetryPolicy;
+
+/** The routes of callers: plain services and model completions. */
+final class CallRoutes {
+
+  private static final Set<HttpMethod> IDEMPOTENT =
+      Set.of(
+          HttpMethod.GET, HttpMethod.HEAD, HttpMethod.OPTIONS, HttpMethod.PUT, HttpMethod.DELETE);
+  private static final ProfileName NO_PROFILE = new ProfileName("none");
+  private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(30);
+  private static final RetryPolicy DEFAULT_RETRY = new RetryPolicy(3);
+
+  private final CallContext context;
+  private final ProfileFold profiles;
+  private final BooleanSupplier ready;
+
+  CallRoutes(CallContext context, ProfileFold profiles, BooleanSupplier ready) {
+    this.context = context;
+    this.profiles = profiles;
+    this.ready = ready;
+  }
+
+  void addTo(ServerBuilder sb) {
+    sb.service("regex:^/v1/services/(?<service>[^/]+)(?<rest>/.*)?$", this::plain);
+    sb.service("/v1/completions", this::model);
+    sb.service("/v1/chat/completions", this::model);
+  }
+
+  private HttpResponse plain(ServiceRequestContext ctx, HttpRequest req) {
+    String rest = ctx.pathParam("rest");
+    String path = rest == null || rest.isEmpty() ? "/" : rest;
+    String query = ctx.query();
+    String target = query == null ? path : path + "?" + query;
+    return aggregate(req, http -> call(ctx.pathParam("service"), target, http, false));
+  }
+
+  private HttpResponse model(ServiceRequestContext ctx, HttpRequest req) {
+    return aggregate(req, http -> call(modelOf(http), ctx.path(), http, true));
+  }
+
+  private interface CallMaker {
+    CallRequest make(AggregatedHttpRequest http);
+  }
+
+  private HttpResponse aggregate(HttpRequest req, CallMaker maker) {
+    HttpResponseWriter out = HttpResponse.streaming();
+    req.aggregate()
+        .thenAcceptAsync(http -> begin(http, maker, out), context.loop())
+        .exceptionally(
+            failure -> {
+              out.close(failure);
+              return null;
+            });
+    return out;
+  }
+
+  private void begin(AggregatedHttpRequest http, CallMaker maker, HttpResponseWriter out) {
+    RequestId id = requestId(http.headers());
+    if (!ready.getAsBoolean()) {
+      Problems.write(
+          out, id, Refusal.notRun(RefusalReason.NOT_READY, "no configuration has been read yet"));
+      return;
+    }
+    try {
+      EntryCall.start(context, maker.make(http), out);
+    } catch (RefusedException e) {
+      Problems.write(out, id, e.refusal());
+    }
+  }
+
+  private CallRequest call(String service, String path, AggregatedHttpRequest http, boolean model) {
+    RequestHeaders headers = http.headers();
+    ServiceName name = parse(() -> new ServiceName(service));
+    Optional<Profile> profile = profile(name, headers);
+    boolean idempotent =
+        model
+            || IDEMPOTENT.contains(http.method())
+            || Boolean.parseBoolean(headers.get(CarobhoistHeaders.IDEMPOTENT, "false"));
+    return new CallRequest(
+        requestId(headers),
+        name,
+        profile.map(Profile::name).orElse(NO_PROFILE),
+        path,
+        http,
+        idempotent,
+        headers.get(CarobhoistHeaders.IDEMPOTENCY_KEY, ""),
+        profile.map(Profile::retry).orElse(DEFAULT_RETRY),
+        deadline(headers, profile.map(Profile::deadline).orElse(DEFAULT_DEADLINE)),
+        profile.map(Profile::priority).orElse(Priority.STANDARD));
+  }
+
+  private Optional<Profile> profile(ServiceName service, RequestHeaders headers) {
+    String named = headers.get(CarobhoistHeaders.PROFILE);
+    if (named == null) {
+      return profiles.profilesOf(service).stream().findFirst();
+    }
+    Optional<Profile> found = profiles.profile(parse(() -> new ProfileName(named)));
+    if (found.isEmpty() || !found.get().service().equals(service)) {
+      throw badRequest("profile " + named + " is not in force for " + service);
+    }
+    return found;
+  }
+
+  private static Duration deadline(RequestHeaders headers, Duration fallback) {
+    String text = headers.get(CarobhoistHeaders.DEADLINE_MILLIS);
+    if (text == null) {
+      return fallback;
+    }
+    long millis = parse(() -> Long.parseLong(text));
+    if (millis <= 0) {
+      throw badRequest("the deadline is not positive");
+    }
+    return Duration.ofMillis(millis);
+  }
+
+  private static String modelOf(AggregatedHttpRequest http) {
+    try {
+      return StepJson.MAPPER.readTree(http.content().array()).path("model").asText();
+    } catch (IOException e) {
+      throw badRequest("the body is not JSON");
+    }
+  }
+
+  private static RequestId requestId(RequestHeaders headers) {
+    String given = headers.get(CarobhoistHeaders.REQUEST_ID);
+    try {
+      return new RequestId(given == null ? UUID.randomUUID().toString() : given);
+    } catch (IllegalArgumentException e) {
+      return new RequestId(UUID.randomUUID().toString());
+    }
+  }
+
+  private interface Parser<T> {
+    T parse();
+  }
+
+  private static <T> T parse(Parser<T> parser) {
+    try {
+      return parser.parse();
+    } catch (IllegalArgumentException e) {
+      throw badRequest(e.getMessage());
+    }
+  }
+
+  private static RefusedException badRequest(String detail) {
+    return RefusedException.of(Refusal.notRun(RefusalReason.BAD_REQUEST, detail));
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -0,0 +1,244 @@
+package org.carobhoist.server.entry;
+
+import com.google.protobuf.ByteString;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import com.linecorp.armeria.common.stream.ClosedStreamException;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.Set;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusedException;
+import org.carobhoist.core.common.Verdict;
+import org.carobhoist.core.request.RequestEvent;
+import org.carobhoist.core.request.RequestPort;
+import org.carobhoist.core.request.RequestRun;
+import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.core.routing.RouteQuery;
+import org.carobhoist.server.link.CallMapper;
+import org.carobhoist.server.link.Link;
+import org.carobhoist.server.link.proto.CallCancel;
+import org.carobhoist.server.link.proto.CallHead;
+import org.carobhoist.server.link.proto.CallStart;
+import org.carobhoist.server.link.proto.Header;
+import org.carobhoist.server.link.proto.LinkFrame;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+
+/** One caller's request: joins the pure {@link RequestRun} to the links and to the HTTP answer. */
+final class EntryCall implements RequestPort {
+
+  private static final Set<String> HOP_HEADERS =
+      Set.of("connection", "transfer-encoding", "keep-alive", "upgrade", "te", "trailer", "host");
+
+  private final CallContext context;
+  private final CallRequest request;
+  private final HttpResponseWriter out;
+  private final RequestRun run;
+  private final Duration expiry;
+  private Runnable cancelTimer = () -> {};
+  private CallHead head;
+  private InstanceId endpoint;
+  private long frameId;
+  private int nextFrame;
+
+  private EntryCall(CallContext context, CallRequest request, HttpResponseWriter out) {
+    this.context = context;
+    this.request = request;
+    this.out = out;
+    this.run = RequestRun.create(this, request.retry(), context.budget(), request.idempotent());
+    this.expiry = context.clock().elapsed().plus(request.deadline());
+  }
+
+  /** Starts a call whose answer goes to the writer; to be called on the loop. */
+  static void start(CallContext context, CallRequest request, HttpResponseWriter out) {
+    EntryCall call = new EntryCall(context, request, out);
+    out.whenComplete()
+        .whenCompleteAsync(
+            (ok, failure) -> {
+              if (failure instanceof ClosedStreamException) {
+                call.run.onCancel();
+              }
+            },
+            context.loop());
+    call.cancelTimer = context.loop().after(request.deadline(), call.run::onDeadline);
+    call.run.start();
+  }
+
+  /** Takes a frame of an attempt. */
+  void onFrame(int attempt, LinkFrame frame) {
+    if (attempt != run.attempt()) {
+      return;
+    }
+    switch (frame.getBodyCase()) {
+      case CALL_HEAD -> onHead(attempt, frame.getCallHead());
+      case CALL_DATA -> onData(attempt, frame);
+      case CALL_END -> onEnd(attempt, frame.getCallEnd().getFrames());
+      case CALL_FAILED -> onFailed(attempt, CallMapper.fromMessage(frame.getCallFailed()));
+      default -> EventLog.warn(LogEvent.FRAME_DROPPED, "kind", frame.getBodyCase());
+    }
+  }
+
+  /** Takes the loss of the link of an attempt. */
+  void onLinkLost(int attempt) {
+    release();
+    run.on(attempt, RequestEvent.LINK_LOST);
+  }
+
+  @Override
+  public Optional<InstanceId> choose(Set<InstanceId> excluded) {
+    RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, 0);
+    return context
+        .router()
+        .choose(query, context.links().directory().viewsOf(request.service()))
+        .map(EndpointView::instance);
+  }
+
+  @Override
+  public void send(InstanceId to, int attempt) {
+    endpoint = to;
+    nextFrame = 0;
+    head = null;
+    Optional<Link> link = context.links().link(to);
+    frameId = context.table().add(new CallTable.Attempt(this, attempt, to));
+    context.links().directory().onBegin(to);
+    if (link.isEmpty()) {
+      release();
+      run.on(attempt, RequestEvent.WRITE_FAILED);
+      return;
+    }
+    link.get()
+        .send(startFrame())
+        .whenCompleteAsync((ok, failure) -> onWritten(attempt, failure), context.loop());
+  }
+
+  @Override
+  public void cancel(InstanceId at, int attempt) {
+    CallCancel message = CallCancel.newBuilder().setCall(frameId).build();
+    LinkFrame frame = LinkFrame.newBuilder().setCallCancel(message).build();
+    context.links().link(at).ifPresent(link -> link.send(frame));
+    release();
+  }
+
+  @Override
+  public void passHead() {
+    ResponseHeadersBuilder b = ResponseHeaders.builder(head.getStatus());
+    for (Header h : head.getHeadersList()) {
+      if (!HOP_HEADERS.contains(h.getName())) {
+        b.add(h.getName(), h.getValue());
+      }
+    }
+    b.set(CarobhoistHeaders.VERDICT, Verdict.COMPLETED.name());
+    b.set(CarobhoistHeaders.REQUEST_ID, request.id().value());
+    out.tryWrite(b.build());
+  }
+
+  @Override
+  public void finish() {
+    cancelTimer.run();
+    release();
+    out.close();
+  }
+
+  @Override
+  public void refuse(Refusal refusal) {
+    cancelTimer.run();
+    release();
+    logRefused(refusal);
+    Problems.write(out, request.id(), refusal);
+  }
+
+  @Override
+  public void abort(Refusal refusal) {
+    cancelTimer.run();
+    release();
+    logRefused(refusal);
+    out.close(RefusedException.of(refusal));
+  }
+
+  private void onWritten(int attempt, Throwable failure) {
+    if (failure != null && attempt == run.attempt()) {
+      release();
+    }
+    run.on(attempt, failure == null ? RequestEvent.WRITTEN : RequestEvent.WRITE_FAILED);
+  }
+
+  private void onHead(int attempt, CallHead arrived) {
+    if (head == null) {
+      head = arrived;
+      run.on(attempt, RequestEvent.HEAD);
+    }
+  }
+
+  private void onData(int attempt, LinkFrame frame) {
+    if (head == null || frame.getCallData().getSequence() != nextFrame) {
+      run.on(attempt, RequestEvent.BROKEN);
+      return;
+    }
+    nextFrame++;
+    out.tryWrite(HttpData.wrap(frame.getCallData().getContent().toByteArray()));
+  }
+
+  private void onEnd(int attempt, int frames) {
+    boolean whole = head != null && frames == nextFrame;
+    run.on(attempt, whole ? RequestEvent.END : RequestEvent.BROKEN);
+  }
+
+  private void onFailed(int attempt, Refusal refusal) {
+    release();
+    run.onRefused(attempt, refusal);
+  }
+
+  private void release() {
+    if (frameId != 0) {
+      context.table().remove(frameId);
+      context.links().directory().onEnd(endpoint);
+      frameId = 0;
+    }
+  }
+
+  private LinkFrame startFrame() {
+    Duration left = expiry.minus(context.clock().elapsed());
+    CallStart.Builder b =
+        CallStart.newBuilder()
+            .setCall(frameId)
+            .setRequest(request.id().value())
+            .setService(request.service().value())
+            .setProfile(request.profile().value())
+            .setMethod(request.http().method().name())
+            .setPath(request.path())
+            .setContent(ByteString.copyFrom(request.http().content().array()))
+            .setRemainingMillis(Math.max(1, left.toMillis()))
+            .setPriorityValue(CallMapper.priorityNumber(request.priority()))
+            .setIdempotent(request.idempotent())
+            .setIdempotencyKey(request.key());
+    request
+        .http()
+        .headers()
+        .forEach(
+            (name, value) -> {
+              if (name.charAt(0) != ':' && !HOP_HEADERS.contains(name.toString())) {
+                b.addHeaders(Header.newBuilder().setName(name.toString()).setValue(value));
+              }
+            });
+    return LinkFrame.newBuilder().setCallStart(b).build();
+  }
+
+  private void logRefused(Refusal refusal) {
+    EventLog.info(
+        LogEvent.REQUEST_REFUSED,
+        "request",
+        request.id(),
+        "profile",
+        request.profile(),
+        "verdict",
+        refusal.verdict(),
+        "reason",
+        refusal.reason(),
+        "detail",
+        refusal.detail());
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -0,0 +1,187 @@
+package org.carobhoist.server.entry;
+
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServerBuilder;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.request.RetryBudget;
+import org.carobhoist.core.routing.Router;
+import org.carobhoist.server.link.Link;
+import org.carobhoist.server.link.LinkListener;
+import org.carobhoist.server.link.LinkNetwork;
+import org.carobhoist.server.link.proto.Hello;
+import org.carobhoist.server.link.proto.LinkFrame;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+import org.carobhoist.server.platform.ConfigFollower;
+import org.carobhoist.server.platform.HttpPlatform;
+import org.carobhoist.server.runtime.DecisionLoop;
+import org.carobhoist.server.runtime.Service;
+import org.carobhoist.server.runtime.SystemClock;
+import org.carobhoist.server.settings.EntrySettings;
+import org.carobhoist.server.settings.InstanceSettings;
+import org.carobhoist.server.state.AdminRoutes;
+import org.carobhoist.server.state.StateDump;
+import org.carobhoist.server.state.StateSource;
+
+/** The entry role: takes requests of callers and trainers, and keeps nothing that must last. */
+public final class EntryService implements Service {
+
+  private static final double RETRIES_PER_REQUEST = 0.1;
+  private static final double RETRY_BURST = 20;
+  private static final Duration DRAIN_LIMIT = Duration.ofMinutes(2);
+
+  private final InstanceSettings settings;
+  private final Incarnation incarnation = new Incarnation(UUID.randomUUID().toString());
+  private final DecisionLoop loop = DecisionLoop.create("entry");
+  private final ConfigFollower config;
+  private final LinkNetwork network;
+  private final CallContext context;
+  private final StepTable steps;
+  private final PrometheusMeterRegistry metrics =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private volatile boolean draining;
+  private Server http;
+
+  /** State dump of the work in flight. */
+  public record State(int links, int calls, int steps, int samplesInFlight, double retryTokens) {}
+
+  private EntryService(EntrySettings settings) {
+    this.settings = settings.instance();
+    HttpPlatform platform = HttpPlatform.at(this.settings.platform());
+    SplittableRandom random = new SplittableRandom();
+    this.config = ConfigFollower.create(platform, loop);
+    this.network = LinkNetwork.create(this.settings.link(), hello(), new Frames());
+    this.context =
+        new CallContext(
+            loop,
+            SystemClock.create(),
+            this.settings.zone(),
+            new LinkPool(loop, platform),
+            new CallTable(),
+            Router.create(random),
+            RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST));
+    this.steps = new StepTable(context, random.split());
+  }
+
+  /** Returns an entry that hasn't started. */
+  public static EntryService create(EntrySettings settings) {
+    return new EntryService(settings);
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    config.start();
+    steps.start();
+    http = httpServer();
+    return network
+        .start()
+        .thenRun(() -> context.links().start(network))
+        .thenCompose(ok -> http.start())
+        .thenRun(this::logStarted);
+  }
+
+  /** Drains: is no longer ready, finishes the requests in flight, then leaves. */
+  @Override
+  public CompletableFuture<Void> stop() {
+    EventLog.info(LogEvent.STOPPING, "instance", settings.id());
+    draining = true;
+    return http.stop().thenCompose(ok -> network.stop()).thenCompose(ok -> loop.stop());
+  }
+
+  private Hello hello() {
+    return Hello.newBuilder()
+        .setInstance(settings.id().value())
+        .setZone(settings.zone().value())
+        .setRole("entry")
+        .setIncarnation(incarnation.value())
+        .build();
+  }
+
+  private Server httpServer() {
+    ServerBuilder sb = Server.builder();
+    sb.http(new InetSocketAddress(settings.http().host(), settings.http().port()));
+    sb.requestTimeoutMillis(0);
+    sb.gracefulShutdownTimeout(Duration.ofMillis(1), DRAIN_LIMIT);
+    StateDump dump = StateDump.of(loop, List.of(new WorkState(), config));
+    AdminRoutes.create(this::isReady, metrics, dump).addTo(sb);
+    new CallRoutes(context, config.fold(), config::isReady).addTo(sb);
+    new StepRoutes(context, config.fold(), config::isReady, steps).addTo(sb);
+    return sb.build();
+  }
+
+  private boolean isReady() {
+    return config.isReady() && !draining;
+  }
+
+  private void logStarted() {
+    EventLog.info(
+        LogEvent.STARTED, "role", "entry", "instance", settings.id(), "incarnation", incarnation);
+  }
+
+  private void onFrame(Link link, LinkFrame frame) {
+    InstanceId from = LinkPool.peer(link);
+    if (frame.hasAnnouncement()) {
+      context.links().onAnnouncement(link, frame);
+      return;
+    }
+    if (!context.table().dispatch(from, frame) && !steps.dispatch(from, frame)) {
+      EventLog.info(LogEvent.FRAME_DROPPED, "peer", from, "kind", frame.getBodyCase());
+    }
+  }
+
+  private void onDown(Link link) {
+    context
+        .links()
+        .onDown(link)
+        .ifPresent(
+            endpoint -> {
+              context.table().onLinkLost(endpoint);
+              steps.onLinkLost(endpoint);
+            });
+  }
+
+  private final class WorkState implements StateSource {
+
+    @Override
+    public String name() {
+      return "work";
+    }
+
+    @Override
+    public Object state() {
+      return new State(
+          context.links().linked().size(),
+          context.table().size(),
+          steps.size(),
+          steps.inFlight(),
+          context.budget().tokens());
+    }
+  }
+
+  private final class Frames implements LinkListener {
+
+    @Override
+    public void onUp(Link link) {
+      loop.execute(() -> context.links().onUp(link));
+    }
+
+    @Override
+    public void onFrame(Link link, LinkFrame frame) {
+      loop.execute(() -> EntryService.this.onFrame(link, frame));
+    }
+
+    @Override
+    public void onDown(Link link) {
+      loop.execute(() -> EntryService.this.onDown(link));
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/entry/StepRoutes.java
@@ -0,0 +1,86 @@
+package org.carobhoist.server.entry;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.core.common.RequestId;
+import org.carobhoist.core.profile.Profile;
+import org.carobhoist.core.profile.ProfileFold;
+import org.carobhoist.core.rollout.StepPage;
+import org.carobhoist.core.rollout.StepRequest;
+import org.carobhoist.trainer.StepRequestMessage;
+
+/** The route of trainers: {@code POST /v1/steps}, a long poll for whole groups. */
+final class StepRoutes {
+
+  private static final Duration MAX_WAIT = Duration.ofSeconds(30);
+
+  private final CallContext context;
+  private final ProfileFold profiles;
+  private final BooleanSupplier ready;
+  private final StepTable steps;
+
+  StepRoutes(CallContext context, ProfileFold profiles, BooleanSupplier ready, StepTable steps) {
+    this.context = context;
+    this.profiles = profiles;
+    this.ready = ready;
+    this.steps = steps;
+  }
+
+  void addTo(ServerBuilder sb) {
+    sb.service("/v1/steps", this::serve);
+  }
+
+  private HttpResponse serve(ServiceRequestContext ctx, HttpRequest req) {
+    return HttpResponse.of(req.aggregate().thenComposeAsync(this::step, context.loop()));
+  }
+
+  private CompletableFuture<HttpResponse> step(AggregatedHttpRequest http) {
+    if (!ready.getAsBoolean()) {
+      return refuse(RefusalReason.NOT_READY, "no configuration has been read yet");
+    }
+    try {
+      StepRequestMessage message =
+          StepJson.MAPPER.readValue(http.content().array(), StepRequestMessage.class);
+      StepRequest request = StepJson.request(message);
+      Duration wait = Duration.ofMillis(message.waitMillis());
+      return profiles
+          .profile(request.key().profile())
+          .map(profile -> await(profile, request, wait))
+          .orElseGet(() -> refuse(RefusalReason.UNKNOWN_SERVICE, "the profile is not in force"));
+    } catch (IOException | IllegalArgumentException e) {
+      return refuse(RefusalReason.BAD_REQUEST, String.valueOf(e.getMessage()));
+    }
+  }
+
+  private CompletableFuture<HttpResponse> await(
+      Profile profile, StepRequest request, Duration wait) {
+    Duration bounded = wait.compareTo(MAX_WAIT) > 0 ? MAX_WAIT : wait;
+    return steps.request(profile, request, bounded).thenApply(StepRoutes::answer);
+  }
+
+  private static HttpResponse answer(StepPage page) {
+    try {
+      byte[] body = StepJson.MAPPER.writeValueAsBytes(StepJson.page(page));
+      return HttpResponse.of(HttpStatus.OK, MediaType.JSON, body);
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static CompletableFuture<HttpResponse> refuse(RefusalReason reason, String detail) {
+    RequestId id = new RequestId(UUID.randomUUID().toString());
+    return CompletableFuture.completedFuture(Problems.response(id, Refusal.notRun(reason, detail)));
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/link/Link.java
@@ -0,0 +1,47 @@
+package org.carobhoist.server.link;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.server.link.proto.Hello;
+import org.carobhoist.server.link.proto.LinkFrame;
+
+/** A connection to another process of the system. */
+public final class Link {
+
+  private final Channel channel;
+  private final Hello peer;
+
+  Link(Channel channel, Hello peer) {
+    this.channel = channel;
+    this.peer = peer;
+  }
+
+  /** Returns who the peer said it is. */
+  public Hello peer() {
+    return peer;
+  }
+
+  /**
+   * Sends a frame. The future completes when the operating system has taken every byte of it. If it
+   * fails, the last byte was not handed over, so the peer can't have acted on the frame.
+   */
+  public CompletableFuture<Void> send(LinkFrame frame) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    channel.writeAndFlush(frame).addListener((ChannelFuture f) -> settle(f, done));
+    return done;
+  }
+
+  /** Closes the link. */
+  public void close() {
+    channel.close();
+  }
+
+  private static void settle(ChannelFuture written, CompletableFuture<Void> done) {
+    if (written.isSuccess()) {
+      done.complete(null);
+    } else {
+      done.completeExceptionally(written.cause());
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/link/LinkNetwork.java
@@ -0,0 +1,126 @@
+package org.carobhoist.server.link;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
+import io.netty.handler.codec.LengthFieldPrepender;
+import io.netty.util.concurrent.DefaultThreadFactory;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.carobhoist.core.settings.SocketAddressText;
+import org.carobhoist.server.link.proto.Hello;
+import org.carobhoist.server.runtime.Service;
+
+/** Accepts and opens links; all of a process's links share its threads. */
+public final class LinkNetwork implements Service {
+
+  private static final int MAX_FRAME_BYTES = 32 * 1024 * 1024;
+  private static final int LENGTH_BYTES = 4;
+  private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+  private static final int IO_THREADS = 2;
+
+  private final SocketAddressText address;
+  private final Hello self;
+  private final LinkListener listener;
+  private final EventLoopGroup group =
+      new NioEventLoopGroup(IO_THREADS, new DefaultThreadFactory("link", true));
+  private Channel acceptor;
+
+  private LinkNetwork(SocketAddressText address, Hello self, LinkListener listener) {
+    this.address = address;
+    this.self = self.toBuilder().setProtocol(LinkHandler.PROTOCOL).build();
+    this.listener = listener;
+  }
+
+  /**
+   * Returns a network that hasn't started.
+   *
+   * @param address where links are accepted
+   * @param self what this process says of itself
+   * @param listener takes what happens on every link, accepted or opened
+   */
+  public static LinkNetwork create(SocketAddressText address, Hello self, LinkListener listener) {
+    return new LinkNetwork(address, self, listener);
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    ServerBootstrap boot =
+        new ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(initializer());
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    boot.bind(address.host(), address.port())
+        .addListener(
+            (ChannelFuture f) -> {
+              if (f.isSuccess()) {
+                acceptor = f.channel();
+                done.complete(null);
+              } else {
+                done.completeExceptionally(f.cause());
+              }
+            });
+    return done;
+  }
+
+  @Override
+  public CompletableFuture<Void> stop() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).addListener(future -> done.complete(null));
+    return done;
+  }
+
+  /** Stops accepting links; those there are stay. */
+  public void closeAcceptor() {
+    if (acceptor != null) {
+      acceptor.close();
+    }
+  }
+
+  /** Opens a link; the future fails if the connection can't be made. */
+  public CompletableFuture<Void> open(String host, int port) {
+    Bootstrap boot =
+        new Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(initializer());
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    boot.connect(host, port)
+        .addListener(
+            (ChannelFuture f) -> {
+              if (f.isSuccess()) {
+                done.complete(null);
+              } else {
+                done.completeExceptionally(f.cause());
+              }
+            });
+    return done;
+  }
+
+  private ChannelInitializer<SocketChannel> initializer() {
+    return new ChannelInitializer<>() {
+      @Override
+      protected void initChannel(SocketChannel ch) {
+        ch.pipeline()
+            .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, 4))
+            .addLast(new LengthFieldPrepender(LENGTH_BYTES))
+            .addLast(new LinkFrameCodec())
+            .addLast(new LinkHandler(self, listener));
+      }
+    };
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/link/package-info.java
@@ -0,0 +1,2 @@
+/** Links between the system's own processes: Netty and protobuf. */
+package org.carobhoist.server.link;
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -0,0 +1,57 @@
+package org.carobhoist.server.log;
+
+/** The numbered events of the log; {@code docs/EVENTS.md} is their catalogue. */
+public enum LogEvent {
+  /** A process has started. */
+  STARTED(1001, "process started"),
+  /** A process begins its planned stop. */
+  STOPPING(1002, "planned stop begins"),
+  /** A process has stopped. */
+  STOPPED(1003, "process stopped"),
+  /** A task of the decision loop threw. */
+  DECISION_FAILED(1004, "decision task failed"),
+  /** A link is up. */
+  LINK_UP(2001, "link up"),
+  /** A link is down. */
+  LINK_DOWN(2002, "link down"),
+  /** A frame could not be understood. */
+  FRAME_DROPPED(2003, "frame dropped"),
+  /** A request was refused or failed. */
+  REQUEST_REFUSED(3001, "request refused"),
+  /** A request is sent again. */
+  REQUEST_RETRIED(3002, "request retried"),
+  /** A step begins at this entry. */
+  STEP_STARTED(4001, "step started"),
+  /** An attempt at a sample failed. */
+  SAMPLE_FAILED(4002, "sample attempt failed"),
+  /** The platform's log can't be read. */
+  LOG_UNREACHABLE(5001, "platform log unreachable"),
+  /** A change of a profile is in force. */
+  PROFILE_IN_FORCE(5002, "profile change in force"),
+  /** A change of a profile is void. */
+  PROFILE_VOID(5003, "profile change void"),
+  /** A record of the log can't be understood and is skipped. */
+  RECORD_SKIPPED(5004, "log record skipped"),
+  /** The platform's instance list can't be read. */
+  LIST_UNREACHABLE(5005, "instance list unreachable"),
+  /** A weight swap went a step on. */
+  SWAP(6001, "weight swap");
+
+  private final int number;
+  private final String text;
+
+  LogEvent(int number, String text) {
+    this.number = number;
+    this.text = text;
+  }
+
+  /** Returns the event's number, which never changes. */
+  public int number() {
+    return number;
+  }
+
+  /** Returns the event's text. */
+  public String text() {
+    return text;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/log/package-info.java
@@ -0,0 +1,2 @@
+/** Numbered log events. */
+package org.carobhoist.server.log;
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
@@ -0,0 +1,112 @@
+package org.carobhoist.server.platform;
+
+import java.time.Duration;
+import org.carobhoist.core.profile.FoldOutcome;
+import org.carobhoist.core.profile.ProfileChange;
+import org.carobhoist.core.profile.ProfileFold;
+import org.carobhoist.server.link.proto.LogRecord;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+import org.carobhoist.server.runtime.DecisionLoop;
+import org.carobhoist.server.state.StateSource;
+
+/** Follows the platform's log by long poll and folds its records into the configuration. */
+public final class ConfigFollower implements StateSource {
+
+  private static final Duration POLL_WAIT = Duration.ofSeconds(20);
+  private static final Duration RETRY_DELAY = Duration.ofMillis(500);
+
+  private final PlatformLog log;
+  private final DecisionLoop loop;
+  private final ProfileFold fold = ProfileFold.create();
+  private boolean reachable = true;
+  private volatile boolean ready;
+
+  /** State dump of the configuration. */
+  public record State(long revision, long appliedOffset, boolean ready, boolean logReachable) {}
+
+  private ConfigFollower(PlatformLog log, DecisionLoop loop) {
+    this.log = log;
+    this.loop = loop;
+  }
+
+  /** Returns a follower that hasn't started; its fold is touched on the loop only. */
+  public static ConfigFollower create(PlatformLog log, DecisionLoop loop) {
+    return new ConfigFollower(log, loop);
+  }
+
+  /** Begins to follow the log. */
+  public void start() {
+    loop.execute(() -> poll(Duration.ZERO));
+  }
+
+  /** Returns the configuration; to be used on the loop only. */
+  public ProfileFold fold() {
+    return fold;
+  }
+
+  /** Returns whether the process has a configuration to serve from; may be read on any thread. */
+  public boolean isReady() {
+    return ready;
+  }
+
+  @Override
+  public String name() {
+    return "configuration";
+  }
+
+  @Override
+  public Object state() {
+    return new State(fold.revision().offset(), fold.appliedOffset(), ready, reachable);
+  }
+
+  private void poll(Duration wait) {
+    log.read(fold.appliedOffset() + 1, wait)
+        .whenCompleteAsync((batch, failure) -> onRead(batch, failure), loop);
+  }
+
+  private void onRead(LogBatch batch, Throwable failure) {
+    if (failure != null) {
+      if (reachable) {
+        EventLog.warn(LogEvent.LOG_UNREACHABLE, "cause", failure.getMessage());
+      }
+      reachable = false;
+      loop.after(RETRY_DELAY, () -> poll(Duration.ZERO));
+      return;
+    }
+    reachable = true;
+    batch.records().forEach(this::apply);
+    if (batch.records().isEmpty() || fold.appliedOffset() + 1 >= batch.next()) {
+      ready = true;
+    }
+    poll(POLL_WAIT);
+  }
+
+  private void apply(LogBatch.StoredRecord record) {
+    LogRecords.decode(record.data())
+        .filter(LogRecord::hasChange)
+        .flatMap(r -> LogRecords.change(r.getChange()))
+        .ifPresentOrElse(
+            change -> apply(record.offset(), change),
+            () -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", record.offset()));
+    fold.advance(record.offset());
+  }
+
+  private void apply(long offset, ProfileChange change) {
+    FoldOutcome outcome = fold.apply(offset, change);
+    LogEvent event =
+        outcome.status() == FoldOutcome.Status.ACCEPTED
+            ? LogEvent.PROFILE_IN_FORCE
+            : LogEvent.PROFILE_VOID;
+    EventLog.info(
+        event,
+        "profile",
+        change.profile(),
+        "revision",
+        outcome.current(),
+        "change",
+        change.changeId(),
+        "detail",
+        outcome.detail());
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/platform/HttpPlatform.java
@@ -0,0 +1,110 @@
+package org.carobhoist.server.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.membership.ListedInstance;
+
+/** The platform's services over HTTP with JSON. */
+public final class HttpPlatform implements PlatformLog, InstanceList {
+
+  private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final WebClient client;
+
+  private HttpPlatform(URI url) {
+    this.client =
+        WebClient.builder("h1c://" + url.getAuthority())
+            .responseTimeoutMillis(0)
+            .maxResponseLength(0)
+            .build();
+  }
+
+  /** Returns a client of the platform at a base URL. */
+  public static HttpPlatform at(URI url) {
+    return new HttpPlatform(url);
+  }
+
+  @Override
+  public CompletableFuture<Long> append(byte[] record) {
+    HttpRequest request =
+        HttpRequest.of(
+            HttpMethod.POST, "/log/append", MediaType.OCTET_STREAM, HttpData.wrap(record));
+    return call(request, CALL_TIMEOUT).thenApply(json -> json.get("offset").asLong());
+  }
+
+  @Override
+  public CompletableFuture<LogBatch> read(long from, Duration wait) {
+    String path = "/log/records?from=" + from + "&wait=" + wait.toMillis();
+    return call(HttpRequest.of(HttpMethod.GET, path), CALL_TIMEOUT.plus(wait))
+        .thenApply(HttpPlatform::batch);
+  }
+
+  @Override
+  public CompletableFuture<List<ListedInstance>> read() {
+    return call(HttpRequest.of(HttpMethod.GET, "/instances"), CALL_TIMEOUT)
+        .thenApply(HttpPlatform::instances);
+  }
+
+  private CompletableFuture<JsonNode> call(HttpRequest request, Duration timeout) {
+    return client
+        .execute(request)
+        .aggregate()
+        .thenApply(HttpPlatform::parse)
+        .orTimeout(timeout.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private static JsonNode parse(AggregatedHttpResponse response) {
+    if (!response.status().equals(HttpStatus.OK)) {
+      throw new UncheckedIOException(new IOException("platform answered " + response.status()));
+    }
+    try {
+      return JSON.readTree(response.content().array());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static LogBatch batch(JsonNode json) {
+    List<LogBatch.StoredRecord> records = new ArrayList<>();
+    for (JsonNode r : json.get("records")) {
+      byte[] data = Base64.getDecoder().decode(r.get("data").asText());
+      long offset = r.get("offset").asLong();
+      records.add(new LogBatch.StoredRecord(offset, r.get("timeMillis").asLong(), data));
+    }
+    return new LogBatch(json.get("first").asLong(), json.get("next").asLong(), records);
+  }
+
+  private static List<ListedInstance> instances(JsonNode json) {
+    List<ListedInstance> out = new ArrayList<>();
+    for (JsonNode i : json) {
+      out.add(
+          new ListedInstance(
+              new InstanceId(i.at("/instance/value").asText()),
+              i.get("role").asText(),
+              new Zone(i.at("/zone/value").asText()),
+              i.get("host").asText(),
+              i.get("port").asInt(),
+              i.get("leaving").asBoolean()));
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/platform/LogBatch.java
@@ -0,0 +1,22 @@
+package org.carobhoist.server.platform;
+
+import java.util.List;
+
+/**
+ * A read's answer.
+ *
+ * @param first first offset that the log still keeps
+ * @param next offset that the next append will get
+ * @param records the records from the offset asked for, in order; may stop before {@code next}
+ */
+public record LogBatch(long first, long next, List<StoredRecord> records) {
+
+  /**
+   * One record.
+   *
+   * @param offset its offset
+   * @param timeMillis when it was appended, by the platform's clock, in milliseconds since 1970
+   * @param data its bytes, which must not be changed
+   */
+  public record StoredRecord(long offset, long timeMillis, byte[] data) {}
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/platform/package-info.java
@@ -0,0 +1,2 @@
+/** Clients of the platform's log, instance list and weight store. */
+package org.carobhoist.server.platform;
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/settings/InstanceSettings.java
@@ -0,0 +1,18 @@
+package org.carobhoist.server.settings;
+
+import java.net.URI;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.settings.SocketAddressText;
+
+/**
+ * Settings that every role has.
+ *
+ * @param id the instance
+ * @param zone its availability zone
+ * @param http address of the HTTP server: callers, health, metrics and state
+ * @param link address on which links are accepted
+ * @param platform base URL of the platform
+ */
+public record InstanceSettings(
+    InstanceId id, Zone zone, SocketAddressText http, SocketAddressText link, URI platform) {}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/settings/package-info.java
@@ -0,0 +1,2 @@
+/** The settings of a process, read from its INI file. */
+package org.carobhoist.server.settings;
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/sidecar/CallWorker.java
@@ -0,0 +1,191 @@
+package org.carobhoist.server.sidecar;
+
+import com.google.protobuf.ByteString;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.RequestHeadersBuilder;
+import com.linecorp.armeria.common.ResponseHeaders;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.EndpointKind;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.core.limit.AdmissionQueue;
+import org.carobhoist.core.limit.AdmissionTicket;
+import org.carobhoist.server.link.CallMapper;
+import org.carobhoist.server.link.Link;
+import org.carobhoist.server.link.proto.CallCancel;
+import org.carobhoist.server.link.proto.CallData;
+import org.carobhoist.server.link.proto.CallEnd;
+import org.carobhoist.server.link.proto.CallHead;
+import org.carobhoist.server.link.proto.CallStart;
+import org.carobhoist.server.link.proto.Header;
+import org.carobhoist.server.link.proto.LinkFrame;
+
+/** Runs calls at the endpoint: admission, the exchange, and frames back to the entry. */
+final class CallWorker {
+
+  private static final String END_MARK = "[DONE]";
+  private static final int TAIL_BYTES = 32;
+
+  private final AdmissionQueue queue;
+  private final EndpointClient endpoint;
+  private final EndpointKind kind;
+  private final Clock clock;
+  private final TicketIds tickets;
+  private final Map<CallId, Call> calls = new HashMap<>();
+
+  private record CallId(Link link, long call) {}
+
+  CallWorker(
+      AdmissionQueue queue,
+      EndpointClient endpoint,
+      EndpointKind kind,
+      Clock clock,
+      TicketIds tickets) {
+    this.queue = queue;
+    this.endpoint = endpoint;
+    this.kind = kind;
+    this.clock = clock;
+    this.tickets = tickets;
+  }
+
+  /** Takes a call from an entry. */
+  void onStart(Link link, CallStart start) {
+    CallId id = new CallId(link, start.getCall());
+    Call call = new Call(id, start, tickets.next());
+    if (calls.putIfAbsent(id, call) != null) {
+      return;
+    }
+    Optional<Duration> deadline =
+        start.getRemainingMillis() > 0
+            ? Optional.of(clock.elapsed().plusMillis(start.getRemainingMillis()))
+            : Optional.empty();
+    queue.offer(
+        new AdmissionTicket(
+            call.ticket,
+            CallMapper.priority(start.getPriorityValue()),
+            start.getProfile(),
+            deadline,
+            call::run,
+            call::refuse));
+  }
+
+  /** Takes the word that nobody waits for a call any more. */
+  void onCancel(Link link, CallCancel cancel) {
+    Call call = calls.get(new CallId(link, cancel.getCall()));
+    if (call != null) {
+      call.cancel();
+    }
+  }
+
+  /** Cancels the calls of a link that is gone. */
+  void onLinkDown(Link link) {
+    calls.values().stream().filter(c -> c.id.link().equals(link)).toList().forEach(Call::cancel);
+  }
+
+  /** Returns the number of calls that wait or run. */
+  int size() {
+    return calls.size();
+  }
+
+  private final class Call implements EndpointSink {
+
+    private final CallId id;
+    private final CallStart start;
+    private final long ticket;
+    private final StringBuilder tail = new StringBuilder();
+    private Runnable abort = () -> {};
+    private boolean eventStream;
+    private int frames;
+
+    private Call(CallId id, CallStart start, long ticket) {
+      this.id = id;
+      this.start = start;
+      this.ticket = ticket;
+    }
+
+    private void run() {
+      abort = endpoint.exchange(headers(), start.getContent().toByteArray(), this);
+    }
+
+    private RequestHeaders headers() {
+      RequestHeadersBuilder b =
+          RequestHeaders.builder(HttpMethod.valueOf(start.getMethod()), start.getPath());
+      start.getHeadersList().forEach(h -> b.add(h.getName(), h.getValue()));
+      return b.build();
+    }
+
+    private void cancel() {
+      if (queue.withdraw(ticket)) {
+        calls.remove(id);
+        return;
+      }
+      abort.run();
+    }
+
+    private void refuse(Refusal refusal) {
+      calls.remove(id);
+      CallId to = id;
+      to.link()
+          .send(
+              LinkFrame.newBuilder()
+                  .setCallFailed(CallMapper.toMessage(to.call(), refusal))
+                  .build());
+    }
+
+    @Override
+    public void onHead(ResponseHeaders headers) {
+      String type = headers.get("content-type", "");
+      eventStream = kind == EndpointKind.ENGINE && type.startsWith("text/event-stream");
+      CallHead.Builder head =
+          CallHead.newBuilder().setCall(id.call()).setStatus(headers.status().code());
+      headers.forEach(
+          (name, value) -> {
+            if (name.charAt(0) != ':') {
+              head.addHeaders(Header.newBuilder().setName(name.toString()).setValue(value));
+            }
+          });
+      id.link().send(LinkFrame.newBuilder().setCallHead(head).build());
+    }
+
+    @Override
+    public void onData(byte[] content) {
+      if (eventStream) {
+        tail.append(new String(content, StandardCharsets.UTF_8));
+        tail.delete(0, Math.max(0, tail.length() - TAIL_BYTES));
+      }
+      CallData data =
+          CallData.newBuilder()
+              .setCall(id.call())
+              .setSequence(frames++)
+              .setContent(ByteString.copyFrom(content))
+              .build();
+      id.link().send(LinkFrame.newBuilder().setCallData(data).build());
+    }
+
+    @Override
+    public void onEnd() {
+      if (eventStream && tail.indexOf(END_MARK) < 0) {
+        onFailed(
+            Refusal.mayHaveRun(
+                RefusalReason.ENDPOINT_FAILED, "the engine's stream lacks its end mark"));
+        return;
+      }
+      calls.remove(id);
+      CallEnd end = CallEnd.newBuilder().setCall(id.call()).setFrames(frames).build();
+      id.link().send(LinkFrame.newBuilder().setCallEnd(end).build());
+      queue.complete(ticket);
+    }
+
+    @Override
+    public void onFailed(Refusal refusal) {
+      refuse(refusal);
+      queue.complete(ticket);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
@@ -0,0 +1,91 @@
+package org.carobhoist.server.sidecar;
+
+import com.linecorp.armeria.client.UnprocessedRequestException;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpObject;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import java.net.URI;
+import java.util.concurrent.Executor;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
+import org.reactivestreams.Subscriber;
+import org.reactivestreams.Subscription;
+
+/** Sends requests to the endpoint beside this sidecar and streams its answers back. */
+final class EndpointClient {
+
+  private final WebClient client;
+  private final Executor loop;
+
+  private EndpointClient(URI url, Executor loop) {
+    this.client =
+        WebClient.builder("h1c://" + url.getAuthority())
+            .responseTimeoutMillis(0)
+            .maxResponseLength(0)
+            .build();
+    this.loop = loop;
+  }
+
+  /** Returns a client of the endpoint; sinks are called on the loop. */
+  static EndpointClient at(URI url, Executor loop) {
+    return new EndpointClient(url, loop);
+  }
+
+  /** Sends a request; the returned handle cancels it, which closes the endpoint's stream. */
+  Runnable exchange(RequestHeaders headers, byte[] content, EndpointSink sink) {
+    HttpResponse response = client.execute(HttpRequest.of(headers, HttpData.wrap(content)));
+    response.subscribe(new SinkSubscriber(sink, loop));
+    return response::abort;
+  }
+
+  private static Refusal refusal(Throwable failure) {
+    if (failure instanceof UnprocessedRequestException) {
+      String detail = "the endpoint can't be reached: " + failure.getCause();
+      return Refusal.notRun(RefusalReason.ENDPOINT_FAILED, detail);
+    }
+    String detail = "the endpoint broke off: " + failure;
+    return Refusal.mayHaveRun(RefusalReason.ENDPOINT_FAILED, detail);
+  }
+
+  private static final class SinkSubscriber implements Subscriber<HttpObject> {
+
+    private final EndpointSink sink;
+    private final Executor loop;
+
+    private SinkSubscriber(EndpointSink sink, Executor loop) {
+      this.sink = sink;
+      this.loop = loop;
+    }
+
+    @Override
+    public void onSubscribe(Subscription subscription) {
+      subscription.request(Long.MAX_VALUE);
+    }
+
+    @Override
+    public void onNext(HttpObject part) {
+      if (part instanceof ResponseHeaders headers) {
+        if (!headers.status().isInformational()) {
+          loop.execute(() -> sink.onHead(headers));
+        }
+      } else if (part instanceof HttpData data && !data.isEmpty()) {
+        byte[] content = data.array();
+        loop.execute(() -> sink.onData(content));
+      }
+    }
+
+    @Override
+    public void onError(Throwable failure) {
+      loop.execute(() -> sink.onFailed(refusal(failure)));
+    }
+
+    @Override
+    public void onComplete() {
+      loop.execute(sink::onEnd);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -0,0 +1,232 @@
+package org.carobhoist.server.sidecar;
+
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServerBuilder;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.EndpointKind;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.limit.AdmissionQueue;
+import org.carobhoist.core.membership.EndpointAnnouncement;
+import org.carobhoist.core.membership.EndpointPhase;
+import org.carobhoist.server.link.AnnouncementMapper;
+import org.carobhoist.server.link.Link;
+import org.carobhoist.server.link.LinkListener;
+import org.carobhoist.server.link.LinkNetwork;
+import org.carobhoist.server.link.proto.Hello;
+import org.carobhoist.server.link.proto.LinkFrame;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+import org.carobhoist.server.platform.ConfigFollower;
+import org.carobhoist.server.platform.HttpPlatform;
+import org.carobhoist.server.runtime.DecisionLoop;
+import org.carobhoist.server.runtime.Service;
+import org.carobhoist.server.runtime.SystemClock;
+import org.carobhoist.server.settings.SidecarSettings;
+import org.carobhoist.server.state.AdminRoutes;
+import org.carobhoist.server.state.StateDump;
+import org.carobhoist.server.state.StateSource;
+
+/** The sidecar role: all of the system's traffic to one endpoint passes through it. */
+public final class SidecarService implements Service {
+
+  private static final Duration TICK = Duration.ofMillis(100);
+  private static final Duration DRAIN_POLL = Duration.ofMillis(20);
+
+  private final SidecarSettings settings;
+  private final Incarnation incarnation = new Incarnation(UUID.randomUUID().toString());
+  private final Clock clock = SystemClock.create();
+  private final DecisionLoop loop = DecisionLoop.create("sidecar");
+  private final AdmissionQueue queue;
+  private final CallWorker calls;
+  private final SampleWorker samples;
+  private final LinkNetwork network;
+  private final ConfigFollower config;
+  private final Set<Link> links = new HashSet<>();
+  private final PrometheusMeterRegistry metrics =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private EndpointPhase phase = EndpointPhase.SERVING;
+  private EndpointAnnouncement announced;
+  private long sequence;
+  private Server http;
+
+  /** State dump of the endpoint's admission. */
+  public record State(
+      String service, String phase, int running, int queued, int limit, int calls, int held) {}
+
+  private SidecarService(SidecarSettings settings) {
+    this.settings = settings;
+    this.queue = AdmissionQueue.create(settings.limits(), clock);
+    EndpointClient endpoint = EndpointClient.at(settings.endpoint().url(), loop);
+    TicketIds tickets = new TicketIds();
+    EndpointKind kind = settings.endpoint().kind();
+    this.calls = new CallWorker(queue, endpoint, kind, clock, tickets);
+    this.samples = new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets);
+    this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
+    this.config = ConfigFollower.create(HttpPlatform.at(settings.instance().platform()), loop);
+  }
+
+  /** Returns a sidecar that hasn't started. */
+  public static SidecarService create(SidecarSettings settings) {
+    return new SidecarService(settings);
+  }
+
+  @Override
+  public CompletableFuture<Void> start() {
+    loop.every(TICK, this::tick);
+    config.start();
+    http = httpServer();
+    return network.start().thenCompose(ok -> http.start()).thenRun(this::logStarted);
+  }
+
+  /** Drains: refuses new work, finishes what runs, then leaves. */
+  @Override
+  public CompletableFuture<Void> stop() {
+    EventLog.info(LogEvent.STOPPING, "instance", settings.instance().id());
+    CompletableFuture<Void> idle = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          phase = EndpointPhase.DRAINING;
+          queue.drain();
+          announce();
+          awaitIdle(idle);
+        });
+    return idle.thenCompose(ok -> network.stop())
+        .thenCompose(ok -> http.stop())
+        .thenCompose(ok -> loop.stop());
+  }
+
+  private Hello hello() {
+    return Hello.newBuilder()
+        .setInstance(settings.instance().id().value())
+        .setZone(settings.instance().zone().value())
+        .setRole("sidecar")
+        .setIncarnation(incarnation.value())
+        .build();
+  }
+
+  private Server httpServer() {
+    StateDump dump = StateDump.of(loop, List.of(new EndpointState(), config));
+    ServerBuilder sb = Server.builder();
+    sb.http(
+        new InetSocketAddress(
+            settings.instance().http().host(), settings.instance().http().port()));
+    AdminRoutes.create(config::isReady, metrics, dump).addTo(sb);
+    return sb.build();
+  }
+
+  private void logStarted() {
+    EventLog.info(
+        LogEvent.STARTED,
+        "role",
+        "sidecar",
+        "instance",
+        settings.instance().id(),
+        "incarnation",
+        incarnation);
+  }
+
+  private void awaitIdle(CompletableFuture<Void> idle) {
+    if (queue.isIdle()) {
+      idle.complete(null);
+      return;
+    }
+    loop.after(DRAIN_POLL, () -> awaitIdle(idle));
+  }
+
+  private void tick() {
+    queue.expire();
+    if (announced == null || !announcement(announced.sequence()).equals(announced)) {
+      announce();
+    }
+  }
+
+  private void announce() {
+    announced = announcement(++sequence);
+    LinkFrame frame =
+        LinkFrame.newBuilder().setAnnouncement(AnnouncementMapper.toMessage(announced)).build();
+    links.forEach(link -> link.send(frame));
+  }
+
+  private EndpointAnnouncement announcement(long number) {
+    return new EndpointAnnouncement(
+        settings.instance().id(),
+        incarnation,
+        settings.instance().zone(),
+        settings.endpoint().service(),
+        settings.endpoint().kind(),
+        phase,
+        queue.running(),
+        queue.queued(),
+        queue.limit(),
+        new WeightVersion(0),
+        number);
+  }
+
+  private void onFrame(Link link, LinkFrame frame) {
+    switch (frame.getBodyCase()) {
+      case CALL_START -> calls.onStart(link, frame.getCallStart());
+      case CALL_CANCEL -> calls.onCancel(link, frame.getCallCancel());
+      case SAMPLE_START -> samples.onStart(link, frame.getSampleStart());
+      case SAMPLE_CANCEL -> samples.onCancel(frame.getSampleCancel());
+      case HELD_QUERY -> samples.onQuery(link, frame.getHeldQuery());
+      case STEP_ACK -> samples.onAck(frame.getStepAck());
+      default -> EventLog.warn(LogEvent.FRAME_DROPPED, "kind", frame.getBodyCase());
+    }
+  }
+
+  private final class EndpointState implements StateSource {
+
+    @Override
+    public String name() {
+      return "endpoint";
+    }
+
+    @Override
+    public Object state() {
+      return new State(
+          settings.endpoint().service().value(),
+          phase.name(),
+          queue.running(),
+          queue.queued(),
+          queue.limit(),
+          calls.size(),
+          samples.held());
+    }
+  }
+
+  private final class Frames implements LinkListener {
+
+    @Override
+    public void onUp(Link link) {
+      loop.execute(
+          () -> {
+            links.add(link);
+            announce();
+          });
+    }
+
+    @Override
+    public void onFrame(Link link, LinkFrame frame) {
+      loop.execute(() -> SidecarService.this.onFrame(link, frame));
+    }
+
+    @Override
+    public void onDown(Link link) {
+      loop.execute(
+          () -> {
+            links.remove(link);
+            calls.onLinkDown(link);
+          });
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/state/AdminRoutes.java
@@ -0,0 +1,57 @@
+package org.carobhoist.server.state;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.ServerBuilder;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.concurrent.CompletionException;
+import java.util.function.BooleanSupplier;
+
+/** The HTTP routes that every role has: health, metrics and the state dump. */
+public final class AdminRoutes {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final BooleanSupplier ready;
+  private final PrometheusMeterRegistry metrics;
+  private final StateDump dump;
+
+  private AdminRoutes(BooleanSupplier ready, PrometheusMeterRegistry metrics, StateDump dump) {
+    this.ready = ready;
+    this.metrics = metrics;
+    this.dump = dump;
+  }
+
+  /**
+   * Returns the routes.
+   *
+   * @param ready whether the process takes work; read on any thread
+   */
+  public static AdminRoutes create(
+      BooleanSupplier ready, PrometheusMeterRegistry metrics, StateDump dump) {
+    return new AdminRoutes(ready, metrics, dump);
+  }
+
+  /** Adds the routes to a server. */
+  public void addTo(ServerBuilder sb) {
+    sb.service("/health/live", (ctx, req) -> HttpResponse.of(HttpStatus.OK));
+    sb.service("/health/ready", (ctx, req) -> readiness());
+    sb.service("/metrics", (ctx, req) -> HttpResponse.of(metrics.scrape()));
+    sb.service("/state", (ctx, req) -> HttpResponse.of(dump.take().thenApply(AdminRoutes::json)));
+  }
+
+  private HttpResponse readiness() {
+    return HttpResponse.of(ready.getAsBoolean() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
+  }
+
+  private static HttpResponse json(Object value) {
+    try {
+      return HttpResponse.of(HttpStatus.OK, MediaType.JSON, JSON.writeValueAsString(value));
+    } catch (JsonProcessingException e) {
+      throw new CompletionException(e);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/state/package-info.java
@@ -0,0 +1,2 @@
+/** Dumps of a process's state. */
+package org.carobhoist.server.state;
--- /dev/null
+++ b/standin/src/main/java/org/carobhoist/standin/EngineStandIn.java
@@ -0,0 +1,177 @@
+package org.carobhoist.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.io.IOException;
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+
+/**
+ * Stands in for a model engine: OpenAI-style completions as server-sent events, each chunk with its
+ * tokens and the weight version that made them. A token encodes the version that made it, so that
+ * an oracle can check every attribution: {@code token = version * TOKEN_BASE + position}.
+ */
+public final class EngineStandIn {
+
+  /** Tokens of one version lie between the version times this and the next multiple. */
+  public static final int TOKEN_BASE = 100_000;
+
+  private static final int CHUNK_TOKENS = 8;
+
+  private final StandInServer server = new StandInServer(this::routes);
+  private final AtomicLong version = new AtomicLong(1);
+  private final AtomicLong highestFence = new AtomicLong();
+  private final AtomicInteger running = new AtomicInteger();
+  private final ConcurrentLinkedQueue<Long> loads = new ConcurrentLinkedQueue<>();
+  private volatile Duration chunkTime = Duration.ofMillis(2);
+  private volatile boolean ignoreFence;
+  private volatile boolean hideVersion;
+
+  /** What the engine serves. */
+  public record ServedMessage(long version) {}
+
+  /** The engine's load report. */
+  public record LoadMessage(int running, int waiting, long kvFreeTokens, long version) {}
+
+  /** Starts the stand-in. */
+  public void start() {
+    server.start();
+  }
+
+  /** Stops the stand-in at once, as a crash does. */
+  public void stop() {
+    server.stop();
+  }
+
+  /** Returns its base URL. */
+  public URI uri() {
+    return server.uri();
+  }
+
+  /** Sets how long a chunk of tokens takes. */
+  public void setChunkTime(Duration value) {
+    chunkTime = value;
+  }
+
+  /** Makes the engine take orders with any fencing number. */
+  public void setIgnoreFence(boolean value) {
+    ignoreFence = value;
+  }
+
+  /** Makes the engine's stream name no versions. */
+  public void setHideVersion(boolean value) {
+    hideVersion = value;
+  }
+
+  /** Makes the engine serve a version, as if it had been started with it. */
+  public void setVersion(long value) {
+    version.set(value);
+  }
+
+  /** Returns the version that the engine truly serves. */
+  public long version() {
+    return version.get();
+  }
+
+  /** Returns the versions that were loaded on orders, in order. */
+  public List<Long> loads() {
+    return List.copyOf(loads);
+  }
+
+  private void routes(ServerBuilder sb) {
+    sb.service("/v1/completions", (ctx, req) -> withBody(ctx, req, this::complete));
+    sb.service("/v1/chat/completions", (ctx, req) -> withBody(ctx, req, this::complete));
+    sb.service("/orders", (ctx, req) -> withBody(ctx, req, this::order));
+    sb.service("/served", (ctx, req) -> StandInServer.json(new ServedMessage(version.get())));
+    sb.service(
+        "/load",
+        (ctx, req) ->
+            StandInServer.json(new LoadMessage(running.get(), 0, 1_000_000, version.get())));
+  }
+
+  private interface BodyHandler {
+    HttpResponse handle(ServiceRequestContext ctx, JsonNode body);
+  }
+
+  private static HttpResponse withBody(
+      ServiceRequestContext ctx, com.linecorp.armeria.common.HttpRequest req, BodyHandler handler) {
+    return HttpResponse.of(req.aggregate().thenApply(r -> parse(ctx, r, handler)));
+  }
+
+  private static HttpResponse parse(
+      ServiceRequestContext ctx, AggregatedHttpRequest request, BodyHandler handler) {
+    try {
+      return handler.handle(ctx, StandInServer.JSON.readTree(request.content().array()));
+    } catch (IOException e) {
+      return HttpResponse.of(HttpStatus.BAD_REQUEST);
+    }
+  }
+
+  private HttpResponse order(ServiceRequestContext ctx, JsonNode body) {
+    long fence = body.path("fence").asLong();
+    if (!ignoreFence && fence < highestFence.get()) {
+      return HttpResponse.of(HttpStatus.CONFLICT);
+    }
+    highestFence.accumulateAndGet(fence, Math::max);
+    if (body.path("op").asText().equals("load")) {
+      version.set(body.path("version").asLong());
+      loads.add(version.get());
+    }
+    return StandInServer.json(new ServedMessage(version.get()));
+  }
+
+  private HttpResponse complete(ServiceRequestContext ctx, JsonNode body) {
+    HttpResponseWriter out = HttpResponse.streaming();
+    out.write(ResponseHeaders.of(HttpStatus.OK, "content-type", MediaType.EVENT_STREAM));
+    running.incrementAndGet();
+    out.whenComplete().whenComplete((ok, failure) -> running.decrementAndGet());
+    int wanted = body.path("max_tokens").asInt(16);
+    int done = body.path("resume_tokens").size();
+    step(ctx, out, done, wanted);
+    return out;
+  }
+
+  private void step(ServiceRequestContext ctx, HttpResponseWriter out, int done, int wanted) {
+    if (!out.isOpen()) {
+      return;
+    }
+    if (done >= wanted) {
+      out.write(HttpData.ofUtf8("data: {\"tokens\":[],\"finish_reason\":\"stop\"}\n\n"));
+      out.write(HttpData.ofUtf8("data: [DONE]\n\n"));
+      out.close();
+      return;
+    }
+    int count = Math.min(CHUNK_TOKENS, wanted - done);
+    out.write(HttpData.ofUtf8("data: " + chunk(done, count) + "\n\n"));
+    Runnable next = () -> step(ctx, out, done + count, wanted);
+    ctx.eventLoop().schedule(next, chunkTime.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private String chunk(int from, int count) {
+    long made = version.get();
+    List<Integer> tokens = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      tokens.add((int) (made * TOKEN_BASE + from + i));
+    }
+    Map<String, Object> chunk =
+        hideVersion
+            ? Map.of("tokens", tokens, "text", "w".repeat(count))
+            : Map.of("tokens", tokens, "text", "w".repeat(count), "weight_version", made);
+    return StandInServer.JSON.valueToTree(chunk).toString();
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/carobhoist/standin/PlainServiceStandIn.java
@@ -0,0 +1,60 @@
+package org.carobhoist.standin;
+
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.ServerBuilder;
+import java.net.URI;
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** Stands in for a plain service, such as bookings: counts how often each body was run. */
+public final class PlainServiceStandIn {
+
+  private final StandInServer server = new StandInServer(this::routes);
+  private final Map<String, AtomicInteger> runs = new ConcurrentHashMap<>();
+  private volatile Duration delay = Duration.ZERO;
+
+  /** Starts the stand-in. */
+  public void start() {
+    server.start();
+  }
+
+  /** Stops the stand-in at once, as a crash does. */
+  public void stop() {
+    server.stop();
+  }
+
+  /** Returns its base URL. */
+  public URI uri() {
+    return server.uri();
+  }
+
+  /** Sets how long each request takes. */
+  public void setDelay(Duration value) {
+    delay = value;
+  }
+
+  /** Returns how often each body was run. */
+  public Map<String, AtomicInteger> runs() {
+    return runs;
+  }
+
+  private void routes(ServerBuilder sb) {
+    sb.serviceUnder("/", (ctx, req) -> HttpResponse.of(req.aggregate().thenApply(this::run)));
+  }
+
+  private HttpResponse run(AggregatedHttpRequest request) {
+    if (request.path().equals("/load")) {
+      return StandInServer.json(Map.of("running", 0, "waiting", 0));
+    }
+    String body = request.contentUtf8();
+    runs.computeIfAbsent(body, key -> new AtomicInteger()).incrementAndGet();
+    HttpResponse answer =
+        HttpResponse.of(HttpStatus.OK, MediaType.PLAIN_TEXT_UTF_8, "done " + body);
+    return delay.isZero() ? answer : HttpResponse.delayed(answer, delay);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformStandIn.java
@@ -0,0 +1,170 @@
+package org.carobhoist.standin;
+
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.carobhoist.core.membership.ListedInstance;
+
+/**
+ * Stands in for the platform: an append-only log with offsets from 1 and bounded retention, an
+ * instance list, and a weight store with a rate limit. Switches cause the outages that the brief
+ * names.
+ */
+public final class PlatformStandIn {
+
+  private final StandInServer server = new StandInServer(this::routes);
+  private final List<Stored> records = new ArrayList<>();
+  private final List<CompletableFuture<Void>> waiters = new ArrayList<>();
+  private final Map<String, ListedInstance> instances = new ConcurrentHashMap<>();
+  private final Map<String, Long> newest = new ConcurrentHashMap<>();
+  private final AtomicInteger loseAnswers = new AtomicInteger();
+  private long nextOffset = 1;
+  private volatile boolean logDown;
+  private volatile boolean listDown;
+
+  private record Stored(long offset, long timeMillis, byte[] data) {}
+
+  /** One record in a read's answer; the data is base64. */
+  public record RecordMessage(long offset, long timeMillis, String data) {}
+
+  /** A read's answer: the first offset still kept, the next to be given out, and the records. */
+  public record ReadMessage(long first, long next, List<RecordMessage> records) {}
+
+  /** An append's answer. */
+  public record AppendMessage(long offset) {}
+
+  /** The newest version of a model's weights. */
+  public record NewestMessage(long version) {}
+
+  /** Starts the stand-in. */
+  public void start() {
+    server.start();
+  }
+
+  /** Stops the stand-in; its content is kept for the next start. */
+  public void stop() {
+    server.stop();
+  }
+
+  /** Returns the base URL of all three interfaces. */
+  public URI uri() {
+    return server.uri();
+  }
+
+  /** Puts an instance on the list, or changes what the list says of it. */
+  public void list(ListedInstance instance) {
+    instances.put(instance.instance().value(), instance);
+  }
+
+  /** Takes an instance off the list. */
+  public void unlist(String instance) {
+    instances.remove(instance);
+  }
+
+  /** Makes the log fail every call, or work again. */
+  public void setLogDown(boolean down) {
+    logDown = down;
+  }
+
+  /** Makes the instance list fail every call, or work again. */
+  public void setListDown(boolean down) {
+    listDown = down;
+  }
+
+  /** Makes the next appends take effect without an answer. */
+  public void loseAppendAnswers(int count) {
+    loseAnswers.set(count);
+  }
+
+  /** Forgets the records below an offset, as the end of their retention does. */
+  public synchronized void forgetBelow(long offset) {
+    records.removeIf(r -> r.offset() < offset);
+  }
+
+  /** Returns the next offset to be given out. */
+  public synchronized long nextOffset() {
+    return nextOffset;
+  }
+
+  private void routes(ServerBuilder sb) {
+    sb.service(
+        "/log/append",
+        (ctx, req) -> HttpResponse.of(req.aggregate().thenApply(r -> append(r.content()))));
+    sb.service("/log/records", (ctx, req) -> read(ctx));
+    sb.service(
+        "/instances",
+        (ctx, req) ->
+            listDown
+                ? HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE)
+                : StandInServer.json(instances.values()));
+    sb.service("/weights/{model}", this::weights);
+  }
+
+  private HttpResponse weights(
+      ServiceRequestContext ctx, com.linecorp.armeria.common.HttpRequest req) {
+    String model = ctx.pathParam("model");
+    String put = ctx.queryParam("publish");
+    if (put != null) {
+      newest.merge(model, Long.parseLong(put), Math::max);
+    }
+    return StandInServer.json(new NewestMessage(newest.getOrDefault(model, 0L)));
+  }
+
+  private synchronized HttpResponse append(HttpData data) {
+    if (logDown) {
+      return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+    }
+    long offset = nextOffset++;
+    records.add(new Stored(offset, System.currentTimeMillis(), data.array()));
+    List.copyOf(waiters).forEach(w -> w.complete(null));
+    waiters.clear();
+    if (loseAnswers.getAndUpdate(n -> Math.max(0, n - 1)) > 0) {
+      return HttpResponse.ofFailure(new IllegalStateException("answer lost on purpose"));
+    }
+    return StandInServer.json(new AppendMessage(offset));
+  }
+
+  private synchronized HttpResponse read(ServiceRequestContext ctx) {
+    if (logDown) {
+      return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+    }
+    long from = Long.parseLong(ctx.queryParam("from"));
+    long wait = Long.parseLong(ctx.queryParam("wait"));
+    if (from < nextOffset || wait == 0) {
+      return answer(from);
+    }
+    CompletableFuture<Void> waiter = new CompletableFuture<>();
+    waiters.add(waiter);
+    waiter.completeOnTimeout(null, wait, TimeUnit.MILLISECONDS);
+    return HttpResponse.of(waiter.thenApply(done -> answer(from)));
+  }
+
+  private synchronized HttpResponse answer(long from) {
+    if (logDown) {
+      return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+    }
+    List<RecordMessage> found =
+        records.stream()
+            .filter(r -> r.offset() >= from)
+            .limit(500)
+            .map(r -> new RecordMessage(r.offset(), r.timeMillis(), encode(r.data())))
+            .toList();
+    long first = records.isEmpty() ? nextOffset : records.get(0).offset();
+    return StandInServer.json(new ReadMessage(first, nextOffset, found));
+  }
+
+  private static String encode(byte[] data) {
+    return Base64.getEncoder().encodeToString(data);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/carobhoist/standin/StandInServer.java
@@ -0,0 +1,56 @@
+package org.carobhoist.standin;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.Server;
+import com.linecorp.armeria.server.ServerBuilder;
+import java.net.InetSocketAddress;
+import java.net.URI;
+import java.util.function.Consumer;
+
+/** An HTTP server on a loopback port, with start and stop, for the stand-ins to build on. */
+final class StandInServer {
+
+  static final ObjectMapper JSON = new ObjectMapper();
+
+  private final Consumer<ServerBuilder> routes;
+  private Server server;
+  private int port;
+
+  StandInServer(Consumer<ServerBuilder> routes) {
+    this.routes = routes;
+  }
+
+  /** Starts on the port of an earlier start, or on any free one. */
+  void start() {
+    ServerBuilder sb = Server.builder();
+    sb.http(new InetSocketAddress("127.0.0.1", port));
+    sb.requestTimeoutMillis(0);
+    sb.maxRequestLength(0);
+    sb.gracefulShutdownTimeoutMillis(0, 0);
+    routes.accept(sb);
+    server = sb.build();
+    server.start().join();
+    port = server.activeLocalPort();
+  }
+
+  /** Stops at once; requests in flight are cut. */
+  void stop() {
+    server.stop().join();
+  }
+
+  URI uri() {
+    return URI.create("http://127.0.0.1:" + port);
+  }
+
+  static HttpResponse json(Object value) {
+    try {
+      return HttpResponse.of(HttpStatus.OK, MediaType.JSON, JSON.writeValueAsString(value));
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/trainer/src/main/java/org/carobhoist/trainer/TrainerClient.java
@@ -0,0 +1,85 @@
+package org.carobhoist.trainer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+
+/**
+ * Fetches pages of a step from any of the entry instances. A request that fails goes to the next
+ * instance; nothing is lost or doubled by that, since the cursor decides what is taken.
+ */
+public final class TrainerClient {
+
+  private static final Duration RESPONSE_TIMEOUT_SLACK = Duration.ofSeconds(10);
+
+  private final List<WebClient> entries;
+  private final ObjectMapper json = new ObjectMapper();
+  private int next;
+
+  private TrainerClient(List<WebClient> entries) {
+    this.entries = entries;
+  }
+
+  /** Returns a client of the given entry instances, at least one. */
+  public static TrainerClient create(List<URI> entries) {
+    return new TrainerClient(
+        entries.stream()
+            .map(
+                uri -> WebClient.builder(uri).maxResponseLength(0).responseTimeoutMillis(0).build())
+            .toList());
+  }
+
+  /**
+   * Sends one request for a step and offers its page to the session.
+   *
+   * @return the number of new groups; 0 after a page that was dropped or a request that failed
+   */
+  public CompletableFuture<Integer> poll(StepSession session, Duration wait) {
+    WebClient entry = entries.get(next);
+    StepRequestMessage message = session.nextRequest(wait.toMillis());
+    return entry
+        .execute(post(message))
+        .aggregate()
+        .orTimeout(
+            wait.plus(RESPONSE_TIMEOUT_SLACK).toMillis(),
+            java.util.concurrent.TimeUnit.MILLISECONDS)
+        .thenApply(response -> take(session, response))
+        .exceptionally(failure -> failOver());
+  }
+
+  private HttpRequest post(StepRequestMessage message) {
+    try {
+      return HttpRequest.of(
+          HttpMethod.POST, "/v1/steps", MediaType.JSON, json.writeValueAsString(message));
+    } catch (JsonProcessingException e) {
+      throw new CompletionException(e);
+    }
+  }
+
+  private int take(StepSession session, AggregatedHttpResponse response) {
+    if (!response.status().equals(HttpStatus.OK)) {
+      return failOver();
+    }
+    try {
+      StepPageMessage page = json.readValue(response.contentUtf8(), StepPageMessage.class);
+      return session.offer(page).map(List::size).orElse(0);
+    } catch (JsonProcessingException e) {
+      return failOver();
+    }
+  }
+
+  private int failOver() {
+    next = (next + 1) % entries.size();
+    return 0;
+  }
+}
