--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/swap/WeightOrders.java
@@ -0,0 +1,54 @@
+package org.carobhoist.core.swap;
+
+import java.util.Collection;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.WeightVersion;
+
+/**
+ * The orders in force, as a deterministic fold over the log: of each model the newest version
+ * ordered. An order for a version that is not newer than the one in force is void, for every
+ * process alike, so of two controllers that order the same version the first one's fencing number
+ * counts.
+ */
+public final class WeightOrders {
+
+  private final Map<ServiceName, WeightOrder> newest = new TreeMap<>();
+
+  private WeightOrders() {}
+
+  /** Returns the fold of an empty log. */
+  public static WeightOrders create() {
+    return new WeightOrders();
+  }
+
+  /** Applies an order in the order of offsets; returns whether it is in force now. */
+  public boolean apply(WeightOrder order) {
+    WeightOrder known = newest.get(order.model());
+    boolean newer =
+        known == null
+            || (order.fence() > known.fence() && order.version().compareTo(known.version()) > 0);
+    if (newer) {
+      newest.put(order.model(), order);
+    }
+    return newer;
+  }
+
+  /** Returns the order in force for a model. */
+  public Optional<WeightOrder> order(ServiceName model) {
+    return Optional.ofNullable(newest.get(model));
+  }
+
+  /** Returns the newest version ordered for a model; 0 if there is none. */
+  public WeightVersion version(ServiceName model) {
+    return order(model).map(WeightOrder::version).orElse(new WeightVersion(0));
+  }
+
+  /** Returns the orders in force of all models. */
+  public Collection<WeightOrder> all() {
+    return List.copyOf(newest.values());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/swap/SimulatedEngine.java
@@ -0,0 +1,59 @@
+package org.carobhoist.core.swap;
+
+import java.util.Optional;
+import org.carobhoist.core.common.WeightVersion;
+
+/** An engine that takes orders, with or without checking their fencing numbers. */
+final class SimulatedEngine {
+
+  private final boolean checksFence;
+  private final WeightVersion bootVersion;
+  private Optional<WeightVersion> serves;
+  private long highestFence;
+  private boolean failNextLoad;
+
+  SimulatedEngine(boolean checksFence, long bootVersion) {
+    this.checksFence = checksFence;
+    this.bootVersion = new WeightVersion(bootVersion);
+    this.serves = Optional.of(this.bootVersion);
+  }
+
+  Optional<WeightVersion> serves() {
+    return serves;
+  }
+
+  void failNextLoad() {
+    failNextLoad = true;
+  }
+
+  /** Restarts with the weights that it was started with; its memory of fences is gone. */
+  void crash() {
+    serves = Optional.of(bootVersion);
+    highestFence = 0;
+  }
+
+  SwapEvent prefetch(WeightOrder order) {
+    return refuses(order) ? SwapEvent.REFUSED : SwapEvent.DONE;
+  }
+
+  SwapEvent load(WeightOrder order) {
+    if (refuses(order)) {
+      return SwapEvent.REFUSED;
+    }
+    if (failNextLoad) {
+      failNextLoad = false;
+      serves = Optional.empty();
+      return SwapEvent.FAILED;
+    }
+    serves = Optional.of(order.version());
+    return SwapEvent.DONE;
+  }
+
+  private boolean refuses(WeightOrder order) {
+    if (checksFence && order.fence() < highestFence) {
+      return true;
+    }
+    highestFence = Math.max(highestFence, order.fence());
+    return false;
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/swap/SwapTurnTest.java
@@ -0,0 +1,48 @@
+package org.carobhoist.core.swap;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.WeightVersion;
+import org.junit.jupiter.api.Test;
+
+/** Loads are spread over waves, evenly, and within the time for all servers. */
+final class SwapTurnTest {
+
+  private static final Duration ALL_SERVERS = Duration.ofSeconds(13);
+  private static final List<Integer> SIZES = List.of(2, 3, 4, 8, 75, 600);
+
+  @Test
+  void neverStopsAllEnginesAtOnce() {
+    for (int n : SIZES) {
+      for (long fence = 1; fence <= 50; fence++) {
+        Map<Duration, Long> waves = waves(n, fence);
+        long largest = waves.values().stream().mapToLong(Long::longValue).max().orElseThrow();
+        int inUse = Math.min(n, SwapPolicy.DEFAULT.waves());
+        assertThat(largest).isEqualTo((n + inUse - 1) / inUse);
+      }
+    }
+  }
+
+  @Test
+  void lastWaveLeavesTimeToLoad() {
+    SwapPolicy p = SwapPolicy.DEFAULT;
+    assertThat(p.waveTime().multipliedBy(p.waves())).isLessThan(ALL_SERVERS);
+  }
+
+  private static Map<Duration, Long> waves(int n, long fence) {
+    List<InstanceId> peers =
+        IntStream.range(0, n).mapToObj(i -> new InstanceId("engine-" + i)).toList();
+    WeightOrder order = new WeightOrder(SwapWorld.MODEL, new WeightVersion(2), fence);
+    return peers.stream()
+        .collect(
+            Collectors.groupingBy(
+                self -> SwapTurn.delay(self, peers, order, SwapPolicy.DEFAULT),
+                Collectors.counting()));
+  }
+}
