Hand weight orders and home views of the log to listeners

Cause: orders' fencing numbers and home views come from the log, but the follower dropped every record that wasn't a profile's change. Change: ConfigFollower.onRecord adds a listener, called on the decision loop in the order of the offsets, each offset at most once.

--- a/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
+++ b/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
@@ -1,6 +1,8 @@
 package org.carobhoist.server.platform;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.carobhoist.core.profile.FoldOutcome;
 import org.carobhoist.core.profile.ProfileChange;
 import org.carobhoist.core.profile.ProfileFold;
@@ -19,6 +21,7 @@
   private final PlatformLog log;
   private final DecisionLoop loop;
   private final ProfileFold fold = ProfileFold.create();
+  private final List<RecordListener> listeners = new ArrayList<>();
   private boolean reachable = true;
   private volatile boolean ready;
 
@@ -40,6 +43,11 @@
     loop.execute(() -> poll(Duration.ZERO));
   }
 
+  /** Adds a listener for weight orders and home views; to be called before {@link #start}. */
+  public void onRecord(RecordListener listener) {
+    listeners.add(listener);
+  }
+
   /** Returns the configuration; to be used on the loop only. */
   public ProfileFold fold() {
     return fold;
@@ -83,15 +91,26 @@
   }
 
   private void apply(LogBatch.StoredRecord record) {
-    LogRecords.decode(record.data())
-        .filter(LogRecord::hasChange)
-        .flatMap(r -> LogRecords.change(r.getChange()))
-        .ifPresentOrElse(
-            change -> apply(record.offset(), change),
-            () -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", record.offset()));
+    if (record.offset() <= fold.appliedOffset()) {
+      return;
+    }
+    LogRecord body = LogRecords.decode(record.data()).orElse(LogRecord.getDefaultInstance());
+    switch (body.getBodyCase()) {
+      case CHANGE -> applyChange(record.offset(), body);
+      case WEIGHT_ORDER, HOME_VIEW ->
+          listeners.forEach(l -> l.onRecord(record.offset(), record.timeMillis(), body));
+      default -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", record.offset());
+    }
     fold.advance(record.offset());
   }
 
+  private void applyChange(long offset, LogRecord body) {
+    LogRecords.change(body.getChange())
+        .ifPresentOrElse(
+            change -> apply(offset, change),
+            () -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", offset));
+  }
+
   private void apply(long offset, ProfileChange change) {
     FoldOutcome outcome = fold.apply(offset, change);
     LogEvent event =
