--- a/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
+++ b/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
@@ -1,7 +1,9 @@
 package org.carobhoist.core.profile;
 
+import java.net.URI;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.carobhoist.core.common.EndpointKind;
 import org.carobhoist.core.common.Priority;
 import org.carobhoist.core.common.ProfileName;
@@ -56,6 +58,22 @@
           1,
           "0.5",
           "Weight between staleness (0) and trainer idle time (1).");
+  private static final SettingSpec<Double> MAX_WASTE =
+      SettingTypes.decimal(
+          "rollout",
+          "max-waste",
+          0,
+          1,
+          String.valueOf(RolloutPolicy.DEFAULT_MAX_WASTE),
+          "Largest share of tokens that cancellations by choice may waste.");
+  private static final SettingSpec<Optional<URI>> SCORER =
+      SettingTypes.value(
+          "rollout",
+          "scorer",
+          "http or https URL, or none",
+          "none",
+          "Where each sample is scored before its group counts as whole.",
+          ProfileReader::scorer);
   private static final SettingSpec<Long> MAX_ATTEMPTS =
       SettingTypes.whole(
           "requests", "max-attempts", 1, 10, "3", "Attempts at a request, the first one included.");
@@ -74,7 +92,16 @@
   /** Every key that a profile's document may have. */
   public static final List<SettingSpec<?>> SPECS =
       List.of(
-          SERVICE, KIND, MAX_STALENESS, SWAP_POLICY, IDLE_WEIGHT, MAX_ATTEMPTS, DEADLINE, PRIORITY);
+          SERVICE,
+          KIND,
+          MAX_STALENESS,
+          SWAP_POLICY,
+          IDLE_WEIGHT,
+          MAX_WASTE,
+          SCORER,
+          MAX_ATTEMPTS,
+          DEADLINE,
+          PRIORITY);
 
   private ProfileReader() {}
 
@@ -89,9 +116,25 @@
         name,
         doc.get(SERVICE),
         doc.get(KIND),
-        new RolloutPolicy(doc.get(MAX_STALENESS), doc.get(SWAP_POLICY), doc.get(IDLE_WEIGHT)),
+        new RolloutPolicy(
+            doc.get(MAX_STALENESS),
+            doc.get(SWAP_POLICY),
+            doc.get(IDLE_WEIGHT),
+            doc.get(MAX_WASTE),
+            doc.get(SCORER)),
         new RetryPolicy(doc.get(MAX_ATTEMPTS).intValue()),
         doc.get(DEADLINE),
         doc.get(PRIORITY));
   }
+
+  private static Optional<URI> scorer(String text) {
+    if (text.equals("none")) {
+      return Optional.empty();
+    }
+    URI uri = URI.create(text);
+    if (uri.getHost() == null || !uri.toString().matches("https?://.+")) {
+      throw new IllegalArgumentException("not an http or https URL");
+    }
+    return Optional.of(uri);
+  }
 }
--- a/core/src/main/java/org/carobhoist/core/rollout/FinishedSample.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/FinishedSample.java
@@ -1,6 +1,7 @@
 package org.carobhoist.core.rollout;
 
 import java.util.List;
+import java.util.OptionalDouble;
 import org.carobhoist.core.common.WeightVersion;
 
 /**
@@ -11,13 +12,15 @@
  * @param spans the versions of all tokens, in order and without gaps
  * @param text the text generated
  * @param finishReason why the engine stopped
+ * @param score the scorer's verdict; empty if the profile asks for none
  */
 public record FinishedSample(
     AttemptKey attempt,
     List<Integer> tokens,
     List<VersionSpan> spans,
     String text,
-    String finishReason) {
+    String finishReason,
+    OptionalDouble score) {
 
   /**
    * Checks that the spans cover the tokens.
@@ -25,18 +28,24 @@
    * @throws IllegalArgumentException if a token has no version or two
    */
   public FinishedSample {
-    tokens = List.copyOf(tokens);
-    spans = List.copyOf(spans);
-    int covered = 0;
-    for (VersionSpan span : spans) {
-      if (span.from() != covered) {
-        throw new IllegalArgumentException("spans leave a gap at token " + covered);
-      }
-      covered = span.to();
-    }
-    if (covered != tokens.size()) {
-      throw new IllegalArgumentException("spans cover " + covered + " of " + tokens.size());
-    }
+    SamplePrefix checked = new SamplePrefix(tokens, spans, text);
+    tokens = checked.tokens();
+    spans = checked.spans();
+  }
+
+  /** Creates a sample that isn't scored. */
+  public FinishedSample(
+      AttemptKey attempt,
+      List<Integer> tokens,
+      List<VersionSpan> spans,
+      String text,
+      String finishReason) {
+    this(attempt, tokens, spans, text, finishReason, OptionalDouble.empty());
+  }
+
+  /** Returns this sample with its score. */
+  public FinishedSample withScore(double value) {
+    return new FinishedSample(attempt, tokens, spans, text, finishReason, OptionalDouble.of(value));
   }
 
   /** Returns the oldest version that produced a token; the sample must have at least one token. */
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/rollout/Flight.java
@@ -0,0 +1,50 @@
+package org.carobhoist.core.rollout;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.WeightVersion;
+
+/** An attempt in flight, as the coordinator knows it. */
+final class Flight {
+
+  final AttemptKey attempt;
+  final InstanceId engine;
+  final Duration startedAt;
+  final int begunWith;
+  Duration lastHeard;
+  int generated;
+  Optional<WeightVersion> oldest;
+  int unanswered;
+  boolean handingBack;
+
+  Flight(
+      AttemptKey attempt,
+      InstanceId engine,
+      Duration startedAt,
+      int begunWith,
+      Optional<WeightVersion> oldest) {
+    this.attempt = attempt;
+    this.engine = engine;
+    this.startedAt = startedAt;
+    this.begunWith = begunWith;
+    this.lastHeard = startedAt;
+    this.generated = begunWith;
+    this.oldest = oldest;
+  }
+
+  void onProgress(RunningAttempt report, Duration now) {
+    lastHeard = now;
+    unanswered = 0;
+    generated = Math.max(generated, report.generated());
+    if (report.oldest().isPresent()) {
+      oldest = report.oldest();
+    }
+  }
+
+  /** Returns the tokens a second of this attempt as last heard; 0 before its first token. */
+  double rate() {
+    double seconds = lastHeard.minus(startedAt).toNanos() / 1e9;
+    return seconds <= 0 ? 0 : (generated - begunWith) / seconds;
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/rollout/RolloutPort.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/RolloutPort.java
@@ -1,19 +1,36 @@
 package org.carobhoist.core.rollout;
 
+import java.util.List;
 import org.carobhoist.core.common.InstanceId;
 
-/** What a {@link StepCoordinator} asks of its surroundings. */
+/** What a {@link StepCoordinator} asks of its surroundings. Every message may be lost. */
 public interface RolloutPort {
 
-  /** Asks every linked engine what it holds of the step; each answer comes back as an event. */
-  void queryHeld(StepKey step);
+  /** Returns the engines that take new work at the moment. */
+  List<EngineView> engines();
+
+  /**
+   * Asks an engine's sidecar what it holds of the step; the answer comes back as an event.
+   *
+   * @param query number of the question
+   * @param attempts the attempts asked for; none for all of the step
+   */
+  void queryHeld(InstanceId engine, StepKey step, long query, List<AttemptKey> attempts);
 
   /** Starts an attempt at an engine. */
-  void start(InstanceId engine, AttemptKey attempt, String prompt, int maxTokens);
+  void start(InstanceId engine, AttemptOrder order);
 
-  /** Cancels an attempt at an engine. */
-  void cancel(InstanceId engine, AttemptKey attempt);
+  /**
+   * Cancels an attempt at an engine.
+   *
+   * @param handBack whether its sidecar is to report the failure with the tokens made so far
+   */
+  void cancel(InstanceId engine, AttemptKey attempt, boolean handBack);
 
-  /** Tells every linked engine which groups its trainer holds. */
-  void acknowledge(StepKey step, GroupCursor cursor);
+  /**
+   * Tells an engine's sidecar which groups the trainer holds.
+   *
+   * @param finished whether these are all groups of the step
+   */
+  void acknowledge(InstanceId engine, StepKey step, GroupCursor cursor, boolean finished);
 }
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/rollout/SampleSlot.java
@@ -0,0 +1,60 @@
+package org.carobhoist.core.rollout;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.BiConsumer;
+import org.carobhoist.core.chart.ChartReader;
+import org.carobhoist.core.chart.ChartRun;
+import org.carobhoist.core.chart.StateChart;
+import org.carobhoist.core.common.InstanceId;
+
+/** One sample of a step at its coordinator: a run of the chart and what belongs to it. */
+final class SampleSlot {
+
+  private static final StateChart<SampleState, SampleEvent, SampleAction> CHART =
+      ChartReader.readResource("sample", SampleState.class, SampleEvent.class, SampleAction.class);
+
+  final SampleKey key;
+  final StepRequest.GroupPrompt prompt;
+  final List<Flight> flights = new ArrayList<>(1);
+  Optional<FinishedSample> arriving = Optional.empty();
+  Optional<FinishedSample> whole = Optional.empty();
+  SamplePrefix prefix = SamplePrefix.NONE;
+  Optional<InstanceId> avoid = Optional.empty();
+  Duration notBefore = Duration.ZERO;
+  int failures;
+  boolean queued;
+  private final ChartRun<SampleState, SampleEvent, SampleAction> run;
+
+  SampleSlot(
+      SampleKey key, StepRequest.GroupPrompt prompt, BiConsumer<SampleSlot, SampleAction> handler) {
+    this.key = key;
+    this.prompt = prompt;
+    this.run = ChartRun.start(CHART, action -> handler.accept(this, action));
+  }
+
+  static StateChart<SampleState, SampleEvent, SampleAction> chart() {
+    return CHART;
+  }
+
+  SampleState state() {
+    return run.state();
+  }
+
+  void fire(SampleEvent event) {
+    run.fire(event);
+  }
+
+  Optional<Flight> flight(AttemptKey attempt) {
+    return flights.stream().filter(f -> f.attempt.equals(attempt)).findFirst();
+  }
+
+  /** Removes a flight; the sample is gone with the last one. */
+  void land(Flight flight) {
+    if (flights.remove(flight) && flights.isEmpty()) {
+      fire(SampleEvent.GONE);
+    }
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/rollout/SampleStore.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/SampleStore.java
@@ -1,78 +1,129 @@
 package org.carobhoist.core.rollout;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.carobhoist.core.common.Clock;
 
 /**
  * A sidecar's attempts and finished samples, kept until a trainer's cursor acknowledges their group
- * or they expire, so that another entry can take a step over without generating anything twice.
+ * or nobody has asked for their step for the retention time, so that another entry can take a step
+ * over without generating anything twice.
+ *
+ * <p>An acknowledgement counts only for what is held at that moment. It leaves no mark behind, so a
+ * trainer that is restored with an older cursor is served again.
  */
 public final class SampleStore {
 
+  /** How long the samples of a step are kept after the last message about it. */
+  public static final Duration RETENTION = Duration.ofMinutes(10);
+
+  private final Clock clock;
   private final Map<StepKey, Step> steps = new HashMap<>();
 
   private static final class Step {
     private final Set<AttemptKey> running = new HashSet<>();
     private final Map<AttemptKey, FinishedSample> finished = new HashMap<>();
-    private GroupCursor cursor = GroupCursor.empty();
+    private Duration touched = Duration.ZERO;
+
+    private boolean isEmpty() {
+      return running.isEmpty() && finished.isEmpty();
+    }
   }
 
-  private SampleStore() {}
+  private SampleStore(Clock clock) {
+    this.clock = clock;
+  }
 
   /** Returns an empty store. */
-  public static SampleStore create() {
-    return new SampleStore();
+  public static SampleStore create(Clock clock) {
+    return new SampleStore(clock);
   }
 
   /** Notes the start of an attempt; returns false if it runs or is finished already. */
   public boolean begin(AttemptKey attempt) {
     Step step = steps.computeIfAbsent(attempt.sample().step(), key -> new Step());
+    step.touched = clock.elapsed();
     return !step.finished.containsKey(attempt) && step.running.add(attempt);
   }
 
-  /** Keeps a finished sample, unless its group is acknowledged already. */
+  /** Keeps a finished sample. */
   public void finish(FinishedSample sample) {
     AttemptKey attempt = sample.attempt();
     Step step = steps.computeIfAbsent(attempt.sample().step(), key -> new Step());
+    step.touched = clock.elapsed();
     step.running.remove(attempt);
-    if (!step.cursor.holds(attempt.sample().group())) {
-      step.finished.put(attempt, sample);
-    }
+    step.finished.put(attempt, sample);
   }
 
-  /** Forgets an attempt that failed or was cancelled. */
+  /** Forgets an attempt, running or finished. */
   public void drop(AttemptKey attempt) {
     Step step = steps.get(attempt.sample().step());
     if (step != null) {
       step.running.remove(attempt);
+      step.finished.remove(attempt);
+      removeIfEmpty(attempt.sample().step(), step);
     }
   }
 
-  /** Forgets the finished samples of the groups that the trainer holds. */
-  public void acknowledge(StepKey key, GroupCursor cursor) {
-    Step step = steps.computeIfAbsent(key, k -> new Step());
-    step.cursor = cursor;
+  /**
+   * Forgets the finished samples of the groups that the trainer holds.
+   *
+   * @return the attempts in flight that nobody needs any more, to be cancelled
+   */
+  public List<AttemptKey> acknowledge(StepKey key, GroupCursor cursor) {
+    Step step = steps.get(key);
+    if (step == null) {
+      return List.of();
+    }
+    step.touched = clock.elapsed();
     step.finished.keySet().removeIf(a -> cursor.holds(a.sample().group()));
+    List<AttemptKey> needless =
+        step.running.stream().filter(a -> cursor.holds(a.sample().group())).toList();
+    removeIfEmpty(key, step);
+    return needless;
   }
 
-  /** Forgets a step whole. */
-  public void forget(StepKey key) {
-    steps.remove(key);
+  /**
+   * Forgets a step whole.
+   *
+   * @return its attempts in flight, to be cancelled
+   */
+  public List<AttemptKey> forget(StepKey key) {
+    Step step = steps.remove(key);
+    return step == null ? List.of() : List.copyOf(step.running);
   }
 
-  /** Returns the finished samples of a step. */
+  /**
+   * Forgets the steps of which nobody has spoken for the retention time; to be called now and then.
+   *
+   * @return their attempts in flight, to be cancelled
+   */
+  public List<AttemptKey> expire() {
+    Duration oldest = clock.elapsed().minus(RETENTION);
+    List<StepKey> old =
+        steps.entrySet().stream()
+            .filter(e -> e.getValue().touched.compareTo(oldest) < 0)
+            .map(Map.Entry::getKey)
+            .toList();
+    List<AttemptKey> needless = new ArrayList<>();
+    old.forEach(key -> needless.addAll(forget(key)));
+    return needless;
+  }
+
+  /** Returns the finished samples of a step; the question keeps the step from expiring. */
   public List<FinishedSample> finished(StepKey key) {
-    Step step = steps.get(key);
+    Step step = touch(key);
     return step == null ? List.of() : new ArrayList<>(step.finished.values());
   }
 
   /** Returns the attempts of a step that are in flight. */
   public List<AttemptKey> running(StepKey key) {
-    Step step = steps.get(key);
+    Step step = touch(key);
     return step == null ? List.of() : new ArrayList<>(step.running);
   }
 
@@ -80,4 +131,18 @@
   public int size() {
     return steps.values().stream().mapToInt(s -> s.running.size() + s.finished.size()).sum();
   }
+
+  private Step touch(StepKey key) {
+    Step step = steps.get(key);
+    if (step != null) {
+      step.touched = clock.elapsed();
+    }
+    return step;
+  }
+
+  private void removeIfEmpty(StepKey key, Step step) {
+    if (step.isEmpty()) {
+      steps.remove(key);
+    }
+  }
 }
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/rollout/RolloutWorld.java
@@ -0,0 +1,920 @@
+package org.carobhoist.core.rollout;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.stream.IntStream;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.ProfileName;
+import org.carobhoist.core.common.StepId;
+import org.carobhoist.core.common.TrainerId;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.rollout.RolloutPolicy.SwapPolicy;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+
+/**
+ * Trainers, entries, sidecars and engines in virtual time; entries and sidecars run the real
+ * coordinator, store and assembler. Each token says which version made it, independently of what
+ * the engine's stream names, so that every group that a trainer takes is checked against the truth.
+ */
+final class RolloutWorld {
+
+  static final int BASE = 100_000;
+  private static final int CHUNK_TOKENS = 8;
+  private static final Duration POLL = Duration.ofSeconds(1);
+  private static final Duration POLL_TIMEOUT = Duration.ofMillis(1500);
+  private static final Duration TICK = Duration.ofMillis(200);
+
+  /** Points in the life of the target sample, the first one of the first step. */
+  enum Moment {
+    ASKING,
+    MISSING,
+    STARTED,
+    STREAMING,
+    SAVED,
+    WHOLE,
+    PAGED,
+    HELD
+  }
+
+  private final RolloutSetup setup;
+  private final SplittableRandom random;
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue events = new EventQueue(clock);
+  private final Entry[] entries;
+  private final Sidecar[] sidecars;
+  private final Engine[] engines;
+  private final List<Trainer> trainers = new ArrayList<>();
+  private final SampleKey target;
+  private final Set<Moment> reached = new HashSet<>();
+  private final Consumer<Moment> onMoment;
+  private Optional<String> broken = Optional.empty();
+  private int targetEntry;
+  private int targetEngine;
+  private Duration lossUntil = Duration.ZERO;
+  private Duration lateUntil = Duration.ZERO;
+  private Duration doubleUntil = Duration.ZERO;
+  final Map<SampleKey, Integer> completions = new HashMap<>();
+  final List<Long> staleness = new ArrayList<>();
+  Duration idle = Duration.ZERO;
+  long usefulTokens;
+  long madeTokens;
+  long messages;
+
+  RolloutWorld(RolloutSetup setup, SplittableRandom random, Consumer<Moment> onMoment) {
+    this.setup = setup;
+    this.random = random;
+    this.onMoment = onMoment;
+    this.entries = new Entry[setup.entries()];
+    this.sidecars = new Sidecar[setup.engines()];
+    this.engines = new Engine[setup.engines()];
+    this.target = new SampleKey(step(0, 0), 0, 0);
+  }
+
+  /** Runs until every trainer has all its steps; returns what broke, or empty. */
+  Optional<String> run(Duration limit) {
+    for (int i = 0; i < engines.length; i++) {
+      engines[i] = new Engine(i);
+      sidecars[i] = new Sidecar(i);
+    }
+    for (int i = 0; i < entries.length; i++) {
+      entries[i] = new Entry(i);
+    }
+    for (int i = 0; i < setup.trainers(); i++) {
+      trainers.add(new Trainer(i));
+    }
+    trainers.forEach(Trainer::begin);
+    tick();
+    while (broken.isEmpty() && !isDone() && clock.elapsed().compareTo(limit) < 0) {
+      events.run(clock.elapsed().plus(TICK));
+    }
+    if (broken.isEmpty() && !isDone()) {
+      fail("a step never completed");
+    }
+    return broken;
+  }
+
+  /** Runs a task at a time of the run. */
+  void at(Duration time, Runnable task) {
+    events.after(time, task);
+  }
+
+  Duration elapsed() {
+    return clock.elapsed();
+  }
+
+  private boolean isDone() {
+    return trainers.stream().allMatch(t -> t.trained >= setup.steps());
+  }
+
+  private void tick() {
+    for (Entry e : entries) {
+      if (e != null) {
+        e.shares.values().forEach(StepCoordinator::tick);
+        e.answer();
+      }
+    }
+    for (Sidecar s : sidecars) {
+      if (s != null) {
+        s.report();
+      }
+    }
+    for (Engine e : engines) {
+      e.followOrders();
+    }
+    events.after(TICK, this::tick);
+  }
+
+  private void fail(String why) {
+    broken = broken.or(() -> Optional.of(why + " at " + clock.elapsed().toMillis() + " ms"));
+  }
+
+  private void moment(Moment m) {
+    if (reached.add(m)) {
+      events.after(Duration.ZERO, () -> onMoment.accept(m));
+    }
+  }
+
+  private static StepKey step(int trainer, int number) {
+    return new StepKey(
+        new ProfileName("p"), new TrainerId("t" + trainer), new StepId("s" + number));
+  }
+
+  private static InstanceId id(int engine) {
+    return new InstanceId("e" + engine);
+  }
+
+  /** Carries a message, unless the network loses, delays or doubles it. */
+  private void send(Runnable deliver) {
+    messages++;
+    if (clock.elapsed().compareTo(lossUntil) < 0) {
+      return;
+    }
+    Duration delay = Duration.ofMillis(1 + random.nextInt(5));
+    if (clock.elapsed().compareTo(lateUntil) < 0) {
+      delay = delay.plusSeconds(4);
+    }
+    events.after(delay, deliver);
+    if (clock.elapsed().compareTo(doubleUntil) < 0) {
+      events.after(delay.plusMillis(700), deliver);
+    }
+  }
+
+  private void toEntry(int entry, Consumer<Entry> message) {
+    send(() -> Optional.ofNullable(entries[entry]).ifPresent(message));
+  }
+
+  private void toSidecar(int engine, Consumer<Sidecar> message) {
+    send(() -> Optional.ofNullable(sidecars[engine]).ifPresent(s -> s.whenAwake(message)));
+  }
+
+  // Faults.
+
+  void crashEntry() {
+    int i = targetEntry;
+    entries[i] = null;
+    events.after(Duration.ofMillis(500), () -> entries[i] = new Entry(i));
+  }
+
+  void crashSidecar() {
+    int i = targetEngine;
+    sidecars[i] = null;
+    engines[i].cutStreams();
+    events.after(Duration.ofMillis(50), () -> eachEntry(e -> e.lost(i)));
+    events.after(
+        Duration.ofMillis(800),
+        () -> {
+          sidecars[i] = new Sidecar(i);
+          eachEntry(e -> e.up(i));
+        });
+  }
+
+  void crashEngine() {
+    Engine e = engines[targetEngine];
+    e.alive = false;
+    e.cutStreams();
+    events.after(Duration.ofMillis(700), e::comeBack);
+  }
+
+  void crashTrainer() {
+    trainers.get(0).crash();
+  }
+
+  void loseMessages() {
+    lossUntil = clock.elapsed().plusMillis(200);
+  }
+
+  void delayMessages() {
+    lateUntil = clock.elapsed().plusMillis(200);
+  }
+
+  void doubleMessages() {
+    doubleUntil = clock.elapsed().plusMillis(400);
+  }
+
+  /** A sample of another step, and a stale one that claims to be the target's. */
+  void sendForeign() {
+    SampleKey other = new SampleKey(step(0, 7), 0, 0);
+    for (SampleKey key : List.of(other, new SampleKey(target.step(), 99, 0))) {
+      FinishedSample foreign =
+          new FinishedSample(
+              new AttemptKey(key, 5),
+              List.of(BASE),
+              List.of(new VersionSpan(new WeightVersion(1), 0, 1)),
+              "",
+              "stop");
+      eachEntry(e -> e.onDone(targetEngine, foreign));
+    }
+    Optional.ofNullable(sidecars[targetEngine]).ifPresent(s -> s.onCancel(null, false));
+  }
+
+  void swapNow() {
+    engines[targetEngine].version++;
+  }
+
+  /** The engine loads an old version, and its sidecar doesn't know. */
+  void failSwap() {
+    Engine e = engines[targetEngine];
+    e.announced = e.version;
+    e.version = Math.max(1, e.version - 1);
+    e.cutStreams();
+    events.after(Duration.ofSeconds(2), e::comeBack);
+  }
+
+  void pauseSidecar() {
+    Optional.ofNullable(sidecars[targetEngine])
+        .ifPresent(s -> s.pausedUntil = clock.elapsed().plusSeconds(12));
+  }
+
+  void hideVersion() {
+    Engine e = engines[targetEngine];
+    e.hides = true;
+    events.after(Duration.ofSeconds(1), () -> e.hides = false);
+  }
+
+  void cutStreams() {
+    engines[targetEngine].cutStreams();
+  }
+
+  void advanceTrainer() {
+    trainers.get(0).version += 2;
+  }
+
+  private void eachEntry(Consumer<Entry> event) {
+    for (Entry e : entries) {
+      Optional.ofNullable(e).ifPresent(event);
+    }
+  }
+
+  /** An entry: coordinators, and trainers' requests that wait. */
+  private final class Entry {
+
+    private final int index;
+    private final Map<StepKey, StepCoordinator> shares = new LinkedHashMap<>();
+    private final EngineShares windows = EngineShares.create();
+    private final Map<TrainerId, TrainerPace> paces = new HashMap<>();
+    private final Map<Trainer, Waiter> waiters = new LinkedHashMap<>();
+    private final Set<Integer> links = new LinkedHashSet<>();
+
+    private record Waiter(StepRequest request, Duration until, Consumer<StepPage> reply) {}
+
+    private Entry(int index) {
+      this.index = index;
+      IntStream.range(0, engines.length).filter(i -> sidecars[i] != null).forEach(links::add);
+    }
+
+    private void onRequest(Trainer trainer, StepRequest asked, Consumer<StepPage> reply) {
+      StepRequest request = setup.seams().handOver.apply(asked);
+      StepCoordinator c = shares.computeIfAbsent(request.key(), this::coordinator);
+      if (request.key().equals(target.step())) {
+        targetEntry = index;
+      }
+      c.onRequest(request);
+      if (request.isComplete()) {
+        shares.remove(request.key());
+        windows.remove(request.key());
+        return;
+      }
+      if (!request.prepare()) {
+        waiters.put(trainer, new Waiter(asked, clock.elapsed().plus(POLL), reply));
+      }
+      answer();
+    }
+
+    private StepCoordinator coordinator(StepKey key) {
+      TrainerPace pace = paces.computeIfAbsent(key.trainer(), t -> TrainerPace.create());
+      StepCoordinator made =
+          StepCoordinator.create(new Port(key), setup.policy(), clock, pace, random.split());
+      windows.add(key, made);
+      return made;
+    }
+
+    private void onDone(int engine, FinishedSample sample) {
+      step(sample.attempt()).ifPresent(c -> c.onDone(id(engine), sample));
+      answer();
+    }
+
+    private void onFailed(int engine, AttemptKey attempt, SamplePrefix made) {
+      step(attempt).ifPresent(c -> c.onFailed(id(engine), attempt, made));
+      answer();
+    }
+
+    private void onProgress(int engine, RunningAttempt report) {
+      step(report.attempt()).ifPresent(c -> c.onProgress(id(engine), report));
+    }
+
+    private void onHeld(int engine, StepKey key, HeldAnswer answer) {
+      Optional.ofNullable(shares.get(key)).ifPresent(c -> c.onHeld(id(engine), answer));
+      answer();
+    }
+
+    private Optional<StepCoordinator> step(AttemptKey attempt) {
+      return Optional.ofNullable(shares.get(attempt.sample().step()));
+    }
+
+    private void lost(int engine) {
+      links.remove(engine);
+      shares.values().forEach(c -> c.onEngineLost(id(engine)));
+    }
+
+    private void up(int engine) {
+      links.add(engine);
+      shares.values().forEach(c -> c.onEngineUp(id(engine)));
+    }
+
+    private void answer() {
+      noteTarget();
+      for (Map.Entry<Trainer, Waiter> e : List.copyOf(waiters.entrySet())) {
+        Waiter w = e.getValue();
+        StepCoordinator c = shares.get(w.request().key());
+        if (c != null && (c.hasWholeGroup() || w.until().compareTo(clock.elapsed()) <= 0)) {
+          waiters.remove(e.getKey());
+          StepPage page = c.page();
+          StepPage stamped =
+              new StepPage(page.key(), page.cursor(), w.request().trainerVersion(), page.groups());
+          notePaged(stamped);
+          send(() -> w.reply().accept(stamped));
+        }
+      }
+    }
+
+    private void noteTarget() {
+      StepCoordinator c = shares.get(target.step());
+      if (c == null || reached.contains(Moment.WHOLE)) {
+        return;
+      }
+      switch (c.state(target)) {
+        case ASKING -> moment(Moment.ASKING);
+        case MISSING -> moment(Moment.MISSING);
+        case WHOLE -> moment(Moment.WHOLE);
+        default -> {}
+      }
+    }
+
+    private void notePaged(StepPage page) {
+      boolean has = page.groups().stream().anyMatch(g -> g.group() == target.group());
+      if (page.key().equals(target.step()) && has) {
+        moment(Moment.PAGED);
+      }
+    }
+
+    private final class Port implements RolloutPort {
+
+      private final StepKey key;
+
+      private Port(StepKey key) {
+        this.key = key;
+      }
+
+      @Override
+      public List<EngineView> engines() {
+        List<EngineView> views = new ArrayList<>();
+        EngineShares.Windows mine = windows.windowsOf(key);
+        for (int i : links) {
+          WeightVersion version = new WeightVersion(engines[i].announced);
+          views.add(new EngineView(id(i), version, mine.at(id(i), setup.limit())));
+        }
+        return views;
+      }
+
+      @Override
+      public void queryHeld(
+          InstanceId engine, StepKey step, long query, List<AttemptKey> attempts) {
+        toSidecar(number(engine), s -> s.onQuery(index, step, query, attempts));
+      }
+
+      @Override
+      public void start(InstanceId engine, AttemptOrder order) {
+        if (order.attempt().sample().equals(target)) {
+          targetEngine = number(engine);
+          moment(Moment.MISSING);
+          moment(Moment.STARTED);
+        }
+        toSidecar(number(engine), s -> s.onStart(index, order));
+      }
+
+      @Override
+      public void cancel(InstanceId engine, AttemptKey attempt, boolean handBack) {
+        toSidecar(number(engine), s -> s.onCancel(attempt, handBack));
+      }
+
+      @Override
+      public void acknowledge(
+          InstanceId engine, StepKey step, GroupCursor cursor, boolean finished) {
+        toSidecar(number(engine), s -> s.onAck(step, cursor, finished));
+      }
+
+      private static int number(InstanceId engine) {
+        return Integer.parseInt(engine.value().substring(1));
+      }
+    }
+  }
+
+  /** A sidecar: the real store and assembler around a queue. */
+  private final class Sidecar {
+
+    private final int index;
+    private final SampleStore store = SampleStore.create(clock);
+    private final Map<AttemptKey, Work> works = new LinkedHashMap<>();
+    private final Deque<Work> queue = new ArrayDeque<>();
+    private Duration pausedUntil = Duration.ZERO;
+    private int running;
+
+    private final class Work {
+      private final AttemptOrder order;
+      private final SampleAssembler assembler;
+      private final Set<Integer> listeners = new LinkedHashSet<>();
+      private boolean runs;
+      private boolean over;
+
+      private Work(AttemptOrder order, int entry) {
+        this.order = order;
+        this.assembler =
+            SampleAssembler.create(order.attempt(), order.prefix(), order.swapPolicy());
+        listeners.add(entry);
+      }
+    }
+
+    private Sidecar(int index) {
+      this.index = index;
+    }
+
+    private void whenAwake(Consumer<Sidecar> message) {
+      if (pausedUntil.compareTo(clock.elapsed()) <= 0) {
+        message.accept(this);
+        return;
+      }
+      events.after(
+          pausedUntil.minus(clock.elapsed()),
+          () -> {
+            if (sidecars[index] == this) {
+              message.accept(this);
+            }
+          });
+    }
+
+    private void onStart(int entry, AttemptOrder asked) {
+      AttemptOrder order =
+          new AttemptOrder(
+              asked.attempt(),
+              asked.prompt(),
+              asked.maxTokens(),
+              setup.seams().resume.apply(asked.prefix()),
+              asked.swapPolicy(),
+              asked.scorer());
+      if (!store.begin(order.attempt())) {
+        return;
+      }
+      Work work = new Work(order, entry);
+      works.put(order.attempt(), work);
+      queue.add(work);
+      runNext();
+    }
+
+    private void runNext() {
+      while (running < setup.limit() && !queue.isEmpty()) {
+        Work work = queue.poll();
+        work.runs = true;
+        running++;
+        int from = work.assembler.size();
+        engines[index].stream(this, work.order, from, (t, v, end) -> onChunk(work, t, v, end));
+      }
+    }
+
+    private void onChunk(Work work, List<Integer> tokens, Optional<Long> version, boolean end) {
+      if (work.over) {
+        return;
+      }
+      if (end) {
+        work.assembler.onFinishReason(tokens == null ? "" : "stop");
+        onEnd(work, tokens != null);
+        return;
+      }
+      if (work.order.attempt().sample().equals(target)) {
+        moment(Moment.STREAMING);
+      }
+      Optional<WeightVersion> named =
+          setup
+              .seams()
+              .attribution
+              .apply(
+                  version.map(WeightVersion::new),
+                  Optional.of(new WeightVersion(engines[index].announced)));
+      SampleAssembler.Taken taken = work.assembler.add(tokens, "", named);
+      if (taken != SampleAssembler.Taken.YES) {
+        onGivenUp(work);
+      }
+    }
+
+    private void onEnd(Work work, boolean sawEndMark) {
+      boolean counts = setup.seams().endMark.test(sawEndMark);
+      if (counts && !sawEndMark) {
+        work.assembler.onFinishReason("stop");
+      }
+      Optional<FinishedSample> made = work.assembler.finish(counts);
+      if (made.isEmpty()) {
+        onGivenUp(work);
+        return;
+      }
+      end(work);
+      FinishedSample sample = made.get();
+      store.finish(sample);
+      completions.merge(sample.attempt().sample(), 1, Integer::sum);
+      if (sample.attempt().sample().equals(target)) {
+        moment(Moment.SAVED);
+      }
+      work.listeners.forEach(e -> toEntry(e, entry -> entry.onDone(index, sample)));
+      setup.seams().afterTold.accept(() -> store.drop(sample.attempt()));
+    }
+
+    private void onGivenUp(Work work) {
+      SamplePrefix made = work.assembler.prefix();
+      AttemptKey attempt = work.order.attempt();
+      end(work);
+      store.drop(attempt);
+      work.listeners.forEach(e -> toEntry(e, entry -> entry.onFailed(index, attempt, made)));
+    }
+
+    private void end(Work work) {
+      work.over = true;
+      works.remove(work.order.attempt());
+      queue.remove(work);
+      running -= work.runs ? 1 : 0;
+      runNext();
+    }
+
+    private void onCancel(AttemptKey attempt, boolean handBack) {
+      Work work = works.get(attempt);
+      if (work == null) {
+        return;
+      }
+      if (handBack) {
+        onGivenUp(work);
+        return;
+      }
+      end(work);
+      store.drop(attempt);
+    }
+
+    private void onQuery(int entry, StepKey step, long query, List<AttemptKey> attempts) {
+      List<FinishedSample> finished =
+          store.finished(step).stream()
+              .filter(s -> attempts.isEmpty() || attempts.contains(s.attempt()))
+              .toList();
+      List<RunningAttempt> progress = new ArrayList<>();
+      for (AttemptKey key : store.running(step)) {
+        if (attempts.isEmpty() || attempts.contains(key)) {
+          works.get(key).listeners.add(entry);
+          progress.add(works.get(key).assembler.progress());
+        }
+      }
+      attempts.stream()
+          .filter(a -> !works.containsKey(a) && setup.seams().claims.test(false))
+          .forEach(a -> progress.add(new RunningAttempt(a, 0, Optional.empty())));
+      HeldAnswer answer = new HeldAnswer(query, finished, progress);
+      toEntry(entry, e -> e.onHeld(index, step, answer));
+    }
+
+    private void onAck(StepKey step, GroupCursor cursor, boolean finished) {
+      List<AttemptKey> needless = finished ? store.forget(step) : store.acknowledge(step, cursor);
+      needless.forEach(a -> onCancel(a, false));
+    }
+
+    private void report() {
+      if (pausedUntil.compareTo(clock.elapsed()) > 0) {
+        return;
+      }
+      for (Work work : works.values()) {
+        RunningAttempt report = work.assembler.progress();
+        work.listeners.forEach(e -> toEntry(e, entry -> entry.onProgress(index, report)));
+      }
+    }
+  }
+
+  private interface ChunkSink {
+
+    /** Takes a chunk, or the end, which has {@code null} tokens if the stream was cut. */
+    void accept(List<Integer> tokens, Optional<Long> version, boolean end);
+  }
+
+  /** An engine; what it truly serves is known to it alone. */
+  private final class Engine {
+
+    private final int index;
+    private long version = 1;
+    private long announced = 1;
+    private long swapTo = 1;
+    private boolean alive = true;
+    private boolean hides;
+    private int epoch;
+
+    private Engine(int index) {
+      this.index = index;
+    }
+
+    private void stream(Sidecar owner, AttemptOrder order, int from, ChunkSink sink) {
+      next(owner, order, from, sink, epoch);
+    }
+
+    private void next(Sidecar owner, AttemptOrder order, int at, ChunkSink sink, int begun) {
+      events.after(
+          setup.chunk(),
+          () -> {
+            if (sidecars[index] != owner) {
+              return;
+            }
+            boolean cut = begun != epoch || !alive;
+            owner.whenAwake(s -> chunk(owner, order, at, sink, begun, cut));
+          });
+    }
+
+    private void chunk(
+        Sidecar owner, AttemptOrder order, int at, ChunkSink sink, int begun, boolean cut) {
+      if (cut) {
+        sink.accept(null, Optional.empty(), true);
+        return;
+      }
+      int length = setup.length().applyAsInt(order.attempt().sample());
+      int count = Math.min(CHUNK_TOKENS, length - at);
+      if (count <= 0) {
+        sink.accept(List.of(), Optional.empty(), true);
+        return;
+      }
+      long made = version;
+      madeTokens += count;
+      List<Integer> tokens =
+          IntStream.range(at, at + count).mapToObj(i -> (int) (made * BASE + i)).toList();
+      sink.accept(tokens, hides ? Optional.empty() : Optional.of(made), false);
+      if (owner.works.containsKey(order.attempt())) {
+        next(owner, order, at + count, sink, begun);
+      }
+    }
+
+    private void cutStreams() {
+      epoch++;
+    }
+
+    /** Comes back with the weights that it was first installed with. */
+    private void comeBack() {
+      alive = true;
+      version = 1;
+      announced = 1;
+      swapTo = 1;
+    }
+
+    private void followOrders() {
+      long newest = trainers.stream().mapToLong(t -> t.version).max().orElse(1);
+      if (alive && newest > Math.max(swapTo, version)) {
+        swapTo = newest;
+        events.after(
+            Duration.ofMillis(50 + 100L * index),
+            () -> {
+              if (alive && newest > version) {
+                version = newest;
+                announced = newest;
+              }
+            });
+      }
+    }
+  }
+
+  /** A trainer, whose cursors and version outlast its crashes. */
+  private final class Trainer {
+
+    private final int index;
+    private final TreeMap<Integer, GroupCursor> open = new TreeMap<>();
+    private final Map<StepKey, Set<Integer>> taken = new HashMap<>();
+    private long version = 1;
+    private int trained;
+    private int epoch;
+    private int entry;
+    private int batch;
+    private boolean training;
+    private Duration idleSince = Duration.ZERO;
+
+    private Trainer(int index) {
+      this.index = index;
+      this.entry = index % entries.length;
+    }
+
+    private void begin() {
+      openSteps();
+      poll(epoch);
+    }
+
+    private void openSteps() {
+      int last = trained + (training ? setup.ahead() : setup.firstCome() ? setup.ahead() : 0);
+      for (int s = trained; s <= Math.max(last, trained) && s < allSteps(); s++) {
+        if (!isComplete(s)) {
+          open.putIfAbsent(s, GroupCursor.empty());
+        }
+      }
+    }
+
+    /** First-come training may leave some groups of the last steps untaken. */
+    private int allSteps() {
+      return setup.firstCome() ? setup.steps() + setup.ahead() : setup.steps();
+    }
+
+    private boolean isComplete(int number) {
+      return taken.getOrDefault(step(index, number), Set.of()).size() == setup.groups();
+    }
+
+    private StepRequest request(int number) {
+      List<StepRequest.GroupPrompt> prompts = new ArrayList<>();
+      for (int g = 0; g < setup.groups(); g++) {
+        if (!open.get(number).holds(g)) {
+          prompts.add(new StepRequest.GroupPrompt(g, "prompt " + g));
+        }
+      }
+      boolean prepare = training || (!setup.firstCome() && number != trained);
+      return new StepRequest(
+          step(index, number),
+          new WeightVersion(version),
+          setup.samples(),
+          BASE,
+          open.get(number),
+          prompts,
+          prepare);
+    }
+
+    private void poll(int begun) {
+      if (begun != epoch || trained >= setup.steps()) {
+        return;
+      }
+      int asked = entry;
+      boolean[] answered = {false};
+      for (int number : List.copyOf(open.keySet())) {
+        StepRequest request = request(number);
+        toEntry(
+            asked,
+            e ->
+                e.onRequest(
+                    this,
+                    request,
+                    page -> {
+                      if (begun == epoch) {
+                        answered[0] = true;
+                        take(number, page);
+                      }
+                    }));
+      }
+      boolean waits = !training;
+      Duration next = waits ? POLL_TIMEOUT : POLL;
+      if (setup.firstCome() || waits) {
+        next = Duration.ofMillis(250);
+      }
+      events.after(next, () -> poll(begun));
+      events.after(
+          POLL_TIMEOUT,
+          () -> {
+            if (begun == epoch && waits && !answered[0] && asked == entry) {
+              entry = (entry + 1) % entries.length;
+            }
+          });
+    }
+
+    private void take(int number, StepPage page) {
+      if (!open.containsKey(number) || training) {
+        return;
+      }
+      StepRequest mine = request(number);
+      if (!setup.seams().takes.test(page, mine)) {
+        return;
+      }
+      GroupCursor cursor = open.get(number);
+      for (StepPage.WholeGroup g : page.groups()) {
+        check(g, page.key());
+        cursor = cursor.with(g.group());
+        batch++;
+      }
+      open.put(number, cursor);
+      if (isComplete(number)) {
+        finish(number);
+      }
+      if (batch >= setup.groups()) {
+        train();
+      }
+    }
+
+    private void finish(int number) {
+      StepRequest last = request(number);
+      StepRequest done =
+          new StepRequest(
+              last.key(),
+              last.trainerVersion(),
+              last.samplesPerGroup(),
+              last.maxTokens(),
+              last.cursor(),
+              List.of(),
+              false);
+      open.remove(number);
+      toEntry(entry, e -> e.onRequest(this, done, page -> {}));
+    }
+
+    private void train() {
+      batch -= setup.groups();
+      training = true;
+      idle = idle.plus(trained == 0 ? Duration.ZERO : clock.elapsed().minus(idleSince));
+      trained++;
+      openSteps();
+      events.after(
+          setup.train(),
+          () -> {
+            training = false;
+            idleSince = clock.elapsed();
+            version++;
+            if (batch >= setup.groups()) {
+              train();
+            } else {
+              openSteps();
+            }
+          });
+    }
+
+    private void crash() {
+      epoch++;
+      events.after(Duration.ofMillis(600), this::begin);
+    }
+
+    private void check(StepPage.WholeGroup group, StepKey key) {
+      if (!key.trainer().equals(step(index, 0).trainer())) {
+        fail("foreign group " + key);
+      }
+      if (!taken.computeIfAbsent(key, k -> new HashSet<>()).add(group.group())) {
+        fail("group " + group.group() + " of " + key + " taken twice");
+      }
+      if (group.samples().size() != setup.samples()) {
+        fail("group has " + group.samples().size() + " samples");
+      }
+      if (key.equals(target.step()) && group.group() == target.group()) {
+        moment(Moment.HELD);
+      }
+      for (int i = 0; i < group.samples().size(); i++) {
+        check(group.samples().get(i), new SampleKey(key, group.group(), i));
+      }
+    }
+
+    private void check(FinishedSample sample, SampleKey key) {
+      if (!sample.attempt().sample().equals(key)) {
+        fail("sample " + sample.attempt() + " instead of " + key);
+      }
+      if (sample.tokens().size() != setup.length().applyAsInt(key)) {
+        fail("sample of " + sample.tokens().size() + " tokens was cut short");
+      }
+      long oldest = Long.MAX_VALUE;
+      Set<Integer> versions = new HashSet<>();
+      for (VersionSpan span : sample.spans()) {
+        for (int i = span.from(); i < span.to(); i++) {
+          int made = sample.tokens().get(i) / BASE;
+          versions.add(made);
+          oldest = Math.min(oldest, made);
+          if (made != span.version().number()) {
+            fail("token of version " + made + " attributed to " + span.version());
+          }
+        }
+      }
+      usefulTokens += sample.tokens().size();
+      staleness.add(Math.max(0, version - oldest));
+      if (version - oldest > setup.policy().maxStaleness()) {
+        fail("sample of version " + oldest + " handed to a trainer at " + version);
+      }
+      if (setup.policy().swapPolicy() == SwapPolicy.RESTART && versions.size() > 1) {
+        fail("restarted sample has versions " + versions);
+      }
+    }
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -69,7 +69,7 @@
             new CallTable(),
             Router.create(random),
             RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST));
-    this.steps = new StepTable(context, random.split());
+    this.steps = new StepTable(context, random.split(), config.fold()::profile);
   }
 
   /** Returns an entry that hasn't started. */
@@ -171,7 +171,11 @@
 
     @Override
     public void onUp(Link link) {
-      loop.execute(() -> context.links().onUp(link));
+      loop.execute(
+          () -> {
+            context.links().onUp(link);
+            steps.onLinkUp(LinkPool.peer(link));
+          });
     }
 
     @Override
--- a/server/src/main/java/org/carobhoist/server/entry/StepJson.java
+++ b/server/src/main/java/org/carobhoist/server/entry/StepJson.java
@@ -33,7 +33,8 @@
         m.samplesPerGroup(),
         m.maxTokens(),
         GroupCursor.parse(m.cursor() == null ? "" : m.cursor()),
-        m.groups().stream().map(g -> new StepRequest.GroupPrompt(g.group(), g.prompt())).toList());
+        m.groups().stream().map(StepJson::prompt).toList(),
+        m.prepare());
   }
 
   /** Returns the message for a page. */
@@ -49,6 +50,14 @@
             .toList());
   }
 
+  private static StepRequest.GroupPrompt prompt(StepRequestMessage.Group g) {
+    if (g.group() < 0 || g.group() >= GroupCursor.MAX_GROUPS || g.prompt() == null) {
+      throw new IllegalArgumentException(
+          "group " + g.group() + " is out of range or has no prompt");
+    }
+    return new StepRequest.GroupPrompt(g.group(), g.prompt(), Math.max(0, g.expectedTokens()));
+  }
+
   private static List<StepPageMessage.Sample> samples(List<FinishedSample> samples) {
     return samples.stream().map(StepJson::sample).toList();
   }
@@ -61,6 +70,7 @@
         s.finishReason(),
         s.spans().stream()
             .map(v -> new StepPageMessage.Span(v.version().number(), v.from(), v.to()))
-            .toList());
+            .toList(),
+        s.score().isPresent() ? s.score().getAsDouble() : null);
   }
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/HeldQuery.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/HeldQuery.java
@@ -16,6 +16,7 @@
     profile_ = "";
     trainer_ = "";
     step_ = "";
+    attempts_ = emptyProtobufList();
   }
 
   public static final int QUERY_FIELD_NUMBER = 1;
@@ -200,6 +201,177 @@
     step_ = value.toStringUtf8();
   }
 
+  public static final int ATTEMPTS_FIELD_NUMBER = 5;
+  private com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.SampleName>
+      attempts_;
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.carobhoist.server.link.proto.SampleName> getAttemptsList() {
+    return attempts_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  public java.util.List<? extends org.carobhoist.server.link.proto.SampleNameOrBuilder>
+      getAttemptsOrBuilderList() {
+    return attempts_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  @java.lang.Override
+  public int getAttemptsCount() {
+    return attempts_.size();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  @java.lang.Override
+  public org.carobhoist.server.link.proto.SampleName getAttempts(int index) {
+    return attempts_.get(index);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  public org.carobhoist.server.link.proto.SampleNameOrBuilder getAttemptsOrBuilder(int index) {
+    return attempts_.get(index);
+  }
+
+  private void ensureAttemptsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.SampleName> tmp =
+        attempts_;
+    if (!tmp.isModifiable()) {
+      attempts_ = com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+    }
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setAttempts(int index, org.carobhoist.server.link.proto.SampleName value) {
+    value.getClass(); // minimal bytecode null check
+    ensureAttemptsIsMutable();
+    attempts_.set(index, value);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addAttempts(org.carobhoist.server.link.proto.SampleName value) {
+    value.getClass(); // minimal bytecode null check
+    ensureAttemptsIsMutable();
+    attempts_.add(value);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addAttempts(int index, org.carobhoist.server.link.proto.SampleName value) {
+    value.getClass(); // minimal bytecode null check
+    ensureAttemptsIsMutable();
+    attempts_.add(index, value);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  private void addAllAttempts(
+      java.lang.Iterable<? extends org.carobhoist.server.link.proto.SampleName> values) {
+    ensureAttemptsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(values, attempts_);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  private void clearAttempts() {
+    attempts_ = emptyProtobufList();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  private void removeAttempts(int index) {
+    ensureAttemptsIsMutable();
+    attempts_.remove(index);
+  }
+
   public static org.carobhoist.server.link.proto.HeldQuery parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -492,6 +664,187 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.carobhoist.server.link.proto.SampleName> getAttemptsList() {
+      return java.util.Collections.unmodifiableList(instance.getAttemptsList());
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    @java.lang.Override
+    public int getAttemptsCount() {
+      return instance.getAttemptsCount();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    @java.lang.Override
+    public org.carobhoist.server.link.proto.SampleName getAttempts(int index) {
+      return instance.getAttempts(index);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    public Builder setAttempts(int index, org.carobhoist.server.link.proto.SampleName value) {
+      copyOnWrite();
+      instance.setAttempts(index, value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    public Builder setAttempts(
+        int index, org.carobhoist.server.link.proto.SampleName.Builder builderForValue) {
+      copyOnWrite();
+      instance.setAttempts(index, builderForValue.build());
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    public Builder addAttempts(org.carobhoist.server.link.proto.SampleName value) {
+      copyOnWrite();
+      instance.addAttempts(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    public Builder addAttempts(int index, org.carobhoist.server.link.proto.SampleName value) {
+      copyOnWrite();
+      instance.addAttempts(index, value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    public Builder addAttempts(
+        org.carobhoist.server.link.proto.SampleName.Builder builderForValue) {
+      copyOnWrite();
+      instance.addAttempts(builderForValue.build());
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    public Builder addAttempts(
+        int index, org.carobhoist.server.link.proto.SampleName.Builder builderForValue) {
+      copyOnWrite();
+      instance.addAttempts(index, builderForValue.build());
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    public Builder addAllAttempts(
+        java.lang.Iterable<? extends org.carobhoist.server.link.proto.SampleName> values) {
+      copyOnWrite();
+      instance.addAllAttempts(values);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    public Builder clearAttempts() {
+      copyOnWrite();
+      instance.clearAttempts();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The attempts asked for; none for the whole step.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+     */
+    public Builder removeAttempts(int index) {
+      copyOnWrite();
+      instance.removeAttempts(index);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.HeldQuery)
   }
 
@@ -514,11 +867,16 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "query_", "profile_", "trainer_", "step_",
+                "query_",
+                "profile_",
+                "trainer_",
+                "step_",
+                "attempts_",
+                org.carobhoist.server.link.proto.SampleName.class,
               };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0002\u0002\u0208"
-                  + "\u0003\u0208\u0004\u0208";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0001\u0000\u0001\u0002\u0002\u0208"
+                  + "\u0003\u0208\u0004\u0208\u0005\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/HeldQueryOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/HeldQueryOrBuilder.java
@@ -59,4 +59,37 @@
    * @return The bytes for step.
    */
   com.google.protobuf.ByteString getStepBytes();
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  java.util.List<org.carobhoist.server.link.proto.SampleName> getAttemptsList();
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  org.carobhoist.server.link.proto.SampleName getAttempts(int index);
+
+  /**
+   *
+   *
+   * <pre>
+   * The attempts asked for; none for the whole step.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.SampleName attempts = 5;</code>
+   */
+  int getAttemptsCount();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/HeldReply.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/HeldReply.java
@@ -15,6 +15,9 @@
   private HeldReply() {
     finished_ = emptyProtobufList();
     running_ = emptyProtobufList();
+    profile_ = "";
+    trainer_ = "";
+    step_ = "";
   }
 
   public static final int QUERY_FIELD_NUMBER = 1;
@@ -129,89 +132,242 @@
     finished_.remove(index);
   }
 
-  public static final int RUNNING_FIELD_NUMBER = 3;
-  private com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.SampleName>
+  public static final int RUNNING_FIELD_NUMBER = 4;
+  private com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.SampleProgress>
       running_;
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
   @java.lang.Override
-  public java.util.List<org.carobhoist.server.link.proto.SampleName> getRunningList() {
+  public java.util.List<org.carobhoist.server.link.proto.SampleProgress> getRunningList() {
     return running_;
   }
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
-  public java.util.List<? extends org.carobhoist.server.link.proto.SampleNameOrBuilder>
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
+  public java.util.List<? extends org.carobhoist.server.link.proto.SampleProgressOrBuilder>
       getRunningOrBuilderList() {
     return running_;
   }
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
   @java.lang.Override
   public int getRunningCount() {
     return running_.size();
   }
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
   @java.lang.Override
-  public org.carobhoist.server.link.proto.SampleName getRunning(int index) {
+  public org.carobhoist.server.link.proto.SampleProgress getRunning(int index) {
     return running_.get(index);
   }
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
-  public org.carobhoist.server.link.proto.SampleNameOrBuilder getRunningOrBuilder(int index) {
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
+  public org.carobhoist.server.link.proto.SampleProgressOrBuilder getRunningOrBuilder(int index) {
     return running_.get(index);
   }
 
   private void ensureRunningIsMutable() {
-    com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.SampleName> tmp =
+    com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.SampleProgress> tmp =
         running_;
     if (!tmp.isModifiable()) {
       running_ = com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
     }
   }
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void setRunning(int index, org.carobhoist.server.link.proto.SampleName value) {
+  private void setRunning(int index, org.carobhoist.server.link.proto.SampleProgress value) {
     value.getClass(); // minimal bytecode null check
     ensureRunningIsMutable();
     running_.set(index, value);
   }
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void addRunning(org.carobhoist.server.link.proto.SampleName value) {
+  private void addRunning(org.carobhoist.server.link.proto.SampleProgress value) {
     value.getClass(); // minimal bytecode null check
     ensureRunningIsMutable();
     running_.add(value);
   }
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void addRunning(int index, org.carobhoist.server.link.proto.SampleName value) {
+  private void addRunning(int index, org.carobhoist.server.link.proto.SampleProgress value) {
     value.getClass(); // minimal bytecode null check
     ensureRunningIsMutable();
     running_.add(index, value);
   }
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
   private void addAllRunning(
-      java.lang.Iterable<? extends org.carobhoist.server.link.proto.SampleName> values) {
+      java.lang.Iterable<? extends org.carobhoist.server.link.proto.SampleProgress> values) {
     ensureRunningIsMutable();
     com.google.protobuf.AbstractMessageLite.addAll(values, running_);
   }
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
   private void clearRunning() {
     running_ = emptyProtobufList();
   }
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
   private void removeRunning(int index) {
     ensureRunningIsMutable();
     running_.remove(index);
   }
 
+  public static final int PROFILE_FIELD_NUMBER = 5;
+  private java.lang.String profile_;
+
+  /**
+   * <code>string profile = 5;</code>
+   *
+   * @return The profile.
+   */
+  @java.lang.Override
+  public java.lang.String getProfile() {
+    return profile_;
+  }
+
+  /**
+   * <code>string profile = 5;</code>
+   *
+   * @return The bytes for profile.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getProfileBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(profile_);
+  }
+
+  /**
+   * <code>string profile = 5;</code>
+   *
+   * @param value The profile to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setProfile(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+
+    profile_ = value;
+  }
+
+  /** <code>string profile = 5;</code> */
+  private void clearProfile() {
+
+    profile_ = getDefaultInstance().getProfile();
+  }
+
+  /**
+   * <code>string profile = 5;</code>
+   *
+   * @param value The bytes for profile to set.
+   */
+  private void setProfileBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    profile_ = value.toStringUtf8();
+  }
+
+  public static final int TRAINER_FIELD_NUMBER = 6;
+  private java.lang.String trainer_;
+
+  /**
+   * <code>string trainer = 6;</code>
+   *
+   * @return The trainer.
+   */
+  @java.lang.Override
+  public java.lang.String getTrainer() {
+    return trainer_;
+  }
+
+  /**
+   * <code>string trainer = 6;</code>
+   *
+   * @return The bytes for trainer.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getTrainerBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(trainer_);
+  }
+
+  /**
+   * <code>string trainer = 6;</code>
+   *
+   * @param value The trainer to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setTrainer(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+
+    trainer_ = value;
+  }
+
+  /** <code>string trainer = 6;</code> */
+  private void clearTrainer() {
+
+    trainer_ = getDefaultInstance().getTrainer();
+  }
+
+  /**
+   * <code>string trainer = 6;</code>
+   *
+   * @param value The bytes for trainer to set.
+   */
+  private void setTrainerBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    trainer_ = value.toStringUtf8();
+  }
+
+  public static final int STEP_FIELD_NUMBER = 7;
+  private java.lang.String step_;
+
+  /**
+   * <code>string step = 7;</code>
+   *
+   * @return The step.
+   */
+  @java.lang.Override
+  public java.lang.String getStep() {
+    return step_;
+  }
+
+  /**
+   * <code>string step = 7;</code>
+   *
+   * @return The bytes for step.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getStepBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(step_);
+  }
+
+  /**
+   * <code>string step = 7;</code>
+   *
+   * @param value The step to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setStep(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+
+    step_ = value;
+  }
+
+  /** <code>string step = 7;</code> */
+  private void clearStep() {
+
+    step_ = getDefaultInstance().getStep();
+  }
+
+  /**
+   * <code>string step = 7;</code>
+   *
+   * @param value The bytes for step to set.
+   */
+  private void setStepBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    step_ = value.toStringUtf8();
+  }
+
   public static org.carobhoist.server.link.proto.HeldReply parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -424,90 +580,256 @@
       return this;
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
     @java.lang.Override
-    public java.util.List<org.carobhoist.server.link.proto.SampleName> getRunningList() {
+    public java.util.List<org.carobhoist.server.link.proto.SampleProgress> getRunningList() {
       return java.util.Collections.unmodifiableList(instance.getRunningList());
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
     @java.lang.Override
     public int getRunningCount() {
       return instance.getRunningCount();
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
     @java.lang.Override
-    public org.carobhoist.server.link.proto.SampleName getRunning(int index) {
+    public org.carobhoist.server.link.proto.SampleProgress getRunning(int index) {
       return instance.getRunning(index);
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
-    public Builder setRunning(int index, org.carobhoist.server.link.proto.SampleName value) {
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
+    public Builder setRunning(int index, org.carobhoist.server.link.proto.SampleProgress value) {
       copyOnWrite();
       instance.setRunning(index, value);
       return this;
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
     public Builder setRunning(
-        int index, org.carobhoist.server.link.proto.SampleName.Builder builderForValue) {
+        int index, org.carobhoist.server.link.proto.SampleProgress.Builder builderForValue) {
       copyOnWrite();
       instance.setRunning(index, builderForValue.build());
       return this;
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
-    public Builder addRunning(org.carobhoist.server.link.proto.SampleName value) {
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
+    public Builder addRunning(org.carobhoist.server.link.proto.SampleProgress value) {
       copyOnWrite();
       instance.addRunning(value);
       return this;
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
-    public Builder addRunning(int index, org.carobhoist.server.link.proto.SampleName value) {
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
+    public Builder addRunning(int index, org.carobhoist.server.link.proto.SampleProgress value) {
       copyOnWrite();
       instance.addRunning(index, value);
       return this;
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
-    public Builder addRunning(org.carobhoist.server.link.proto.SampleName.Builder builderForValue) {
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
+    public Builder addRunning(
+        org.carobhoist.server.link.proto.SampleProgress.Builder builderForValue) {
       copyOnWrite();
       instance.addRunning(builderForValue.build());
       return this;
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
     public Builder addRunning(
-        int index, org.carobhoist.server.link.proto.SampleName.Builder builderForValue) {
+        int index, org.carobhoist.server.link.proto.SampleProgress.Builder builderForValue) {
       copyOnWrite();
       instance.addRunning(index, builderForValue.build());
       return this;
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
     public Builder addAllRunning(
-        java.lang.Iterable<? extends org.carobhoist.server.link.proto.SampleName> values) {
+        java.lang.Iterable<? extends org.carobhoist.server.link.proto.SampleProgress> values) {
       copyOnWrite();
       instance.addAllRunning(values);
       return this;
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
     public Builder clearRunning() {
       copyOnWrite();
       instance.clearRunning();
       return this;
     }
 
-    /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+    /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
     public Builder removeRunning(int index) {
       copyOnWrite();
       instance.removeRunning(index);
       return this;
     }
 
+    /**
+     * <code>string profile = 5;</code>
+     *
+     * @return The profile.
+     */
+    @java.lang.Override
+    public java.lang.String getProfile() {
+      return instance.getProfile();
+    }
+
+    /**
+     * <code>string profile = 5;</code>
+     *
+     * @return The bytes for profile.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getProfileBytes() {
+      return instance.getProfileBytes();
+    }
+
+    /**
+     * <code>string profile = 5;</code>
+     *
+     * @param value The profile to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProfile(java.lang.String value) {
+      copyOnWrite();
+      instance.setProfile(value);
+      return this;
+    }
+
+    /**
+     * <code>string profile = 5;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearProfile() {
+      copyOnWrite();
+      instance.clearProfile();
+      return this;
+    }
+
+    /**
+     * <code>string profile = 5;</code>
+     *
+     * @param value The bytes for profile to set.
+     * @return This builder for chaining.
+     */
+    public Builder setProfileBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setProfileBytes(value);
+      return this;
+    }
+
+    /**
+     * <code>string trainer = 6;</code>
+     *
+     * @return The trainer.
+     */
+    @java.lang.Override
+    public java.lang.String getTrainer() {
+      return instance.getTrainer();
+    }
+
+    /**
+     * <code>string trainer = 6;</code>
+     *
+     * @return The bytes for trainer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getTrainerBytes() {
+      return instance.getTrainerBytes();
+    }
+
+    /**
+     * <code>string trainer = 6;</code>
+     *
+     * @param value The trainer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTrainer(java.lang.String value) {
+      copyOnWrite();
+      instance.setTrainer(value);
+      return this;
+    }
+
+    /**
+     * <code>string trainer = 6;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearTrainer() {
+      copyOnWrite();
+      instance.clearTrainer();
+      return this;
+    }
+
+    /**
+     * <code>string trainer = 6;</code>
+     *
+     * @param value The bytes for trainer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTrainerBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setTrainerBytes(value);
+      return this;
+    }
+
+    /**
+     * <code>string step = 7;</code>
+     *
+     * @return The step.
+     */
+    @java.lang.Override
+    public java.lang.String getStep() {
+      return instance.getStep();
+    }
+
+    /**
+     * <code>string step = 7;</code>
+     *
+     * @return The bytes for step.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getStepBytes() {
+      return instance.getStepBytes();
+    }
+
+    /**
+     * <code>string step = 7;</code>
+     *
+     * @param value The step to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStep(java.lang.String value) {
+      copyOnWrite();
+      instance.setStep(value);
+      return this;
+    }
+
+    /**
+     * <code>string step = 7;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearStep() {
+      copyOnWrite();
+      instance.clearStep();
+      return this;
+    }
+
+    /**
+     * <code>string step = 7;</code>
+     *
+     * @param value The bytes for step to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStepBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setStepBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.HeldReply)
   }
 
@@ -534,11 +856,14 @@
                 "finished_",
                 org.carobhoist.server.link.proto.SampleDone.class,
                 "running_",
-                org.carobhoist.server.link.proto.SampleName.class,
+                org.carobhoist.server.link.proto.SampleProgress.class,
+                "profile_",
+                "trainer_",
+                "step_",
               };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0002\u0000\u0001\u0002\u0002\u001b"
-                  + "\u0003\u001b";
+              "\u0000\u0006\u0000\u0000\u0001\u0007\u0006\u0000\u0002\u0000\u0001\u0002\u0002\u001b"
+                  + "\u0004\u001b\u0005\u0208\u0006\u0208\u0007\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/HeldReplyOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/HeldReplyOrBuilder.java
@@ -27,12 +27,54 @@
   /** <code>repeated .carobhoist.link.SampleDone finished = 2;</code> */
   int getFinishedCount();
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
-  java.util.List<org.carobhoist.server.link.proto.SampleName> getRunningList();
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
+  java.util.List<org.carobhoist.server.link.proto.SampleProgress> getRunningList();
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
-  org.carobhoist.server.link.proto.SampleName getRunning(int index);
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
+  org.carobhoist.server.link.proto.SampleProgress getRunning(int index);
 
-  /** <code>repeated .carobhoist.link.SampleName running = 3;</code> */
+  /** <code>repeated .carobhoist.link.SampleProgress running = 4;</code> */
   int getRunningCount();
+
+  /**
+   * <code>string profile = 5;</code>
+   *
+   * @return The profile.
+   */
+  java.lang.String getProfile();
+
+  /**
+   * <code>string profile = 5;</code>
+   *
+   * @return The bytes for profile.
+   */
+  com.google.protobuf.ByteString getProfileBytes();
+
+  /**
+   * <code>string trainer = 6;</code>
+   *
+   * @return The trainer.
+   */
+  java.lang.String getTrainer();
+
+  /**
+   * <code>string trainer = 6;</code>
+   *
+   * @return The bytes for trainer.
+   */
+  com.google.protobuf.ByteString getTrainerBytes();
+
+  /**
+   * <code>string step = 7;</code>
+   *
+   * @return The step.
+   */
+  java.lang.String getStep();
+
+  /**
+   * <code>string step = 7;</code>
+   *
+   * @return The bytes for step.
+   */
+  com.google.protobuf.ByteString getStepBytes();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/SampleCancel.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/SampleCancel.java
@@ -60,6 +60,55 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int HAND_BACK_FIELD_NUMBER = 2;
+  private boolean handBack_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether to answer with what was generated, so that the sample can go on elsewhere.
+   * </pre>
+   *
+   * <code>bool hand_back = 2;</code>
+   *
+   * @return The handBack.
+   */
+  @java.lang.Override
+  public boolean getHandBack() {
+    return handBack_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether to answer with what was generated, so that the sample can go on elsewhere.
+   * </pre>
+   *
+   * <code>bool hand_back = 2;</code>
+   *
+   * @param value The handBack to set.
+   */
+  private void setHandBack(boolean value) {
+
+    handBack_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether to answer with what was generated, so that the sample can go on elsewhere.
+   * </pre>
+   *
+   * <code>bool hand_back = 2;</code>
+   */
+  private void clearHandBack() {
+
+    handBack_ = false;
+  }
+
   public static org.carobhoist.server.link.proto.SampleCancel parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -194,6 +243,57 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Whether to answer with what was generated, so that the sample can go on elsewhere.
+     * </pre>
+     *
+     * <code>bool hand_back = 2;</code>
+     *
+     * @return The handBack.
+     */
+    @java.lang.Override
+    public boolean getHandBack() {
+      return instance.getHandBack();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether to answer with what was generated, so that the sample can go on elsewhere.
+     * </pre>
+     *
+     * <code>bool hand_back = 2;</code>
+     *
+     * @param value The handBack to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHandBack(boolean value) {
+      copyOnWrite();
+      instance.setHandBack(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether to answer with what was generated, so that the sample can go on elsewhere.
+     * </pre>
+     *
+     * <code>bool hand_back = 2;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearHandBack() {
+      copyOnWrite();
+      instance.clearHandBack();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.SampleCancel)
   }
 
@@ -216,10 +316,11 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "bitField0_", "name_",
+                "bitField0_", "name_", "handBack_",
               };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0001\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u1009\u0000";
+              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002"
+                  + "\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/SampleCancelOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/SampleCancelOrBuilder.java
@@ -24,4 +24,17 @@
    * @return The name.
    */
   org.carobhoist.server.link.proto.SampleName getName();
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether to answer with what was generated, so that the sample can go on elsewhere.
+   * </pre>
+   *
+   * <code>bool hand_back = 2;</code>
+   *
+   * @return The handBack.
+   */
+  boolean getHandBack();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/SampleDone.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/SampleDone.java
@@ -329,6 +329,45 @@
     text_ = value.toStringUtf8();
   }
 
+  public static final int SCORE_FIELD_NUMBER = 6;
+  private double score_;
+
+  /**
+   * <code>optional double score = 6;</code>
+   *
+   * @return Whether the score field is set.
+   */
+  @java.lang.Override
+  public boolean hasScore() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+
+  /**
+   * <code>optional double score = 6;</code>
+   *
+   * @return The score.
+   */
+  @java.lang.Override
+  public double getScore() {
+    return score_;
+  }
+
+  /**
+   * <code>optional double score = 6;</code>
+   *
+   * @param value The score to set.
+   */
+  private void setScore(double value) {
+    bitField0_ |= 0x00000002;
+    score_ = value;
+  }
+
+  /** <code>optional double score = 6;</code> */
+  private void clearScore() {
+    bitField0_ = (bitField0_ & ~0x00000002);
+    score_ = 0D;
+  }
+
   public static org.carobhoist.server.link.proto.SampleDone parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -735,6 +774,49 @@
       return this;
     }
 
+    /**
+     * <code>optional double score = 6;</code>
+     *
+     * @return Whether the score field is set.
+     */
+    @java.lang.Override
+    public boolean hasScore() {
+      return instance.hasScore();
+    }
+
+    /**
+     * <code>optional double score = 6;</code>
+     *
+     * @return The score.
+     */
+    @java.lang.Override
+    public double getScore() {
+      return instance.getScore();
+    }
+
+    /**
+     * <code>optional double score = 6;</code>
+     *
+     * @param value The score to set.
+     * @return This builder for chaining.
+     */
+    public Builder setScore(double value) {
+      copyOnWrite();
+      instance.setScore(value);
+      return this;
+    }
+
+    /**
+     * <code>optional double score = 6;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearScore() {
+      copyOnWrite();
+      instance.clearScore();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.SampleDone)
   }
 
@@ -764,10 +846,11 @@
                 org.carobhoist.server.link.proto.VersionSpan.class,
                 "finishReason_",
                 "text_",
+                "score_",
               };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0002\u0000\u0001\u1009\u0000\u0002"
-                  + "\'\u0003\u001b\u0004\u0208\u0005\u0208";
+              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0002\u0000\u0001\u1009\u0000\u0002"
+                  + "\'\u0003\u001b\u0004\u0208\u0005\u0208\u0006\u1000\u0001";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/SampleDoneOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/SampleDoneOrBuilder.java
@@ -83,4 +83,18 @@
    * @return The bytes for text.
    */
   com.google.protobuf.ByteString getTextBytes();
+
+  /**
+   * <code>optional double score = 6;</code>
+   *
+   * @return Whether the score field is set.
+   */
+  boolean hasScore();
+
+  /**
+   * <code>optional double score = 6;</code>
+   *
+   * @return The score.
+   */
+  double getScore();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/SampleFailed.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/SampleFailed.java
@@ -16,6 +16,7 @@
     reason_ = "";
     tokens_ = emptyIntList();
     spans_ = emptyProtobufList();
+    text_ = "";
   }
 
   private int bitField0_;
@@ -321,6 +322,57 @@
     spans_.remove(index);
   }
 
+  public static final int TEXT_FIELD_NUMBER = 5;
+  private java.lang.String text_;
+
+  /**
+   * <code>string text = 5;</code>
+   *
+   * @return The text.
+   */
+  @java.lang.Override
+  public java.lang.String getText() {
+    return text_;
+  }
+
+  /**
+   * <code>string text = 5;</code>
+   *
+   * @return The bytes for text.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getTextBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(text_);
+  }
+
+  /**
+   * <code>string text = 5;</code>
+   *
+   * @param value The text to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setText(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+
+    text_ = value;
+  }
+
+  /** <code>string text = 5;</code> */
+  private void clearText() {
+
+    text_ = getDefaultInstance().getText();
+  }
+
+  /**
+   * <code>string text = 5;</code>
+   *
+   * @param value The bytes for text to set.
+   */
+  private void setTextBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    text_ = value.toStringUtf8();
+  }
+
   public static org.carobhoist.server.link.proto.SampleFailed parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -714,6 +766,61 @@
       return this;
     }
 
+    /**
+     * <code>string text = 5;</code>
+     *
+     * @return The text.
+     */
+    @java.lang.Override
+    public java.lang.String getText() {
+      return instance.getText();
+    }
+
+    /**
+     * <code>string text = 5;</code>
+     *
+     * @return The bytes for text.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getTextBytes() {
+      return instance.getTextBytes();
+    }
+
+    /**
+     * <code>string text = 5;</code>
+     *
+     * @param value The text to set.
+     * @return This builder for chaining.
+     */
+    public Builder setText(java.lang.String value) {
+      copyOnWrite();
+      instance.setText(value);
+      return this;
+    }
+
+    /**
+     * <code>string text = 5;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearText() {
+      copyOnWrite();
+      instance.clearText();
+      return this;
+    }
+
+    /**
+     * <code>string text = 5;</code>
+     *
+     * @param value The bytes for text to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTextBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setTextBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.SampleFailed)
   }
 
@@ -742,10 +849,11 @@
                 "tokens_",
                 "spans_",
                 org.carobhoist.server.link.proto.VersionSpan.class,
+                "text_",
               };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0001\u0001\u0004\u0004\u0000\u0002\u0000\u0001\u1009\u0000\u0002"
-                  + "\u0208\u0003\'\u0004\u001b";
+              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0002\u0000\u0001\u1009\u0000\u0002"
+                  + "\u0208\u0003\'\u0004\u001b\u0005\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/SampleFailedOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/SampleFailedOrBuilder.java
@@ -87,4 +87,18 @@
 
   /** <code>repeated .carobhoist.link.VersionSpan spans = 4;</code> */
   int getSpansCount();
+
+  /**
+   * <code>string text = 5;</code>
+   *
+   * @return The text.
+   */
+  java.lang.String getText();
+
+  /**
+   * <code>string text = 5;</code>
+   *
+   * @return The bytes for text.
+   */
+  com.google.protobuf.ByteString getTextBytes();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/SampleProgress.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/SampleProgress.java
@@ -89,6 +89,71 @@
     generated_ = 0;
   }
 
+  public static final int OLDEST_VERSION_FIELD_NUMBER = 3;
+  private long oldestVersion_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Oldest version among the tokens; absent before the first one.
+   * </pre>
+   *
+   * <code>optional int64 oldest_version = 3;</code>
+   *
+   * @return Whether the oldestVersion field is set.
+   */
+  @java.lang.Override
+  public boolean hasOldestVersion() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Oldest version among the tokens; absent before the first one.
+   * </pre>
+   *
+   * <code>optional int64 oldest_version = 3;</code>
+   *
+   * @return The oldestVersion.
+   */
+  @java.lang.Override
+  public long getOldestVersion() {
+    return oldestVersion_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Oldest version among the tokens; absent before the first one.
+   * </pre>
+   *
+   * <code>optional int64 oldest_version = 3;</code>
+   *
+   * @param value The oldestVersion to set.
+   */
+  private void setOldestVersion(long value) {
+    bitField0_ |= 0x00000002;
+    oldestVersion_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Oldest version among the tokens; absent before the first one.
+   * </pre>
+   *
+   * <code>optional int64 oldest_version = 3;</code>
+   */
+  private void clearOldestVersion() {
+    bitField0_ = (bitField0_ & ~0x00000002);
+    oldestVersion_ = 0L;
+  }
+
   public static org.carobhoist.server.link.proto.SampleProgress parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -256,6 +321,73 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Oldest version among the tokens; absent before the first one.
+     * </pre>
+     *
+     * <code>optional int64 oldest_version = 3;</code>
+     *
+     * @return Whether the oldestVersion field is set.
+     */
+    @java.lang.Override
+    public boolean hasOldestVersion() {
+      return instance.hasOldestVersion();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Oldest version among the tokens; absent before the first one.
+     * </pre>
+     *
+     * <code>optional int64 oldest_version = 3;</code>
+     *
+     * @return The oldestVersion.
+     */
+    @java.lang.Override
+    public long getOldestVersion() {
+      return instance.getOldestVersion();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Oldest version among the tokens; absent before the first one.
+     * </pre>
+     *
+     * <code>optional int64 oldest_version = 3;</code>
+     *
+     * @param value The oldestVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOldestVersion(long value) {
+      copyOnWrite();
+      instance.setOldestVersion(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Oldest version among the tokens; absent before the first one.
+     * </pre>
+     *
+     * <code>optional int64 oldest_version = 3;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearOldestVersion() {
+      copyOnWrite();
+      instance.clearOldestVersion();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.SampleProgress)
   }
 
@@ -278,11 +410,11 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "bitField0_", "name_", "generated_",
+                "bitField0_", "name_", "generated_", "oldestVersion_",
               };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002"
-                  + "\u0004";
+              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u1009\u0000\u0002"
+                  + "\u0004\u0003\u1002\u0001";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/SampleProgressOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/SampleProgressOrBuilder.java
@@ -31,4 +31,30 @@
    * @return The generated.
    */
   int getGenerated();
+
+  /**
+   *
+   *
+   * <pre>
+   * Oldest version among the tokens; absent before the first one.
+   * </pre>
+   *
+   * <code>optional int64 oldest_version = 3;</code>
+   *
+   * @return Whether the oldestVersion field is set.
+   */
+  boolean hasOldestVersion();
+
+  /**
+   *
+   *
+   * <pre>
+   * Oldest version among the tokens; absent before the first one.
+   * </pre>
+   *
+   * <code>optional int64 oldest_version = 3;</code>
+   *
+   * @return The oldestVersion.
+   */
+  long getOldestVersion();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/SampleStart.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/SampleStart.java
@@ -17,6 +17,8 @@
     resumeTokens_ = emptyIntList();
     resumeSpans_ = emptyProtobufList();
     swapPolicy_ = "";
+    resumeText_ = "";
+    scorer_ = "";
   }
 
   private int bitField0_;
@@ -512,6 +514,172 @@
     swapPolicy_ = value.toStringUtf8();
   }
 
+  public static final int RESUME_TEXT_FIELD_NUMBER = 9;
+  private java.lang.String resumeText_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Text of the resumed tokens.
+   * </pre>
+   *
+   * <code>string resume_text = 9;</code>
+   *
+   * @return The resumeText.
+   */
+  @java.lang.Override
+  public java.lang.String getResumeText() {
+    return resumeText_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Text of the resumed tokens.
+   * </pre>
+   *
+   * <code>string resume_text = 9;</code>
+   *
+   * @return The bytes for resumeText.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getResumeTextBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(resumeText_);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Text of the resumed tokens.
+   * </pre>
+   *
+   * <code>string resume_text = 9;</code>
+   *
+   * @param value The resumeText to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setResumeText(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+
+    resumeText_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Text of the resumed tokens.
+   * </pre>
+   *
+   * <code>string resume_text = 9;</code>
+   */
+  private void clearResumeText() {
+
+    resumeText_ = getDefaultInstance().getResumeText();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Text of the resumed tokens.
+   * </pre>
+   *
+   * <code>string resume_text = 9;</code>
+   *
+   * @param value The bytes for resumeText to set.
+   */
+  private void setResumeTextBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    resumeText_ = value.toStringUtf8();
+  }
+
+  public static final int SCORER_FIELD_NUMBER = 10;
+  private java.lang.String scorer_;
+
+  /**
+   *
+   *
+   * <pre>
+   * URL of the scorer; empty if the sample isn't scored.
+   * </pre>
+   *
+   * <code>string scorer = 10;</code>
+   *
+   * @return The scorer.
+   */
+  @java.lang.Override
+  public java.lang.String getScorer() {
+    return scorer_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * URL of the scorer; empty if the sample isn't scored.
+   * </pre>
+   *
+   * <code>string scorer = 10;</code>
+   *
+   * @return The bytes for scorer.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getScorerBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(scorer_);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * URL of the scorer; empty if the sample isn't scored.
+   * </pre>
+   *
+   * <code>string scorer = 10;</code>
+   *
+   * @param value The scorer to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setScorer(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+
+    scorer_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * URL of the scorer; empty if the sample isn't scored.
+   * </pre>
+   *
+   * <code>string scorer = 10;</code>
+   */
+  private void clearScorer() {
+
+    scorer_ = getDefaultInstance().getScorer();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * URL of the scorer; empty if the sample isn't scored.
+   * </pre>
+   *
+   * <code>string scorer = 10;</code>
+   *
+   * @param value The bytes for scorer to set.
+   */
+  private void setScorerBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    scorer_ = value.toStringUtf8();
+  }
+
   public static org.carobhoist.server.link.proto.SampleStart parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -1108,6 +1276,176 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Text of the resumed tokens.
+     * </pre>
+     *
+     * <code>string resume_text = 9;</code>
+     *
+     * @return The resumeText.
+     */
+    @java.lang.Override
+    public java.lang.String getResumeText() {
+      return instance.getResumeText();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Text of the resumed tokens.
+     * </pre>
+     *
+     * <code>string resume_text = 9;</code>
+     *
+     * @return The bytes for resumeText.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getResumeTextBytes() {
+      return instance.getResumeTextBytes();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Text of the resumed tokens.
+     * </pre>
+     *
+     * <code>string resume_text = 9;</code>
+     *
+     * @param value The resumeText to set.
+     * @return This builder for chaining.
+     */
+    public Builder setResumeText(java.lang.String value) {
+      copyOnWrite();
+      instance.setResumeText(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Text of the resumed tokens.
+     * </pre>
+     *
+     * <code>string resume_text = 9;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearResumeText() {
+      copyOnWrite();
+      instance.clearResumeText();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Text of the resumed tokens.
+     * </pre>
+     *
+     * <code>string resume_text = 9;</code>
+     *
+     * @param value The bytes for resumeText to set.
+     * @return This builder for chaining.
+     */
+    public Builder setResumeTextBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setResumeTextBytes(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * URL of the scorer; empty if the sample isn't scored.
+     * </pre>
+     *
+     * <code>string scorer = 10;</code>
+     *
+     * @return The scorer.
+     */
+    @java.lang.Override
+    public java.lang.String getScorer() {
+      return instance.getScorer();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * URL of the scorer; empty if the sample isn't scored.
+     * </pre>
+     *
+     * <code>string scorer = 10;</code>
+     *
+     * @return The bytes for scorer.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getScorerBytes() {
+      return instance.getScorerBytes();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * URL of the scorer; empty if the sample isn't scored.
+     * </pre>
+     *
+     * <code>string scorer = 10;</code>
+     *
+     * @param value The scorer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setScorer(java.lang.String value) {
+      copyOnWrite();
+      instance.setScorer(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * URL of the scorer; empty if the sample isn't scored.
+     * </pre>
+     *
+     * <code>string scorer = 10;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearScorer() {
+      copyOnWrite();
+      instance.clearScorer();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * URL of the scorer; empty if the sample isn't scored.
+     * </pre>
+     *
+     * <code>string scorer = 10;</code>
+     *
+     * @param value The bytes for scorer to set.
+     * @return This builder for chaining.
+     */
+    public Builder setScorerBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setScorerBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.SampleStart)
   }
 
@@ -1140,10 +1478,12 @@
                 "resumeSpans_",
                 org.carobhoist.server.link.proto.VersionSpan.class,
                 "swapPolicy_",
+                "resumeText_",
+                "scorer_",
               };
           java.lang.String info =
-              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0002\u0000\u0001\u1009\u0000\u0002\u0208\u0003"
-                  + "\u0004\u0004\u0002\u0005\u0002\u0006\'\u0007\u001b\b\u0208";
+              "\u0000\n\u0000\u0001\u0001\n\n\u0000\u0002\u0000\u0001\u1009\u0000\u0002\u0208\u0003"
+                  + "\u0004\u0004\u0002\u0005\u0002\u0006\'\u0007\u001b\b\u0208\t\u0208\n\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/SampleStartOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/SampleStartOrBuilder.java
@@ -140,4 +140,56 @@
    * @return The bytes for swapPolicy.
    */
   com.google.protobuf.ByteString getSwapPolicyBytes();
+
+  /**
+   *
+   *
+   * <pre>
+   * Text of the resumed tokens.
+   * </pre>
+   *
+   * <code>string resume_text = 9;</code>
+   *
+   * @return The resumeText.
+   */
+  java.lang.String getResumeText();
+
+  /**
+   *
+   *
+   * <pre>
+   * Text of the resumed tokens.
+   * </pre>
+   *
+   * <code>string resume_text = 9;</code>
+   *
+   * @return The bytes for resumeText.
+   */
+  com.google.protobuf.ByteString getResumeTextBytes();
+
+  /**
+   *
+   *
+   * <pre>
+   * URL of the scorer; empty if the sample isn't scored.
+   * </pre>
+   *
+   * <code>string scorer = 10;</code>
+   *
+   * @return The scorer.
+   */
+  java.lang.String getScorer();
+
+  /**
+   *
+   *
+   * <pre>
+   * URL of the scorer; empty if the sample isn't scored.
+   * </pre>
+   *
+   * <code>string scorer = 10;</code>
+   *
+   * @return The bytes for scorer.
+   */
+  com.google.protobuf.ByteString getScorerBytes();
 }
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -24,6 +24,8 @@
   STEP_STARTED(4001, "step started"),
   /** An attempt at a sample failed. */
   SAMPLE_FAILED(4002, "sample attempt failed"),
+  /** A trainer holds every group of a step. */
+  STEP_FINISHED(4101, "step finished"),
   /** The platform's log can't be read. */
   LOG_UNREACHABLE(5001, "platform log unreachable"),
   /** A change of a profile is in force. */
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/platform/HttpScorer.java
@@ -0,0 +1,85 @@
+package org.carobhoist.server.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.io.IOException;
+import java.net.URI;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.carobhoist.core.rollout.AttemptKey;
+import org.carobhoist.core.rollout.FinishedSample;
+
+/** A scorer that takes {@code POST} requests with an {@code Idempotency-Key} per attempt. */
+public final class HttpScorer implements Scorer {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final WebClient client;
+  private final String path;
+
+  private record ScoreRequest(String prompt, String text, List<Integer> tokens) {}
+
+  private HttpScorer(WebClient client, String path) {
+    this.client = client;
+    this.path = path;
+  }
+
+  /** Returns the scorer at a URL. */
+  public static HttpScorer at(URI url) {
+    String path = url.getRawPath().isEmpty() ? "/" : url.getRawPath();
+    return new HttpScorer(WebClient.of(url.getScheme() + "://" + url.getAuthority()), path);
+  }
+
+  @Override
+  public CompletableFuture<Double> score(String prompt, FinishedSample sample) {
+    RequestHeaders headers =
+        RequestHeaders.builder(HttpMethod.POST, path)
+            .contentType(MediaType.JSON)
+            .add("idempotency-key", key(sample.attempt()))
+            .build();
+    return client
+        .execute(HttpRequest.of(headers, HttpData.wrap(body(prompt, sample))))
+        .aggregate()
+        .thenApply(HttpScorer::read);
+  }
+
+  private static String key(AttemptKey a) {
+    return String.join(
+        "/",
+        a.sample().step().profile().value(),
+        a.sample().step().trainer().value(),
+        a.sample().step().step().value(),
+        String.valueOf(a.sample().group()),
+        String.valueOf(a.sample().index()),
+        String.valueOf(a.number()));
+  }
+
+  private static byte[] body(String prompt, FinishedSample sample) {
+    try {
+      return JSON.writeValueAsBytes(new ScoreRequest(prompt, sample.text(), sample.tokens()));
+    } catch (IOException e) {
+      throw new CompletionException(e);
+    }
+  }
+
+  private static double read(AggregatedHttpResponse response) {
+    try {
+      JsonNode score = JSON.readTree(response.contentUtf8()).path("score");
+      if (!response.status().equals(HttpStatus.OK) || !score.isNumber()) {
+        throw new CompletionException(new IOException("scorer answered " + response.status()));
+      }
+      return score.asDouble();
+    } catch (IOException e) {
+      throw new CompletionException(e);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SampleAttempt.java
@@ -0,0 +1,223 @@
+package org.carobhoist.server.sidecar;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.rollout.AttemptOrder;
+import org.carobhoist.core.rollout.FinishedSample;
+import org.carobhoist.core.rollout.RunningAttempt;
+import org.carobhoist.core.rollout.SampleAssembler;
+import org.carobhoist.server.link.Link;
+import org.carobhoist.server.link.SampleMapper;
+import org.carobhoist.server.link.proto.LinkFrame;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+
+/** One attempt at a sample: the exchange with the engine and who is told of it. */
+final class SampleAttempt implements EndpointSink {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private final AttemptOrder order;
+  private final ServiceName model;
+  private final EndpointClient engine;
+  private final long ticket;
+  private final SampleWorker.Ending ending;
+  private final SampleAssembler assembler;
+  private final Set<Link> listeners = new LinkedHashSet<>();
+  private final EventStreamParser parser = new EventStreamParser();
+  private Runnable abort = () -> {};
+  private boolean done;
+
+  private record PromptMessage(
+      String model,
+      String prompt,
+      @JsonProperty("max_tokens") int maxTokens,
+      boolean stream,
+      long seed,
+      @JsonProperty("resume_tokens") List<Integer> resumeTokens) {}
+
+  SampleAttempt(
+      AttemptOrder order,
+      ServiceName model,
+      EndpointClient engine,
+      long ticket,
+      SampleWorker.Ending ending) {
+    this.order = order;
+    this.model = model;
+    this.engine = engine;
+    this.ticket = ticket;
+    this.ending = ending;
+    this.assembler = SampleAssembler.create(order.attempt(), order.prefix(), order.swapPolicy());
+  }
+
+  AttemptOrder order() {
+    return order;
+  }
+
+  long ticket() {
+    return ticket;
+  }
+
+  RunningAttempt progress() {
+    return assembler.progress();
+  }
+
+  void addListener(Link link) {
+    listeners.add(link);
+  }
+
+  void removeListener(Link link) {
+    listeners.remove(link);
+  }
+
+  /** Begins the exchange, once admitted. */
+  void run() {
+    RequestHeaders headers =
+        RequestHeaders.of(
+            HttpMethod.POST, "/v1/completions", "content-type", MediaType.JSON.toString());
+    abort = engine.exchange(headers, body(), this);
+  }
+
+  /** Gives the attempt up; with {@code handBack} its tokens are told, to be resumed elsewhere. */
+  void cancel(boolean handBack) {
+    if (handBack) {
+      if (!done) {
+        fail("handed back");
+      }
+      return;
+    }
+    done = true;
+    ending.onOver(this);
+    abort.run();
+  }
+
+  /** Tells how far the attempt has come. */
+  void report() {
+    tell(LinkFrame.newBuilder().setSampleProgress(SampleMapper.toMessage(progress())).build());
+  }
+
+  /** Sends a frame to every entry that waits for this attempt. */
+  void tell(LinkFrame frame) {
+    listeners.forEach(link -> link.send(frame));
+  }
+
+  @Override
+  public void onHead(ResponseHeaders headers) {
+    if (!done && !headers.status().equals(HttpStatus.OK)) {
+      fail("engine answered " + headers.status());
+    }
+  }
+
+  @Override
+  public void onData(byte[] content) {
+    for (String event : parser.feed(new String(content, StandardCharsets.UTF_8))) {
+      if (done) {
+        return;
+      }
+      onEvent(event);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (done) {
+      return;
+    }
+    Optional<FinishedSample> sample = assembler.finish(parser.sawEndMark());
+    if (sample.isEmpty()) {
+      fail("stream lacks its end mark or has no tokens");
+      return;
+    }
+    done = true;
+    ending.onWhole(this, sample.get());
+  }
+
+  @Override
+  public void onFailed(Refusal refusal) {
+    if (!done) {
+      fail(refusal.reason() + ": " + refusal.detail());
+    }
+  }
+
+  private void onEvent(String event) {
+    try {
+      JsonNode chunk = JSON.readTree(event);
+      SampleAssembler.Taken taken =
+          assembler.add(tokens(chunk), chunk.path("text").asText(), version(chunk));
+      if (taken != SampleAssembler.Taken.YES) {
+        fail(
+            taken == SampleAssembler.Taken.SWAPPED
+                ? "the engine changed weight version"
+                : "the engine named no weight version");
+        return;
+      }
+      if (chunk.hasNonNull("finish_reason")) {
+        assembler.onFinishReason(chunk.get("finish_reason").asText());
+      }
+    } catch (JsonProcessingException | IllegalArgumentException e) {
+      fail("the engine's chunk can't be understood");
+    }
+  }
+
+  private static List<Integer> tokens(JsonNode chunk) {
+    List<Integer> tokens = new ArrayList<>();
+    chunk.path("tokens").forEach(t -> tokens.add(t.asInt()));
+    return tokens;
+  }
+
+  private static Optional<WeightVersion> version(JsonNode chunk) {
+    return chunk.path("weight_version").isIntegralNumber()
+        ? Optional.of(new WeightVersion(chunk.get("weight_version").asLong()))
+        : Optional.empty();
+  }
+
+  private void fail(String cause) {
+    done = true;
+    EventLog.info(
+        LogEvent.SAMPLE_FAILED,
+        "step",
+        order.attempt().sample().step().step(),
+        "group",
+        order.attempt().sample().group(),
+        "cause",
+        cause);
+    tell(
+        LinkFrame.newBuilder()
+            .setSampleFailed(SampleMapper.failed(order.attempt(), cause, assembler.prefix()))
+            .build());
+    ending.onOver(this);
+    abort.run();
+  }
+
+  private byte[] body() {
+    PromptMessage message =
+        new PromptMessage(
+            model.value(),
+            order.prompt(),
+            order.maxTokens(),
+            true,
+            order.attempt().sample().seed(),
+            order.prefix().tokens());
+    try {
+      return JSON.writeValueAsBytes(message);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SampleScorer.java
@@ -0,0 +1,73 @@
+package org.carobhoist.server.sidecar;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.BooleanSupplier;
+import java.util.function.DoubleConsumer;
+import org.carobhoist.core.rollout.FinishedSample;
+import org.carobhoist.server.platform.HttpScorer;
+import org.carobhoist.server.platform.Scorer;
+import org.carobhoist.server.runtime.DecisionLoop;
+
+/**
+ * Has samples scored. A request that fails, or whose answer is lost, is sent again with the same
+ * key, so that the scorer counts it once; it goes on until it succeeds or nobody wants the sample.
+ */
+final class SampleScorer {
+
+  private static final Duration FIRST_DELAY = Duration.ofMillis(200);
+  private static final int MAX_DOUBLINGS = 6;
+
+  private final DecisionLoop loop;
+  private final Map<URI, Scorer> scorers = new HashMap<>();
+
+  private SampleScorer(DecisionLoop loop) {
+    this.loop = loop;
+  }
+
+  static SampleScorer create(DecisionLoop loop) {
+    return new SampleScorer(loop);
+  }
+
+  /** Scores a sample; the result comes on the loop, unless it is no longer wanted. */
+  void score(
+      URI url,
+      String prompt,
+      FinishedSample sample,
+      BooleanSupplier wanted,
+      DoubleConsumer result) {
+    score(scorers.computeIfAbsent(url, HttpScorer::at), prompt, sample, wanted, result, 0);
+  }
+
+  private void score(
+      Scorer scorer,
+      String prompt,
+      FinishedSample sample,
+      BooleanSupplier wanted,
+      DoubleConsumer result,
+      int failures) {
+    if (!wanted.getAsBoolean()) {
+      return;
+    }
+    scorer
+        .score(prompt, sample)
+        .whenCompleteAsync(
+            (score, failure) -> {
+              if (failure == null) {
+                onScore(score, wanted, result);
+                return;
+              }
+              Duration delay = FIRST_DELAY.multipliedBy(1L << Math.min(failures, MAX_DOUBLINGS));
+              loop.after(delay, () -> score(scorer, prompt, sample, wanted, result, failures + 1));
+            },
+            loop);
+  }
+
+  private static void onScore(double score, BooleanSupplier wanted, DoubleConsumer result) {
+    if (wanted.getAsBoolean()) {
+      result.accept(score);
+    }
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -70,7 +70,8 @@
     TicketIds tickets = new TicketIds();
     EndpointKind kind = settings.endpoint().kind();
     this.calls = new CallWorker(queue, endpoint, kind, clock, tickets);
-    this.samples = new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets);
+    this.samples =
+        new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets, clock, loop);
     this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
     this.config = ConfigFollower.create(HttpPlatform.at(settings.instance().platform()), loop);
   }
@@ -226,6 +227,7 @@
           () -> {
             links.remove(link);
             calls.onLinkDown(link);
+            samples.onLinkDown(link);
           });
     }
   }
--- a/trainer/src/main/java/org/carobhoist/trainer/StepPageMessage.java
+++ b/trainer/src/main/java/org/carobhoist/trainer/StepPageMessage.java
@@ -36,9 +36,15 @@
    * @param text the text
    * @param finishReason why the engine stopped
    * @param spans the weight versions of all tokens
+   * @param score the scorer's verdict; null if the profile asks for none
    */
   public record Sample(
-      int index, List<Integer> tokens, String text, String finishReason, List<Span> spans) {}
+      int index,
+      List<Integer> tokens,
+      String text,
+      String finishReason,
+      List<Span> spans,
+      Double score) {}
 
   /**
    * Tokens of one weight version.
--- a/trainer/src/main/java/org/carobhoist/trainer/StepRequestMessage.java
+++ b/trainer/src/main/java/org/carobhoist/trainer/StepRequestMessage.java
@@ -14,6 +14,7 @@
  * @param cursor text form of the groups that the trainer holds
  * @param groups prompts of the groups that it doesn't hold
  * @param waitMillis longest time in milliseconds to wait for a whole group
+ * @param prepare whether samples are only to be made ready; the page is then empty
  */
 public record StepRequestMessage(
     String profile,
@@ -24,13 +25,45 @@
     int maxTokens,
     String cursor,
     List<Group> groups,
-    long waitMillis) {
+    long waitMillis,
+    boolean prepare) {
+
+  /** Creates a request that takes pages. */
+  public StepRequestMessage(
+      String profile,
+      String trainer,
+      String step,
+      long weightVersion,
+      int samplesPerGroup,
+      int maxTokens,
+      String cursor,
+      List<Group> groups,
+      long waitMillis) {
+    this(
+        profile,
+        trainer,
+        step,
+        weightVersion,
+        samplesPerGroup,
+        maxTokens,
+        cursor,
+        groups,
+        waitMillis,
+        false);
+  }
 
   /**
    * One group's prompt.
    *
    * @param group the group, from 0
    * @param prompt the prompt
+   * @param expectedTokens tokens that its samples are expected to have; 0 if unknown
    */
-  public record Group(int group, String prompt) {}
+  public record Group(int group, String prompt, int expectedTokens) {
+
+    /** Creates a group of unknown length of answer. */
+    public Group(int group, String prompt) {
+      this(group, prompt, 0);
+    }
+  }
 }
--- a/trainer/src/main/java/org/carobhoist/trainer/StepSession.java
+++ b/trainer/src/main/java/org/carobhoist/trainer/StepSession.java
@@ -21,8 +21,9 @@
   private final int maxTokens;
   private final List<StepRequestMessage.Group> groups;
   private final Map<Integer, StepPageMessage.Group> taken = new TreeMap<>();
-  private GroupCursor cursor = GroupCursor.empty();
+  private GroupCursor cursor;
   private long weightVersion;
+  private boolean prepare;
 
   private StepSession(StepRequestMessage first) {
     this.profile = first.profile();
@@ -32,9 +33,14 @@
     this.maxTokens = first.maxTokens();
     this.groups = List.copyOf(first.groups());
     this.weightVersion = first.weightVersion();
+    this.prepare = first.prepare();
+    this.cursor = first.cursor() == null ? GroupCursor.empty() : GroupCursor.parse(first.cursor());
   }
 
-  /** Returns the session of a step whose first request is given; its cursor is ignored. */
+  /**
+   * Returns the session of a step whose first request is given. A trainer that was replaced goes on
+   * from the cursor that it has kept, with all groups of the step.
+   */
   public static StepSession start(StepRequestMessage first) {
     return new StepSession(first);
   }
@@ -44,6 +50,16 @@
     weightVersion = version;
   }
 
+  /** Notes whether samples are only to be made ready, or are taken from now on. */
+  public void setPrepare(boolean value) {
+    prepare = value;
+  }
+
+  /** Returns the cursor, to be kept with whatever the trainer keeps of the groups. */
+  public GroupCursor cursor() {
+    return cursor;
+  }
+
   /** Returns the request for what is missing. */
   public StepRequestMessage nextRequest(long waitMillis) {
     List<StepRequestMessage.Group> missing =
@@ -57,7 +73,8 @@
         maxTokens,
         cursor.format(),
         missing,
-        waitMillis);
+        waitMillis,
+        prepare);
   }
 
   /** Takes a page; returns the groups that are new, or empty if the page was dropped. */
@@ -82,10 +99,10 @@
 
   /** Returns whether every group has been taken. */
   public boolean isComplete() {
-    return taken.size() == groups.size();
+    return groups.stream().allMatch(g -> cursor.holds(g.group()));
   }
 
-  /** Returns the groups taken so far. */
+  /** Returns the groups that this session has taken. */
   public List<StepPageMessage.Group> groups() {
     return List.copyOf(taken.values());
   }
--- a/trainer/src/main/java/org/carobhoist/trainer/TrainerClient.java
+++ b/trainer/src/main/java/org/carobhoist/trainer/TrainerClient.java
@@ -57,6 +57,14 @@
         .exceptionally(failure -> failOver());
   }
 
+  /**
+   * Tells that a complete step needs nothing more, so that its samples are forgotten at once. If
+   * the word is lost they expire.
+   */
+  public CompletableFuture<Void> finish(StepSession session) {
+    return poll(session, Duration.ZERO).thenApply(count -> null);
+  }
+
   private HttpRequest post(StepRequestMessage message) {
     try {
       return HttpRequest.of(
