--- a/core/src/main/java/org/carobhoist/core/rollout/SampleSlot.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/SampleSlot.java
@@ -2,8 +2,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.BiConsumer;
 import org.carobhoist.core.chart.ChartReader;
 import org.carobhoist.core.chart.ChartRun;
@@ -19,6 +21,10 @@
   final SampleKey key;
   final StepRequest.GroupPrompt prompt;
   final List<Flight> flights = new ArrayList<>(1);
+
+  /** Attempts that are over here; a report on one that comes late is no news. */
+  final Set<Integer> ended = new HashSet<>(2);
+
   Optional<FinishedSample> arriving = Optional.empty();
   Optional<FinishedSample> whole = Optional.empty();
   SamplePrefix prefix = SamplePrefix.NONE;
--- a/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
@@ -41,7 +41,7 @@
   private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(2);
   private static final int REPLY_ROUNDS = 3;
   private static final Duration SILENCE = Duration.ofSeconds(3);
-  private static final Duration ACTIVE_AFTER_REQUEST = Duration.ofSeconds(45);
+  private static final Duration ACTIVE_AFTER_REQUEST = Duration.ofSeconds(10);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
   private static final int MAX_BACKOFF_DOUBLINGS = 6;
   private static final Duration MIN_AGE_TO_MIGRATE = Duration.ofSeconds(2);
@@ -70,6 +70,7 @@
   private StepRequest request;
   private Duration lastRequest = Duration.ZERO;
   private Optional<Duration> firstStart = Optional.empty();
+  private boolean movesOn;
   private double typicalRate;
   private double typicalLength;
   private long usefulTokens;
@@ -119,6 +120,7 @@
     if (previous == null) {
       port.engines().forEach(e -> askAll(e.instance(), 1));
     } else if (!previous.trainerVersion().equals(next.trainerVersion())) {
+      movesOn |= !previous.prepare() && !next.prepare();
       dropStale();
     }
     acknowledge(previous);
@@ -126,6 +128,11 @@
     schedule();
   }
 
+  /** Notes that the trainer still waits here; without that, work is begun only for a while. */
+  public void onStillWaiting() {
+    lastRequest = clock.elapsed();
+  }
+
   /** Takes a sidecar's answer on what it holds. What it has is taken even if it comes late. */
   public void onHeld(InstanceId engine, HeldAnswer answer) {
     answer.finished().forEach(s -> onDone(engine, s));
@@ -347,6 +354,7 @@
 
   private void cancel(SampleSlot slot, Flight flight) {
     port.cancel(flight.engine, flight.attempt, false);
+    slot.ended.add(flight.attempt.number());
     wastedTokens += flight.generated;
     slot.flights.remove(flight);
     inFlight.remove(flight.attempt);
@@ -366,6 +374,7 @@
       return;
     }
     inFlight.remove(attempt);
+    slot.ended.add(attempt.number());
     picker.onEnd(flight.get().engine);
     if (gone) {
       slot.land(flight.get());
@@ -387,7 +396,8 @@
       return;
     }
     SampleSlot slot = found.get();
-    if (slot.flight(report.attempt()).isEmpty()) {
+    boolean known = slot.flight(report.attempt()).isPresent();
+    if (!known && !slot.ended.contains(report.attempt().number())) {
       adopt(slot, engine, report);
     }
     slot.flight(report.attempt()).ifPresent(f -> f.onProgress(report, clock.elapsed()));
@@ -411,6 +421,7 @@
     flight.generated = sample.tokens().size();
     flight.lastHeard = clock.elapsed();
     double rate = flight.rate();
+    picker.onRate(flight.engine, rate);
     typicalRate = typicalRate == 0 ? rate : typicalRate + RATE_SMOOTHING * (rate - typicalRate);
     double length = sample.tokens().size();
     typicalLength =
@@ -552,7 +563,10 @@
     }
   }
 
-  /** Certain staleness always counts, a predicted one only within the allowance for waste. */
+  /**
+   * Certain staleness always counts, a predicted one only within the allowance for waste. Most
+   * trainers don't move on before they have the step; one that did so once may do it again.
+   */
   private boolean isDoomed(Flight flight) {
     if (flight.oldest.isEmpty()) {
       return false;
@@ -563,13 +577,21 @@
     }
     boolean mayWaste =
         wastedTokens + flight.generated <= policy.maxWaste() * (usefulTokens + wastedTokens);
-    return mayWaste && !policy.isFresh(oldest, pace.versionAt(expectedEnd(flight)));
+    return mayWaste && !policy.isFresh(oldest, expectedVersion(flight));
+  }
+
+  /** Returns the version that the trainer is expected to have when it takes the sample. */
+  private WeightVersion expectedVersion(Flight flight) {
+    if (request.prepare()) {
+      return new WeightVersion(request.trainerVersion().number() + 1);
+    }
+    return movesOn ? pace.versionAt(expectedEnd(flight)) : request.trainerVersion();
   }
 
   /** The lower the idle weight, the further ahead the trainer's next versions are awaited. */
   private Duration expectedEnd(Flight flight) {
     Duration now = clock.elapsed();
-    double rate = flight.rate();
+    double rate = Math.max(flight.rate(), SLOW_SHARE * typicalRate);
     double left = Math.max(0, expectedLength(flight) - flight.generated);
     double seconds = rate <= 0 ? 0 : (1 - policy.idleWeight()) * left / rate;
     return now.plus(Duration.ofNanos((long) (seconds * 1e9)));
@@ -612,13 +634,19 @@
   private boolean hasRoomBeside(Flight f) {
     List<EngineView> others =
         port.engines().stream().filter(e -> !e.instance().equals(f.engine)).toList();
-    return picker.pick(others, request.trainerVersion(), Optional.empty()).isPresent();
+    return pick(others, Optional.empty()).isPresent();
   }
 
   private boolean isActive() {
     return clock.elapsed().minus(lastRequest).compareTo(ACTIVE_AFTER_REQUEST) <= 0;
   }
 
+  private Optional<InstanceId> pick(List<EngineView> engines, Optional<InstanceId> avoid) {
+    boolean prepare = request.prepare();
+    boolean patient = prepare && clock.elapsed().compareTo(pace.latestBegin()) < 0;
+    return picker.pick(engines, request.trainerVersion(), prepare, patient, avoid);
+  }
+
   /** A step that is only prepared isn't begun earlier than its idle weight asks for. */
   private boolean isHeldOff() {
     return request.prepare() && clock.elapsed().compareTo(pace.beginAt(policy.idleWeight())) < 0;
@@ -642,7 +670,7 @@
         delayed.add(slot);
         continue;
       }
-      Optional<InstanceId> engine = picker.pick(engines, request.trainerVersion(), slot.avoid);
+      Optional<InstanceId> engine = pick(engines, slot.avoid);
       if (engine.isEmpty()) {
         enqueue(slot);
         return;
--- a/core/src/main/java/org/carobhoist/core/rollout/TrainerPace.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/TrainerPace.java
@@ -11,6 +11,8 @@
 public final class TrainerPace {
 
   private static final double SMOOTHING = 0.3;
+  private static final double WEIGHT_OF_EARLY_START = 0.5;
+  private static final double STEP_DECAY = 0.95;
 
   private WeightVersion version;
   private Duration changedAt = Duration.ZERO;
@@ -38,7 +40,7 @@
 
   /** Takes the time from the first start to the last whole sample of a step. */
   public void onStepMade(Duration time) {
-    stepNanos = smooth(stepNanos, time.toNanos());
+    stepNanos = Math.max(time.toNanos(), STEP_DECAY * stepNanos);
   }
 
   /** Returns the version that the trainer is expected to have at a time. */
@@ -51,17 +53,27 @@
   }
 
   /**
-   * Returns when to begin a step that the trainer needs at its next version. With an idle weight of
-   * one half the step is whole just when that version is due; with a higher one it begins earlier,
-   * at 1 at once; with a lower one later, at 0 only at that version.
+   * Returns when to begin a step that the trainer wants at its next version. From an idle weight of
+   * one half on that is at once: the step is made with the present version either way, and an early
+   * start keeps the trainer from waiting. With a lower weight the step begins later, so that part
+   * of it is made with the next version; with 0 all of it is.
    */
   public Duration beginAt(double idleWeight) {
-    boolean unknown = intervalNanos <= 0 || stepNanos <= 0;
-    if (unknown || idleWeight >= 1) {
+    return idleWeight >= WEIGHT_OF_EARLY_START
+        ? Duration.ZERO
+        : beforeNextVersion(idleWeight / WEIGHT_OF_EARLY_START);
+  }
+
+  /** Returns the latest time to begin a step that is to be whole at the trainer's next version. */
+  public Duration latestBegin() {
+    return beforeNextVersion(1);
+  }
+
+  private Duration beforeNextVersion(double steps) {
+    if (intervalNanos <= 0 || stepNanos <= 0) {
       return Duration.ZERO;
     }
-    double lead = stepNanos * idleWeight / (1 - idleWeight);
-    double begin = changedAt.toNanos() + intervalNanos - lead;
+    double begin = changedAt.toNanos() + intervalNanos - steps * stepNanos;
     return Duration.ofNanos((long) Math.max(0, begin));
   }
 
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/rollout/RolloutMeasurementTest.java
@@ -0,0 +1,130 @@
+package org.carobhoist.core.rollout;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Locale;
+import java.util.SplittableRandom;
+import java.util.stream.LongStream;
+import org.carobhoist.core.rollout.RolloutPolicy.SwapPolicy;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/**
+ * Trainer idle time and staleness in virtual time, against waiting for a whole step before the next
+ * one begins, and against taking whichever groups come first; all on the same engines and lengths.
+ */
+final class RolloutMeasurementTest {
+
+  private static final Duration LIMIT = Duration.ofHours(12);
+  private static final int ENGINES = 8;
+  private static final int ENGINE_LIMIT = 16;
+  private static final int STEPS = 16;
+  private static final int GROUPS = 48;
+  private static final int GROUP_SIZE = 8;
+  private static final int CRASHES = 10;
+  private static final Duration CRASH_PERIOD = Duration.ofSeconds(130);
+  private static final double HINT_SPREAD = 0.5;
+  private static final double MEDIAN_TOKENS = 200;
+  private static final double LENGTH_SPREAD = 0.9;
+  private static final int MAX_TOKENS = 4_000;
+
+  /** Of this much idle time the policies have no say: a round trip of the network for each step. */
+  private static final double NETWORK_SECONDS = 2 * STEPS * RolloutWorld.MAX_DELAY.toMillis() / 1e3;
+
+  private static final double IDLE_TARGET = 1.0 / 3;
+  private static final double STALENESS_TARGET = 1;
+  private static final double WASTE_TARGET = 0.1;
+
+  private record Figures(
+      String name, double idleSeconds, double mean, long p99, long max, double waste) {
+
+    private void print() {
+      System.out.printf(
+          Locale.ROOT,
+          "%-12s idle %8.2f s  staleness mean %.2f p99 %d max %d  waste %.3f%n",
+          name,
+          idleSeconds,
+          mean,
+          p99,
+          max,
+          waste);
+    }
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void meetsTheTargets(long seed) {
+    Figures synchronous = measure("synchronous", seed, 0, false, 0, 1);
+    Figures firstCome = measure("first-come", seed, 3, true, 1_000, 1);
+    Figures standard = measure("default", seed, 1, false, 1, 0.5);
+    Figures pawprint = measure("pawprint", seed, 1, false, 2, 0.9);
+    Figures vidrio = measure("vidrio-vivo", seed, 1, false, 1, 0.4);
+    System.out.println("seed " + seed);
+    List.of(synchronous, firstCome, standard, pawprint, vidrio).forEach(Figures::print);
+    for (Figures f : List.of(standard, pawprint)) {
+      assertThat(f.idleSeconds()).isAtMost(firstCome.idleSeconds() + NETWORK_SECONDS);
+    }
+    for (Figures f : List.of(standard, pawprint, vidrio)) {
+      assertThat(f.idleSeconds()).isAtMost(synchronous.idleSeconds() * IDLE_TARGET);
+      assertThat(f.mean()).isAtMost(synchronous.mean() + STALENESS_TARGET);
+      assertThat(f.waste()).isAtMost(WASTE_TARGET);
+    }
+    assertThat(vidrio.mean()).isLessThan(pawprint.mean());
+  }
+
+  private static Figures measure(
+      String name, long seed, int ahead, boolean firstCome, long bound, double idleWeight) {
+    RolloutSetup setup =
+        new RolloutSetup(
+            2,
+            ENGINES,
+            1,
+            STEPS,
+            GROUPS,
+            GROUP_SIZE,
+            ENGINE_LIMIT,
+            Duration.ofMillis(100),
+            Duration.ofSeconds(60),
+            new RolloutPolicy(bound, SwapPolicy.KEEP, idleWeight),
+            ahead,
+            firstCome,
+            6,
+            key -> length(seed, key),
+            (step, group) -> hint(seed, step, group),
+            new RolloutSetup.Seams());
+    RolloutWorld world = new RolloutWorld(setup, new SplittableRandom(seed), m -> {});
+    for (int i = 0; i < CRASHES; i++) {
+      int engine = i % ENGINES;
+      world.at(CRASH_PERIOD.multipliedBy(i + 1), () -> world.crashEngine(engine));
+    }
+    assertWithMessage(name).that(world.run(LIMIT)).isEmpty();
+    long[] sorted = world.staleness.stream().mapToLong(v -> v).sorted().toArray();
+    return new Figures(
+        name,
+        world.idle.toMillis() / 1e3,
+        LongStream.of(sorted).average().orElseThrow(),
+        sorted[sorted.length * 99 / 100],
+        sorted[sorted.length - 1],
+        (double) world.wastedTokens / (world.usefulTokens + world.wastedTokens));
+  }
+
+  /** What a trainer remembers of a prompt: its longest sample, give or take a log-normal error. */
+  private static int hint(long seed, StepKey step, int group) {
+    int longest = 0;
+    for (int i = 0; i < GROUP_SIZE; i++) {
+      longest = Math.max(longest, length(seed, new SampleKey(step, group, i)));
+    }
+    double error = new SplittableRandom(seed + 31L * group).split().nextGaussian();
+    return (int) (longest * Math.exp(HINT_SPREAD * error));
+  }
+
+  /** Log-normal lengths, the same for a sample under every policy. */
+  private static int length(long seed, SampleKey key) {
+    double normal = new SplittableRandom(seed ^ key.seed()).split().nextGaussian();
+    double tokens = MEDIAN_TOKENS * Math.exp(LENGTH_SPREAD * normal);
+    return (int) Math.max(1, Math.min(MAX_TOKENS, tokens));
+  }
+}
--- a/core/src/test/java/org/carobhoist/core/rollout/RolloutSetup.java
+++ b/core/src/test/java/org/carobhoist/core/rollout/RolloutSetup.java
@@ -6,6 +6,7 @@
 import java.util.function.BinaryOperator;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.ToIntBiFunction;
 import java.util.function.ToIntFunction;
 import java.util.function.UnaryOperator;
 import org.carobhoist.core.common.WeightVersion;
@@ -19,7 +20,9 @@
  * @param train time that a trainer takes for a step
  * @param ahead steps that a trainer has prepared while it trains
  * @param firstCome whether a trainer takes groups of any open step, whichever is whole first
+ * @param slowEvery every so many engines one is slow; 0 for none
  * @param length tokens of each sample
+ * @param hint length that a trainer expects of a group's samples; 0 for none
  * @param seams where a test may put a broken part
  */
 record RolloutSetup(
@@ -35,7 +38,9 @@
     RolloutPolicy policy,
     int ahead,
     boolean firstCome,
+    int slowEvery,
     ToIntFunction<SampleKey> length,
+    ToIntBiFunction<StepKey, Integer> hint,
     Seams seams) {
 
   /** The places where a mutation can be put in; a new object has the real parts. */
@@ -82,7 +87,9 @@
         new RolloutPolicy(1, swapPolicy, 0.5),
         1,
         false,
+        0,
         key -> 8 + 24 * ((key.group() + key.index()) % 3),
+        (step, group) -> 0,
         seams);
   }
 }
--- a/core/src/test/java/org/carobhoist/core/rollout/RolloutWorld.java
+++ b/core/src/test/java/org/carobhoist/core/rollout/RolloutWorld.java
@@ -33,8 +33,11 @@
 final class RolloutWorld {
 
   static final int BASE = 100_000;
+  static final Duration MAX_DELAY = Duration.ofMillis(5);
+  private static final int SLOWNESS = 3;
   private static final int CHUNK_TOKENS = 8;
   private static final Duration POLL = Duration.ofSeconds(1);
+  private static final Duration POLL_PERIOD = Duration.ofMillis(250);
   private static final Duration POLL_TIMEOUT = Duration.ofMillis(1500);
   private static final Duration TICK = Duration.ofMillis(200);
 
@@ -73,6 +76,7 @@
   long usefulTokens;
   long madeTokens;
   long messages;
+  long wastedTokens;
 
   RolloutWorld(RolloutSetup setup, SplittableRandom random, Consumer<Moment> onMoment) {
     this.setup = setup;
@@ -163,7 +167,7 @@
     if (clock.elapsed().compareTo(lossUntil) < 0) {
       return;
     }
-    Duration delay = Duration.ofMillis(1 + random.nextInt(5));
+    Duration delay = Duration.ofMillis(1 + random.nextInt((int) MAX_DELAY.toMillis()));
     if (clock.elapsed().compareTo(lateUntil) < 0) {
       delay = delay.plusSeconds(4);
     }
@@ -203,7 +207,11 @@
   }
 
   void crashEngine() {
-    Engine e = engines[targetEngine];
+    crashEngine(targetEngine);
+  }
+
+  void crashEngine(int index) {
+    Engine e = engines[index];
     e.alive = false;
     e.cutStreams();
     events.after(Duration.ofMillis(700), e::comeBack);
@@ -286,7 +294,7 @@
     private final Map<StepKey, StepCoordinator> shares = new LinkedHashMap<>();
     private final EngineShares windows = EngineShares.create();
     private final Map<TrainerId, TrainerPace> paces = new HashMap<>();
-    private final Map<Trainer, Waiter> waiters = new LinkedHashMap<>();
+    private final Map<StepKey, Waiter> waiters = new LinkedHashMap<>();
     private final Set<Integer> links = new LinkedHashSet<>();
 
     private record Waiter(StepRequest request, Duration until, Consumer<StepPage> reply) {}
@@ -296,7 +304,8 @@
       IntStream.range(0, engines.length).filter(i -> sidecars[i] != null).forEach(links::add);
     }
 
-    private void onRequest(Trainer trainer, StepRequest asked, Consumer<StepPage> reply) {
+    private void onRequest(StepRequest asked, Consumer<StepPage> reply) {
+      Optional.ofNullable(waiters.remove(asked.key())).ifPresent(this::reply);
       StepRequest request = setup.seams().handOver.apply(asked);
       StepCoordinator c = shares.computeIfAbsent(request.key(), this::coordinator);
       if (request.key().equals(target.step())) {
@@ -304,12 +313,12 @@
       }
       c.onRequest(request);
       if (request.isComplete()) {
-        shares.remove(request.key());
+        wastedTokens += shares.remove(request.key()).wastedTokens();
         windows.remove(request.key());
         return;
       }
       if (!request.prepare()) {
-        waiters.put(trainer, new Waiter(asked, clock.elapsed().plus(POLL), reply));
+        waiters.put(asked.key(), new Waiter(asked, clock.elapsed().plus(POLL), reply));
       }
       answer();
     }
@@ -357,20 +366,28 @@
 
     private void answer() {
       noteTarget();
-      for (Map.Entry<Trainer, Waiter> e : List.copyOf(waiters.entrySet())) {
+      for (Map.Entry<StepKey, Waiter> e : List.copyOf(waiters.entrySet())) {
         Waiter w = e.getValue();
         StepCoordinator c = shares.get(w.request().key());
         if (c != null && (c.hasWholeGroup() || w.until().compareTo(clock.elapsed()) <= 0)) {
           waiters.remove(e.getKey());
-          StepPage page = c.page();
-          StepPage stamped =
-              new StepPage(page.key(), page.cursor(), w.request().trainerVersion(), page.groups());
-          notePaged(stamped);
-          send(() -> w.reply().accept(stamped));
+          reply(w);
         }
       }
     }
 
+    private void reply(Waiter w) {
+      StepCoordinator c = shares.get(w.request().key());
+      if (c == null) {
+        return;
+      }
+      StepPage page = c.page();
+      StepPage stamped =
+          new StepPage(page.key(), page.cursor(), w.request().trainerVersion(), page.groups());
+      notePaged(stamped);
+      send(() -> w.reply().accept(stamped));
+    }
+
     private void noteTarget() {
       StepCoordinator c = shares.get(target.step());
       if (c == null || reached.contains(Moment.WHOLE)) {
@@ -650,8 +667,9 @@
     }
 
     private void next(Sidecar owner, AttemptOrder order, int at, ChunkSink sink, int begun) {
+      boolean slow = setup.slowEvery() > 0 && index % setup.slowEvery() == 0;
       events.after(
-          setup.chunk(),
+          slow ? setup.chunk().multipliedBy(SLOWNESS) : setup.chunk(),
           () -> {
             if (sidecars[index] != owner) {
               return;
@@ -724,6 +742,7 @@
     private int batch;
     private boolean training;
     private Duration idleSince = Duration.ZERO;
+    private Duration lastAnswer = Duration.ZERO;
 
     private Trainer(int index) {
       this.index = index;
@@ -736,8 +755,8 @@
     }
 
     private void openSteps() {
-      int last = trained + (training ? setup.ahead() : setup.firstCome() ? setup.ahead() : 0);
-      for (int s = trained; s <= Math.max(last, trained) && s < allSteps(); s++) {
+      int count = training ? setup.ahead() : Math.max(1, setup.ahead());
+      for (int s = trained; s < Math.min(trained + count, allSteps()); s++) {
         if (!isComplete(s)) {
           open.putIfAbsent(s, GroupCursor.empty());
         }
@@ -757,7 +776,9 @@
       List<StepRequest.GroupPrompt> prompts = new ArrayList<>();
       for (int g = 0; g < setup.groups(); g++) {
         if (!open.get(number).holds(g)) {
-          prompts.add(new StepRequest.GroupPrompt(g, "prompt " + g));
+          prompts.add(
+              new StepRequest.GroupPrompt(
+                  g, "prompt " + g, setup.hint().applyAsInt(step(index, number), g)));
         }
       }
       boolean prepare = training || (!setup.firstCome() && number != trained);
@@ -775,36 +796,23 @@
       if (begun != epoch || trained >= setup.steps()) {
         return;
       }
-      int asked = entry;
-      boolean[] answered = {false};
+      boolean silent = clock.elapsed().minus(lastAnswer).compareTo(POLL_TIMEOUT) > 0;
+      if (!training && silent) {
+        entry = (entry + 1) % entries.length;
+        lastAnswer = clock.elapsed();
+      }
       for (int number : List.copyOf(open.keySet())) {
         StepRequest request = request(number);
-        toEntry(
-            asked,
-            e ->
-                e.onRequest(
-                    this,
-                    request,
-                    page -> {
-                      if (begun == epoch) {
-                        answered[0] = true;
-                        take(number, page);
-                      }
-                    }));
-      }
-      boolean waits = !training;
-      Duration next = waits ? POLL_TIMEOUT : POLL;
-      if (setup.firstCome() || waits) {
-        next = Duration.ofMillis(250);
-      }
-      events.after(next, () -> poll(begun));
-      events.after(
-          POLL_TIMEOUT,
-          () -> {
-            if (begun == epoch && waits && !answered[0] && asked == entry) {
-              entry = (entry + 1) % entries.length;
-            }
-          });
+        toEntry(entry, e -> e.onRequest(request, page -> onPage(begun, number, page)));
+      }
+      events.after(training ? POLL : POLL_PERIOD, () -> poll(begun));
+    }
+
+    private void onPage(int begun, int number, StepPage page) {
+      if (begun == epoch) {
+        lastAnswer = clock.elapsed();
+        take(number, page);
+      }
     }
 
     private void take(int number, StepPage page) {
@@ -842,7 +850,7 @@
               List.of(),
               false);
       open.remove(number);
-      toEntry(entry, e -> e.onRequest(this, done, page -> {}));
+      toEntry(entry, e -> e.onRequest(done, page -> {}));
     }
 
     private void train() {
@@ -851,16 +859,21 @@
       idle = idle.plus(trained == 0 ? Duration.ZERO : clock.elapsed().minus(idleSince));
       trained++;
       openSteps();
+      epoch++;
+      poll(epoch);
       events.after(
           setup.train(),
           () -> {
             training = false;
+            lastAnswer = clock.elapsed();
             idleSince = clock.elapsed();
             version++;
             if (batch >= setup.groups()) {
               train();
             } else {
               openSteps();
+              epoch++;
+              poll(epoch);
             }
           });
     }
--- a/server/src/main/java/org/carobhoist/server/entry/StepRun.java
+++ b/server/src/main/java/org/carobhoist/server/entry/StepRun.java
@@ -85,6 +85,9 @@
 
   /** Hands an event to the coordinator, and a page to whoever waits if a group is whole now. */
   void on(Consumer<StepCoordinator> event) {
+    if (!waiters.isEmpty()) {
+      coordinator.onStillWaiting();
+    }
     event.accept(coordinator);
     answerIfWhole();
   }
--- /dev/null
+++ b/standin/src/main/java/org/carobhoist/standin/ScorerStandIn.java
@@ -0,0 +1,68 @@
+package org.carobhoist.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import java.io.IOException;
+import java.net.URI;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Stands in for the service that scores samples: a sample's score is its number of tokens. It can
+ * lose answers after it has counted the request.
+ */
+public final class ScorerStandIn {
+
+  private final StandInServer server =
+      new StandInServer(
+          sb ->
+              sb.service(
+                  "/score", (ctx, req) -> HttpResponse.of(req.aggregate().thenApply(this::score))));
+  private final Map<String, Double> scores = new ConcurrentHashMap<>();
+  private final AtomicInteger answersToLose = new AtomicInteger();
+
+  /** What the scorer answers. */
+  public record ScoreMessage(double score) {}
+
+  /** Starts the stand-in. */
+  public void start() {
+    server.start();
+  }
+
+  /** Stops the stand-in at once. */
+  public void stop() {
+    server.stop();
+  }
+
+  /** Returns the URL for a profile's {@code scorer} key. */
+  public URI uri() {
+    return URI.create(server.uri() + "/score");
+  }
+
+  /** Makes the next answers get lost after the score has been counted. */
+  public void loseAnswers(int count) {
+    answersToLose.set(count);
+  }
+
+  /** Returns the scores by idempotency key; each was counted once. */
+  public Map<String, Double> scores() {
+    return Map.copyOf(scores);
+  }
+
+  private HttpResponse score(AggregatedHttpRequest request) {
+    try {
+      JsonNode body = StandInServer.JSON.readTree(request.content().array());
+      String key = request.headers().get("idempotency-key");
+      double score = scores.computeIfAbsent(key, k -> (double) body.path("tokens").size());
+      if (answersToLose.getAndUpdate(n -> Math.max(0, n - 1)) > 0) {
+        return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+      }
+      return StandInServer.json(new ScoreMessage(score));
+    } catch (IOException e) {
+      return HttpResponse.of(HttpStatus.BAD_REQUEST);
+    }
+  }
+}
