--- a/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
@@ -46,7 +46,6 @@
   private static final int MAX_BACKOFF_DOUBLINGS = 6;
   private static final Duration MIN_AGE_TO_MIGRATE = Duration.ofSeconds(2);
   private static final double SLOW_SHARE = 0.5;
-  private static final double RATE_SMOOTHING = 0.05;
   private static final int MAX_PAGE_TOKENS = 500_000;
 
   private final RolloutPort port;
@@ -71,8 +70,6 @@
   private Duration lastRequest = Duration.ZERO;
   private Optional<Duration> firstStart = Optional.empty();
   private boolean movesOn;
-  private double typicalRate;
-  private double typicalLength;
   private long usefulTokens;
   private long wastedTokens;
 
@@ -247,7 +244,7 @@
 
   /** Returns whether samples wait for an engine, so that the step can use its share of each. */
   public boolean isHungry() {
-    return request != null && isActive() && !isHeldOff() && !missing.isEmpty();
+    return request != null && isActive() && !missing.isEmpty() && !waits(missing.peek());
   }
 
   /** Returns the number of attempts in flight at an engine. */
@@ -420,12 +417,8 @@
   private void learn(Flight flight, FinishedSample sample) {
     flight.generated = sample.tokens().size();
     flight.lastHeard = clock.elapsed();
-    double rate = flight.rate();
-    picker.onRate(flight.engine, rate);
-    typicalRate = typicalRate == 0 ? rate : typicalRate + RATE_SMOOTHING * (rate - typicalRate);
-    double length = sample.tokens().size();
-    typicalLength =
-        typicalLength == 0 ? length : typicalLength + RATE_SMOOTHING * (length - typicalLength);
+    picker.onRate(flight.engine, flight.rate());
+    pace.onSample(sample.tokens().size(), flight.rate());
   }
 
   private Optional<SampleSlot> slot(SampleKey key) {
@@ -591,15 +584,14 @@
   /** The lower the idle weight, the further ahead the trainer's next versions are awaited. */
   private Duration expectedEnd(Flight flight) {
     Duration now = clock.elapsed();
-    double rate = Math.max(flight.rate(), SLOW_SHARE * typicalRate);
+    double rate = Math.max(flight.rate(), SLOW_SHARE * pace.tokensPerSecond());
     double left = Math.max(0, expectedLength(flight) - flight.generated);
     double seconds = rate <= 0 ? 0 : (1 - policy.idleWeight()) * left / rate;
     return now.plus(Duration.ofNanos((long) (seconds * 1e9)));
   }
 
   private double expectedLength(Flight flight) {
-    int hint = inFlight.get(flight.attempt).prompt.expectedTokens();
-    return hint > 0 ? hint : typicalLength;
+    return pace.expectedTokens(inFlight.get(flight.attempt).prompt.expectedTokens());
   }
 
   private void requeueDelayed() {
@@ -616,14 +608,17 @@
 
   /** With nothing left to start, moves attempts off engines that are much slower than the rest. */
   private void migrateSlow() {
-    if (!missing.isEmpty() || typicalRate == 0 || !isActive()) {
+    if (!missing.isEmpty() || pace.tokensPerSecond() == 0 || !isActive()) {
       return;
     }
     Duration now = clock.elapsed();
     for (SampleSlot slot : List.copyOf(inFlight.values())) {
       for (Flight f : slot.flights) {
         boolean old = now.minus(f.startedAt).compareTo(MIN_AGE_TO_MIGRATE) >= 0;
-        if (old && !f.handingBack && f.rate() < SLOW_SHARE * typicalRate && hasRoomBeside(f)) {
+        if (old
+            && !f.handingBack
+            && f.rate() < SLOW_SHARE * pace.tokensPerSecond()
+            && hasRoomBeside(f)) {
           f.handingBack = true;
           port.cancel(f.engine, f.attempt, true);
         }
@@ -643,24 +638,26 @@
 
   private Optional<InstanceId> pick(List<EngineView> engines, Optional<InstanceId> avoid) {
     boolean prepare = request.prepare();
-    boolean patient = prepare && clock.elapsed().compareTo(pace.latestBegin()) < 0;
+    Duration patientUntil =
+        prepare ? pace.latestBegin() : pace.awaitsSwapUntil(policy.idleWeight());
+    boolean patient = clock.elapsed().compareTo(patientUntil) < 0;
     return picker.pick(engines, request.trainerVersion(), prepare, patient, avoid);
   }
 
-  /** A step that is only prepared isn't begun earlier than its idle weight asks for. */
-  private boolean isHeldOff() {
-    return request.prepare() && clock.elapsed().compareTo(pace.beginAt(policy.idleWeight())) < 0;
+  private boolean waits(SampleSlot slot) {
+    return request.prepare()
+        && pace.waitsForNextVersion(policy.idleWeight(), slot.prompt.expectedTokens());
   }
 
   private void schedule() {
     if (request == null || missing.isEmpty() || !isActive() || inquiries.awaitsWhole()) {
       return;
     }
-    if (isHeldOff()) {
-      return;
-    }
     List<EngineView> engines = port.engines();
     while (!missing.isEmpty()) {
+      if (waits(missing.peek())) {
+        return;
+      }
       SampleSlot slot = missing.poll();
       slot.queued = false;
       if (slot.state() != SampleState.MISSING) {
