Wire weight swaps: order route, sidecar's orders and read-back, real-process test

A trainer announces a version at any entry; the record's offset is the fencing number. Found while testing: an accepted order carried no verdict header; it does now.

--- a/core/src/main/java/org/carobhoist/core/common/RefusalReason.java
+++ b/core/src/main/java/org/carobhoist/core/common/RefusalReason.java
@@ -10,6 +10,8 @@
   BAD_KEY(400),
   /** The idempotency key was used with another body. */
   KEY_REUSED(422),
+  /** It goes against a newer decision. */
+  CONFLICT(409),
   /** No key can be checked at the moment; issued keys go on working. */
   KEY_UNAVAILABLE(503),
   /** The answer to this key has been forgotten, or its home is gone. */
--- a/it/src/test/java/org/carobhoist/it/TestCluster.java
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -58,14 +58,14 @@
   }
 
   void startEntry(String name, String zone) throws IOException {
-    launch("entry", name, zone, "");
+    launch("entry", name, zone, "", "");
   }
 
   void startSidecar(String name, String zone, String service, String kind, URI endpoint)
       throws IOException {
     String section =
         "[endpoint]\nservice = %s\nkind = %s\nurl = %s\n".formatted(service, kind, endpoint);
-    launch("sidecar", name, zone, section);
+    launch("sidecar", name, zone, section, service);
   }
 
   void publish(String profile, String document) {
@@ -112,7 +112,8 @@
     platform.stop();
   }
 
-  private void launch(String role, String name, String zone, String more) throws IOException {
+  private void launch(String role, String name, String zone, String more, String service)
+      throws IOException {
     List<Integer> ports = freePorts(2);
     String ini =
         "[instance]\nid = %s\nzone = %s\nhttp = 127.0.0.1:%d\nlink = 127.0.0.1:%d\n"
@@ -123,7 +124,7 @@
     https.put(name, URI.create("http://127.0.0.1:" + ports.get(0)));
     platform.list(
         new ListedInstance(
-            new InstanceId(name), role, new Zone(zone), "127.0.0.1", ports.get(1), false));
+            new InstanceId(name), role, new Zone(zone), "127.0.0.1", ports.get(1), false, service));
   }
 
   private static boolean isReady(URI uri) {
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -46,6 +46,7 @@
   private final LinkNetwork network;
   private final CallContext context;
   private final StepTable steps;
+  private final WeightRoutes weights;
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private volatile boolean draining;
@@ -69,6 +70,8 @@
             new CallTable(),
             Router.create(random),
             RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST));
+    this.weights = new WeightRoutes(platform, loop);
+    config.onRecord(weights);
     this.steps = new StepTable(context, random.split());
   }
 
@@ -114,6 +117,7 @@
     StateDump dump = StateDump.of(loop, List.of(new WorkState(), config));
     AdminRoutes.create(this::isReady, metrics, dump).addTo(sb);
     new CallRoutes(context, config.fold(), config::isReady).addTo(sb);
+    weights.addTo(sb);
     new StepRoutes(context, config.fold(), config::isReady, steps).addTo(sb);
     return sb.build();
   }
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/entry/WeightRoutes.java
@@ -0,0 +1,148 @@
+package org.carobhoist.server.entry;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.core.common.RequestId;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.Verdict;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.swap.WeightOrder;
+import org.carobhoist.core.swap.WeightOrders;
+import org.carobhoist.server.link.proto.LogRecord;
+import org.carobhoist.server.platform.PlatformLog;
+import org.carobhoist.server.platform.RecordListener;
+import org.carobhoist.server.platform.WeightOrderRecords;
+import org.carobhoist.server.runtime.DecisionLoop;
+
+/**
+ * The route by which a trainer announces new weights: {@code POST /v1/models/MODEL/weights}. The
+ * order is accepted when it has been seen in the log, whose offset is its fencing number. The same
+ * version may be announced again, so a lost answer is settled by asking again.
+ */
+final class WeightRoutes implements RecordListener {
+
+  private static final Duration ACCEPT_TIMEOUT = Duration.ofSeconds(10);
+
+  private final PlatformLog log;
+  private final DecisionLoop loop;
+  private final WeightOrders orders = WeightOrders.create();
+  private final List<Waiter> waiters = new ArrayList<>();
+
+  private record Waiter(
+      ServiceName model, WeightVersion version, CompletableFuture<WeightOrder> accepted) {}
+
+  private record OrderMessage(String model, long version, long fence) {}
+
+  WeightRoutes(PlatformLog log, DecisionLoop loop) {
+    this.log = log;
+    this.loop = loop;
+  }
+
+  void addTo(ServerBuilder sb) {
+    sb.service("/v1/models/{model}/weights", this::serve);
+  }
+
+  @Override
+  public void onRecord(long offset, long timeMillis, LogRecord record) {
+    WeightOrderRecords.decode(offset, record).ifPresent(orders::apply);
+    for (Waiter w : List.copyOf(waiters)) {
+      if (orders.version(w.model()).compareTo(w.version()) >= 0) {
+        waiters.remove(w);
+        w.accepted().complete(orders.order(w.model()).orElseThrow());
+      }
+    }
+  }
+
+  private HttpResponse serve(ServiceRequestContext ctx, HttpRequest req) {
+    if (req.method() != HttpMethod.POST) {
+      return HttpResponse.of(HttpStatus.METHOD_NOT_ALLOWED);
+    }
+    String model = ctx.pathParam("model");
+    return HttpResponse.of(req.aggregate().thenComposeAsync(http -> order(model, http), loop));
+  }
+
+  private CompletableFuture<HttpResponse> order(String name, AggregatedHttpRequest http) {
+    ServiceName model;
+    WeightVersion version;
+    try {
+      JsonNode body = StepJson.MAPPER.readTree(http.content().array());
+      model = new ServiceName(name);
+      version = new WeightVersion(body.path("version").asLong(-1));
+    } catch (IOException | IllegalArgumentException e) {
+      return refuse(Refusal.notRun(RefusalReason.BAD_REQUEST, String.valueOf(e.getMessage())));
+    }
+    WeightVersion newest = orders.version(model);
+    if (version.compareTo(newest) < 0) {
+      String detail = "version " + newest + " has been ordered already";
+      return refuse(Refusal.notRun(RefusalReason.CONFLICT, detail));
+    }
+    return accept(model, version)
+        .thenApply(WeightRoutes::answer)
+        .exceptionallyCompose(failure -> refuse(unknown()));
+  }
+
+  private CompletableFuture<WeightOrder> accept(ServiceName model, WeightVersion version) {
+    CompletableFuture<WeightOrder> accepted = new CompletableFuture<>();
+    if (orders.order(model).filter(o -> o.version().equals(version)).isPresent()) {
+      accepted.complete(orders.order(model).orElseThrow());
+      return accepted;
+    }
+    Waiter waiter = new Waiter(model, version, accepted);
+    waiters.add(waiter);
+    accepted.whenCompleteAsync((order, failure) -> waiters.remove(waiter), loop);
+    log.append(WeightOrderRecords.encode(model, version))
+        .whenCompleteAsync((offset, failure) -> failIfUnknown(waiter, failure), loop);
+    return accepted.orTimeout(ACCEPT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** A failed append may have taken effect, so the caller is told at once that nobody knows. */
+  private void failIfUnknown(Waiter waiter, Throwable failure) {
+    if (failure != null && waiters.remove(waiter)) {
+      waiter.accepted().completeExceptionally(failure);
+    }
+  }
+
+  private static Refusal unknown() {
+    return Refusal.mayHaveRun(
+            RefusalReason.DEADLINE, "the log did not confirm the order; announce it again")
+        .retryAfter(Duration.ofSeconds(1));
+  }
+
+  private static HttpResponse answer(WeightOrder order) {
+    try {
+      OrderMessage message =
+          new OrderMessage(order.model().value(), order.version().number(), order.fence());
+      ResponseHeaders headers =
+          ResponseHeaders.builder(HttpStatus.OK)
+              .contentType(MediaType.JSON)
+              .set(CarobhoistHeaders.VERDICT, Verdict.COMPLETED.name())
+              .build();
+      return HttpResponse.of(headers, HttpData.wrap(StepJson.MAPPER.writeValueAsBytes(message)));
+    } catch (IOException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static CompletableFuture<HttpResponse> refuse(Refusal refusal) {
+    RequestId id = new RequestId(UUID.randomUUID().toString());
+    return CompletableFuture.completedFuture(Problems.response(id, refusal));
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/platform/HttpPlatform.java
+++ b/server/src/main/java/org/carobhoist/server/platform/HttpPlatform.java
@@ -103,7 +103,8 @@
               new Zone(i.at("/zone/value").asText()),
               i.get("host").asText(),
               i.get("port").asInt(),
-              i.get("leaving").asBoolean()));
+              i.get("leaving").asBoolean(),
+              i.path("service").asText("")));
     }
     return out;
   }
--- a/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpRequest;
@@ -9,6 +10,7 @@
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import java.net.URI;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
@@ -42,6 +44,14 @@
     return response::abort;
   }
 
+  /** Sends a request and gathers its whole answer, which comes on the loop. */
+  CompletableFuture<AggregatedHttpResponse> call(RequestHeaders headers, byte[] content) {
+    return client
+        .execute(HttpRequest.of(headers, HttpData.wrap(content)))
+        .aggregate()
+        .whenCompleteAsync((answer, failure) -> {}, loop);
+  }
+
   private static Refusal refusal(Throwable failure) {
     if (failure instanceof UnprocessedRequestException) {
       String detail = "the endpoint can't be reached: " + failure.getCause();
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -6,8 +6,10 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -51,6 +53,7 @@
   private final SampleWorker samples;
   private final LinkNetwork network;
   private final ConfigFollower config;
+  private final Optional<SwapWorker> swap;
   private final Set<Link> links = new HashSet<>();
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
@@ -72,7 +75,13 @@
     this.calls = new CallWorker(queue, endpoint, kind, clock, tickets);
     this.samples = new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets);
     this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
-    this.config = ConfigFollower.create(HttpPlatform.at(settings.instance().platform()), loop);
+    HttpPlatform platform = HttpPlatform.at(settings.instance().platform());
+    this.config = ConfigFollower.create(platform, loop);
+    this.swap =
+        kind == EndpointKind.ENGINE
+            ? Optional.of(swapWorker(endpoint, platform))
+            : Optional.empty();
+    swap.ifPresent(config::onRecord);
   }
 
   /** Returns a sidecar that hasn't started. */
@@ -82,6 +91,7 @@
 
   @Override
   public CompletableFuture<Void> start() {
+    swap.ifPresent(worker -> loop.execute(worker::start));
     loop.every(TICK, this::tick);
     config.start();
     http = httpServer();
@@ -105,6 +115,18 @@
         .thenCompose(ok -> loop.stop());
   }
 
+  private SwapWorker swapWorker(EndpointClient endpoint, HttpPlatform platform) {
+    return new SwapWorker(
+        settings.instance().id(),
+        settings.endpoint().service(),
+        endpoint,
+        platform,
+        platform,
+        loop,
+        clock,
+        this::announce);
+  }
+
   private Hello hello() {
     return Hello.newBuilder()
         .setInstance(settings.instance().id().value())
@@ -115,7 +137,7 @@
   }
 
   private Server httpServer() {
-    StateDump dump = StateDump.of(loop, List.of(new EndpointState(), config));
+    StateDump dump = StateDump.of(loop, sources());
     ServerBuilder sb = Server.builder();
     sb.http(
         new InetSocketAddress(
@@ -124,6 +146,12 @@
     return sb.build();
   }
 
+  private List<StateSource> sources() {
+    List<StateSource> sources = new ArrayList<>(List.of(new EndpointState(), config));
+    swap.ifPresent(sources::add);
+    return sources;
+  }
+
   private void logStarted() {
     EventLog.info(
         LogEvent.STARTED,
@@ -145,6 +173,7 @@
 
   private void tick() {
     queue.expire();
+    swap.ifPresent(SwapWorker::tick);
     if (announced == null || !announcement(announced.sequence()).equals(announced)) {
       announce();
     }
@@ -164,14 +193,19 @@
         settings.instance().zone(),
         settings.endpoint().service(),
         settings.endpoint().kind(),
-        phase,
+        announcedPhase(),
         queue.running(),
         queue.queued(),
         queue.limit(),
-        new WeightVersion(0),
+        swap.map(SwapWorker::served).orElse(new WeightVersion(0)),
         number);
   }
 
+  private EndpointPhase announcedPhase() {
+    boolean serving = swap.map(SwapWorker::isInRotation).orElse(true);
+    return phase == EndpointPhase.SERVING && !serving ? EndpointPhase.DOWN : phase;
+  }
+
   private void onFrame(Link link, LinkFrame frame) {
     switch (frame.getBodyCase()) {
       case CALL_START -> calls.onStart(link, frame.getCallStart());
