Add state dump and check; refuse ambiguous INI; exit 0 on a planned stop

Cause: operators could neither check a document before using it nor read a process's state, the INI parser took broken headers, doubled sections, lines without a value, continued lines and variables without a word, and a planned stop by SIGTERM ended with 143, as if the process had been cut short.

--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/settings/IniSyntax.java
@@ -0,0 +1,90 @@
+package org.carobhoist.core.settings;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * Checks the lines of an INI document before they are parsed. Parsers of INI take almost any text:
+ * a header with a missing bracket becomes a key, a second section of the same name is merged into
+ * the first, and a backslash swallows the next line. Each of these hides an operator's mistake, so
+ * only four forms of line are allowed here: blank, comment ({@code #} or {@code ;}), {@code
+ * [section]} and {@code key = value}. A value may be followed by a comment after a blank.
+ */
+final class IniSyntax {
+
+  private static final Pattern HEADER =
+      Pattern.compile("\\[([A-Za-z][A-Za-z0-9-]*)\\]\\s*([#;].*)?");
+  private static final Pattern ENTRY = Pattern.compile("([A-Za-z][A-Za-z0-9-]*)\\s*=(.*)");
+
+  private final String file;
+  private final List<SettingsProblem> problems = new ArrayList<>();
+  private final Map<String, Integer> sections = new HashMap<>();
+  private final Map<String, Integer> keys = new HashMap<>();
+  private String section = "";
+  private int line;
+
+  private IniSyntax(String file) {
+    this.file = file;
+  }
+
+  /** Returns the faults of a document's lines; none if every line has an allowed form. */
+  static List<SettingsProblem> check(String file, String text) {
+    IniSyntax syntax = new IniSyntax(file);
+    text.lines().forEach(syntax::checkLine);
+    return syntax.problems;
+  }
+
+  private void checkLine(String raw) {
+    line++;
+    String text = raw.strip();
+    if (text.isEmpty() || text.startsWith("#") || text.startsWith(";")) {
+      return;
+    }
+    if (text.startsWith("[")) {
+      checkHeader(text);
+      return;
+    }
+    checkEntry(text);
+  }
+
+  private void checkHeader(String text) {
+    Matcher m = HEADER.matcher(text);
+    if (!m.matches()) {
+      problem("", text, "not a section header; write [name] with nothing behind it");
+      return;
+    }
+    section = m.group(1);
+    Integer first = sections.putIfAbsent(section, line);
+    if (first != null) {
+      problem("", "", "section stands more than once, first in line " + first);
+    }
+  }
+
+  private void checkEntry(String text) {
+    Matcher m = ENTRY.matcher(text);
+    if (!m.matches()) {
+      problem("", text, "neither [section] nor key = value");
+      return;
+    }
+    String key = m.group(1);
+    if (section.isEmpty()) {
+      problem(key, m.group(2).strip(), "key stands before the first section");
+      return;
+    }
+    if (text.endsWith("\\")) {
+      problem(key, m.group(2).strip(), "a value can't go on in the next line");
+    }
+    Integer first = keys.putIfAbsent(section + "." + key, line);
+    if (first != null) {
+      problem(key, m.group(2).strip(), "key stands more than once, first in line " + first);
+    }
+  }
+
+  private void problem(String key, String value, String message) {
+    problems.add(new SettingsProblem(file + ":" + line, section, key, value, message));
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/settings/SettingsProblem.java
+++ b/core/src/main/java/org/carobhoist/core/settings/SettingsProblem.java
@@ -20,6 +20,8 @@
     }
     if (!key.isEmpty()) {
       out.append(key).append(value.isEmpty() ? "" : " = " + value).append(": ");
+    } else if (!value.isEmpty()) {
+      out.append('"').append(value).append("\": ");
     }
     return out.append(message).toString();
   }
--- a/core/src/main/java/org/carobhoist/core/settings/SettingsReader.java
+++ b/core/src/main/java/org/carobhoist/core/settings/SettingsReader.java
@@ -3,14 +3,13 @@
 import java.io.IOException;
 import java.io.StringReader;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.apache.commons.configuration2.Configuration;
 import org.apache.commons.configuration2.INIConfiguration;
-import org.apache.commons.configuration2.SubnodeConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
 
 /**
@@ -43,54 +42,65 @@
   }
 
   private SettingsDocument read(String text) throws SettingsException {
-    INIConfiguration ini = new INIConfiguration();
-    try {
-      ini.read(new StringReader(text));
-    } catch (ConfigurationException | IOException e) {
-      problem("", "", "", "not an INI document: " + e.getMessage());
-      throw new SettingsException(problems);
-    }
+    problems.addAll(IniSyntax.check(file, text));
+    refuseIfFaulty();
+    INIConfiguration ini = parse(text);
     checkNames(ini);
     Map<SettingSpec<?>, Object> values = new LinkedHashMap<>();
     for (SettingSpec<?> spec : specs) {
       readKey(ini, spec, values);
     }
+    refuseIfFaulty();
+    return new SettingsDocument(file, values);
+  }
+
+  private void refuseIfFaulty() throws SettingsException {
     if (!problems.isEmpty()) {
       throw new SettingsException(problems);
     }
-    return new SettingsDocument(file, values);
+  }
+
+  /** Parses the text; only {@code =} separates, and a value is taken as it is written. */
+  private INIConfiguration parse(String text) throws SettingsException {
+    INIConfiguration ini = new INIConfiguration();
+    ini.setSeparatorUsedInInput("=");
+    ini.setInterpolator(null);
+    try {
+      ini.read(new StringReader(text));
+      return ini;
+    } catch (ConfigurationException | IOException e) {
+      problem("", "", "", "not an INI document: " + e.getMessage());
+      throw new SettingsException(problems);
+    }
   }
 
   private void checkNames(INIConfiguration ini) {
-    Set<String> sections = new LinkedHashSet<>();
-    Set<String> keys = new HashSet<>();
+    Map<String, Set<String>> known = new LinkedHashMap<>();
     for (SettingSpec<?> spec : specs) {
-      sections.add(spec.section());
-      keys.add(spec.section() + "." + spec.key());
+      known.computeIfAbsent(spec.section(), name -> new LinkedHashSet<>()).add(spec.key());
     }
     for (String section : ini.getSections()) {
-      if (section == null) {
-        problem("", "", "", "keys must stand in a section; the sections are " + sections);
-        continue;
-      }
-      if (!sections.contains(section)) {
-        problem(section, "", "", "unknown section; the sections are " + sections);
-        continue;
+      Set<String> keys = known.get(section);
+      if (keys == null) {
+        problem(section, "", "", "unknown section; the sections are " + join(known.keySet()));
+      } else {
+        checkKeys(section, ini.getSection(section), keys);
       }
-      SubnodeConfiguration body = ini.getSection(section);
-      body.getKeys()
-          .forEachRemaining(
-              key -> {
-                if (!keys.contains(section + "." + key.replace("..", "."))) {
-                  problem(section, key, body.getString(key), "unknown key");
-                }
-              });
     }
-    for (SettingSpec<?> spec : specs) {
-      if (spec.isRequired() && sections.remove(spec.section())) {
-        if (!ini.getSections().contains(spec.section())) {
-          problem(spec.section(), "", "", "missing section");
-        }
+    specs.stream()
+        .filter(SettingSpec::isRequired)
+        .map(SettingSpec::section)
+        .distinct()
+        .filter(section -> !ini.getSections().contains(section))
+        .forEach(section -> problem(section, "", "", "missing section"));
+  }
+
+  private void checkKeys(String section, Configuration body, Set<String> known) {
+    Iterable<String> keys = body::getKeys;
+    for (String key : keys) {
+      if (!known.contains(key)) {
+        String message = "unknown key; the keys of the section are " + join(known);
+        problem(section, key, body.getString(key), message);
       }
     }
   }
@@ -98,19 +108,14 @@
   private void readKey(
       INIConfiguration ini, SettingSpec<?> spec, Map<SettingSpec<?>, Object> values) {
     boolean present = ini.getSections().contains(spec.section());
-    List<Object> found =
-        present ? ini.getSection(spec.section()).getList(spec.key(), List.of()) : List.of();
-    if (found.size() > 1) {
-      problem(spec.section(), spec.key(), found.toString(), "key stands more than once");
-      return;
-    }
-    if (found.isEmpty() && spec.isRequired()) {
+    String written = present ? ini.getSection(spec.section()).getString(spec.key()) : null;
+    if (written == null && spec.isRequired()) {
       if (present) {
         problem(spec.section(), spec.key(), "", "missing key; allowed: " + spec.range());
       }
       return;
     }
-    String text = found.isEmpty() ? spec.fallback().orElseThrow() : found.get(0).toString().trim();
+    String text = written == null ? spec.fallback().orElseThrow() : written.trim();
     try {
       values.put(spec, spec.parser().apply(text));
     } catch (IllegalArgumentException e) {
@@ -118,6 +123,10 @@
     }
   }
 
+  private static String join(Set<String> names) {
+    return String.join(", ", names);
+  }
+
   private void problem(String section, String key, String value, String message) {
     problems.add(new SettingsProblem(file, section, key, value, message));
   }
--- a/server/src/main/java/org/carobhoist/server/app/EntryCommand.java
+++ b/server/src/main/java/org/carobhoist/server/app/EntryCommand.java
@@ -2,7 +2,11 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import org.carobhoist.core.settings.SettingsException;
 import org.carobhoist.server.entry.EntryService;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.runtime.Service;
+import org.carobhoist.server.settings.EntrySettings;
 import org.carobhoist.server.settings.SettingsLoader;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -20,6 +24,12 @@
 
   @Override
   public Integer call() {
-    return RoleRunner.run(() -> EntryService.create(SettingsLoader.loadEntry(settings)));
+    return RoleRunner.run(this::service);
+  }
+
+  private Service service() throws SettingsException {
+    EntrySettings loaded = SettingsLoader.loadEntry(settings);
+    EventLog.setLevel(loaded.instance().logLevel());
+    return EntryService.create(loaded);
   }
 }
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -23,6 +23,8 @@
     subcommands = {
       EntryCommand.class,
       SidecarCommand.class,
+      StateCommand.class,
+      CheckCommand.class,
       HelpCommand.class,
       AutoComplete.GenerateCompletion.class
     })
--- a/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
+++ b/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
@@ -31,7 +31,7 @@
     try {
       service.start().join();
     } catch (CompletionException e) {
-      EventLog.error(LogEvent.STOPPED, e.getCause());
+      EventLog.error(LogEvent.START_FAILED, e.getCause());
       return ExitCodes.FAILED;
     }
     awaitEnd(service);
@@ -49,8 +49,20 @@
     }
   }
 
+  /**
+   * Stops the service and ends the process. The JVM would report the signal that asked for the
+   * stop; halting reports whether the stop was clean, which is what a supervisor needs to know.
+   */
   private static void stop(Service service) {
-    service.stop().join();
-    EventLog.info(LogEvent.STOPPED);
+    int code = ExitCodes.DONE;
+    try {
+      service.stop().join();
+      EventLog.info(LogEvent.STOPPED);
+    } catch (CompletionException e) {
+      EventLog.error(LogEvent.STOP_FAILED, e.getCause());
+      code = ExitCodes.FAILED;
+    }
+    System.err.flush();
+    Runtime.getRuntime().halt(code);
   }
 }
--- a/server/src/main/java/org/carobhoist/server/app/SidecarCommand.java
+++ b/server/src/main/java/org/carobhoist/server/app/SidecarCommand.java
@@ -2,7 +2,11 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
+import org.carobhoist.core.settings.SettingsException;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.runtime.Service;
 import org.carobhoist.server.settings.SettingsLoader;
+import org.carobhoist.server.settings.SidecarSettings;
 import org.carobhoist.server.sidecar.SidecarService;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -20,6 +24,12 @@
 
   @Override
   public Integer call() {
-    return RoleRunner.run(() -> SidecarService.create(SettingsLoader.loadSidecar(settings)));
+    return RoleRunner.run(this::service);
+  }
+
+  private Service service() throws SettingsException {
+    SidecarSettings loaded = SettingsLoader.loadSidecar(settings);
+    EventLog.setLevel(loaded.instance().logLevel());
+    return SidecarService.create(loaded);
   }
 }
--- a/server/src/main/java/org/carobhoist/server/log/EventLog.java
+++ b/server/src/main/java/org/carobhoist/server/log/EventLog.java
@@ -1,12 +1,22 @@
 package org.carobhoist.server.log;
 
+import org.carobhoist.server.settings.LogLevel;
 import org.tinylog.Logger;
+import org.tinylog.configuration.Configuration;
 
 /** Writes numbered events with their fields as {@code key=value} pairs. */
 public final class EventLog {
 
   private EventLog() {}
 
+  /**
+   * Sets the least severe level that is written. Only works before the first event, since the log
+   * reads its configuration once.
+   */
+  public static void setLevel(LogLevel level) {
+    Configuration.set("level", level.name());
+  }
+
   /**
    * Writes an event.
    *
@@ -39,8 +49,33 @@
     return out.toString();
   }
 
+  /** Quotes a value that a parser of {@code key=value} pairs couldn't take as it is. */
   private static String quote(String value) {
-    boolean plain = !value.isEmpty() && value.chars().noneMatch(c -> c <= ' ' || c == '"');
-    return plain ? value : '"' + value.replace("\"", "\\\"").replace("\n", "\\n") + '"';
+    if (!value.isEmpty() && value.chars().allMatch(EventLog::isPlain)) {
+      return value;
+    }
+    StringBuilder out = new StringBuilder("\"");
+    value.chars().forEach(c -> appendEscaped(out, (char) c));
+    return out.append('"').toString();
+  }
+
+  private static boolean isPlain(int c) {
+    return c > ' ' && c != '"' && c != '=' && c != '\\' && !Character.isISOControl(c);
+  }
+
+  private static void appendEscaped(StringBuilder out, char c) {
+    switch (c) {
+      case '"', '\\' -> out.append('\\').append(c);
+      case '\n' -> out.append("\\n");
+      case '\r' -> out.append("\\r");
+      case '\t' -> out.append("\\t");
+      default -> {
+        if (Character.isISOControl(c)) {
+          out.append(String.format("\\u%04x", (int) c));
+        } else {
+          out.append(c);
+        }
+      }
+    }
   }
 }
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -10,6 +10,10 @@
   STOPPED(1003, "process stopped"),
   /** A task of the decision loop threw. */
   DECISION_FAILED(1004, "decision task failed"),
+  /** A process couldn't start. */
+  START_FAILED(1100, "process start failed"),
+  /** A planned stop didn't run to its end. */
+  STOP_FAILED(1101, "planned stop failed"),
   /** A link is up. */
   LINK_UP(2001, "link up"),
   /** A link is down. */
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/settings/DocumentChecker.java
@@ -0,0 +1,33 @@
+package org.carobhoist.server.settings;
+
+import org.carobhoist.core.common.ProfileName;
+import org.carobhoist.core.profile.ProfileReader;
+import org.carobhoist.core.settings.SettingsException;
+import org.carobhoist.core.settings.SettingsReader;
+
+/** Checks documents just as the processes that use them do. */
+public final class DocumentChecker {
+
+  private static final ProfileName UNNAMED = new ProfileName("unnamed");
+
+  private DocumentChecker() {}
+
+  /**
+   * Checks a document.
+   *
+   * @param file its name, for messages
+   * @throws SettingsException with every fault, if it is refused
+   */
+  public static void check(DocumentKind kind, String file, String text) throws SettingsException {
+    switch (kind) {
+      case ENTRY -> SettingsLoader.parseEntry(file, text);
+      case SIDECAR -> SettingsLoader.parseSidecar(file, text);
+      case PROFILE -> checkProfile(file, text);
+    }
+  }
+
+  private static void checkProfile(String file, String text) throws SettingsException {
+    SettingsReader.read(file, text, ProfileReader.SPECS);
+    ProfileReader.read(UNNAMED, text);
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/settings/InstanceSettings.java
+++ b/server/src/main/java/org/carobhoist/server/settings/InstanceSettings.java
@@ -13,6 +13,12 @@
  * @param http address of the HTTP server: callers, health, metrics and state
  * @param link address on which links are accepted
  * @param platform base URL of the platform
+ * @param logLevel least severe level of event that is logged
  */
 public record InstanceSettings(
-    InstanceId id, Zone zone, SocketAddressText http, SocketAddressText link, URI platform) {}
+    InstanceId id,
+    Zone zone,
+    SocketAddressText http,
+    SocketAddressText link,
+    URI platform,
+    LogLevel logLevel) {}
--- a/server/src/main/java/org/carobhoist/server/settings/SettingsLoader.java
+++ b/server/src/main/java/org/carobhoist/server/settings/SettingsLoader.java
@@ -43,6 +43,9 @@
           "instance", "link", null, "Address on which links of other processes are accepted.");
   private static final SettingSpec<URI> PLATFORM =
       SettingTypes.url("platform", "url", null, "Base URL of the platform's services.");
+  private static final SettingSpec<LogLevel> LOG_LEVEL =
+      SettingTypes.choice(
+          "log", "level", LogLevel.class, "info", "Least severe level of event that is logged.");
   private static final SettingSpec<ServiceName> SERVICE =
       SettingTypes.value(
           "endpoint",
@@ -76,7 +79,8 @@
           "Longest wait of a request without a deadline.");
 
   /** Keys of every role. */
-  private static final List<SettingSpec<?>> COMMON = List.of(ID, ZONE, HTTP, LINK, PLATFORM);
+  private static final List<SettingSpec<?>> COMMON =
+      List.of(ID, ZONE, HTTP, LINK, PLATFORM, LOG_LEVEL);
 
   /** Every key of an entry's settings. */
   public static final List<SettingSpec<?>> ENTRY_SPECS = COMMON;
@@ -96,7 +100,7 @@
    * @throws SettingsException if the file can't be read or is refused
    */
   public static EntrySettings loadEntry(Path file) throws SettingsException {
-    return new EntrySettings(common(read(file, ENTRY_SPECS)));
+    return parseEntry(file.toString(), text(file));
   }
 
   /**
@@ -105,7 +109,25 @@
    * @throws SettingsException if the file can't be read or is refused
    */
   public static SidecarSettings loadSidecar(Path file) throws SettingsException {
-    SettingsDocument doc = read(file, SIDECAR_SPECS);
+    return parseSidecar(file.toString(), text(file));
+  }
+
+  /**
+   * Reads an entry's settings from their text.
+   *
+   * @throws SettingsException if they are refused
+   */
+  public static EntrySettings parseEntry(String file, String text) throws SettingsException {
+    return new EntrySettings(common(SettingsReader.read(file, text, ENTRY_SPECS)));
+  }
+
+  /**
+   * Reads a sidecar's settings from their text.
+   *
+   * @throws SettingsException if they are refused
+   */
+  public static SidecarSettings parseSidecar(String file, String text) throws SettingsException {
+    SettingsDocument doc = SettingsReader.read(file, text, SIDECAR_SPECS);
     return new SidecarSettings(
         common(doc),
         new EndpointSettings(doc.get(SERVICE), doc.get(KIND), doc.get(URL)),
@@ -135,14 +157,17 @@
 
   private static InstanceSettings common(SettingsDocument doc) {
     return new InstanceSettings(
-        doc.get(ID), doc.get(ZONE), doc.get(HTTP), doc.get(LINK), doc.get(PLATFORM));
+        doc.get(ID),
+        doc.get(ZONE),
+        doc.get(HTTP),
+        doc.get(LINK),
+        doc.get(PLATFORM),
+        doc.get(LOG_LEVEL));
   }
 
-  private static SettingsDocument read(Path file, List<SettingSpec<?>> specs)
-      throws SettingsException {
+  private static String text(Path file) throws SettingsException {
     try {
-      String text = Files.readString(file, StandardCharsets.UTF_8);
-      return SettingsReader.read(file.toString(), text, specs);
+      return Files.readString(file, StandardCharsets.UTF_8);
     } catch (IOException e) {
       throw new SettingsException(
           List.of(new SettingsProblem(file.toString(), "", "", "", "can't be read")));
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/app/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link org.carobhoist.server.app}. */
+package org.carobhoist.server.app;
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/log/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link org.carobhoist.server.log}. */
+package org.carobhoist.server.log;
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/settings/BrokenDocumentCases.java
@@ -0,0 +1,86 @@
+package org.carobhoist.server.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.google.common.truth.Correspondence;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+import org.carobhoist.core.settings.SettingsException;
+import org.carobhoist.core.settings.SettingsProblem;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestFactory;
+
+/**
+ * Runs a folder of broken documents. Each is refused whole with exactly the faults that its own
+ * comments of the form {@code #! message} name, in order; a message that ends in {@code ...} is
+ * compared up to there. A good document stands beside them, so that a folder whose every document
+ * is refused for the same reason is noticed.
+ */
+abstract class BrokenDocumentCases {
+
+  private static final String EXPECTED = "#! ";
+  private static final Path ROOT = Path.of("src", "test", "resources", "broken");
+  private static final String GOOD = "good.ini";
+  private static final String REST = "...";
+  private static final Correspondence<String, String> MATCH =
+      Correspondence.from(BrokenDocumentCases::matches, "matches");
+
+  /** The kind of the folder's documents. */
+  protected abstract DocumentKind kind();
+
+  @TestFactory
+  final Stream<DynamicTest> refusesEachBrokenDocument() throws IOException {
+    try (Stream<Path> files = Files.list(folder())) {
+      return files
+          .filter(f -> !f.endsWith(GOOD))
+          .sorted()
+          .map(f -> DynamicTest.dynamicTest(f.getFileName().toString(), () -> refuses(f)))
+          .toList()
+          .stream();
+    }
+  }
+
+  private Path folder() {
+    return ROOT.resolve(kind().name().toLowerCase(Locale.ROOT));
+  }
+
+  private void refuses(Path file) throws IOException {
+    String text = Files.readString(file);
+    List<String> expected =
+        text.lines()
+            .filter(l -> l.startsWith(EXPECTED))
+            .map(l -> l.substring(EXPECTED.length()))
+            .toList();
+    assertWithMessage("the case names its faults").that(expected).isNotEmpty();
+
+    String name = file.getFileName().toString();
+    SettingsException refused =
+        assertThrows(
+            SettingsException.class, () -> DocumentChecker.check(kind(), name, text), name);
+    assertThat(refused.problems().stream().map(SettingsProblem::toString).toList())
+        .comparingElementsUsing(MATCH)
+        .containsExactlyElementsIn(expected)
+        .inOrder();
+  }
+
+  private static boolean matches(String message, String expected) {
+    if (!expected.endsWith(REST)) {
+      return message.equals(expected);
+    }
+    return message.startsWith(expected.substring(0, expected.length() - REST.length()));
+  }
+
+  @Test
+  final void takesTheGoodDocument() throws Exception {
+    String text = Files.readString(folder().resolve(GOOD));
+    DocumentChecker.check(kind(), GOOD, text);
+    assertThat(DocumentKind.of(text)).isEqualTo(kind());
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/settings/SettingsPageTest.java
@@ -0,0 +1,76 @@
+package org.carobhoist.server.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.carobhoist.core.profile.ProfileReader;
+import org.carobhoist.core.settings.SettingSpec;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Holds docs/SETTINGS.md against the specs: the tables on the page are exactly those made from the
+ * code. Run with {@code -Dcarobhoist.writePages=true} to write the page anew.
+ */
+final class SettingsPageTest {
+
+  private static final Path PAGE = Path.of("..", "docs", "SETTINGS.md");
+  private static final String HEAD =
+      """
+      # Settings and profiles
+
+      Every key of the three kinds of INI documents. The tables are made from the code; a test
+      holds them against it.
+
+      An INI document has four forms of line: blank, comment (`#` or `;`), `[section]` and
+      `key = value`. A value may be followed by a blank and a comment. There are no variables, no
+      quotes to take off and no lines that go on in the next. A document is refused whole if
+      anything in it is wrong; every fault is printed with file, section, key, value and allowed
+      range, and the process exits with 2. `carobhoist check FILE` does the same without starting
+      or publishing anything.
+      """;
+
+  @Test
+  void pageIsMadeFromTheSpecs() throws IOException {
+    String page =
+        HEAD
+            + kind("Entry", "`carobhoist entry --settings FILE`", SettingsLoader.ENTRY_SPECS)
+            + kind("Sidecar", "`carobhoist sidecar --settings FILE`", SettingsLoader.SIDECAR_SPECS)
+            + kind("Profile", "`carobhoist profile publish`", ProfileReader.SPECS);
+    if (Boolean.getBoolean("carobhoist.writePages")) {
+      Files.writeString(PAGE, page);
+    }
+    assertThat(Files.readString(PAGE)).isEqualTo(page);
+  }
+
+  private static String kind(String title, String usedBy, List<SettingSpec<?>> specs) {
+    Map<String, List<SettingSpec<?>>> sections =
+        specs.stream()
+            .collect(
+                Collectors.groupingBy(
+                    SettingSpec::section, LinkedHashMap::new, Collectors.toList()));
+    StringBuilder out = new StringBuilder("\n## " + title + "\n\nRead by " + usedBy + ".\n");
+    sections.forEach((name, keys) -> appendSection(out, name, keys));
+    return out.toString();
+  }
+
+  private static void appendSection(StringBuilder out, String name, List<SettingSpec<?>> keys) {
+    out.append("\n### [").append(name).append("]\n\n");
+    out.append("| key | allowed | if missing | effect |\n|---|---|---|---|\n");
+    keys.forEach(k -> out.append(row(k)));
+  }
+
+  private static String row(SettingSpec<?> k) {
+    String fallback = k.fallback().map(SettingsPageTest::code).orElse("required");
+    return "| `%s` | %s | %s | %s |\n".formatted(k.key(), k.range(), fallback, k.effect());
+  }
+
+  private static String code(String fallback) {
+    return fallback.isEmpty() ? "empty" : "`" + fallback + "`";
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/settings/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link org.carobhoist.server.settings}. */
+package org.carobhoist.server.settings;
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/state/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link org.carobhoist.server.state}. */
+package org.carobhoist.server.state;
