Admit by measured latency, deadline and fair share

A fixed limit with one FIFO per class lets an overload fill the queue with requests that end after their deadlines, and lets one tenant take every slot.

--- a/core/src/main/java/org/carobhoist/core/limit/AdmissionQueue.java
+++ b/core/src/main/java/org/carobhoist/core/limit/AdmissionQueue.java
@@ -1,40 +1,53 @@
 package org.carobhoist.core.limit;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.EnumMap;
-import java.util.HashSet;
-import java.util.Iterator;
+import java.util.HashMap;
 import java.util.Map;
-import java.util.Set;
+import java.util.Optional;
+import java.util.function.Function;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Priority;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
 
 /**
- * Admission to one endpoint. At most {@code limit} requests run; others wait in one queue per
- * priority class, the most urgent class first. A request is refused at once when the queue is full,
- * and as soon as its deadline passes while it waits. Nothing refused here has run.
+ * Admission to one endpoint. At most {@code limit} requests run, where the limit follows measured
+ * latency; an engine also needs KV cache for each. Others wait in one fair queue per priority
+ * class, the most urgent class first, but rollouts are sure of a small part of the slots and leave
+ * another part free. A request is refused as soon as it is plain that its deadline can't be met: on
+ * arrival, while it waits, or when its turn comes. A full queue makes room for an urgent request by
+ * refusing the newest one of a lower class. Nothing refused here has run.
  */
 public final class AdmissionQueue {
 
+  private static final Duration SHORTEST_RETRY = Duration.ofMillis(100);
+
   private final LimitPolicy policy;
   private final Clock clock;
-  private final Map<Priority, Deque<Waiting>> queues = new EnumMap<>(Priority.class);
-  private final Set<Long> running = new HashSet<>();
-  private int limit;
+  private final AdaptiveLimit limit;
+  private final KvGate kv;
+  private final Map<Priority, FairQueue> queues = new EnumMap<>(Priority.class);
+  private final Map<Priority, ServiceTime> times = new EnumMap<>(Priority.class);
+  private final Map<Priority, Integer> runningOf = new EnumMap<>(Priority.class);
+  private final Map<String, Integer> runningTenant = new HashMap<>();
+  private final Map<Long, Running> running = new HashMap<>();
+  private Function<String, TenantPolicy> tenants = tenant -> TenantPolicy.DEFAULT;
+  private double rolloutTurns;
   private boolean draining;
+  private long refused;
 
-  private record Waiting(AdmissionTicket ticket, Duration expiry) {}
+  private record Running(AdmissionTicket ticket, Duration since) {}
 
   private AdmissionQueue(LimitPolicy policy, Clock clock) {
     this.policy = policy;
     this.clock = clock;
-    this.limit = policy.initial();
+    this.limit = new AdaptiveLimit(policy, clock);
+    this.kv = new KvGate(clock);
     for (Priority p : Priority.values()) {
-      queues.put(p, new ArrayDeque<>());
+      queues.put(p, new FairQueue(tenant -> tenants.apply(tenant)));
+      times.put(p, new ServiceTime());
+      runningOf.put(p, 0);
     }
   }
 
@@ -43,48 +56,82 @@
     return new AdmissionQueue(policy, clock);
   }
 
+  /** Sets where the tenants' shares come from; asked at each decision. */
+  public void setTenants(Function<String, TenantPolicy> source) {
+    tenants = source;
+  }
+
+  /** Takes the engine's report of the KV cache tokens that are free. */
+  public void onKvFree(long tokens) {
+    kv.onReport(tokens);
+    admitWaiting();
+  }
+
   /** Admits, queues or refuses a request. */
   public void offer(AdmissionTicket ticket) {
     if (draining) {
-      ticket.onRefuse().accept(refusal(RefusalReason.DRAINING, "the endpoint is leaving"));
+      refuse(ticket, RefusalReason.DRAINING, "the endpoint is leaving", Duration.ZERO);
+      return;
+    }
+    Duration wait = expectedWait(ticket);
+    if (missesDeadline(ticket, wait)) {
+      refuse(ticket, RefusalReason.OVERLOADED, "the wait is longer than the deadline", wait);
       return;
     }
-    if (running.size() < limit && queued() == 0) {
+    boolean bounded = queues.get(ticket.priority()).size(ticket.tenant()) >= queueOf(ticket);
+    FairQueue.Waiting waiting = new FairQueue.Waiting(ticket, expiry(ticket));
+    if (queued() == 0 && mayRun(waiting) && hasSlot(ticket.priority())) {
       admit(ticket);
       return;
     }
-    if (queued() >= policy.queueLength()) {
-      ticket.onRefuse().accept(refusal(RefusalReason.OVERLOADED, "the queue is full"));
+    if (bounded || (queued() >= policy.queueLength() && !evictBelow(ticket.priority()))) {
+      refuse(ticket, RefusalReason.OVERLOADED, "the queue is full", wait);
       return;
     }
-    Duration latest = clock.elapsed().plus(policy.queueTime());
-    Duration expiry = ticket.deadline().filter(d -> d.compareTo(latest) < 0).orElse(latest);
-    queues.get(ticket.priority()).add(new Waiting(ticket, expiry));
+    queues.get(ticket.priority()).add(waiting);
+    admitWaiting();
   }
 
-  /** Notes that a running request has ended, however it ended, and admits waiting ones. */
+  /** Notes that the endpoint has answered a running request, and admits waiting ones. */
   public void complete(long id) {
-    if (running.remove(id)) {
-      admitWaiting();
+    Running r = release(id);
+    if (r == null) {
+      return;
     }
+    Duration took = clock.elapsed().minus(r.since());
+    limit.onSample(r.ticket().priority(), took);
+    times.get(r.ticket().priority()).onSample(took);
+    admitWaiting();
+  }
+
+  /**
+   * Notes that a running request ended without an answer, and admits waiting ones. Its time counts
+   * only if it ran beyond its deadline: a fast error says nothing about the endpoint's capacity.
+   */
+  public void fail(long id) {
+    Running r = release(id);
+    if (r == null) {
+      return;
+    }
+    if (r.ticket().deadline().filter(d -> d.compareTo(clock.elapsed()) <= 0).isPresent()) {
+      limit.onSample(r.ticket().priority(), clock.elapsed().minus(r.since()));
+    }
+    admitWaiting();
   }
 
   /** Takes a waiting request out of the queue; returns whether it was waiting. */
   public boolean withdraw(long id) {
-    return queues.values().stream().anyMatch(q -> q.removeIf(w -> w.ticket().id() == id));
+    return queues.values().stream()
+        .anyMatch(q -> !q.removeIf(w -> w.ticket().id() == id).isEmpty());
   }
 
   /** Refuses waiting requests whose time is up; to be called a few times a second. */
   public void expire() {
-    Duration now = clock.elapsed();
-    for (Deque<Waiting> queue : queues.values()) {
-      for (Iterator<Waiting> it = queue.iterator(); it.hasNext(); ) {
-        Waiting w = it.next();
-        if (w.expiry().compareTo(now) <= 0) {
-          it.remove();
-          w.ticket().onRefuse().accept(refusal(RefusalReason.OVERLOADED, "waited too long"));
-        }
-      }
+    for (FairQueue queue : queues.values()) {
+      queue
+          .removeIf(this::isLate)
+          .forEach(
+              w -> refuse(w.ticket(), RefusalReason.OVERLOADED, "waited too long", Duration.ZERO));
     }
   }
 
@@ -93,6 +140,11 @@
     draining = true;
   }
 
+  /** Takes new requests again after a drain that was called off. */
+  public void resume() {
+    draining = false;
+  }
+
   /** Returns whether nothing runs and nothing waits. */
   public boolean isIdle() {
     return running.isEmpty() && queued() == 0;
@@ -105,29 +157,161 @@
 
   /** Returns the number of waiting requests. */
   public int queued() {
-    return queues.values().stream().mapToInt(Deque::size).sum();
+    return queues.values().stream().mapToInt(FairQueue::size).sum();
   }
 
   /** Returns the present concurrency limit. */
   public int limit() {
-    return limit;
+    return limit.value();
+  }
+
+  /** Returns how many requests were refused since the start. */
+  public long refused() {
+    return refused;
   }
 
   private void admitWaiting() {
     expire();
-    for (Deque<Waiting> queue : queues.values()) {
-      while (running.size() < limit && !queue.isEmpty()) {
-        admit(queue.poll().ticket());
+    for (Optional<FairQueue.Waiting> w = next(); w.isPresent(); w = next()) {
+      AdmissionTicket ticket = w.get().ticket();
+      if (missesDeadline(ticket, Duration.ZERO)) {
+        refuse(ticket, RefusalReason.OVERLOADED, "too late to meet the deadline", Duration.ZERO);
+      } else {
+        admit(ticket);
+      }
+    }
+  }
+
+  /** Takes the next request that may run now, by class and then by fair share. */
+  private Optional<FairQueue.Waiting> next() {
+    if (queued() == 0 || running.size() >= limit.value()) {
+      return Optional.empty();
+    }
+    if (isRolloutsTurn()) {
+      Optional<FairQueue.Waiting> w = queues.get(Priority.ROLLOUT).poll(this::mayRun);
+      if (w.isPresent()) {
+        rolloutTurns = 0;
+        return w;
       }
     }
+    for (Priority p : Priority.values()) {
+      Optional<FairQueue.Waiting> w =
+          hasSlot(p) ? queues.get(p).poll(this::mayRun) : Optional.empty();
+      if (w.isPresent()) {
+        rolloutTurns += p == Priority.ROLLOUT ? 0 : policy.rolloutShare();
+        return w;
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns whether a rollout goes before more urgent requests, so that rollouts never starve. */
+  private boolean isRolloutsTurn() {
+    if (queues.get(Priority.ROLLOUT).size() == 0 || policy.rolloutShare() == 0) {
+      return false;
+    }
+    if (limit.value() == 1) {
+      return rolloutTurns >= 1;
+    }
+    int sure = Math.max(1, (int) (limit.value() * policy.rolloutShare()));
+    return runningOf.get(Priority.ROLLOUT) < sure;
+  }
+
+  private boolean hasSlot(Priority p) {
+    int n = limit.value();
+    if (running.size() >= n) {
+      return false;
+    }
+    int free = n == 1 ? 0 : (int) Math.ceil(n * policy.reserve());
+    return p != Priority.ROLLOUT || runningOf.get(Priority.ROLLOUT) < n - free;
+  }
+
+  private boolean mayRun(FairQueue.Waiting w) {
+    AdmissionTicket t = w.ticket();
+    boolean fits = running.isEmpty() || kv.fits(t.tokens());
+    return fits
+        && runningTenant.getOrDefault(t.tenant(), 0) < tenants.apply(t.tenant()).concurrency();
   }
 
   private void admit(AdmissionTicket ticket) {
-    running.add(ticket.id());
+    running.put(ticket.id(), new Running(ticket, clock.elapsed()));
+    runningOf.merge(ticket.priority(), 1, Integer::sum);
+    runningTenant.merge(ticket.tenant(), 1, Integer::sum);
+    kv.onAdmit(ticket.tokens());
+    if (running.size() >= limit.value()) {
+      limit.onSaturated();
+    }
     ticket.onAdmit().run();
   }
 
-  private static Refusal refusal(RefusalReason reason, String detail) {
-    return Refusal.notRun(reason, detail);
+  private Running release(long id) {
+    Running r = running.remove(id);
+    if (r != null) {
+      runningOf.merge(r.ticket().priority(), -1, Integer::sum);
+      runningTenant.computeIfPresent(r.ticket().tenant(), (key, n) -> n == 1 ? null : n - 1);
+    }
+    return r;
+  }
+
+  /** Returns how long a new request would wait, from the work ahead and the measured rate. */
+  private Duration expectedWait(AdmissionTicket ticket) {
+    int free = limit.value() - running.size();
+    double ahead = queues.get(ticket.priority()).ahead(ticket.tenant()) + 1 - free;
+    for (Priority p : Priority.values()) {
+      ahead += p.compareTo(ticket.priority()) < 0 ? queues.get(p).size() : 0;
+    }
+    if (ahead <= 0) {
+      return Duration.ZERO;
+    }
+    double mean = times.get(ticket.priority()).mean().toNanos();
+    return Duration.ofNanos((long) (ahead * mean / limit.value()));
+  }
+
+  /**
+   * Returns whether the answer would come too late. An idle endpoint is always tried, since only
+   * answers can correct an estimate that has become too high.
+   */
+  private boolean missesDeadline(AdmissionTicket ticket, Duration wait) {
+    Duration service = running.isEmpty() ? Duration.ZERO : times.get(ticket.priority()).safe();
+    Duration end = clock.elapsed().plus(wait).plus(service);
+    return ticket.deadline().filter(d -> d.compareTo(end) <= 0).isPresent();
+  }
+
+  private boolean isLate(FairQueue.Waiting w) {
+    return w.expiry().compareTo(clock.elapsed()) <= 0;
+  }
+
+  private Duration expiry(AdmissionTicket ticket) {
+    Duration latest = clock.elapsed().plus(policy.queueTime());
+    return ticket.deadline().filter(d -> d.compareTo(latest) < 0).orElse(latest);
+  }
+
+  private int queueOf(AdmissionTicket ticket) {
+    return tenants.apply(ticket.tenant()).queueLength();
+  }
+
+  private boolean evictBelow(Priority priority) {
+    Priority[] all = Priority.values();
+    for (int i = all.length - 1; i > priority.ordinal(); i--) {
+      Optional<FairQueue.Waiting> w = queues.get(all[i]).pollNewest();
+      if (w.isPresent()) {
+        refuse(
+            w.get().ticket(),
+            RefusalReason.OVERLOADED,
+            "an urgent request came",
+            policy.queueTime());
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private void refuse(
+      AdmissionTicket ticket, RefusalReason reason, String detail, Duration retryAfter) {
+    refused++;
+    boolean overloaded = reason == RefusalReason.OVERLOADED;
+    boolean tooShort = retryAfter.compareTo(SHORTEST_RETRY) < 0;
+    Duration after = overloaded && tooShort ? SHORTEST_RETRY : retryAfter;
+    ticket.onRefuse().accept(Refusal.notRun(reason, detail).retryAfter(after));
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/limit/FairQueue.java
@@ -0,0 +1,122 @@
+package org.carobhoist.core.limit;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Predicate;
+
+/**
+ * The waiting requests of one priority class, shared fairly between tenants by start-time fair
+ * queueing: each tenant has a virtual time that moves on with the work it was given, divided by its
+ * weight, and the tenant that is furthest behind goes next. A tenant that was idle starts at the
+ * virtual time of the queue, so that it saves up no credit.
+ */
+final class FairQueue {
+
+  private final Function<String, TenantPolicy> policies;
+  private final Map<String, Tenant> tenants = new LinkedHashMap<>();
+  private double virtualTime;
+  private int size;
+
+  /**
+   * A waiting request.
+   *
+   * @param ticket the request
+   * @param expiry when its wait ends
+   */
+  record Waiting(AdmissionTicket ticket, Duration expiry) {}
+
+  private static final class Tenant {
+    private final Deque<Waiting> queue = new ArrayDeque<>();
+    private double finish;
+  }
+
+  FairQueue(Function<String, TenantPolicy> policies) {
+    this.policies = policies;
+  }
+
+  void add(Waiting w) {
+    Tenant t = tenants.computeIfAbsent(w.ticket().tenant(), key -> new Tenant());
+    if (t.queue.isEmpty()) {
+      t.finish = Math.max(t.finish, virtualTime);
+    }
+    t.queue.add(w);
+    size++;
+  }
+
+  int size() {
+    return size;
+  }
+
+  /** Returns the number of a tenant's requests that wait. */
+  int size(String tenant) {
+    Tenant t = tenants.get(tenant);
+    return t == null ? 0 : t.queue.size();
+  }
+
+  /** Returns how many requests go before a new one of the tenant. */
+  int ahead(String tenant) {
+    double weight = policies.apply(tenant).weight();
+    double others =
+        tenants.entrySet().stream()
+            .filter(e -> !e.getValue().queue.isEmpty() && !e.getKey().equals(tenant))
+            .mapToDouble(e -> policies.apply(e.getKey()).weight())
+            .sum();
+    return (int) Math.min(size, size(tenant) * (weight + others) / weight);
+  }
+
+  /** Takes the next request of a tenant that may run one more. */
+  Optional<Waiting> poll(Predicate<Waiting> mayRun) {
+    Optional<Tenant> next = Optional.empty();
+    for (Tenant t : tenants.values()) {
+      boolean fits = !t.queue.isEmpty() && mayRun.test(t.queue.peek());
+      if (fits && next.map(n -> t.finish < n.finish).orElse(true)) {
+        next = Optional.of(t);
+      }
+    }
+    return next.map(this::take);
+  }
+
+  /** Takes out the newest request of the tenant that has the most of them waiting. */
+  Optional<Waiting> pollNewest() {
+    Optional<Tenant> longest =
+        tenants.values().stream()
+            .max((a, b) -> Integer.compare(a.queue.size(), b.queue.size()))
+            .filter(t -> !t.queue.isEmpty());
+    longest.ifPresent(t -> size--);
+    return longest.map(t -> t.queue.pollLast());
+  }
+
+  /** Takes out every request that fits the condition. */
+  List<Waiting> removeIf(Predicate<Waiting> condition) {
+    List<Waiting> out = new ArrayList<>();
+    for (Tenant t : tenants.values()) {
+      for (Iterator<Waiting> it = t.queue.iterator(); it.hasNext(); ) {
+        Waiting w = it.next();
+        if (condition.test(w)) {
+          it.remove();
+          out.add(w);
+        }
+      }
+    }
+    size -= out.size();
+    tenants.values().removeIf(t -> t.queue.isEmpty() && t.finish <= virtualTime);
+    return out;
+  }
+
+  private Waiting take(Tenant t) {
+    Waiting w = t.queue.poll();
+    size--;
+    virtualTime = Math.max(virtualTime, t.finish);
+    double cost = Math.max(1, w.ticket().tokens());
+    t.finish += cost / policies.apply(w.ticket().tenant()).weight();
+    return w;
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/limit/LimitPolicy.java
+++ b/core/src/main/java/org/carobhoist/core/limit/LimitPolicy.java
@@ -10,8 +10,24 @@
  * @param max highest concurrency limit
  * @param queueLength most requests that wait, from 0
  * @param queueTime longest wait of a request without a deadline
+ * @param tolerance factor over the unloaded latency up to which the limit may grow, above 1
+ * @param rolloutShare part of the slots that waiting rollouts are sure of, from 0 to 0.5
+ * @param reserve part of the slots that rollouts leave free for others, from 0 to 0.5
  */
-public record LimitPolicy(int initial, int min, int max, int queueLength, Duration queueTime) {
+public record LimitPolicy(
+    int initial,
+    int min,
+    int max,
+    int queueLength,
+    Duration queueTime,
+    double tolerance,
+    double rolloutShare,
+    double reserve) {
+
+  private static final double DEFAULT_TOLERANCE = 2;
+  private static final double DEFAULT_ROLLOUT_SHARE = 0.1;
+  private static final double DEFAULT_RESERVE = 0.1;
+  private static final double MAX_SHARE = 0.5;
 
   /**
    * Checks the ranges.
@@ -22,5 +38,25 @@
     if (min < 1 || max < min || initial < min || initial > max || queueLength < 0) {
       throw new IllegalArgumentException("limits contradict each other");
     }
+    if (tolerance <= 1 || !isShare(rolloutShare) || !isShare(reserve)) {
+      throw new IllegalArgumentException("tolerance or shares out of range");
+    }
+  }
+
+  /** Creates a policy with the default tolerance and shares. */
+  public LimitPolicy(int initial, int min, int max, int queueLength, Duration queueTime) {
+    this(
+        initial,
+        min,
+        max,
+        queueLength,
+        queueTime,
+        DEFAULT_TOLERANCE,
+        DEFAULT_ROLLOUT_SHARE,
+        DEFAULT_RESERVE);
+  }
+
+  private static boolean isShare(double value) {
+    return value >= 0 && value <= MAX_SHARE;
   }
 }
