Route by zone, load and prompt prefix, and eject outliers

Two random choices by lagged load know nothing of failing or slow endpoints and spread equal prompts over all caches.

The router ranks endpoints for a prompt's leading blocks by rendezvous hashing under a bound on requests in flight and on recent work, ejects endpoints that fail in a row or answer far more slowly than their peers (at most a third of them) and probes them back. A simulation in virtual time drives the real router, directory, request chart, retry budget and admission queue.

--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/routing/OutlierDetector.java
@@ -0,0 +1,146 @@
+package org.carobhoist.core.routing;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.InstanceId;
+
+/**
+ * Takes endpoints of one service out of the choice that fail again and again or answer far more
+ * slowly than their peers. Only a share of a service's endpoints may be out at once, the longest
+ * ejected ones first: when more look bad than that, the fault is likely elsewhere. After its time
+ * an ejected endpoint gets one request as a probe; an answer in good time brings it back, a failure
+ * or a slow answer ejects it for twice as long.
+ */
+final class OutlierDetector {
+
+  private static final double LATENCY_GAIN = 0.2;
+  private static final int MIN_SAMPLES = 10;
+  private static final int MAX_DOUBLINGS = 5;
+  private static final Duration SMALLEST_LATENCY = Duration.ofMillis(5);
+
+  private final RouterPolicy policy;
+  private final Clock clock;
+  private final Map<InstanceId, Health> known = new HashMap<>();
+
+  private static final class Health {
+    private int failures;
+    private double latencyNanos;
+    private int samples;
+    private int ejections;
+    private Duration ejectedAt;
+    private Duration ejectedUntil;
+    private Duration probeUntil = Duration.ZERO;
+
+    private boolean isEjected() {
+      return ejectedUntil != null;
+    }
+  }
+
+  OutlierDetector(RouterPolicy policy, Clock clock) {
+    this.policy = policy;
+    this.clock = clock;
+  }
+
+  /** Takes an answer and the time that it took. */
+  void onSuccess(InstanceId endpoint, Duration took) {
+    Health h = known.computeIfAbsent(endpoint, key -> new Health());
+    h.failures = 0;
+    if (h.isEjected() && h.samples > 0 && isSlow(took.toNanos(), medianOfOthers(endpoint))) {
+      eject(h);
+      return;
+    }
+    if (h.isEjected()) {
+      h.ejectedUntil = null;
+      h.samples = 0;
+    }
+    h.latencyNanos =
+        h.samples == 0
+            ? took.toNanos()
+            : h.latencyNanos + LATENCY_GAIN * (took.toNanos() - h.latencyNanos);
+    h.samples++;
+    if (h.samples >= MIN_SAMPLES) {
+      h.ejections = isSlow(h.latencyNanos, medianOfOthers(endpoint)) ? h.ejections : 0;
+    }
+  }
+
+  /** Takes a failure of the endpoint or of the way to it. */
+  void onFailure(InstanceId endpoint) {
+    Health h = known.computeIfAbsent(endpoint, key -> new Health());
+    h.failures++;
+    if (h.isEjected() || h.failures >= policy.failures()) {
+      eject(h);
+    }
+  }
+
+  /** Returns those of a service's endpoints that are out of the choice now. */
+  Set<InstanceId> ejected(Collection<EndpointView> peers) {
+    peers.forEach(e -> ejectIfSlow(e.instance()));
+    Duration now = clock.elapsed();
+    int most = (int) (peers.size() * policy.ejectedShare());
+    List<InstanceId> out =
+        peers.stream()
+            .map(EndpointView::instance)
+            .filter(i -> known.containsKey(i) && isOut(known.get(i), now))
+            .sorted(Comparator.comparing(i -> known.get(i).ejectedAt))
+            .limit(most)
+            .toList();
+    return new HashSet<>(out);
+  }
+
+  /** Notes that an endpoint was chosen; for an ejected one this is the probe. */
+  void onChosen(InstanceId endpoint) {
+    Health h = known.get(endpoint);
+    if (h != null && h.isEjected()) {
+      h.probeUntil = clock.elapsed().plus(policy.ejection());
+    }
+  }
+
+  private boolean isOut(Health h, Duration now) {
+    boolean waits = h.isEjected() && h.ejectedUntil.compareTo(now) > 0;
+    boolean probed = h.isEjected() && h.probeUntil.compareTo(now) > 0;
+    return waits || probed;
+  }
+
+  private void ejectIfSlow(InstanceId endpoint) {
+    Health h = known.get(endpoint);
+    if (h == null || h.isEjected() || h.samples < MIN_SAMPLES) {
+      return;
+    }
+    if (isSlow(h.latencyNanos, medianOfOthers(endpoint))) {
+      eject(h);
+    }
+  }
+
+  private boolean isSlow(double nanos, double median) {
+    return median > 0 && nanos > policy.slowness() * Math.max(median, SMALLEST_LATENCY.toNanos());
+  }
+
+  private double medianOfOthers(InstanceId except) {
+    List<Double> sorted =
+        known.entrySet().stream()
+            .filter(e -> !e.getKey().equals(except))
+            .map(Map.Entry::getValue)
+            .filter(h -> !h.isEjected() && h.samples >= MIN_SAMPLES)
+            .map(h -> h.latencyNanos)
+            .sorted()
+            .toList();
+    return sorted.isEmpty() ? 0 : sorted.get(sorted.size() / 2);
+  }
+
+  private void eject(Health h) {
+    Duration now = clock.elapsed();
+    long factor = 1L << Math.min(MAX_DOUBLINGS, h.ejections);
+    h.ejectedAt = h.isEjected() ? h.ejectedAt : now;
+    h.ejectedUntil = now.plus(policy.ejection().multipliedBy(factor));
+    h.probeUntil = Duration.ZERO;
+    h.ejections++;
+    h.failures = 0;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/routing/RecentWork.java
@@ -0,0 +1,49 @@
+package org.carobhoist.core.routing;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.InstanceId;
+
+/** Counts what an entry has lately sent to each endpoint; a count halves in a fixed time. */
+final class RecentWork {
+
+  private static final Duration HALF_LIFE = Duration.ofSeconds(10);
+
+  private final Clock clock;
+  private final Map<InstanceId, Count> counts = new HashMap<>();
+
+  private static final class Count {
+    private double value;
+    private Duration at;
+  }
+
+  RecentWork(Clock clock) {
+    this.clock = clock;
+  }
+
+  void onChosen(InstanceId endpoint) {
+    Count c = counts.computeIfAbsent(endpoint, key -> new Count());
+    c.value = valueOf(c) + 1;
+    c.at = clock.elapsed();
+  }
+
+  double of(InstanceId endpoint) {
+    Count c = counts.get(endpoint);
+    return c == null ? 0 : valueOf(c);
+  }
+
+  double sum(Collection<EndpointView> endpoints) {
+    return endpoints.stream().mapToDouble(e -> of(e.instance())).sum();
+  }
+
+  private double valueOf(Count c) {
+    if (c.at == null) {
+      return 0;
+    }
+    double age = clock.elapsed().minus(c.at).toNanos();
+    return c.value * Math.pow(0.5, age / HALF_LIFE.toNanos());
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/routing/Router.java
+++ b/core/src/main/java/org/carobhoist/core/routing/Router.java
@@ -1,28 +1,49 @@
 package org.carobhoist.core.routing;
 
+import java.time.Duration;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.ServiceName;
 
 /**
- * Chooses the endpoint for a request: among usable endpoints of the service that were not tried
- * yet, those of the entry's own availability zone go first unless all of them are full; of two
- * drawn at random the one with the lower load wins.
+ * Chooses the endpoint for a request among usable endpoints of the service that were not tried yet
+ * and are not ejected as outliers. Without affinity, those of the entry's own availability zone go
+ * first unless all of them are full; of two drawn at random the one with the lower load wins. With
+ * a prompt prefix, the endpoints are ranked for it by rendezvous hashing, and the first one whose
+ * load stays within the bound is taken: neither its requests in flight nor what this entry lately
+ * sent it may pass the mean by more than the allowed imbalance.
  */
 public final class Router {
 
   private static final double FULL = 1.0;
 
+  /** Requests beyond the bound on recent work, so that a quiet service keeps its affinity. */
+  private static final double RECENT_SLACK = 4;
+
   private final RandomGenerator random;
+  private final Clock clock;
+  private final RouterPolicy policy;
+  private final Map<ServiceName, Memory> memories = new HashMap<>();
+
+  private record Memory(OutlierDetector outliers, RecentWork recent) {}
 
-  private Router(RandomGenerator random) {
+  private Router(RandomGenerator random, Clock clock, RouterPolicy policy) {
     this.random = random;
+    this.clock = clock;
+    this.policy = policy;
   }
 
   /** Returns a router that draws from the given generator. */
-  public static Router create(RandomGenerator random) {
-    return new Router(random);
+  public static Router create(RandomGenerator random, Clock clock, RouterPolicy policy) {
+    return new Router(random, clock, policy);
   }
 
   /** Returns the endpoint to use, or empty if none is usable. */
@@ -31,15 +52,64 @@
     if (usable.isEmpty()) {
       return Optional.empty();
     }
+    Memory memory = memory(query.service());
+    Set<InstanceId> ejected = memory.outliers().ejected(ofService(query, endpoints));
+    List<EndpointView> healthy =
+        usable.stream().filter(e -> !ejected.contains(e.instance())).toList();
+    EndpointView chosen = chooseFrom(query, healthy.isEmpty() ? usable : healthy, memory);
+    memory.outliers().onChosen(chosen.instance());
+    memory.recent().onChosen(chosen.instance());
+    return Optional.of(chosen);
+  }
+
+  /** Takes an answer of an endpoint and the time from sending to the answer's head. */
+  public void onSuccess(ServiceName service, InstanceId endpoint, Duration took) {
+    memory(service).outliers().onSuccess(endpoint, took);
+  }
+
+  /** Takes a failure of an endpoint or of its link; a refusal for overload is none. */
+  public void onFailure(ServiceName service, InstanceId endpoint) {
+    memory(service).outliers().onFailure(endpoint);
+  }
+
+  /** Returns those of a service's endpoints that are ejected now, for the state dump. */
+  public Set<InstanceId> ejected(ServiceName service, Collection<EndpointView> endpoints) {
+    return memory(service).outliers().ejected(endpoints);
+  }
+
+  private EndpointView chooseFrom(RouteQuery query, List<EndpointView> from, Memory memory) {
+    if (!query.prefix().isEmpty()) {
+      Optional<EndpointView> affine = chooseAffine(query.prefix(), from, memory);
+      if (affine.isPresent()) {
+        return affine.get();
+      }
+    }
     List<EndpointView> near =
-        usable.stream().filter(e -> e.zone().equals(query.zone()) && e.load() < FULL).toList();
-    return Optional.of(betterOfTwo(near.isEmpty() ? usable : near));
+        from.stream().filter(e -> e.zone().equals(query.zone()) && e.load() < FULL).toList();
+    return betterOfTwo(near.isEmpty() ? from : near);
   }
 
-  private static boolean fits(RouteQuery query, EndpointView e) {
-    return e.usable()
-        && e.service().equals(query.service())
-        && !query.excluded().contains(e.instance());
+  private Optional<EndpointView> chooseAffine(
+      PromptPrefix prefix, List<EndpointView> from, Memory memory) {
+    Comparator<EndpointView> rank =
+        Comparator.comparingLong(e -> Rendezvous.score(prefix.key(), e.instance().value()));
+    double inFlight = from.stream().mapToInt(Router::inFlight).sum() + 1.0;
+    double limits = from.stream().mapToInt(EndpointView::limit).sum();
+    double recent = memory.recent().sum(from) + 1;
+    return from.stream()
+        .sorted(rank.reversed())
+        .filter(e -> inFlight(e) + 1 <= Math.ceil(bound(inFlight * e.limit() / limits)))
+        .filter(
+            e -> memory.recent().of(e.instance()) + 1 <= bound(recent / from.size()) + RECENT_SLACK)
+        .findFirst();
+  }
+
+  private double bound(double mean) {
+    return policy.imbalance() * mean;
+  }
+
+  private static int inFlight(EndpointView e) {
+    return Math.max(e.ownInFlight(), e.reportedInFlight());
   }
 
   private EndpointView betterOfTwo(List<EndpointView> candidates) {
@@ -48,7 +118,26 @@
     if (n == 1) {
       return a;
     }
-    EndpointView b = candidates.get(random.nextInt(n));
+    int second = random.nextInt(n - 1);
+    EndpointView b = candidates.get(second);
+    if (b == a) {
+      b = candidates.get(n - 1);
+    }
     return b.load() < a.load() ? b : a;
   }
+
+  private Memory memory(ServiceName service) {
+    return memories.computeIfAbsent(
+        service, key -> new Memory(new OutlierDetector(policy, clock), new RecentWork(clock)));
+  }
+
+  private static List<EndpointView> ofService(RouteQuery query, Collection<EndpointView> all) {
+    return all.stream().filter(e -> e.service().equals(query.service())).toList();
+  }
+
+  private static boolean fits(RouteQuery query, EndpointView e) {
+    return e.usable()
+        && e.service().equals(query.service())
+        && !query.excluded().contains(e.instance());
+  }
 }
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/bench/Scenarios.java
@@ -0,0 +1,87 @@
+package org.carobhoist.core.bench;
+
+import java.time.Duration;
+import java.util.List;
+
+/** The loads and faults that are measured. */
+final class Scenarios {
+
+  static final long SEED = 4_300;
+  static final Duration DEADLINE = Duration.ofMillis(500);
+  static final Duration SLOW_DEADLINE = Duration.ofSeconds(2);
+
+  private static final int ENDPOINTS = 6;
+  private static final int ENTRIES = 4;
+  private static final double NORMAL = 0.6;
+  private static final double SLOWNESS = 10;
+  private static final Duration FAULT_AT = Duration.ofSeconds(2);
+  private static final Duration LINK_SILENCE = Duration.ofMillis(4_500);
+
+  private Scenarios() {}
+
+  /** A fault in a running simulation. */
+  interface Fault {
+
+    /** Arranges the fault. */
+    void arrange(TrafficSimulation simulation);
+  }
+
+  static TrafficResult overload(double multiple, SimulatedEntry.Mode mode) {
+    return new TrafficSimulation(load(multiple, DEADLINE), mode, SEED).run();
+  }
+
+  static TrafficResult faulty(Fault fault, SimulatedEntry.Mode mode) {
+    TrafficSimulation simulation = new TrafficSimulation(load(NORMAL, SLOW_DEADLINE), mode, SEED);
+    simulation.at(FAULT_AT, () -> fault.arrange(simulation));
+    return simulation.run();
+  }
+
+  static void oneSlow(TrafficSimulation simulation) {
+    simulation.endpoint(0).setSlowness(SLOWNESS);
+  }
+
+  static void oneDead(TrafficSimulation simulation) {
+    simulation.cutOff(simulation.endpoint(0), LINK_SILENCE);
+  }
+
+  static void zoneGone(TrafficSimulation simulation) {
+    List<SimulatedEndpoint> all = simulation.endpoints();
+    all.stream()
+        .filter(e -> e.zone().equals(TrafficSimulation.zone(0)))
+        .forEach(e -> simulation.cutOff(e, LINK_SILENCE));
+  }
+
+  static TrafficResult prompts(SimulatedEntry.Mode mode) {
+    TrafficSimulation.Load load =
+        new TrafficSimulation.Load(
+            8,
+            ENTRIES,
+            16,
+            Duration.ofMillis(200),
+            Duration.ofMillis(200),
+            Duration.ofMillis(300),
+            400,
+            60,
+            0.6,
+            Duration.ofSeconds(10),
+            Duration.ofSeconds(20),
+            Duration.ofSeconds(40));
+    return new TrafficSimulation(load, mode, SEED).run();
+  }
+
+  private static TrafficSimulation.Load load(double multiple, Duration deadline) {
+    return new TrafficSimulation.Load(
+        ENDPOINTS,
+        ENTRIES,
+        8,
+        Duration.ofMillis(5),
+        Duration.ofMillis(15),
+        Duration.ZERO,
+        0,
+        1,
+        multiple,
+        deadline,
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(15));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/bench/SimulatedEntry.java
@@ -0,0 +1,270 @@
+package org.carobhoist.core.bench;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Priority;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.limit.AdmissionTicket;
+import org.carobhoist.core.membership.EndpointAnnouncement;
+import org.carobhoist.core.membership.EndpointDirectory;
+import org.carobhoist.core.request.RequestEvent;
+import org.carobhoist.core.request.RequestPort;
+import org.carobhoist.core.request.RequestRun;
+import org.carobhoist.core.request.RetryBudget;
+import org.carobhoist.core.request.RetryPolicy;
+import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.core.routing.PromptPrefix;
+import org.carobhoist.core.routing.RouteQuery;
+import org.carobhoist.core.routing.Router;
+import org.carobhoist.core.routing.RouterPolicy;
+import org.carobhoist.core.testing.EventQueue;
+
+/**
+ * An entry: the real router, directory, request chart and retry budget over a simulated network.
+ */
+final class SimulatedEntry {
+
+  private static final Duration HOP = Duration.ofNanos(500_000);
+
+  private final Mode mode;
+  private final Zone zone;
+  private final Map<InstanceId, SimulatedEndpoint> endpoints = new HashMap<>();
+  private final List<InstanceId> order = new ArrayList<>();
+  private final Clock clock;
+  private final EventQueue events;
+  private final TrafficResult result;
+  private final EndpointDirectory directory = EndpointDirectory.create();
+  private final Router router;
+  private final RetryBudget budget = RetryBudget.create(0.1, 20);
+  private final List<Call> open = new ArrayList<>();
+  private int turn;
+
+  /** How requests are treated. */
+  enum Mode {
+    /** Plain round robin, one attempt, no limit. */
+    ROUND_ROBIN(false, false, 1),
+    /** Everything but prefix affinity. */
+    WITHOUT_AFFINITY(true, false, 3),
+    /** Everything. */
+    FULL(true, true, 3);
+
+    private final boolean managed;
+    private final boolean affine;
+    private final int attempts;
+
+    Mode(boolean managed, boolean affine, int attempts) {
+      this.managed = managed;
+      this.affine = affine;
+      this.attempts = attempts;
+    }
+  }
+
+  /**
+   * One request.
+   *
+   * @param id its number
+   * @param prefix its prompt's prefix, if it has one
+   * @param work seconds that it takes on an idle worker
+   * @param missWork seconds added if the prefix isn't cached
+   * @param deadline time until the answer is worthless
+   * @param counted whether it counts in the result
+   */
+  record Request(
+      long id,
+      Optional<Long> prefix,
+      double work,
+      double missWork,
+      Duration deadline,
+      boolean counted) {}
+
+  SimulatedEntry(
+      Mode mode,
+      Zone zone,
+      List<SimulatedEndpoint> all,
+      Clock clock,
+      EventQueue events,
+      SplittableRandom random,
+      TrafficResult result) {
+    this.mode = mode;
+    this.zone = zone;
+    this.clock = clock;
+    this.events = events;
+    this.result = result;
+    this.router = Router.create(random, clock, RouterPolicy.DEFAULT);
+    for (SimulatedEndpoint e : all) {
+      endpoints.put(e.id(), e);
+      order.add(e.id());
+    }
+  }
+
+  void onAnnouncement(EndpointAnnouncement a) {
+    events.after(HOP, () -> directory.onAnnouncement(a));
+  }
+
+  void onLinkLost(InstanceId endpoint) {
+    directory.onLinkLost(endpoint);
+    List.copyOf(open).stream().filter(c -> endpoint.equals(c.at)).forEach(Call::onLinkLost);
+  }
+
+  void start(Request request) {
+    if (request.counted()) {
+      result.onOffered();
+    }
+    Call call = new Call(request);
+    open.add(call);
+    events.after(request.deadline(), call.run::onDeadline);
+    call.run.start();
+  }
+
+  private final class Call implements RequestPort {
+    private final Request request;
+    private final Duration began = clock.elapsed();
+    private final RequestRun run;
+    private InstanceId at;
+    private Duration sentAt;
+
+    private Call(Request request) {
+      this.request = request;
+      this.run = RequestRun.create(this, new RetryPolicy(mode.attempts), budget, true);
+    }
+
+    @Override
+    public Optional<InstanceId> choose(Set<InstanceId> excluded) {
+      if (!mode.managed) {
+        turn++;
+        return Optional.of(order.get(turn % order.size()));
+      }
+      PromptPrefix prefix =
+          mode.affine && request.prefix().isPresent()
+              ? new PromptPrefix(List.of(request.prefix().get()))
+              : PromptPrefix.NONE;
+      RouteQuery query = new RouteQuery(TrafficSimulation.SERVICE, zone, excluded, prefix);
+      return router.choose(query, directory.views()).map(EndpointView::instance);
+    }
+
+    @Override
+    public void send(InstanceId to, int attempt) {
+      at = to;
+      sentAt = clock.elapsed();
+      directory.onBegin(to);
+      run.on(attempt, RequestEvent.WRITTEN);
+      events.after(HOP, () -> arrive(endpoints.get(to), attempt));
+    }
+
+    @Override
+    public void cancel(InstanceId from, int attempt) {
+      release();
+      events.after(HOP, () -> stop(endpoints.get(from), attempt));
+    }
+
+    @Override
+    public void passHead() {
+      router.onSuccess(TrafficSimulation.SERVICE, at, clock.elapsed().minus(sentAt));
+    }
+
+    @Override
+    public void finish() {
+      release();
+      open.remove(this);
+      if (request.counted()) {
+        result.onCompleted(clock.elapsed().minus(began));
+      }
+    }
+
+    @Override
+    public void refuse(Refusal refusal) {
+      release();
+      open.remove(this);
+      if (request.counted()) {
+        result.onRefused(refusal);
+      }
+    }
+
+    @Override
+    public void abort(Refusal refusal) {
+      refuse(refusal);
+    }
+
+    private void onLinkLost() {
+      router.onFailure(TrafficSimulation.SERVICE, at);
+      release();
+      run.on(run.attempt(), RequestEvent.LINK_LOST);
+    }
+
+    /** The start message has arrived at the sidecar; a dead endpoint swallows it. */
+    private void arrive(SimulatedEndpoint endpoint, int attempt) {
+      if (endpoint.isDead()) {
+        return;
+      }
+      if (!mode.managed) {
+        begin(endpoint, attempt);
+        return;
+      }
+      Duration deadline = began.plus(request.deadline());
+      endpoint
+          .queue()
+          .offer(
+              new AdmissionTicket(
+                  ticket(attempt),
+                  Priority.INTERACTIVE,
+                  "horno",
+                  Optional.of(deadline),
+                  () -> begin(endpoint, attempt),
+                  refusal -> events.after(HOP, () -> onRefused(attempt, refusal))));
+    }
+
+    private void begin(SimulatedEndpoint endpoint, int attempt) {
+      boolean hit = endpoint.touch(request.prefix());
+      boolean miss = request.prefix().isPresent() && !hit;
+      if (request.counted() && request.prefix().isPresent()) {
+        result.onRun(hit);
+      }
+      double work = request.work() + (miss ? request.missWork() : 0);
+      endpoint.run(ticket(attempt), work, () -> onDone(endpoint, attempt));
+    }
+
+    private void onDone(SimulatedEndpoint endpoint, int attempt) {
+      endpoint.queue().complete(ticket(attempt));
+      events.after(
+          HOP,
+          () -> {
+            run.on(attempt, RequestEvent.HEAD);
+            run.on(attempt, RequestEvent.END);
+          });
+    }
+
+    private void onRefused(int attempt, Refusal refusal) {
+      if (attempt == run.attempt()) {
+        release();
+      }
+      run.onRefused(attempt, refusal);
+    }
+
+    private void stop(SimulatedEndpoint endpoint, int attempt) {
+      if (!endpoint.queue().withdraw(ticket(attempt))) {
+        endpoint.abort(ticket(attempt));
+        endpoint.queue().fail(ticket(attempt));
+      }
+    }
+
+    private void release() {
+      if (at != null) {
+        directory.onEnd(at);
+        at = null;
+      }
+    }
+
+    private long ticket(int attempt) {
+      return request.id() * 10 + attempt;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/bench/TrafficSimulation.java
@@ -0,0 +1,181 @@
+package org.carobhoist.core.bench;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.carobhoist.core.common.EndpointKind;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.limit.LimitPolicy;
+import org.carobhoist.core.membership.EndpointAnnouncement;
+import org.carobhoist.core.membership.EndpointPhase;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+
+/**
+ * Poisson traffic of callers through entries to the endpoints of one service in three availability
+ * zones. Entries learn the endpoints' load from announcements once a second.
+ */
+final class TrafficSimulation {
+
+  static final ServiceName SERVICE = new ServiceName("reservas");
+
+  private static final Duration ANNOUNCE = Duration.ofSeconds(1);
+  private static final Duration SETTLE = Duration.ofSeconds(10);
+  private static final int ZONES = 3;
+
+  private final Load load;
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue events = new EventQueue(clock);
+  private final SplittableRandom random;
+  private final List<SimulatedEndpoint> endpoints = new ArrayList<>();
+  private final List<SimulatedEntry> entries = new ArrayList<>();
+  private final TrafficResult result = new TrafficResult();
+  private long sequence;
+  private long lastRequest;
+
+  /**
+   * What is simulated.
+   *
+   * @param endpoints number of endpoints
+   * @param entries number of entries
+   * @param workers requests that an endpoint runs at full speed at once
+   * @param fixedWork part of each request's work
+   * @param randomWork mean of the exponential part of each request's work
+   * @param missWork work added when the prompt's prefix isn't cached
+   * @param prefixes distinct prompt prefixes, drawn by Zipf's law; 0 for none
+   * @param cachedPrefixes prefixes that an endpoint caches
+   * @param multiple offered load as a multiple of the capacity
+   * @param deadline deadline of each request
+   * @param warmUp time before anything is counted
+   * @param time time that is counted
+   */
+  record Load(
+      int endpoints,
+      int entries,
+      int workers,
+      Duration fixedWork,
+      Duration randomWork,
+      Duration missWork,
+      int prefixes,
+      int cachedPrefixes,
+      double multiple,
+      Duration deadline,
+      Duration warmUp,
+      Duration time) {
+
+    /** Returns requests a second that keep every worker busy, with every prefix cached. */
+    double capacity() {
+      return endpoints * workers / seconds(fixedWork.plus(randomWork));
+    }
+  }
+
+  TrafficSimulation(Load load, SimulatedEntry.Mode mode, long seed) {
+    this.load = load;
+    this.random = new SplittableRandom(seed);
+    LimitPolicy limits = new LimitPolicy(32, 1, 256, 256, Duration.ofSeconds(10));
+    SimulatedEndpoint.Settings shape =
+        new SimulatedEndpoint.Settings(load.workers(), load.cachedPrefixes(), limits);
+    for (int i = 0; i < load.endpoints(); i++) {
+      InstanceId id = new InstanceId("endpoint-" + i);
+      endpoints.add(new SimulatedEndpoint(id, zone(i), shape, clock, events));
+    }
+    for (int i = 0; i < load.entries(); i++) {
+      entries.add(
+          new SimulatedEntry(mode, zone(i), endpoints, clock, events, random.split(), result));
+    }
+  }
+
+  SimulatedEndpoint endpoint(int number) {
+    return endpoints.get(number);
+  }
+
+  List<SimulatedEndpoint> endpoints() {
+    return endpoints;
+  }
+
+  /** Does something at a time after the warm-up. */
+  void at(Duration time, Runnable action) {
+    events.after(load.warmUp().plus(time), action);
+  }
+
+  /** Cuts an endpoint off from every entry, as the loss of its zone does once it is noticed. */
+  void cutOff(SimulatedEndpoint endpoint, Duration noticedAfter) {
+    endpoint.kill();
+    events.after(noticedAfter, () -> entries.forEach(e -> e.onLinkLost(endpoint.id())));
+  }
+
+  TrafficResult run() {
+    announce();
+    arrive();
+    events.run(load.warmUp().plus(load.time()).plus(SETTLE));
+    result.setEndpointCounts(endpoints.stream().map(SimulatedEndpoint::handled).toList());
+    return result;
+  }
+
+  static Zone zone(int number) {
+    return new Zone("centro-" + (char) ('a' + number % ZONES));
+  }
+
+  private void announce() {
+    endpoints.stream().filter(e -> !e.isDead()).forEach(this::announce);
+    events.after(ANNOUNCE, this::announce);
+  }
+
+  private void announce(SimulatedEndpoint e) {
+    EndpointAnnouncement a =
+        new EndpointAnnouncement(
+            e.id(),
+            new Incarnation("1"),
+            e.zone(),
+            SERVICE,
+            EndpointKind.PLAIN,
+            EndpointPhase.SERVING,
+            e.queue().running(),
+            e.queue().queued(),
+            e.queue().limit(),
+            new WeightVersion(0),
+            ++sequence);
+    entries.forEach(entry -> entry.onAnnouncement(a));
+  }
+
+  private void arrive() {
+    Duration end = load.warmUp().plus(load.time());
+    if (clock.elapsed().compareTo(end) >= 0) {
+      return;
+    }
+    boolean counted = clock.elapsed().compareTo(load.warmUp()) >= 0;
+    SimulatedEntry.Request request =
+        new SimulatedEntry.Request(
+            ++lastRequest, prefix(), work(), seconds(load.missWork()), load.deadline(), counted);
+    entries.get((int) (lastRequest % entries.size())).start(request);
+    double gap = exponential(1 / (load.multiple() * load.capacity()));
+    events.after(Duration.ofNanos((long) (gap * 1e9)), this::arrive);
+  }
+
+  private double work() {
+    return seconds(load.fixedWork()) + exponential(seconds(load.randomWork()));
+  }
+
+  /** Draws a prefix with a probability that falls with its rank. */
+  private Optional<Long> prefix() {
+    if (load.prefixes() == 0) {
+      return Optional.empty();
+    }
+    double rank = Math.pow(load.prefixes(), random.nextDouble());
+    return Optional.of((long) rank);
+  }
+
+  private double exponential(double mean) {
+    return -mean * Math.log(1 - random.nextDouble());
+  }
+
+  private static double seconds(Duration d) {
+    return d.toNanos() / 1e9;
+  }
+}
--- a/core/src/test/java/org/carobhoist/core/limit/AdmissionQueueTest.java
+++ b/core/src/test/java/org/carobhoist/core/limit/AdmissionQueueTest.java
@@ -221,7 +221,7 @@
       for (long id = 0; id < 120 && broken.isEmpty(); id++) {
         clock.advance(Duration.ofMillis(random.nextInt(60)));
         queue.expire();
-        offer(id);
+        offerRandom(id);
         if (!running.isEmpty() && random.nextInt(3) > 0) {
           end(running.remove(random.nextInt(running.size())));
         }
@@ -238,7 +238,7 @@
       return broken;
     }
 
-    private void offer(long id) {
+    private void offerRandom(long id) {
       Priority p = Priority.values()[random.nextInt(3)];
       Optional<Duration> deadline =
           random.nextBoolean()
@@ -295,10 +295,6 @@
     offer(id, priority, tenant, Optional.of(clock.elapsed().plus(timeLeft)), 0);
   }
 
-  private void offerTokens(long id, long tokens) {
-    offer(id, Priority.STANDARD, "a", Optional.empty(), tokens);
-  }
-
   private void offer(
       long id, Priority priority, String tenant, Optional<Duration> deadline, long tokens) {
     queue.offer(
@@ -311,4 +307,8 @@
             () -> admitted.add(id),
             refusal -> refused.put(id, refusal)));
   }
+
+  private void offerTokens(long id, long tokens) {
+    offer(id, Priority.STANDARD, "a", Optional.empty(), tokens);
+  }
 }
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/routing/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the choice of endpoints. */
+package org.carobhoist.core.routing;
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -11,12 +11,14 @@
 import java.util.Set;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
 import org.carobhoist.core.common.RefusedException;
 import org.carobhoist.core.common.Verdict;
 import org.carobhoist.core.request.RequestEvent;
 import org.carobhoist.core.request.RequestPort;
 import org.carobhoist.core.request.RequestRun;
 import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.core.routing.PromptPrefix;
 import org.carobhoist.core.routing.RouteQuery;
 import org.carobhoist.server.link.CallMapper;
 import org.carobhoist.server.link.Link;
@@ -44,12 +46,15 @@
   private InstanceId endpoint;
   private long frameId;
   private int nextFrame;
+  private final PromptPrefix prefix;
+  private Duration sentAt = Duration.ZERO;
 
   private EntryCall(CallContext context, CallRequest request, HttpResponseWriter out) {
     this.context = context;
     this.request = request;
     this.out = out;
     this.run = RequestRun.create(this, request.retry(), context.budget(), request.idempotent());
+    this.prefix = PromptReader.prefix(request);
     this.expiry = context.clock().elapsed().plus(request.deadline());
   }
 
@@ -84,13 +89,14 @@
 
   /** Takes the loss of the link of an attempt. */
   void onLinkLost(int attempt) {
+    context.router().onFailure(request.service(), endpoint);
     release();
     run.on(attempt, RequestEvent.LINK_LOST);
   }
 
   @Override
   public Optional<InstanceId> choose(Set<InstanceId> excluded) {
-    RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, 0);
+    RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, prefix);
     return context
         .router()
         .choose(query, context.links().directory().viewsOf(request.service()))
@@ -101,6 +107,7 @@
   public void send(InstanceId to, int attempt) {
     endpoint = to;
     nextFrame = 0;
+    sentAt = context.clock().elapsed();
     head = null;
     Optional<Link> link = context.links().link(to);
     frameId = context.table().add(new CallTable.Attempt(this, attempt, to));
@@ -169,6 +176,8 @@
   private void onHead(int attempt, CallHead arrived) {
     if (head == null) {
       head = arrived;
+      Duration took = context.clock().elapsed().minus(sentAt);
+      context.router().onSuccess(request.service(), endpoint, took);
       run.on(attempt, RequestEvent.HEAD);
     }
   }
@@ -188,6 +197,9 @@
   }
 
   private void onFailed(int attempt, Refusal refusal) {
+    if (refusal.reason() == RefusalReason.ENDPOINT_FAILED) {
+      context.router().onFailure(request.service(), endpoint);
+    }
     release();
     run.onRefused(attempt, refusal);
   }
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -14,6 +14,7 @@
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
+import org.carobhoist.core.routing.RouterPolicy;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
 import org.carobhoist.server.link.LinkNetwork;
@@ -67,7 +68,7 @@
             this.settings.zone(),
             new LinkPool(loop, platform),
             new CallTable(),
-            Router.create(random),
+            Router.create(random, SystemClock.create(), RouterPolicy.DEFAULT),
             RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST));
     this.steps = new StepTable(context, random.split());
   }
