--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/idempotency/KeyGate.java
@@ -0,0 +1,110 @@
+package org.carobhoist.core.idempotency;
+
+import java.time.Instant;
+import java.util.Optional;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
+
+/**
+ * Decides at a sidecar whether a keyed request runs. A known key joins its run or gets its outcome,
+ * whatever has become of the lease since. A new issued key runs if it names this very run. A new
+ * caller's key runs if the lease is valid now, after the receipt of the request, if this run is the
+ * key's home, and if the key was born after the floor of the tenure; see {@code
+ * docs/AT-MOST-ONCE.md} for the proof.
+ *
+ * @param <A> the answers
+ */
+public final class KeyGate<A> {
+
+  private static final Refusal FUTURE =
+      Refusal.notRun(RefusalReason.BAD_KEY, "the key's creation time lies in the future");
+  private static final Refusal LEASE_LAPSED =
+      Refusal.notRun(
+          RefusalReason.KEY_UNAVAILABLE,
+          "the home of this key can't be established at the moment; resend it later, or, if it was"
+              + " never sent before, use a key issued by POST /v1/keys");
+  private static final Refusal NOT_HOME =
+      Refusal.notRun(RefusalReason.KEY_UNAVAILABLE, "this sidecar is not the home of the key");
+  private static final Refusal OTHER_RUN =
+      Refusal.mayHaveRun(
+          RefusalReason.KEY_FORGOTTEN, "the run of the sidecar that the key names is gone");
+
+  private final HomeMember self;
+  private final HomePolicy policy;
+  private final Clock clock;
+  private final LeaseCheck lease;
+  private final TenureFloor tenureFloor;
+  private final HomeHistory history;
+  private final DuplicateTable<A> table;
+
+  KeyGate(
+      HomeMember self,
+      HomePolicy policy,
+      Clock clock,
+      LeaseCheck lease,
+      TenureFloor tenureFloor,
+      HomeHistory history,
+      DuplicateTable<A> table) {
+    this.self = self;
+    this.policy = policy;
+    this.clock = clock;
+    this.lease = lease;
+    this.tenureFloor = tenureFloor;
+    this.history = history;
+    this.table = table;
+  }
+
+  /** Returns a gate over the given view, lease and table of this run. */
+  public static <A> KeyGate<A> create(
+      HomeMember self,
+      HomePolicy policy,
+      Clock clock,
+      HomeLease lease,
+      HomeHistory history,
+      DuplicateTable<A> table) {
+    return new KeyGate<>(self, policy, clock, lease::isValid, policy::floor, history, table);
+  }
+
+  /**
+   * Takes a keyed request that has just been received.
+   *
+   * @return whether it must run now; otherwise the waiter is told the outcome, at once or later
+   */
+  public boolean submit(RequestKey key, Fingerprint fingerprint, Waiter<A> waiter) {
+    if (table.knows(key)) {
+      table.join(key, fingerprint, waiter);
+      return false;
+    }
+    if (policy.isFromFuture(key.birth(), clock.now())) {
+      waiter.onRefused(FUTURE);
+      return false;
+    }
+    return key.issuer()
+        .map(issuer -> submitIssued(issuer, key, fingerprint, waiter))
+        .orElseGet(() -> submitCallers(key, fingerprint, waiter));
+  }
+
+  private boolean submitIssued(
+      Incarnation issuer, RequestKey key, Fingerprint fingerprint, Waiter<A> waiter) {
+    if (!issuer.equals(self.incarnation())) {
+      waiter.onRefused(OTHER_RUN);
+      return false;
+    }
+    return table.claim(key, fingerprint, Instant.MIN, waiter);
+  }
+
+  private boolean submitCallers(RequestKey key, Fingerprint fingerprint, Waiter<A> waiter) {
+    if (!lease.isValid()) {
+      waiter.onRefused(LEASE_LAPSED);
+      return false;
+    }
+    Optional<Instant> since = history.homeSince(self, key.id());
+    if (since.isEmpty()) {
+      waiter.onRefused(NOT_HOME);
+      return false;
+    }
+    return table.claim(key, fingerprint, tenureFloor.of(since.get()), waiter);
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/request/RequestRun.java
+++ b/core/src/main/java/org/carobhoist/core/request/RequestRun.java
@@ -26,6 +26,7 @@
   private final RequestPort port;
   private final RetryPolicy policy;
   private final RetryBudget budget;
+  private final RetryRule rule;
   private final boolean idempotent;
   private final ChartRun<RequestState, RequestEvent, RequestAction> run;
   private final Set<InstanceId> tried = new HashSet<>();
@@ -34,18 +35,25 @@
   private InstanceId endpoint;
   private int attempt;
 
-  private RequestRun(RequestPort port, RetryPolicy policy, RetryBudget budget, boolean idempotent) {
+  RequestRun(
+      RequestPort port,
+      RetryPolicy policy,
+      RetryBudget budget,
+      boolean idempotent,
+      StateChart<RequestState, RequestEvent, RequestAction> chart,
+      RetryRule rule) {
     this.port = port;
     this.policy = policy;
     this.budget = budget;
     this.idempotent = idempotent;
-    this.run = ChartRun.start(CHART, this::act);
+    this.rule = rule;
+    this.run = ChartRun.start(chart, this::act);
   }
 
   /** Returns a request that has not started. */
   public static RequestRun create(
       RequestPort port, RetryPolicy policy, RetryBudget budget, boolean idempotent) {
-    return new RequestRun(port, policy, budget, idempotent);
+    return new RequestRun(port, policy, budget, idempotent, CHART, Verdict::allowsRetry);
   }
 
   /** Returns the chart that every request follows. */
@@ -145,7 +153,7 @@
   }
 
   private boolean mayRetry() {
-    return attempt < policy.maxAttempts() && worst.allowsRetry(idempotent) && budget.tryRetry();
+    return attempt < policy.maxAttempts() && rule.allows(worst, idempotent) && budget.tryRetry();
   }
 
   private Refusal outcome() {
