Run non-idempotent calls at most once through keys

Cause: a resend of a booking through another entry, or after a lost answer, ran it again. Change: entries send a keyed request only to its issuer or home and mint an issued key where the caller sends none; sidecars run each key once, join resends and replay the answer; POST /v1/keys issues keys without log or lease. Sidecars keep themselves in their service's home view, entries take out one that they missed for a minute. The log is polled every 5 s so that a lease of 15 s spans three reads. SystemClock now does what its comment claimed: it adds the time for which the machine was suspended, from /proc/uptime.

--- a/core/src/main/java/org/carobhoist/core/idempotency/DuplicatePolicy.java
+++ b/core/src/main/java/org/carobhoist/core/idempotency/DuplicatePolicy.java
@@ -11,9 +11,9 @@
  */
 public record DuplicatePolicy(int maxEntries, long maxBytes, Duration horizon) {
 
-  /** The default: 20,000 keys, 16 MiB of answers, 10 minutes. */
+  /** The default: 5,000 keys, 4 MiB of answers, 10 minutes. */
   public static final DuplicatePolicy DEFAULT =
-      new DuplicatePolicy(20_000, 16L * 1024 * 1024, Duration.ofMinutes(10));
+      new DuplicatePolicy(5_000, 4L * 1024 * 1024, Duration.ofMinutes(10));
 
   /**
    * Checks the ranges.
--- a/core/src/test/java/org/carobhoist/core/idempotency/DuplicateTableTest.java
+++ b/core/src/test/java/org/carobhoist/core/idempotency/DuplicateTableTest.java
@@ -47,7 +47,7 @@
   }
 
   @Test
-  void freesTheKeyOfARequestThatDidNotRun() {
+  void freesTheKeyOfRequestThatDidNotRun() {
     DuplicateTable<String> table = table(10, 1_000);
     RequestKey key = key();
     table.claim(key, BODY, Instant.MIN, first);
@@ -58,7 +58,7 @@
   }
 
   @Test
-  void keepsTheVerdictOfARequestThatMayHaveRun() {
+  void keepsTheVerdictOfRequestThatMayHaveRun() {
     DuplicateTable<String> table = table(10, 1_000);
     RequestKey key = key();
     table.claim(key, BODY, Instant.MIN, first);
@@ -71,7 +71,7 @@
   void raisesItsFloorWhenItForgets() {
     DuplicateTable<String> table = table(2, 1_000);
     RequestKey oldest = finished(table, "a");
-    RequestKey middle = finished(table, "b");
+    final RequestKey middle = finished(table, "b");
     finished(table, "c");
     assertThat(table.size()).isEqualTo(2);
     assertThat(table.floor()).isEqualTo(oldest.birth());
@@ -82,7 +82,7 @@
   }
 
   @Test
-  void neverForgetsARunningRequest() {
+  void neverForgetsRunningRequest() {
     DuplicateTable<String> table = table(1, 1_000);
     RequestKey running = key();
     table.claim(running, BODY, Instant.MIN, first);
--- a/core/src/test/java/org/carobhoist/core/idempotency/HomeKeeperTest.java
+++ b/core/src/test/java/org/carobhoist/core/idempotency/HomeKeeperTest.java
@@ -26,7 +26,7 @@
   private int appends;
 
   @Test
-  void settlesAMassStartWithFewAppends() {
+  void settlesMassStartWithFewAppends() {
     int count = 40;
     IntStream.range(0, count).forEach(i -> sidecars.add(new Sidecar(i)));
     events.run(Duration.ofMinutes(2));
@@ -48,7 +48,7 @@
   }
 
   @Test
-  void renewsAViewBeforeItsRetentionEnds() {
+  void renewsViewBeforeItsRetentionEnds() {
     sidecars.add(new Sidecar(0));
     events.run(Duration.ofSeconds(30));
     int before = appends;
--- a/core/src/test/java/org/carobhoist/core/idempotency/KeyGateTest.java
+++ b/core/src/test/java/org/carobhoist/core/idempotency/KeyGateTest.java
@@ -31,13 +31,13 @@
   private long offset;
 
   @Test
-  void runsAFreshKeyAtItsHome() {
+  void runsFreshKeyAtItsHome() {
     settle(SELF);
     assertThat(gate.submit(callersKey(), BODY, waiter)).isTrue();
   }
 
   @Test
-  void refusesWithoutALease() {
+  void refusesWithoutLease() {
     settle(SELF);
     clock.advance(POLICY.lease());
     assertRefused(callersKey(), Verdict.NOT_RUN, RefusalReason.KEY_UNAVAILABLE);
@@ -54,7 +54,7 @@
   }
 
   @Test
-  void answersAKnownKeyWithoutALease() {
+  void answersKnownKeyWithoutLease() {
     settle(SELF);
     RequestKey key = callersKey();
     gate.submit(key, BODY, new RecordingWaiter());
@@ -65,7 +65,7 @@
   }
 
   @Test
-  void refusesAKeyBornUpToTheFloorOfTheTenure() {
+  void refusesKeyBornUpToTheFloorOfTheTenure() {
     history.add(view(SELF));
     Instant floor = POLICY.floor(clock.now());
     clock.advance(Duration.between(clock.now(), floor));
@@ -81,7 +81,7 @@
   }
 
   @Test
-  void refusesAKeyFromTheFuture() {
+  void refusesKeyFromTheFuture() {
     settle(SELF);
     Instant edge = clock.now().plus(POLICY.skew());
     assertThat(gate.submit(keyBorn(edge), BODY, waiter)).isTrue();
@@ -97,7 +97,7 @@
   }
 
   @Test
-  void beginsANewTenureAfterABreak() {
+  void beginsNewTenureAfterBreak() {
     settle(SELF);
     history.add(view(PEER));
     clock.advance(Duration.ofSeconds(1));
--- a/server/src/main/java/org/carobhoist/server/entry/CallContext.java
+++ b/server/src/main/java/org/carobhoist/server/entry/CallContext.java
@@ -16,6 +16,7 @@
  * @param table attempts in flight
  * @param router chooses endpoints
  * @param budget the entry's retry budget
+ * @param keys finds the endpoints of keyed requests
  */
 record CallContext(
     DecisionLoop loop,
@@ -24,4 +25,5 @@
     LinkPool links,
     CallTable table,
     Router router,
-    RetryBudget budget) {}
+    RetryBudget budget,
+    KeyRouter keys) {}
--- a/server/src/main/java/org/carobhoist/server/entry/CallRequest.java
+++ b/server/src/main/java/org/carobhoist/server/entry/CallRequest.java
@@ -2,10 +2,12 @@
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import java.time.Duration;
+import java.util.Optional;
 import org.carobhoist.core.common.Priority;
 import org.carobhoist.core.common.ProfileName;
 import org.carobhoist.core.common.RequestId;
 import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.idempotency.RequestKey;
 import org.carobhoist.core.request.RetryPolicy;
 
 /**
@@ -17,7 +19,7 @@
  * @param path path and query at the endpoint
  * @param http method, headers and body
  * @param idempotent whether it may run more than once
- * @param key text of its idempotency key, or empty
+ * @param key the key that the caller sent, if the request needs one
  * @param retry how often to try
  * @param deadline longest time until the answer
  * @param priority class in the endpoint's queue
@@ -29,7 +31,7 @@
     String path,
     AggregatedHttpRequest http,
     boolean idempotent,
-    String key,
+    Optional<RequestKey> key,
     RetryPolicy retry,
     Duration deadline,
     Priority priority) {}
--- a/server/src/main/java/org/carobhoist/server/entry/CallRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/entry/CallRoutes.java
@@ -21,6 +21,7 @@
 import org.carobhoist.core.common.RefusedException;
 import org.carobhoist.core.common.RequestId;
 import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.idempotency.RequestKey;
 import org.carobhoist.core.profile.Profile;
 import org.carobhoist.core.profile.ProfileFold;
 import org.carobhoist.core.request.RetryPolicy;
@@ -108,7 +109,7 @@
         path,
         http,
         idempotent,
-        headers.get(CarobhoistHeaders.IDEMPOTENCY_KEY, ""),
+        idempotent ? Optional.empty() : key(headers),
         profile.map(Profile::retry).orElse(DEFAULT_RETRY),
         deadline(headers, profile.map(Profile::deadline).orElse(DEFAULT_DEADLINE)),
         profile.map(Profile::priority).orElse(Priority.STANDARD));
@@ -126,6 +127,17 @@
     return found;
   }
 
+  private static Optional<RequestKey> key(RequestHeaders headers) {
+    String text = headers.get(CarobhoistHeaders.IDEMPOTENCY_KEY);
+    try {
+      return Optional.ofNullable(text).map(RequestKey::parse);
+    } catch (IllegalArgumentException e) {
+      throw RefusedException.of(
+          Refusal.notRun(
+              RefusalReason.BAD_KEY, "the key is neither issued nor a version 7 UUID: " + text));
+    }
+  }
+
   private static Duration deadline(RequestHeaders headers, Duration fallback) {
     String text = headers.get(CarobhoistHeaders.DEADLINE_MILLIS);
     if (text == null) {
--- a/server/src/main/java/org/carobhoist/server/entry/CarobhoistHeaders.java
+++ b/server/src/main/java/org/carobhoist/server/entry/CarobhoistHeaders.java
@@ -18,7 +18,10 @@
   /** On requests: {@code true} if the request may run more than once. */
   public static final String IDEMPOTENT = "carobhoist-idempotent";
 
-  /** On requests: names a piece of work across resends. */
+  /**
+   * On requests: names a piece of work across resends. On answers to requests that may not run
+   * twice: the key used, minted by the entry if the caller sent none.
+   */
   public static final String IDEMPOTENCY_KEY = "idempotency-key";
 
   private CarobhoistHeaders() {}
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -13,6 +13,7 @@
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusedException;
 import org.carobhoist.core.common.Verdict;
+import org.carobhoist.core.idempotency.RequestKey;
 import org.carobhoist.core.request.RequestEvent;
 import org.carobhoist.core.request.RequestPort;
 import org.carobhoist.core.request.RequestRun;
@@ -40,6 +41,7 @@
   private final RequestRun run;
   private final Duration expiry;
   private Runnable cancelTimer = () -> {};
+  private Optional<RequestKey> key;
   private CallHead head;
   private InstanceId endpoint;
   private long frameId;
@@ -50,11 +52,19 @@
     this.request = request;
     this.out = out;
     this.run = RequestRun.create(this, request.retry(), context.budget(), request.idempotent());
+    this.key = request.key();
     this.expiry = context.clock().elapsed().plus(request.deadline());
   }
 
   /** Starts a call whose answer goes to the writer; to be called on the loop. */
   static void start(CallContext context, CallRequest request, HttpResponseWriter out) {
+    Optional<Refusal> obstacle =
+        request.key().flatMap(key -> context.keys().obstacle(request.service(), key));
+    if (obstacle.isPresent()) {
+      logRefused(request, obstacle.get());
+      Problems.write(out, request.id(), request.key(), obstacle.get());
+      return;
+    }
     EntryCall call = new EntryCall(context, request, out);
     out.whenComplete()
         .whenCompleteAsync(
@@ -90,11 +100,18 @@
 
   @Override
   public Optional<InstanceId> choose(Set<InstanceId> excluded) {
-    RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, 0);
-    return context
-        .router()
-        .choose(query, context.links().directory().viewsOf(request.service()))
-        .map(EndpointView::instance);
+    if (request.key().isPresent()) {
+      return context
+          .keys()
+          .endpointOf(request.service(), request.key().get())
+          .filter(home -> !excluded.contains(home));
+    }
+    Optional<InstanceId> chosen = route(excluded);
+    if (!request.idempotent()) {
+      key = chosen.flatMap(context.keys()::mintFor);
+      return chosen.filter(c -> key.isPresent());
+    }
+    return chosen;
   }
 
   @Override
@@ -133,6 +150,7 @@
     }
     b.set(CarobhoistHeaders.VERDICT, Verdict.COMPLETED.name());
     b.set(CarobhoistHeaders.REQUEST_ID, request.id().value());
+    key.ifPresent(k -> b.set(CarobhoistHeaders.IDEMPOTENCY_KEY, k.toString()));
     out.tryWrite(b.build());
   }
 
@@ -147,18 +165,26 @@
   public void refuse(Refusal refusal) {
     cancelTimer.run();
     release();
-    logRefused(refusal);
-    Problems.write(out, request.id(), refusal);
+    logRefused(request, refusal);
+    Problems.write(out, request.id(), key, refusal);
   }
 
   @Override
   public void abort(Refusal refusal) {
     cancelTimer.run();
     release();
-    logRefused(refusal);
+    logRefused(request, refusal);
     out.close(RefusedException.of(refusal));
   }
 
+  private Optional<InstanceId> route(Set<InstanceId> excluded) {
+    RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, 0);
+    return context
+        .router()
+        .choose(query, context.links().directory().viewsOf(request.service()))
+        .map(EndpointView::instance);
+  }
+
   private void onWritten(int attempt, Throwable failure) {
     if (failure != null && attempt == run.attempt()) {
       release();
@@ -214,7 +240,7 @@
             .setRemainingMillis(Math.max(1, left.toMillis()))
             .setPriorityValue(CallMapper.priorityNumber(request.priority()))
             .setIdempotent(request.idempotent())
-            .setIdempotencyKey(request.key());
+            .setIdempotencyKey(key.map(RequestKey::toString).orElse(""));
     request
         .http()
         .headers()
@@ -227,7 +253,7 @@
     return LinkFrame.newBuilder().setCallStart(b).build();
   }
 
-  private void logRefused(Refusal refusal) {
+  private static void logRefused(CallRequest request, Refusal refusal) {
     EventLog.info(
         LogEvent.REQUEST_REFUSED,
         "request",
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -5,11 +5,13 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
+import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.request.RetryBudget;
@@ -60,15 +62,18 @@
     SplittableRandom random = new SplittableRandom();
     this.config = ConfigFollower.create(platform, loop);
     this.network = LinkNetwork.create(this.settings.link(), hello(), new Frames());
+    Clock clock = SystemClock.create();
+    LinkPool links = new LinkPool(loop, platform);
     this.context =
         new CallContext(
             loop,
-            SystemClock.create(),
+            clock,
             this.settings.zone(),
-            new LinkPool(loop, platform),
+            links,
             new CallTable(),
             Router.create(random),
-            RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST));
+            RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST),
+            new KeyRouter(clock, links, platform, new SecureRandom()));
     this.steps = new StepTable(context, random.split());
   }
 
@@ -79,6 +84,7 @@
 
   @Override
   public CompletableFuture<Void> start() {
+    config.listen(context.keys().listener());
     config.start();
     steps.start();
     http = httpServer();
@@ -114,6 +120,7 @@
     StateDump dump = StateDump.of(loop, List.of(new WorkState(), config));
     AdminRoutes.create(this::isReady, metrics, dump).addTo(sb);
     new CallRoutes(context, config.fold(), config::isReady).addTo(sb);
+    new KeyRoutes(context).addTo(sb);
     new StepRoutes(context, config.fold(), config::isReady, steps).addTo(sb);
     return sb.build();
   }
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
@@ -0,0 +1,135 @@
+package org.carobhoist.server.entry;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.idempotency.HomeAbsence;
+import org.carobhoist.core.idempotency.HomeMember;
+import org.carobhoist.core.idempotency.HomeRing;
+import org.carobhoist.core.idempotency.HomeView;
+import org.carobhoist.core.idempotency.IdempotencyKey;
+import org.carobhoist.core.idempotency.RequestKey;
+import org.carobhoist.core.membership.EndpointAnnouncement;
+import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+import org.carobhoist.server.platform.HomeRecords;
+import org.carobhoist.server.platform.HomeViewReader;
+import org.carobhoist.server.platform.LogListener;
+import org.carobhoist.server.platform.PlatformLog;
+
+/**
+ * Finds the only endpoint to which a keyed request may go, and mints keys. An entry needs no lease:
+ * one with a stale view sends to a sidecar that refuses. Used on the decision loop.
+ */
+final class KeyRouter {
+
+  private static final Refusal ISSUER_GONE =
+      Refusal.mayHaveRun(
+          RefusalReason.KEY_FORGOTTEN,
+          "the run of the sidecar that the key names can't be reached");
+  private static final Refusal HOME_UNKNOWN =
+      Refusal.notRun(
+          RefusalReason.KEY_UNAVAILABLE,
+          "the home of this key can't be reached at the moment; resend it later, or, if it was never"
+              + " sent before, use a key issued by POST /v1/keys");
+
+  private final Clock clock;
+  private final LinkPool links;
+  private final PlatformLog log;
+  private final Random random;
+  private final HomeAbsence absence;
+  private final Map<ServiceName, HomeView> views = new HashMap<>();
+
+  KeyRouter(Clock clock, LinkPool links, PlatformLog log, Random random) {
+    this.clock = clock;
+    this.links = links;
+    this.log = log;
+    this.random = random;
+    this.absence = HomeAbsence.create(clock);
+  }
+
+  /** Returns what follows the home views in the process's reads of the log. */
+  LogListener listener() {
+    return HomeViewReader.create(views::put, () -> {}, () -> {}, () -> {});
+  }
+
+  /** Returns why the key can be sent nowhere, or empty if it can. */
+  Optional<Refusal> obstacle(ServiceName service, RequestKey key) {
+    if (endpointOf(service, key).isPresent()) {
+      return Optional.empty();
+    }
+    return Optional.of(key.isIssued() ? ISSUER_GONE : HOME_UNKNOWN);
+  }
+
+  /** Returns the endpoint to which a key's request must go, if it is linked. */
+  Optional<InstanceId> endpointOf(ServiceName service, RequestKey key) {
+    return key.issuer()
+        .map(issuer -> issuerOf(service, issuer))
+        .orElseGet(() -> homeOf(service, key.id()));
+  }
+
+  /** Returns a new key that only the present run of an endpoint's sidecar may execute. */
+  Optional<RequestKey> mintFor(InstanceId endpoint) {
+    return links
+        .directory()
+        .announcement(endpoint)
+        .map(EndpointAnnouncement::incarnation)
+        .map(run -> RequestKey.issued(run, IdempotencyKey.mint(clock.now(), random)));
+  }
+
+  private Optional<InstanceId> issuerOf(ServiceName service, Incarnation issuer) {
+    return links.directory().viewsOf(service).stream()
+        .map(EndpointView::instance)
+        .filter(i -> runs(i, issuer))
+        .findFirst();
+  }
+
+  private boolean runs(InstanceId instance, Incarnation run) {
+    return links
+        .directory()
+        .announcement(instance)
+        .filter(a -> a.incarnation().equals(run))
+        .isPresent();
+  }
+
+  private Optional<InstanceId> homeOf(ServiceName service, IdempotencyKey key) {
+    Optional<HomeView> view = Optional.ofNullable(views.get(service));
+    Optional<HomeMember> home = view.flatMap(v -> HomeRing.homeOf(v, key));
+    if (home.isEmpty()) {
+      return Optional.empty();
+    }
+    if (links.link(home.get().instance()).isPresent()) {
+      absence.onReached(home.get());
+      return Optional.of(home.get().instance());
+    }
+    if (absence.onMissed(home.get())) {
+      remove(service, view.get(), home.get());
+    }
+    return Optional.empty();
+  }
+
+  private void remove(ServiceName service, HomeView view, HomeMember member) {
+    EventLog.warn(
+        LogEvent.HOME_REMOVED,
+        "service",
+        service,
+        "instance",
+        member.instance(),
+        "view",
+        view.offset());
+    log.append(HomeRecords.encode(service, view.membersWithout(member)))
+        .exceptionally(
+            failure -> {
+              EventLog.warn(LogEvent.HOME_VIEW_UNKNOWN, "cause", failure.getMessage());
+              return null;
+            });
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/entry/KeyRoutes.java
@@ -0,0 +1,87 @@
+package org.carobhoist.server.entry;
+
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.UUID;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.core.common.RequestId;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.idempotency.RequestKey;
+import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.core.routing.RouteQuery;
+
+/**
+ * Issues keys: {@code POST /v1/keys?service=NAME&count=N}. Each key names the present run of one
+ * sidecar, drawn as for a request, so that keys spread over the endpoints.
+ */
+final class KeyRoutes {
+
+  private static final int MAX_COUNT = 1_000;
+
+  private final CallContext context;
+
+  /** The answer: the keys, to be sent in the header {@code Idempotency-Key}. */
+  record KeysMessage(String service, List<String> keys) {}
+
+  KeyRoutes(CallContext context) {
+    this.context = context;
+  }
+
+  void addTo(ServerBuilder sb) {
+    sb.route().post("/v1/keys").build(this::issue);
+  }
+
+  private HttpResponse issue(ServiceRequestContext ctx, HttpRequest req) {
+    return HttpResponse.of(
+        req.aggregate()
+            .thenApplyAsync(
+                http -> issue(ctx.queryParam("service"), ctx.queryParam("count")), context.loop()));
+  }
+
+  private HttpResponse issue(String service, String count) {
+    ServiceName name;
+    int wanted;
+    try {
+      name = new ServiceName(service);
+      wanted = count == null ? 1 : Integer.parseInt(count);
+    } catch (IllegalArgumentException e) {
+      return refuse(RefusalReason.BAD_REQUEST, e.getMessage());
+    }
+    if (wanted < 1 || wanted > MAX_COUNT) {
+      return refuse(RefusalReason.BAD_REQUEST, "count must lie between 1 and " + MAX_COUNT);
+    }
+    List<String> keys = new ArrayList<>();
+    for (int i = 0; i < wanted; i++) {
+      mint(name).ifPresent(key -> keys.add(key.toString()));
+    }
+    if (keys.size() < wanted) {
+      return refuse(RefusalReason.NO_ENDPOINT, "no endpoint of " + name + " is usable");
+    }
+    return HttpResponse.ofJson(HttpStatus.OK, MediaType.JSON, new KeysMessage(name.value(), keys));
+  }
+
+  private Optional<RequestKey> mint(ServiceName service) {
+    RouteQuery query = new RouteQuery(service, context.zone(), Set.of(), 0);
+    Optional<InstanceId> endpoint =
+        context
+            .router()
+            .choose(query, context.links().directory().viewsOf(service))
+            .map(EndpointView::instance);
+    return endpoint.flatMap(context.keys()::mintFor);
+  }
+
+  private static HttpResponse refuse(RefusalReason reason, String detail) {
+    RequestId id = new RequestId(UUID.randomUUID().toString());
+    return Problems.response(id, Refusal.notRun(reason, detail));
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/entry/Problems.java
+++ b/server/src/main/java/org/carobhoist/server/entry/Problems.java
@@ -7,8 +7,10 @@
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.ResponseHeaders;
 import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import java.util.Optional;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RequestId;
+import org.carobhoist.core.idempotency.RequestKey;
 
 /** Writes refusals as problem bodies (RFC 9457) with the verdict in a header. */
 final class Problems {
@@ -31,11 +33,18 @@
 
   /** Writes the refusal as the whole answer. */
   static void write(HttpResponseWriter out, RequestId request, Refusal refusal) {
+    write(out, request, Optional.empty(), refusal);
+  }
+
+  /** Writes the refusal of a keyed request as the whole answer. */
+  static void write(
+      HttpResponseWriter out, RequestId request, Optional<RequestKey> key, Refusal refusal) {
     ResponseHeadersBuilder b =
         ResponseHeaders.builder(refusal.reason().status())
             .add("content-type", "application/problem+json")
             .add(CarobhoistHeaders.VERDICT, refusal.verdict().name())
             .add(CarobhoistHeaders.REQUEST_ID, request.value());
+    key.ifPresent(k -> b.add(CarobhoistHeaders.IDEMPOTENCY_KEY, k.toString()));
     if (!refusal.retryAfter().isZero()) {
       long millis = refusal.retryAfter().toMillis();
       b.add("retry-after", Long.toString(Math.max(1, millis / MILLIS_PER_SECOND)));
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -20,6 +20,14 @@
   REQUEST_REFUSED(3001, "request refused"),
   /** A request is sent again. */
   REQUEST_RETRIED(3002, "request retried"),
+  /** A home view of the sidecar's service has been read. */
+  HOME_VIEW(3101, "home view read"),
+  /** A home view is appended to the log. */
+  HOME_VIEW_APPENDED(3102, "home view appended"),
+  /** Nobody knows whether a home view was appended. */
+  HOME_VIEW_UNKNOWN(3103, "home view append unanswered"),
+  /** An entry takes a home that it can't reach out of the view. */
+  HOME_REMOVED(3104, "unreachable home removed from view"),
   /** A step begins at this entry. */
   STEP_STARTED(4001, "step started"),
   /** An attempt at a sample failed. */
--- a/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
+++ b/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
@@ -1,6 +1,8 @@
 package org.carobhoist.server.platform;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.carobhoist.core.profile.FoldOutcome;
 import org.carobhoist.core.profile.ProfileChange;
 import org.carobhoist.core.profile.ProfileFold;
@@ -13,12 +15,13 @@
 /** Follows the platform's log by long poll and folds its records into the configuration. */
 public final class ConfigFollower implements StateSource {
 
-  private static final Duration POLL_WAIT = Duration.ofSeconds(20);
+  private static final Duration POLL_WAIT = Duration.ofSeconds(5);
   private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
   private final PlatformLog log;
   private final DecisionLoop loop;
   private final ProfileFold fold = ProfileFold.create();
+  private final List<LogListener> listeners = new ArrayList<>();
   private boolean reachable = true;
   private volatile boolean ready;
 
@@ -40,6 +43,11 @@
     loop.execute(() -> poll(Duration.ZERO));
   }
 
+  /** Lets a listener see every read; to be called before the start. */
+  public void listen(LogListener listener) {
+    listeners.add(listener);
+  }
+
   /** Returns the configuration; to be used on the loop only. */
   public ProfileFold fold() {
     return fold;
@@ -61,11 +69,12 @@
   }
 
   private void poll(Duration wait) {
-    log.read(fold.appliedOffset() + 1, wait)
-        .whenCompleteAsync((batch, failure) -> onRead(batch, failure), loop);
+    long from = fold.appliedOffset() + 1;
+    listeners.forEach(LogListener::onReadSent);
+    log.read(from, wait).whenCompleteAsync((batch, failure) -> onRead(from, batch, failure), loop);
   }
 
-  private void onRead(LogBatch batch, Throwable failure) {
+  private void onRead(long from, LogBatch batch, Throwable failure) {
     if (failure != null) {
       if (reachable) {
         EventLog.warn(LogEvent.LOG_UNREACHABLE, "cause", failure.getMessage());
@@ -75,6 +84,7 @@
       return;
     }
     reachable = true;
+    listeners.forEach(l -> l.onBatch(from, batch));
     batch.records().forEach(this::apply);
     if (batch.records().isEmpty() || fold.appliedOffset() + 1 >= batch.next()) {
       ready = true;
--- a/server/src/main/java/org/carobhoist/server/runtime/SystemClock.java
+++ b/server/src/main/java/org/carobhoist/server/runtime/SystemClock.java
@@ -1,16 +1,41 @@
 package org.carobhoist.server.runtime;
 
+import java.io.IOException;
+import java.io.RandomAccessFile;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import org.carobhoist.core.common.Clock;
 
 /**
- * The operating system's clocks. The elapsed time is read from the kernel's clock since boot, which
- * goes on while the process or its machine is paused; where that can't be read, from the JVM's.
+ * The operating system's clocks. The JVM's monotonic clock goes on while the process is stopped,
+ * but not while the whole machine is suspended. The kernel's uptime counts that time as well, so
+ * each reading of the elapsed time compares the two and adds what the JVM's clock has missed. Where
+ * the uptime can't be read, a suspended machine isn't noticed; neither is a virtual machine that
+ * was paused without its kernel being told.
  */
 public final class SystemClock implements Clock {
 
-  private SystemClock() {}
+  private static final String UPTIME = "/proc/uptime";
+  private static final int MAX_BYTES = 64;
+  private static final long NANOS_PER_SECOND = 1_000_000_000L;
+
+  /** Differences below this come from the uptime's resolution of 10 ms and from drift. */
+  private static final long TOLERANCE_NANOS = 100_000_000L;
+
+  private final byte[] buffer = new byte[MAX_BYTES];
+  private RandomAccessFile uptime;
+  private long baseNanos;
+  private long missedNanos;
+
+  private SystemClock() {
+    try {
+      uptime = new RandomAccessFile(UPTIME, "r");
+      baseNanos = uptimeNanos() - System.nanoTime();
+    } catch (IOException e) {
+      uptime = null;
+    }
+  }
 
   /** Returns the system's clock. */
   public static SystemClock create() {
@@ -23,7 +48,35 @@
   }
 
   @Override
-  public Duration elapsed() {
-    return Duration.ofNanos(System.nanoTime());
+  public synchronized Duration elapsed() {
+    if (uptime != null) {
+      noteMissedTime();
+    }
+    return Duration.ofNanos(System.nanoTime() + missedNanos);
+  }
+
+  private void noteMissedTime() {
+    try {
+      long missed = uptimeNanos() - System.nanoTime() - baseNanos;
+      if (missed - missedNanos > TOLERANCE_NANOS) {
+        missedNanos = missed;
+      }
+    } catch (IOException e) {
+      uptime = null;
+    }
+  }
+
+  private long uptimeNanos() throws IOException {
+    uptime.seek(0);
+    int length = uptime.read(buffer);
+    if (length <= 0) {
+      throw new IOException(UPTIME + " is empty");
+    }
+    String text = new String(buffer, 0, length, StandardCharsets.US_ASCII);
+    int end = text.indexOf(' ');
+    if (end < 0) {
+      throw new IOException(UPTIME + " has an unknown form");
+    }
+    return (long) (Double.parseDouble(text.substring(0, end)) * NANOS_PER_SECOND);
   }
 }
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/sidecar/CallFrames.java
@@ -0,0 +1,59 @@
+package org.carobhoist.server.sidecar;
+
+import com.google.protobuf.ByteString;
+import com.linecorp.armeria.common.ResponseHeaders;
+import java.util.ArrayList;
+import java.util.List;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.server.link.CallMapper;
+import org.carobhoist.server.link.Link;
+import org.carobhoist.server.link.proto.CallData;
+import org.carobhoist.server.link.proto.CallEnd;
+import org.carobhoist.server.link.proto.CallHead;
+import org.carobhoist.server.link.proto.Header;
+import org.carobhoist.server.link.proto.LinkFrame;
+
+/** Writes the frames of one call's answer, and numbers its data frames. */
+final class CallFrames {
+
+  private final Link link;
+  private final long call;
+  private int frames;
+
+  CallFrames(Link link, long call) {
+    this.link = link;
+    this.call = call;
+  }
+
+  static List<Header> headers(ResponseHeaders headers) {
+    List<Header> out = new ArrayList<>();
+    headers.forEach(
+        (name, value) -> {
+          if (name.charAt(0) != ':') {
+            out.add(Header.newBuilder().setName(name.toString()).setValue(value).build());
+          }
+        });
+    return out;
+  }
+
+  void head(int status, List<Header> headers) {
+    CallHead head =
+        CallHead.newBuilder().setCall(call).setStatus(status).addAllHeaders(headers).build();
+    link.send(LinkFrame.newBuilder().setCallHead(head).build());
+  }
+
+  void data(ByteString content) {
+    CallData data =
+        CallData.newBuilder().setCall(call).setSequence(frames++).setContent(content).build();
+    link.send(LinkFrame.newBuilder().setCallData(data).build());
+  }
+
+  void end() {
+    CallEnd end = CallEnd.newBuilder().setCall(call).setFrames(frames).build();
+    link.send(LinkFrame.newBuilder().setCallEnd(end).build());
+  }
+
+  void failed(Refusal refusal) {
+    link.send(LinkFrame.newBuilder().setCallFailed(CallMapper.toMessage(call, refusal)).build());
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/sidecar/CallWorker.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/CallWorker.java
@@ -1,9 +1,6 @@
 package org.carobhoist.server.sidecar;
 
 import com.google.protobuf.ByteString;
-import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.RequestHeaders;
-import com.linecorp.armeria.common.RequestHeadersBuilder;
 import com.linecorp.armeria.common.ResponseHeaders;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -19,12 +16,7 @@
 import org.carobhoist.server.link.CallMapper;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.proto.CallCancel;
-import org.carobhoist.server.link.proto.CallData;
-import org.carobhoist.server.link.proto.CallEnd;
-import org.carobhoist.server.link.proto.CallHead;
 import org.carobhoist.server.link.proto.CallStart;
-import org.carobhoist.server.link.proto.Header;
-import org.carobhoist.server.link.proto.LinkFrame;
 
 /** Runs calls at the endpoint: admission, the exchange, and frames back to the entry. */
 final class CallWorker {
@@ -37,6 +29,7 @@
   private final EndpointKind kind;
   private final Clock clock;
   private final TicketIds tickets;
+  private final KeyedCalls keyed;
   private final Map<CallId, Call> calls = new HashMap<>();
 
   private record CallId(Link link, long call) {}
@@ -46,16 +39,22 @@
       EndpointClient endpoint,
       EndpointKind kind,
       Clock clock,
-      TicketIds tickets) {
+      TicketIds tickets,
+      KeyedCalls keyed) {
     this.queue = queue;
     this.endpoint = endpoint;
     this.kind = kind;
     this.clock = clock;
     this.tickets = tickets;
+    this.keyed = keyed;
   }
 
   /** Takes a call from an entry. */
   void onStart(Link link, CallStart start) {
+    if (!start.getIdempotencyKey().isEmpty()) {
+      keyed.onStart(link, start);
+      return;
+    }
     CallId id = new CallId(link, start.getCall());
     Call call = new Call(id, start, tickets.next());
     if (calls.putIfAbsent(id, call) != null) {
@@ -81,16 +80,23 @@
     if (call != null) {
       call.cancel();
     }
+    keyed.onCancel(link, cancel);
   }
 
   /** Cancels the calls of a link that is gone. */
   void onLinkDown(Link link) {
     calls.values().stream().filter(c -> c.id.link().equals(link)).toList().forEach(Call::cancel);
+    keyed.onLinkDown(link);
+  }
+
+  /** To be called several times a second. */
+  void tick() {
+    keyed.tick();
   }
 
   /** Returns the number of calls that wait or run. */
   int size() {
-    return calls.size();
+    return calls.size() + keyed.size();
   }
 
   private final class Call implements EndpointSink {
@@ -98,26 +104,20 @@
     private final CallId id;
     private final CallStart start;
     private final long ticket;
+    private final CallFrames frames;
     private final StringBuilder tail = new StringBuilder();
     private Runnable abort = () -> {};
     private boolean eventStream;
-    private int frames;
 
     private Call(CallId id, CallStart start, long ticket) {
       this.id = id;
       this.start = start;
       this.ticket = ticket;
+      this.frames = new CallFrames(id.link(), id.call());
     }
 
     private void run() {
-      abort = endpoint.exchange(headers(), start.getContent().toByteArray(), this);
-    }
-
-    private RequestHeaders headers() {
-      RequestHeadersBuilder b =
-          RequestHeaders.builder(HttpMethod.valueOf(start.getMethod()), start.getPath());
-      start.getHeadersList().forEach(h -> b.add(h.getName(), h.getValue()));
-      return b.build();
+      abort = endpoint.exchange(CallHeaders.of(start), start.getContent().toByteArray(), this);
     }
 
     private void cancel() {
@@ -130,27 +130,14 @@
 
     private void refuse(Refusal refusal) {
       calls.remove(id);
-      CallId to = id;
-      to.link()
-          .send(
-              LinkFrame.newBuilder()
-                  .setCallFailed(CallMapper.toMessage(to.call(), refusal))
-                  .build());
+      frames.failed(refusal);
     }
 
     @Override
     public void onHead(ResponseHeaders headers) {
       String type = headers.get("content-type", "");
       eventStream = kind == EndpointKind.ENGINE && type.startsWith("text/event-stream");
-      CallHead.Builder head =
-          CallHead.newBuilder().setCall(id.call()).setStatus(headers.status().code());
-      headers.forEach(
-          (name, value) -> {
-            if (name.charAt(0) != ':') {
-              head.addHeaders(Header.newBuilder().setName(name.toString()).setValue(value));
-            }
-          });
-      id.link().send(LinkFrame.newBuilder().setCallHead(head).build());
+      frames.head(headers.status().code(), CallFrames.headers(headers));
     }
 
     @Override
@@ -159,13 +146,7 @@
         tail.append(new String(content, StandardCharsets.UTF_8));
         tail.delete(0, Math.max(0, tail.length() - TAIL_BYTES));
       }
-      CallData data =
-          CallData.newBuilder()
-              .setCall(id.call())
-              .setSequence(frames++)
-              .setContent(ByteString.copyFrom(content))
-              .build();
-      id.link().send(LinkFrame.newBuilder().setCallData(data).build());
+      frames.data(ByteString.copyFrom(content));
     }
 
     @Override
@@ -177,8 +158,7 @@
         return;
       }
       calls.remove(id);
-      CallEnd end = CallEnd.newBuilder().setCall(id.call()).setFrames(frames).build();
-      id.link().send(LinkFrame.newBuilder().setCallEnd(end).build());
+      frames.end();
       queue.complete(ticket);
     }
 
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
@@ -0,0 +1,135 @@
+package org.carobhoist.server.sidecar;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.idempotency.DuplicatePolicy;
+import org.carobhoist.core.idempotency.DuplicateTable;
+import org.carobhoist.core.idempotency.HomeHistory;
+import org.carobhoist.core.idempotency.HomeKeeper;
+import org.carobhoist.core.idempotency.HomeLease;
+import org.carobhoist.core.idempotency.HomeMember;
+import org.carobhoist.core.idempotency.HomePolicy;
+import org.carobhoist.core.idempotency.HomeView;
+import org.carobhoist.core.idempotency.KeyGate;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+import org.carobhoist.server.platform.HomeRecords;
+import org.carobhoist.server.platform.HomeViewReader;
+import org.carobhoist.server.platform.LogListener;
+import org.carobhoist.server.platform.PlatformLog;
+import org.carobhoist.server.settings.SidecarSettings;
+import org.carobhoist.server.state.StateSource;
+
+/** Everything by which a sidecar is the home of keys; used on the decision loop. */
+final class KeyedHome implements StateSource {
+
+  private final ServiceName service;
+  private final HomeMember self;
+  private final PlatformLog log;
+  private final HomeHistory history = HomeHistory.create();
+  private final HomeLease lease;
+  private final HomeKeeper keeper;
+  private final DuplicateTable<KeyedAnswer> table;
+  private final KeyGate<KeyedAnswer> gate;
+
+  /** State dump of the home of keys. */
+  public record State(
+      long viewOffset,
+      int viewMembers,
+      boolean member,
+      boolean leaseValid,
+      int keys,
+      long answerBytes,
+      String floor) {}
+
+  private KeyedHome(
+      SidecarSettings settings, Incarnation incarnation, Clock clock, PlatformLog log) {
+    HomePolicy policy = HomePolicy.DEFAULT;
+    this.service = settings.endpoint().service();
+    this.self = new HomeMember(settings.instance().id(), incarnation);
+    this.log = log;
+    this.lease = HomeLease.create(policy, clock);
+    this.keeper =
+        HomeKeeper.create(self, this::append, clock, new SplittableRandom(), lease, history);
+    this.table = DuplicateTable.create(DuplicatePolicy.DEFAULT, clock, KeyedAnswer::bytes);
+    this.gate = KeyGate.create(self, policy, clock, lease, history, table);
+  }
+
+  static KeyedHome create(
+      SidecarSettings settings, Incarnation incarnation, Clock clock, PlatformLog log) {
+    return new KeyedHome(settings, incarnation, clock, log);
+  }
+
+  DuplicateTable<KeyedAnswer> table() {
+    return table;
+  }
+
+  KeyGate<KeyedAnswer> gate() {
+    return gate;
+  }
+
+  /** Returns what follows the home views in the process's reads of the log. */
+  LogListener listener() {
+    return HomeViewReader.create(
+        this::onView, lease::onReadSent, history::onGap, lease::onCaughtUp);
+  }
+
+  /** To be called several times a second. */
+  void tick() {
+    keeper.tick();
+  }
+
+  /** Takes this sidecar out of the view for good. */
+  void leave() {
+    keeper.leave();
+  }
+
+  @Override
+  public String name() {
+    return "keys";
+  }
+
+  @Override
+  public Object state() {
+    HomeView none = new HomeView(0, Instant.EPOCH, List.of());
+    HomeView view = history.current().orElse(none);
+    return new State(
+        view.offset(),
+        view.members().size(),
+        view.contains(self),
+        lease.isValid(),
+        table.size(),
+        table.bytes(),
+        table.floor().equals(Instant.MIN) ? "none" : table.floor().toString());
+  }
+
+  private void onView(ServiceName of, HomeView view) {
+    if (of.equals(service)) {
+      history.add(view);
+      EventLog.info(
+          LogEvent.HOME_VIEW,
+          "service",
+          service,
+          "offset",
+          view.offset(),
+          "members",
+          view.members().size(),
+          "member",
+          view.contains(self));
+    }
+  }
+
+  private void append(List<HomeMember> members) {
+    EventLog.info(LogEvent.HOME_VIEW_APPENDED, "service", service, "members", members.size());
+    log.append(HomeRecords.encode(service, members))
+        .exceptionally(
+            failure -> {
+              EventLog.warn(LogEvent.HOME_VIEW_UNKNOWN, "cause", failure.getMessage());
+              return null;
+            });
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -47,6 +47,7 @@
   private final Clock clock = SystemClock.create();
   private final DecisionLoop loop = DecisionLoop.create("sidecar");
   private final AdmissionQueue queue;
+  private final KeyedHome keys;
   private final CallWorker calls;
   private final SampleWorker samples;
   private final LinkNetwork network;
@@ -69,10 +70,13 @@
     EndpointClient endpoint = EndpointClient.at(settings.endpoint().url(), loop);
     TicketIds tickets = new TicketIds();
     EndpointKind kind = settings.endpoint().kind();
-    this.calls = new CallWorker(queue, endpoint, kind, clock, tickets);
+    HttpPlatform platform = HttpPlatform.at(settings.instance().platform());
+    this.keys = KeyedHome.create(settings, incarnation, clock, platform);
+    KeyedCalls keyed = new KeyedCalls(keys.gate(), keys.table(), queue, endpoint, clock, tickets);
+    this.calls = new CallWorker(queue, endpoint, kind, clock, tickets, keyed);
     this.samples = new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets);
     this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
-    this.config = ConfigFollower.create(HttpPlatform.at(settings.instance().platform()), loop);
+    this.config = ConfigFollower.create(platform, loop);
   }
 
   /** Returns a sidecar that hasn't started. */
@@ -83,6 +87,7 @@
   @Override
   public CompletableFuture<Void> start() {
     loop.every(TICK, this::tick);
+    config.listen(keys.listener());
     config.start();
     http = httpServer();
     return network.start().thenCompose(ok -> http.start()).thenRun(this::logStarted);
@@ -97,6 +102,7 @@
         () -> {
           phase = EndpointPhase.DRAINING;
           queue.drain();
+          keys.leave();
           announce();
           awaitIdle(idle);
         });
@@ -115,7 +121,7 @@
   }
 
   private Server httpServer() {
-    StateDump dump = StateDump.of(loop, List.of(new EndpointState(), config));
+    StateDump dump = StateDump.of(loop, List.of(new EndpointState(), keys, config));
     ServerBuilder sb = Server.builder();
     sb.http(
         new InetSocketAddress(
@@ -145,6 +151,8 @@
 
   private void tick() {
     queue.expire();
+    calls.tick();
+    keys.tick();
     if (announced == null || !announcement(announced.sequence()).equals(announced)) {
       announce();
     }
