--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -49,6 +49,7 @@
   private final Clock clock = SystemClock.create();
   private final DecisionLoop loop = DecisionLoop.create("sidecar");
   private final AdmissionQueue queue;
+  private final KeyedHome keys;
   private final CallWorker calls;
   private final SampleWorker samples;
   private final LinkNetwork network;
@@ -72,10 +73,12 @@
     EndpointClient endpoint = EndpointClient.at(settings.endpoint().url(), loop);
     TicketIds tickets = new TicketIds();
     EndpointKind kind = settings.endpoint().kind();
-    this.calls = new CallWorker(queue, endpoint, kind, clock, tickets);
+    HttpPlatform platform = HttpPlatform.at(settings.instance().platform());
+    this.keys = KeyedHome.create(settings, incarnation, clock, platform);
+    KeyedCalls keyed = new KeyedCalls(keys.gate(), keys.table(), queue, endpoint, clock, tickets);
+    this.calls = new CallWorker(queue, endpoint, kind, clock, tickets, keyed);
     this.samples = new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets);
     this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
-    HttpPlatform platform = HttpPlatform.at(settings.instance().platform());
     this.config = ConfigFollower.create(platform, loop);
     this.swap =
         kind == EndpointKind.ENGINE
@@ -93,6 +96,7 @@
   public CompletableFuture<Void> start() {
     swap.ifPresent(worker -> loop.execute(worker::start));
     loop.every(TICK, this::tick);
+    config.listen(keys.listener());
     config.start();
     http = httpServer();
     return network.start().thenCompose(ok -> http.start()).thenRun(this::logStarted);
@@ -107,6 +111,7 @@
         () -> {
           phase = EndpointPhase.DRAINING;
           queue.drain();
+          keys.leave();
           announce();
           awaitIdle(idle);
         });
@@ -147,7 +152,7 @@
   }
 
   private List<StateSource> sources() {
-    List<StateSource> sources = new ArrayList<>(List.of(new EndpointState(), config));
+    List<StateSource> sources = new ArrayList<>(List.of(new EndpointState(), keys, config));
     swap.ifPresent(sources::add);
     return sources;
   }
@@ -174,6 +179,8 @@
   private void tick() {
     queue.expire();
     swap.ifPresent(SwapWorker::tick);
+    calls.tick();
+    keys.tick();
     if (announced == null || !announcement(announced.sequence()).equals(announced)) {
       announce();
     }
