--- a/core/src/main/java/org/carobhoist/core/swap/SwapTurn.java
+++ b/core/src/main/java/org/carobhoist/core/swap/SwapTurn.java
@@ -3,9 +3,6 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Collection;
-import java.util.Comparator;
-import java.util.List;
-import java.util.stream.Stream;
 import org.apache.commons.codec.digest.MurmurHash3;
 import org.carobhoist.core.common.InstanceId;
 
@@ -27,14 +24,13 @@
    */
   static Duration delay(
       InstanceId self, Collection<InstanceId> peers, WeightOrder order, SwapPolicy policy) {
-    List<InstanceId> ranked =
-        Stream.concat(peers.stream(), Stream.of(self))
-            .distinct()
-            .sorted(
-                Comparator.comparingInt((InstanceId i) -> hash(i, order.fence()))
-                    .thenComparing(Comparator.naturalOrder()))
-            .toList();
-    return policy.waveTime().multipliedBy(ranked.indexOf(self) % policy.waves());
+    long rank = peers.stream().filter(p -> isBefore(p, self, order.fence())).count();
+    return policy.waveTime().multipliedBy(rank % policy.waves());
+  }
+
+  private static boolean isBefore(InstanceId a, InstanceId b, long fence) {
+    int byHash = Integer.compare(hash(a, fence), hash(b, fence));
+    return byHash == 0 ? a.compareTo(b) < 0 : byHash < 0;
   }
 
   private static int hash(InstanceId instance, long fence) {
