--- a/core/src/main/java/org/carobhoist/core/chart/StateChart.java
+++ b/core/src/main/java/org/carobhoist/core/chart/StateChart.java
@@ -59,6 +59,16 @@
     return table.get(state).get(event);
   }
 
+  /** Returns the transitions of every state that is not final. */
+  Map<S, Map<E, Transition<S, A>>> table() {
+    return table;
+  }
+
+  /** Returns the states that no event leaves. */
+  Set<S> finals() {
+    return finals;
+  }
+
   /** Returns the states that a run can reach, the initial one included. */
   Set<S> reachable() {
     Set<S> seen = EnumSet.of(initial);
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/chart/ChartPageTest.java
@@ -0,0 +1,66 @@
+package org.carobhoist.core.chart;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.stream.Stream;
+import org.carobhoist.core.request.RequestRun;
+import org.carobhoist.core.swap.SwapCoordinator;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Holds {@code docs/CHARTS.md} against the chart files. With the system property {@code
+ * carobhoist.writePages} the page is written instead.
+ */
+final class ChartPageTest {
+
+  private static final Path PAGE = Path.of("..", "docs", "CHARTS.md");
+  private static final Path CHARTS = Path.of("src", "main", "resources", "charts");
+  private static final List<StateChart<?, ?, ?>> ALL =
+      List.of(RequestRun.chart(), SwapCoordinator.chart());
+
+  @Test
+  void pageShowsTheChartsInForce() throws IOException {
+    String wanted = page();
+    if (Boolean.getBoolean("carobhoist.writePages")) {
+      Files.writeString(PAGE, wanted);
+    }
+    assertThat(Files.readString(PAGE)).isEqualTo(wanted);
+  }
+
+  @Test
+  void pageLeavesNoChartOut() throws IOException {
+    try (Stream<Path> files = Files.list(CHARTS)) {
+      List<String> names =
+          files.map(f -> f.getFileName().toString().replace(".ini", "")).sorted().toList();
+      assertThat(ALL.stream().map(StateChart::name).sorted().toList()).isEqualTo(names);
+    }
+  }
+
+  private static String page() {
+    List<String> parts = new ArrayList<>();
+    parts.add(
+        "# State charts\n\nDrawn from the files in `core/src/main/resources/charts`, which the code"
+            + " interprets;\n`ChartPageTest` holds this page against them. Events that a state"
+            + " ignores are left out.\nTo write the page anew: `mvn -pl core verify"
+            + " -Dtest=ChartPageTest -Dcarobhoist.writePages=true`.\n");
+    ALL.forEach(c -> parts.add(section(c)));
+    return String.join("\n", parts);
+  }
+
+  private static String section(StateChart<?, ?, ?> chart) {
+    String title =
+        chart.name().substring(0, 1).toUpperCase(Locale.ROOT) + chart.name().substring(1);
+    return "## " + title + "\n\n```mermaid\n" + draw(chart) + "```\n";
+  }
+
+  private static <S extends Enum<S>, E extends Enum<E>, A extends Enum<A>> String draw(
+      StateChart<S, E, A> chart) {
+    return ChartDiagram.draw(chart);
+  }
+}
