Learn other entries' load as a moving mean, spill to other zones early

An entry now adds its own requests, which it knows at once, to a moving mean of the others', and leaves its zone when the better candidate elsewhere is clearly less loaded.

--- a/core/src/main/java/org/carobhoist/core/membership/EndpointDirectory.java
+++ b/core/src/main/java/org/carobhoist/core/membership/EndpointDirectory.java
@@ -13,16 +13,29 @@
  * What an entry knows of the endpoints: the platform's instance list says where sidecars may be,
  * and each link says at first hand what its sidecar announces. An endpoint takes new work only
  * while its link is up and it announces that it serves. Absence from the list never counts as
- * death.
+ * death. An endpoint's load is this entry's own requests, which it knows at once, plus a moving
+ * mean of what other entries have there by the sidecar's reports, so that entries don't all run
+ * after the same late report.
  */
 public final class EndpointDirectory {
 
+  private static final double LOAD_GAIN = 0.3;
+
   private final Map<InstanceId, Entry> entries = new HashMap<>();
 
   private static final class Entry {
     private EndpointAnnouncement announcement;
     private boolean leavingByList;
     private int ownInFlight;
+    private double othersInFlight;
+    private boolean loadKnown;
+
+    /** Takes a report of all requests there, and learns from it what other entries have there. */
+    private void onLoad(int inFlight) {
+      double others = Math.max(0, inFlight - ownInFlight);
+      othersInFlight = loadKnown ? othersInFlight + LOAD_GAIN * (others - othersInFlight) : others;
+      loadKnown = true;
+    }
   }
 
   private EndpointDirectory() {}
@@ -40,7 +53,19 @@
     if (sameRun && a.sequence() <= entry.announcement.sequence()) {
       return;
     }
+    if (!sameRun) {
+      entry.loadKnown = false;
+    }
     entry.announcement = a;
+    entry.onLoad(a.inFlight() + a.queued());
+  }
+
+  /** Takes the load that an endpoint's sidecar reported with an answer. */
+  public void onLoad(InstanceId instance, int inFlight) {
+    Entry entry = entries.get(instance);
+    if (entry != null && entry.announcement != null) {
+      entry.onLoad(inFlight);
+    }
   }
 
   /** Notes that the link to an endpoint's sidecar is gone; its announcement no longer counts. */
@@ -93,7 +118,7 @@
         a.zone(),
         a.phase() == EndpointPhase.SERVING && !e.leavingByList,
         e.ownInFlight,
-        a.inFlight() + a.queued(),
+        e.ownInFlight + (int) Math.round(e.othersInFlight),
         a.limit(),
         a.version());
   }
--- a/core/src/main/java/org/carobhoist/core/routing/EndpointView.java
+++ b/core/src/main/java/org/carobhoist/core/routing/EndpointView.java
@@ -15,7 +15,7 @@
  * @param zone its availability zone
  * @param usable whether it takes new work: linked, serving and not leaving
  * @param ownInFlight requests of this entry in flight there
- * @param reportedInFlight requests in flight there by its last announcement, from all entries
+ * @param reportedInFlight requests in flight there from all entries, as far as known
  * @param limit concurrency limit by its last announcement, at least 1
  * @param version weight version by its last announcement; 0 for a plain service
  */
--- a/core/src/main/java/org/carobhoist/core/routing/Router.java
+++ b/core/src/main/java/org/carobhoist/core/routing/Router.java
@@ -9,22 +9,30 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.Zone;
 
 /**
  * Chooses the endpoint for a request among usable endpoints of the service that were not tried yet
- * and are not ejected as outliers. Without affinity, those of the entry's own availability zone go
- * first unless all of them are full; of two drawn at random the one with the lower load wins. With
- * a prompt prefix, the endpoints are ranked for it by rendezvous hashing, and the first one whose
- * load stays within the bound is taken: neither its requests in flight nor what this entry lately
- * sent it may pass the mean by more than the allowed imbalance.
+ * and are not ejected as outliers. Of two drawn at random the one with the lower load wins; the
+ * winner of the entry's own availability zone goes before the winner elsewhere unless it is full or
+ * clearly more loaded. With a prompt prefix, the endpoints are ranked for it by rendezvous hashing,
+ * and the first one whose load stays within the bound is taken: neither its requests in flight nor
+ * what this entry lately sent it may pass the mean by more than the allowed imbalance.
  */
 public final class Router {
 
   private static final double FULL = 1.0;
 
+  /** Most requests in flight in the own zone, as a multiple of those elsewhere. */
+  private static final double ZONE_PREFERENCE = 1.25;
+
+  /** Requests in flight in the own zone that are always allowed. */
+  private static final double ZONE_SLACK = 1;
+
   /** Requests beyond the bound on recent work, so that a quiet service keeps its affinity. */
   private static final double RECENT_SLACK = 4;
 
@@ -84,9 +92,21 @@
         return affine.get();
       }
     }
-    List<EndpointView> near =
-        from.stream().filter(e -> e.zone().equals(query.zone()) && e.load() < FULL).toList();
-    return betterOfTwo(near.isEmpty() ? from : near);
+    return chooseNear(query.zone(), from);
+  }
+
+  /** Keeps to the zone while its better candidate is hardly more loaded than one elsewhere. */
+  private EndpointView chooseNear(Zone zone, List<EndpointView> from) {
+    Map<Boolean, List<EndpointView>> byZone =
+        from.stream().collect(Collectors.partitioningBy(e -> e.zone().equals(zone)));
+    if (byZone.get(true).isEmpty() || byZone.get(false).isEmpty()) {
+      return betterOfTwo(from);
+    }
+    EndpointView near = betterOfTwo(byZone.get(true));
+    EndpointView far = betterOfTwo(byZone.get(false));
+    boolean spills = near.load() >= FULL && far.load() < near.load();
+    boolean crowded = inFlight(near) > ZONE_PREFERENCE * inFlight(far) + ZONE_SLACK;
+    return spills || crowded ? far : near;
   }
 
   private Optional<EndpointView> chooseAffine(
--- a/core/src/test/java/org/carobhoist/core/bench/SimulatedEntry.java
+++ b/core/src/test/java/org/carobhoist/core/bench/SimulatedEntry.java
@@ -234,9 +234,11 @@
 
     private void onDone(SimulatedEndpoint endpoint, int attempt) {
       endpoint.queue().complete(ticket(attempt));
+      int load = endpoint.queue().running() + endpoint.queue().queued();
       events.after(
           HOP,
           () -> {
+            directory.onLoad(endpoint.id(), load);
             run.on(attempt, RequestEvent.HEAD);
             run.on(attempt, RequestEvent.END);
           });
