--- a/core/src/main/java/org/carobhoist/core/membership/ListedInstance.java
+++ b/core/src/main/java/org/carobhoist/core/membership/ListedInstance.java
@@ -12,6 +12,20 @@
  * @param host IP number of its link port
  * @param port its link port
  * @param leaving whether the platform is about to take it away
+ * @param service the service that it serves, or empty where the list doesn't tell
  */
 public record ListedInstance(
-    InstanceId instance, String role, Zone zone, String host, int port, boolean leaving) {}
+    InstanceId instance,
+    String role,
+    Zone zone,
+    String host,
+    int port,
+    boolean leaving,
+    String service) {
+
+  /** Creates a line that doesn't tell the service. */
+  public ListedInstance(
+      InstanceId instance, String role, Zone zone, String host, int port, boolean leaving) {
+    this(instance, role, zone, host, port, leaving, "");
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/membership/DrainMatrixTest.java
@@ -0,0 +1,43 @@
+package org.carobhoist.core.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.carobhoist.core.testing.FaultMatrix;
+import org.carobhoist.core.testing.Schedules;
+import org.junit.jupiter.api.Test;
+
+/** Every fault at every step of an endpoint's life, single and in pairs, and random schedules. */
+final class DrainMatrixTest {
+
+  private static final long SEED = 4_400;
+  private static final int SCHEDULES = 1_000;
+
+  @Test
+  void holdsUnderEveryFaultAtEveryStep() throws Exception {
+    FaultMatrix<EndpointLifeState, DrainScenario.Fault> matrix =
+        FaultMatrix.of("drain", EndpointLifeState.class, DrainScenario.Fault.class);
+    List<String> broken =
+        matrix.run(cell -> new DrainScenario(new SplittableRandom(SEED)).run(cell));
+    assertThat(broken).isEmpty();
+  }
+
+  @Test
+  void holdsUnderRandomSchedules() {
+    assertThat(Schedules.explore(SEED, SCHEDULES, DrainMatrixTest::randomCell)).isEmpty();
+  }
+
+  private static Optional<String> randomCell(SplittableRandom random) {
+    return new DrainScenario(random).run(List.of(draw(random), draw(random), draw(random)));
+  }
+
+  private static FaultMatrix.Injection<EndpointLifeState, DrainScenario.Fault> draw(
+      SplittableRandom random) {
+    EndpointLifeState[] states = EndpointLifeState.values();
+    DrainScenario.Fault[] faults = DrainScenario.Fault.values();
+    return new FaultMatrix.Injection<>(
+        states[random.nextInt(states.length)], faults[random.nextInt(faults.length)]);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/membership/DrainScenario.java
@@ -0,0 +1,295 @@
+package org.carobhoist.core.membership;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.carobhoist.core.common.EndpointKind;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Priority;
+import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.limit.AdmissionQueue;
+import org.carobhoist.core.limit.AdmissionTicket;
+import org.carobhoist.core.limit.LimitPolicy;
+import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.FaultMatrix.Injection;
+import org.carobhoist.core.testing.ManualClock;
+
+/**
+ * A sidecar that is told to stop while an entry sends requests, with real directory, admission and
+ * life, over a simulated link that delivers in order. Faults strike when the life first enters a
+ * state.
+ */
+final class DrainScenario {
+
+  private static final ServiceName SERVICE = new ServiceName("reservas");
+  private static final InstanceId SIDECAR = new InstanceId("plain-1");
+  private static final Duration HOP = Duration.ofMillis(1);
+  private static final Duration REQUEST_GAP = Duration.ofMillis(20);
+  private static final Duration SERVICE_TIME = Duration.ofMillis(100);
+  private static final Duration LONG_TIME = Duration.ofSeconds(5);
+  private static final Duration PROBE_GAP = Duration.ofMillis(250);
+  private static final Duration GRACE = Duration.ofMillis(500);
+  private static final Duration LIMIT = Duration.ofSeconds(20);
+  private static final Duration STOP_AT = Duration.ofSeconds(3);
+  private static final Duration END = Duration.ofMinutes(2);
+  private static final Duration LEAVING_BOUND = Duration.ofSeconds(2);
+
+  private final SplittableRandom random;
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue events = new EventQueue(clock);
+  private final EndpointDirectory directory = EndpointDirectory.create();
+  private final AdmissionQueue queue =
+      AdmissionQueue.create(new LimitPolicy(64, 1, 64, 64, Duration.ofSeconds(10)), clock);
+  private final EndpointLife life = EndpointLife.create(new Port());
+  private final Map<Long, Integer> answers = new HashMap<>();
+  private List<Injection<EndpointLifeState, Fault>> pending = new ArrayList<>();
+  private boolean endpointUp = true;
+  private boolean linkUp = true;
+  private boolean finished;
+  private boolean longRequest;
+  private long sent;
+  private long excused;
+  private long sequence;
+  private Duration leavingSince;
+  private Duration linkFreeAt = Duration.ZERO;
+  private Duration hop = HOP;
+  private Optional<String> broken = Optional.empty();
+
+  /** Faults of the drain. */
+  enum Fault {
+    /** The endpoint crashes and answers no probe; it comes back later. */
+    ENDPOINT_CRASH,
+    /** The link breaks and comes back. */
+    LINK_CUT,
+    /** The link delivers slowly. */
+    LINK_SLOW,
+    /** The instance list says that the endpoint is leaving. */
+    LEAVING,
+    /** The instance list says that it stays. */
+    STAYING,
+    /** The order to stop comes again, or early. */
+    STOP_AGAIN,
+    /** A request takes very long. */
+    LONG_REQUEST
+  }
+
+  DrainScenario(SplittableRandom random) {
+    this.random = random;
+  }
+
+  Optional<String> run(List<Injection<EndpointLifeState, Fault>> faults) {
+    pending = new ArrayList<>(faults);
+    strike();
+    probe();
+    request();
+    events.after(STOP_AT, this::stop);
+    events.run(END);
+    check(finished, "never stopped: " + life.state());
+    check(answers.values().stream().allMatch(n -> n == 1), "answered twice");
+    check(answers.size() + excused >= sent, "cut: " + (sent - answers.size()) + " requests");
+    return broken;
+  }
+
+  private void stop() {
+    leavingSince = leavingSince == null ? clock.elapsed() : leavingSince;
+    fire(life::onStop);
+  }
+
+  private void fire(Runnable event) {
+    event.run();
+    strike();
+  }
+
+  private void strike() {
+    for (Injection<EndpointLifeState, Fault> i : List.copyOf(pending)) {
+      if (i.step() == life.state()) {
+        pending.remove(i);
+        strike(i.fault());
+      }
+    }
+  }
+
+  private void strike(Fault fault) {
+    switch (fault) {
+      case ENDPOINT_CRASH -> crash();
+      case LINK_CUT -> cutLink();
+      case LINK_SLOW -> hop = HOP.multipliedBy(100);
+      case LEAVING -> {
+        leavingSince = leavingSince == null ? clock.elapsed() : leavingSince;
+        events.after(Duration.ZERO, () -> fire(() -> life.onLeaving(true)));
+      }
+      case STAYING -> events.after(Duration.ZERO, this::stay);
+      case STOP_AGAIN -> events.after(Duration.ZERO, this::stop);
+      case LONG_REQUEST -> longRequest = true;
+    }
+  }
+
+  private void stay() {
+    fire(() -> life.onLeaving(false));
+    if (life.phase() == EndpointPhase.SERVING) {
+      leavingSince = null;
+    }
+  }
+
+  private void crash() {
+    endpointUp = false;
+    events.after(LONG_TIME, () -> endpointUp = true);
+  }
+
+  private void cutLink() {
+    linkUp = false;
+    directory.onLinkLost(SIDECAR);
+    excused = Long.MAX_VALUE / 2;
+    events.after(
+        Duration.ofSeconds(1),
+        () -> {
+          linkUp = true;
+          announce();
+        });
+  }
+
+  private void probe() {
+    if (!finished) {
+      fire(() -> life.onProbe(endpointUp));
+      events.after(PROBE_GAP, this::probe);
+    }
+  }
+
+  private void request() {
+    if (clock.elapsed().compareTo(STOP_AT.plus(STOP_AT)) > 0) {
+      return;
+    }
+    events.after(REQUEST_GAP, this::request);
+    boolean usable = directory.viewsOf(SERVICE).stream().anyMatch(EndpointView::usable);
+    if (usable && linkUp) {
+      long id = ++sent;
+      deliver(() -> arrive(id));
+    }
+  }
+
+  private void arrive(long id) {
+    if (finished) {
+      check(false, "request " + id + " came to a stopped sidecar");
+      return;
+    }
+    queue.offer(
+        new AdmissionTicket(
+            id,
+            Priority.STANDARD,
+            "a",
+            Optional.empty(),
+            () -> begin(id),
+            refusal -> onRefused(id, refusal.reason())));
+  }
+
+  private void begin(long id) {
+    boolean late =
+        leavingSince != null && clock.elapsed().minus(leavingSince).compareTo(LEAVING_BOUND) > 0;
+    check(!late, "new work admitted too late after leaving began");
+    Duration took = longRequest ? LONG_TIME : SERVICE_TIME.plusMillis(random.nextInt(50));
+    longRequest = false;
+    events.after(
+        took,
+        () -> {
+          deliver(() -> answers.merge(id, 1, Integer::sum));
+          queue.complete(id);
+        });
+  }
+
+  private void onRefused(long id, RefusalReason reason) {
+    check(reason == RefusalReason.DRAINING, "refused for " + reason);
+    check(hop.equals(HOP), "refused although the entry had time to learn");
+    deliver(() -> answers.merge(id, 1, Integer::sum));
+  }
+
+  /** Delivers in order, and not at all if the link is down. */
+  private void deliver(Runnable message) {
+    if (!linkUp) {
+      return;
+    }
+    Duration now = clock.elapsed();
+    Duration at = now.plus(hop);
+    linkFreeAt = linkFreeAt.compareTo(at) > 0 ? linkFreeAt : at;
+    events.after(linkFreeAt.minus(now), message);
+  }
+
+  private void announce() {
+    EndpointAnnouncement a =
+        new EndpointAnnouncement(
+            SIDECAR,
+            new Incarnation("1"),
+            new Zone("centro-a"),
+            SERVICE,
+            EndpointKind.PLAIN,
+            life.phase(),
+            queue.running(),
+            queue.queued(),
+            queue.limit(),
+            new WeightVersion(0),
+            ++sequence);
+    deliver(() -> directory.onAnnouncement(a));
+  }
+
+  private void check(boolean holds, String what) {
+    if (!holds && broken.isEmpty()) {
+      broken = Optional.of(what);
+    }
+  }
+
+  private final class Port implements EndpointLifePort {
+
+    @Override
+    public void announce() {
+      DrainScenario.this.announce();
+    }
+
+    @Override
+    public void startGrace() {
+      events.after(GRACE, () -> fire(life::onGraceOver));
+    }
+
+    @Override
+    public void refuseNew() {
+      queue.drain();
+    }
+
+    @Override
+    public void admitNew() {
+      queue.resume();
+    }
+
+    @Override
+    public void awaitIdle() {
+      events.after(LIMIT, () -> fire(life::onLimit));
+      pollIdle();
+    }
+
+    private void pollIdle() {
+      if (queue.isIdle()) {
+        fire(life::onIdle);
+      } else if (life.state() == EndpointLifeState.DRAINING) {
+        events.after(HOP, this::pollIdle);
+      }
+    }
+
+    @Override
+    public void flush() {
+      events.after(LIMIT, () -> fire(life::onLimit));
+      deliver(() -> fire(life::onFlushed));
+    }
+
+    @Override
+    public void finish() {
+      finished = true;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/membership/LinkSubsetTest.java
@@ -0,0 +1,62 @@
+package org.carobhoist.core.membership;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Zone;
+import org.junit.jupiter.api.Test;
+
+/** Links of 400 entries to 600 sidecars in seven availability zones. */
+final class LinkSubsetTest {
+
+  private static final int ENTRIES = 400;
+  private static final int SIDECARS = 600;
+  private static final int ZONES = 7;
+  private static final int MOST_LINKS = 24;
+
+  private final List<ListedInstance> sidecars = new ArrayList<>();
+
+  LinkSubsetTest() {
+    for (int i = 0; i < SIDECARS; i++) {
+      sidecars.add(
+          new ListedInstance(new InstanceId("engine-" + i), "sidecar", zone(i), "", 1, false));
+    }
+  }
+
+  @Test
+  void linksEverySidecarFromSeveralEntriesAndNeverAll() {
+    Map<InstanceId, Integer> counts = new HashMap<>();
+    for (int i = 0; i < ENTRIES; i++) {
+      Set<InstanceId> chosen = choose(i, sidecars);
+      assertThat(chosen).hasSize(MOST_LINKS);
+      chosen.forEach(id -> counts.merge(id, 1, Integer::sum));
+    }
+    assertThat(counts).hasSize(SIDECARS);
+    assertThat(Collections.min(counts.values())).isAtLeast(2);
+  }
+
+  @Test
+  void replacesOnlyTheSidecarThatWent() {
+    List<ListedInstance> fewer = sidecars.subList(1, SIDECARS);
+    for (int i = 0; i < ENTRIES; i++) {
+      Set<InstanceId> lost = new HashSet<>(choose(i, sidecars));
+      lost.removeAll(choose(i, fewer));
+      assertThat(lost.size()).isAtMost(1);
+    }
+  }
+
+  private static Set<InstanceId> choose(int entry, List<ListedInstance> from) {
+    return LinkSubset.choose(new InstanceId("entry-" + entry), zone(entry), from, 1);
+  }
+
+  private static Zone zone(int number) {
+    return new Zone("zone-" + number % ZONES);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/membership/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of membership, heartbeats and drain. */
+package org.carobhoist.core.membership;
--- a/core/src/test/java/org/carobhoist/core/routing/RouterTest.java
+++ b/core/src/test/java/org/carobhoist/core/routing/RouterTest.java
@@ -121,12 +121,12 @@
 
   @Test
   void ejectsForTwiceAsLongAfterFailedProbe() {
-    List<EndpointView> endpoints = idle(3);
     fail("e0", POLICY.failures());
     clock.advance(POLICY.ejection());
     fail("e0", 1);
 
     clock.advance(POLICY.ejection());
+    List<EndpointView> endpoints = idle(3);
     assertThat(choices(endpoints, 50)).doesNotContain("e0");
     clock.advance(POLICY.ejection());
     assertThat(choices(endpoints, 50)).contains("e0");
