--- a/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
+++ b/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
@@ -1,6 +1,8 @@
 package org.carobhoist.server.platform;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import org.carobhoist.core.profile.FoldOutcome;
 import org.carobhoist.core.profile.ProfileChange;
 import org.carobhoist.core.profile.ProfileFold;
@@ -13,12 +15,14 @@
 /** Follows the platform's log by long poll and folds its records into the configuration. */
 public final class ConfigFollower implements StateSource {
 
-  private static final Duration POLL_WAIT = Duration.ofSeconds(20);
+  private static final Duration POLL_WAIT = Duration.ofSeconds(5);
   private static final Duration RETRY_DELAY = Duration.ofMillis(500);
 
   private final PlatformLog log;
   private final DecisionLoop loop;
   private final ProfileFold fold = ProfileFold.create();
+  private final List<RecordListener> listeners = new ArrayList<>();
+  private final List<LogListener> readers = new ArrayList<>();
   private boolean reachable = true;
   private volatile boolean ready;
 
@@ -40,6 +44,16 @@
     loop.execute(() -> poll(Duration.ZERO));
   }
 
+  /** Adds a listener for weight orders and home views; to be called before {@link #start}. */
+  public void onRecord(RecordListener listener) {
+    listeners.add(listener);
+  }
+
+  /** Lets a listener see every read; to be called before the start. */
+  public void listen(LogListener listener) {
+    readers.add(listener);
+  }
+
   /** Returns the configuration; to be used on the loop only. */
   public ProfileFold fold() {
     return fold;
@@ -61,11 +75,12 @@
   }
 
   private void poll(Duration wait) {
-    log.read(fold.appliedOffset() + 1, wait)
-        .whenCompleteAsync((batch, failure) -> onRead(batch, failure), loop);
+    long from = fold.appliedOffset() + 1;
+    readers.forEach(LogListener::onReadSent);
+    log.read(from, wait).whenCompleteAsync((batch, failure) -> onRead(from, batch, failure), loop);
   }
 
-  private void onRead(LogBatch batch, Throwable failure) {
+  private void onRead(long from, LogBatch batch, Throwable failure) {
     if (failure != null) {
       if (reachable) {
         EventLog.warn(LogEvent.LOG_UNREACHABLE, "cause", failure.getMessage());
@@ -75,6 +90,7 @@
       return;
     }
     reachable = true;
+    readers.forEach(l -> l.onBatch(from, batch));
     batch.records().forEach(this::apply);
     if (batch.records().isEmpty() || fold.appliedOffset() + 1 >= batch.next()) {
       ready = true;
@@ -83,15 +99,26 @@
   }
 
   private void apply(LogBatch.StoredRecord record) {
-    LogRecords.decode(record.data())
-        .filter(LogRecord::hasChange)
-        .flatMap(r -> LogRecords.change(r.getChange()))
-        .ifPresentOrElse(
-            change -> apply(record.offset(), change),
-            () -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", record.offset()));
+    if (record.offset() <= fold.appliedOffset()) {
+      return;
+    }
+    LogRecord body = LogRecords.decode(record.data()).orElse(LogRecord.getDefaultInstance());
+    switch (body.getBodyCase()) {
+      case CHANGE -> applyChange(record.offset(), body);
+      case WEIGHT_ORDER, HOME_VIEW ->
+          listeners.forEach(l -> l.onRecord(record.offset(), record.timeMillis(), body));
+      default -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", record.offset());
+    }
     fold.advance(record.offset());
   }
 
+  private void applyChange(long offset, LogRecord body) {
+    LogRecords.change(body.getChange())
+        .ifPresentOrElse(
+            change -> apply(offset, change),
+            () -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", offset));
+  }
+
   private void apply(long offset, ProfileChange change) {
     FoldOutcome outcome = fold.apply(offset, change);
     LogEvent event =
