Drain by the chart, watch links by heartbeats, link a subset of sidecars

Entries read the whole instance list every second, linked every sidecar and got an announcement for each change of load; a leaving endpoint and a half-open link went unnoticed, and a stopping entry cut connections that the balancer still used.

EndpointKeeper probes the endpoint, reads its own line of the list once a second and drives the drain chart; LinkPool reads the list by its tag with a growing period, links a subset and more on demand, and reconnects by itself. A stopping entry serves what still comes and closes connections after their answers. Profiles set weight, queue and concurrency of their requests.

--- a/core/src/main/java/org/carobhoist/core/profile/Profile.java
+++ b/core/src/main/java/org/carobhoist/core/profile/Profile.java
@@ -5,6 +5,7 @@
 import org.carobhoist.core.common.Priority;
 import org.carobhoist.core.common.ProfileName;
 import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.limit.TenantPolicy;
 import org.carobhoist.core.request.RetryPolicy;
 import org.carobhoist.core.rollout.RolloutPolicy;
 
@@ -18,6 +19,7 @@
  * @param retry how often requests are sent again
  * @param deadline deadline of a request whose caller names none
  * @param priority class of its requests in a queue
+ * @param share its part in an endpoint, next to other profiles of its class
  */
 public record Profile(
     ProfileName name,
@@ -26,4 +28,5 @@
     RolloutPolicy rollout,
     RetryPolicy retry,
     Duration deadline,
-    Priority priority) {}
+    Priority priority,
+    TenantPolicy share) {}
--- a/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
+++ b/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
@@ -6,6 +6,7 @@
 import org.carobhoist.core.common.Priority;
 import org.carobhoist.core.common.ProfileName;
 import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.limit.TenantPolicy;
 import org.carobhoist.core.request.RetryPolicy;
 import org.carobhoist.core.rollout.RolloutPolicy;
 import org.carobhoist.core.rollout.RolloutPolicy.SwapPolicy;
@@ -71,10 +72,40 @@
       SettingTypes.choice(
           "requests", "priority", Priority.class, "standard", "Class of its requests in a queue.");
 
+  private static final SettingSpec<Double> WEIGHT =
+      SettingTypes.decimal(
+          "requests",
+          "weight",
+          0.01,
+          100,
+          "1",
+          "Share of an endpoint while other profiles of the same class wait as well.");
+  private static final SettingSpec<Long> QUEUE =
+      SettingTypes.whole(
+          "requests", "queue", 0, 100_000, "100000", "Most requests that wait at one endpoint.");
+  private static final SettingSpec<Long> CONCURRENCY =
+      SettingTypes.whole(
+          "requests",
+          "concurrency",
+          1,
+          100_000,
+          "100000",
+          "Most requests that run at one endpoint at once.");
+
   /** Every key that a profile's document may have. */
   public static final List<SettingSpec<?>> SPECS =
       List.of(
-          SERVICE, KIND, MAX_STALENESS, SWAP_POLICY, IDLE_WEIGHT, MAX_ATTEMPTS, DEADLINE, PRIORITY);
+          SERVICE,
+          KIND,
+          MAX_STALENESS,
+          SWAP_POLICY,
+          IDLE_WEIGHT,
+          MAX_ATTEMPTS,
+          DEADLINE,
+          PRIORITY,
+          WEIGHT,
+          QUEUE,
+          CONCURRENCY);
 
   private ProfileReader() {}
 
@@ -92,6 +123,8 @@
         new RolloutPolicy(doc.get(MAX_STALENESS), doc.get(SWAP_POLICY), doc.get(IDLE_WEIGHT)),
         new RetryPolicy(doc.get(MAX_ATTEMPTS).intValue()),
         doc.get(DEADLINE),
-        doc.get(PRIORITY));
+        doc.get(PRIORITY),
+        new TenantPolicy(
+            doc.get(WEIGHT), doc.get(QUEUE).intValue(), doc.get(CONCURRENCY).intValue()));
   }
 }
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -1,7 +1,11 @@
 package org.carobhoist.server.entry;
 
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
@@ -22,6 +26,8 @@
 import org.carobhoist.server.link.LinkNetwork;
 import org.carobhoist.server.link.proto.Hello;
 import org.carobhoist.server.link.proto.LinkFrame;
+import org.carobhoist.server.link.proto.Ping;
+import org.carobhoist.server.link.proto.Pong;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 import org.carobhoist.server.platform.ConfigFollower;
@@ -40,6 +46,8 @@
 
   private static final double RETRIES_PER_REQUEST = 0.1;
   private static final double RETRY_BURST = 20;
+  private static final Duration NOTICE_TIME = Duration.ofSeconds(2);
+  private static final Duration QUIET_TIME = Duration.ofMillis(250);
   private static final Duration DRAIN_LIMIT = Duration.ofMinutes(2);
 
   private final InstanceSettings settings;
@@ -65,7 +73,9 @@
     this.config = ConfigFollower.create(platform, loop);
     this.network = LinkNetwork.create(this.settings.link(), hello(), new Frames());
     Clock clock = SystemClock.create();
-    LinkPool links = new LinkPool(loop, platform);
+    LinkPool links =
+        new LinkPool(
+            this.settings.id(), this.settings.zone(), loop, clock, platform, random.split());
     this.context =
         new CallContext(
             loop,
@@ -99,12 +109,21 @@
         .thenRun(this::logStarted);
   }
 
-  /** Drains: is no longer ready, finishes the requests in flight, then leaves. */
+  /**
+   * Drains: is no longer ready, waits until the balancer has noticed, finishes the requests in
+   * flight, then leaves. Every request that still comes is served, and its connection closed after
+   * the answer, so that none is cut.
+   */
   @Override
   public CompletableFuture<Void> stop() {
     EventLog.info(LogEvent.STOPPING, "instance", settings.id());
     draining = true;
-    return http.stop().thenCompose(ok -> network.stop()).thenCompose(ok -> loop.stop());
+    CompletableFuture<Void> noticed = new CompletableFuture<>();
+    loop.after(NOTICE_TIME, () -> noticed.complete(null));
+    return noticed
+        .thenCompose(ok -> http.stop())
+        .thenCompose(ok -> network.stop())
+        .thenCompose(ok -> loop.stop());
   }
 
   private Hello hello() {
@@ -120,7 +139,8 @@
     ServerBuilder sb = Server.builder();
     sb.http(new InetSocketAddress(settings.http().host(), settings.http().port()));
     sb.requestTimeoutMillis(0);
-    sb.gracefulShutdownTimeout(Duration.ofMillis(1), DRAIN_LIMIT);
+    sb.gracefulShutdownTimeout(QUIET_TIME, DRAIN_LIMIT);
+    sb.decorator(this::closeWhileDraining);
     StateDump dump = StateDump.of(loop, List.of(new WorkState(), config));
     AdminRoutes.create(this::isReady, metrics, dump).addTo(sb);
     new CallRoutes(context, config.fold(), config::isReady).addTo(sb);
@@ -130,6 +150,14 @@
     return sb.build();
   }
 
+  private HttpResponse closeWhileDraining(
+      HttpService next, ServiceRequestContext ctx, HttpRequest req) throws Exception {
+    if (draining) {
+      ctx.initiateConnectionShutdown();
+    }
+    return next.serve(ctx, req);
+  }
+
   private boolean isReady() {
     return config.isReady() && !draining;
   }
@@ -141,24 +169,36 @@
 
   private void onFrame(Link link, LinkFrame frame) {
     InstanceId from = LinkPool.peer(link);
-    if (frame.hasAnnouncement()) {
-      context.links().onAnnouncement(link, frame);
-      return;
+    context.links().onHeard(link);
+    switch (frame.getBodyCase()) {
+      case ANNOUNCEMENT -> context.links().onAnnouncement(link, frame);
+      case PING -> link.send(pong(frame.getPing()));
+      case PONG -> {}
+      default -> dispatch(from, frame);
     }
+  }
+
+  private static LinkFrame pong(Ping ping) {
+    return LinkFrame.newBuilder().setPong(Pong.newBuilder().setNonce(ping.getNonce())).build();
+  }
+
+  private void dispatch(InstanceId from, LinkFrame frame) {
     if (!context.table().dispatch(from, frame) && !steps.dispatch(from, frame)) {
       EventLog.info(LogEvent.FRAME_DROPPED, "peer", from, "kind", frame.getBodyCase());
     }
   }
 
+  private void onUp(Link link) {
+    context.links().onUp(link).ifPresent(this::onLinkLost);
+  }
+
   private void onDown(Link link) {
-    context
-        .links()
-        .onDown(link)
-        .ifPresent(
-            endpoint -> {
-              context.table().onLinkLost(endpoint);
-              steps.onLinkLost(endpoint);
-            });
+    context.links().onDown(link).ifPresent(this::onLinkLost);
+  }
+
+  private void onLinkLost(InstanceId endpoint) {
+    context.table().onLinkLost(endpoint);
+    steps.onLinkLost(endpoint);
   }
 
   private final class WorkState implements StateSource {
@@ -183,7 +223,7 @@
 
     @Override
     public void onUp(Link link) {
-      loop.execute(() -> context.links().onUp(link));
+      loop.execute(() -> EntryService.this.onUp(link));
     }
 
     @Override
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -20,6 +20,12 @@
   LINK_DOWN(2002, "link down"),
   /** A frame could not be understood. */
   FRAME_DROPPED(2003, "frame dropped"),
+  /** Nothing was heard on a link for too long; it is closed. */
+  LINK_SILENT(2100, "link silent"),
+  /** An endpoint begins to leave; it is drained. */
+  ENDPOINT_LEAVING(2101, "endpoint leaving"),
+  /** An endpoint's phase changed after a probe. */
+  ENDPOINT_PHASE(2102, "endpoint phase"),
   /** A request was refused or failed. */
   REQUEST_REFUSED(3001, "request refused"),
   /** A request is sent again. */
--- a/server/src/main/java/org/carobhoist/server/platform/HttpPlatform.java
+++ b/server/src/main/java/org/carobhoist/server/platform/HttpPlatform.java
@@ -5,10 +5,13 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.QueryParams;
+import com.linecorp.armeria.common.RequestHeaders;
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.net.URI;
@@ -16,6 +19,7 @@
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.carobhoist.core.common.InstanceId;
@@ -29,6 +33,10 @@
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final WebClient client;
+  private volatile TaggedList lastList = new TaggedList("none", List.of());
+
+  /** The instance list as last read, with the tag by which the platform tells it from others. */
+  private record TaggedList(String tag, List<ListedInstance> instances) {}
 
   private HttpPlatform(URI url) {
     this.client =
@@ -60,8 +68,30 @@
 
   @Override
   public CompletableFuture<List<ListedInstance>> read() {
-    return call(HttpRequest.of(HttpMethod.GET, "/instances"), CALL_TIMEOUT)
-        .thenApply(HttpPlatform::instances);
+    RequestHeaders headers =
+        RequestHeaders.builder(HttpMethod.GET, "/instances")
+            .add(HttpHeaderNames.IF_NONE_MATCH, lastList.tag())
+            .build();
+    return client
+        .execute(HttpRequest.of(headers))
+        .aggregate()
+        .thenApply(this::list)
+        .orTimeout(CALL_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  @Override
+  public CompletableFuture<Optional<ListedInstance>> read(InstanceId instance) {
+    String path = "/instances?" + QueryParams.of("instance", instance.value()).toQueryString();
+    return call(HttpRequest.of(HttpMethod.GET, path), CALL_TIMEOUT)
+        .thenApply(json -> instances(json).stream().findFirst());
+  }
+
+  private List<ListedInstance> list(AggregatedHttpResponse response) {
+    if (!response.status().equals(HttpStatus.NOT_MODIFIED)) {
+      List<ListedInstance> listed = instances(parse(response));
+      lastList = new TaggedList(response.headers().get(HttpHeaderNames.ETAG, "none"), listed);
+    }
+    return lastList.instances();
   }
 
   private CompletableFuture<JsonNode> call(HttpRequest request, Duration timeout) {
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -7,20 +7,20 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.EndpointKind;
 import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.ProfileName;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.limit.AdmissionQueue;
+import org.carobhoist.core.limit.TenantPolicy;
 import org.carobhoist.core.membership.EndpointAnnouncement;
 import org.carobhoist.core.membership.EndpointPhase;
-import org.carobhoist.server.link.AnnouncementMapper;
+import org.carobhoist.core.profile.Profile;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
 import org.carobhoist.server.link.LinkNetwork;
@@ -42,7 +42,6 @@
 public final class SidecarService implements Service {
 
   private static final Duration TICK = Duration.ofMillis(100);
-  private static final Duration DRAIN_POLL = Duration.ofMillis(20);
 
   private final SidecarSettings settings;
   private final Incarnation incarnation = new Incarnation(UUID.randomUUID().toString());
@@ -55,12 +54,9 @@
   private final LinkNetwork network;
   private final ConfigFollower config;
   private final Optional<SwapWorker> swap;
-  private final Set<Link> links = new HashSet<>();
+  private final EndpointKeeper keeper;
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-  private EndpointPhase phase = EndpointPhase.SERVING;
-  private EndpointAnnouncement announced;
-  private long sequence;
   private Server http;
 
   /** State dump of the endpoint's admission. */
@@ -80,6 +76,10 @@
     this.samples = new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets);
     this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
     this.config = ConfigFollower.create(platform, loop);
+    this.keeper =
+        new EndpointKeeper(
+            settings.instance().id(), loop, clock, queue, endpoint, platform, this::announcement);
+    queue.setTenants(this::tenantPolicy);
     this.swap =
         kind == EndpointKind.ENGINE
             ? Optional.of(swapWorker(endpoint, platform))
@@ -99,23 +99,21 @@
     config.listen(keys.listener());
     config.start();
     http = httpServer();
-    return network.start().thenCompose(ok -> http.start()).thenRun(this::logStarted);
+    return keeper
+        .start()
+        .thenCompose(ok -> network.start())
+        .thenCompose(ok -> http.start())
+        .thenRun(this::logStarted);
   }
 
-  /** Drains: refuses new work, finishes what runs, then leaves. */
+  /** Drains as the chart {@code drain} says, then leaves. */
   @Override
   public CompletableFuture<Void> stop() {
     EventLog.info(LogEvent.STOPPING, "instance", settings.instance().id());
-    CompletableFuture<Void> idle = new CompletableFuture<>();
-    loop.execute(
-        () -> {
-          phase = EndpointPhase.DRAINING;
-          queue.drain();
-          keys.leave();
-          announce();
-          awaitIdle(idle);
-        });
-    return idle.thenCompose(ok -> network.stop())
+    loop.execute(keys::leave);
+    return keeper
+        .stop()
+        .thenCompose(ok -> network.stop())
         .thenCompose(ok -> http.stop())
         .thenCompose(ok -> loop.stop());
   }
@@ -129,7 +127,7 @@
         platform,
         loop,
         clock,
-        this::announce);
+        () -> keeper().announce());
   }
 
   private Hello hello() {
@@ -168,12 +166,14 @@
         incarnation);
   }
 
-  private void awaitIdle(CompletableFuture<Void> idle) {
-    if (queue.isIdle()) {
-      idle.complete(null);
-      return;
-    }
-    loop.after(DRAIN_POLL, () -> awaitIdle(idle));
+  private EndpointKeeper keeper() {
+    return keeper;
+  }
+
+  /** Returns the share that a tenant's profile gives it; the profile comes before any space. */
+  private TenantPolicy tenantPolicy(String tenant) {
+    ProfileName profile = new ProfileName(tenant.split(" ", 2)[0]);
+    return config.fold().profile(profile).map(Profile::share).orElse(TenantPolicy.DEFAULT);
   }
 
   private void tick() {
@@ -181,16 +181,7 @@
     swap.ifPresent(SwapWorker::tick);
     calls.tick();
     keys.tick();
-    if (announced == null || !announcement(announced.sequence()).equals(announced)) {
-      announce();
-    }
-  }
-
-  private void announce() {
-    announced = announcement(++sequence);
-    LinkFrame frame =
-        LinkFrame.newBuilder().setAnnouncement(AnnouncementMapper.toMessage(announced)).build();
-    links.forEach(link -> link.send(frame));
+    keeper.tick();
   }
 
   private EndpointAnnouncement announcement(long number) {
@@ -210,10 +201,14 @@
 
   private EndpointPhase announcedPhase() {
     boolean serving = swap.map(SwapWorker::isInRotation).orElse(true);
+    EndpointPhase phase = keeper.phase();
     return phase == EndpointPhase.SERVING && !serving ? EndpointPhase.DOWN : phase;
   }
 
   private void onFrame(Link link, LinkFrame frame) {
+    if (keeper.onFrame(link, frame)) {
+      return;
+    }
     switch (frame.getBodyCase()) {
       case CALL_START -> calls.onStart(link, frame.getCallStart());
       case CALL_CANCEL -> calls.onCancel(link, frame.getCallCancel());
@@ -236,7 +231,7 @@
     public Object state() {
       return new State(
           settings.endpoint().service().value(),
-          phase.name(),
+          keeper.state().name(),
           queue.running(),
           queue.queued(),
           queue.limit(),
@@ -249,11 +244,7 @@
 
     @Override
     public void onUp(Link link) {
-      loop.execute(
-          () -> {
-            links.add(link);
-            announce();
-          });
+      loop.execute(() -> keeper.onUp(link));
     }
 
     @Override
@@ -265,7 +256,7 @@
     public void onDown(Link link) {
       loop.execute(
           () -> {
-            links.remove(link);
+            keeper.onDown(link);
             calls.onLinkDown(link);
           });
     }
--- a/standin/src/main/java/org/carobhoist/standin/PlatformStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformStandIn.java
@@ -1,6 +1,7 @@
 package org.carobhoist.standin;
 
 import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.server.ServerBuilder;
@@ -8,6 +9,7 @@
 import java.net.URI;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
@@ -105,12 +107,26 @@
     sb.service(
         "/instances",
         (ctx, req) ->
-            listDown
-                ? HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE)
-                : StandInServer.json(instances.values()));
+            listDown ? HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE) : instances(ctx, req));
     sb.service("/weights/{model}", this::weights);
   }
 
+  /** Answers the list, or one line of it, or that it is the one that the asker has. */
+  private HttpResponse instances(
+      ServiceRequestContext ctx, com.linecorp.armeria.common.HttpRequest req) {
+    String one = ctx.queryParam("instance");
+    List<ListedInstance> found =
+        instances.values().stream()
+            .filter(i -> one == null || i.instance().value().equals(one))
+            .sorted(Comparator.comparing(ListedInstance::instance))
+            .toList();
+    String tag = '"' + Integer.toHexString(found.hashCode()) + '"';
+    if (tag.equals(req.headers().get(HttpHeaderNames.IF_NONE_MATCH))) {
+      return HttpResponse.of(HttpStatus.NOT_MODIFIED);
+    }
+    return StandInServer.json(found).mapHeaders(h -> h.withMutations(b -> b.add("etag", tag)));
+  }
+
   private HttpResponse weights(
       ServiceRequestContext ctx, com.linecorp.armeria.common.HttpRequest req) {
     String model = ctx.pathParam("model");
