--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -88,7 +88,7 @@
             new KeyRouter(clock, links, platform, new SecureRandom()));
     this.weights = new WeightRoutes(platform, loop);
     config.onRecord(weights);
-    this.steps = new StepTable(context, random.split());
+    this.steps = new StepTable(context, random.split(), config.fold()::profile);
   }
 
   /** Returns an entry that hasn't started. */
@@ -190,6 +190,7 @@
 
   private void onUp(Link link) {
     context.links().onUp(link).ifPresent(this::onLinkLost);
+    steps.onLinkUp(LinkPool.peer(link));
   }
 
   private void onDown(Link link) {
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -73,7 +73,8 @@
     this.keys = KeyedHome.create(settings, incarnation, clock, platform);
     KeyedCalls keyed = new KeyedCalls(keys.gate(), keys.table(), queue, endpoint, clock, tickets);
     this.calls = new CallWorker(queue, endpoint, kind, clock, tickets, keyed);
-    this.samples = new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets);
+    this.samples =
+        new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets, clock, loop);
     this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
     this.config = ConfigFollower.create(platform, loop);
     this.keeper =
@@ -258,6 +259,7 @@
           () -> {
             keeper.onDown(link);
             calls.onLinkDown(link);
+            samples.onLinkDown(link);
           });
     }
   }
