--- a/core/src/main/java/org/carobhoist/core/profile/ProfileChange.java
+++ b/core/src/main/java/org/carobhoist/core/profile/ProfileChange.java
@@ -18,7 +18,8 @@
     ProfileName profile,
     Revision base,
     String document,
-    String operator) {
+    String operator)
+    implements ConfigRecord {
 
   /** What a change does. */
   public enum Kind {
--- a/core/src/main/java/org/carobhoist/core/profile/ProfileFold.java
+++ b/core/src/main/java/org/carobhoist/core/profile/ProfileFold.java
@@ -1,11 +1,9 @@
 package org.carobhoist.core.profile;
 
 import java.util.Comparator;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.TreeMap;
 import org.carobhoist.core.common.ProfileName;
 import org.carobhoist.core.common.ServiceName;
@@ -13,41 +11,51 @@
 
 /**
  * The configuration as a deterministic fold over the log. Records are applied in the order of their
- * offsets; a record whose base isn't the profile's current revision is void for every process
+ * offsets; a change whose base isn't the profile's current revision is void for every process
  * alike. A record at or below an offset that has been applied is ignored, so the fold never goes
  * back.
+ *
+ * <p>Revisions only grow and a retired profile keeps its revision, so a change can be accepted only
+ * once: when the same record is appended again, its base is no longer current. The fold therefore
+ * needs no memory of the changes that it has seen.
  */
 public final class ProfileFold {
 
+  /** Most characters of a profile's document. */
+  public static final int MAX_DOCUMENT_CHARS = 65_536;
+
+  private final ReplicaRules rules;
   private final Map<ProfileName, ProfileEntry> entries = new TreeMap<>();
-  private final Set<String> seenChanges = new HashSet<>();
   private long appliedOffset;
 
-  private ProfileFold() {}
+  private ProfileFold(ReplicaRules rules) {
+    this.rules = rules;
+  }
 
   /** Returns the fold of an empty log. */
   public static ProfileFold create() {
-    return new ProfileFold();
+    return create(ReplicaRules.STRICT);
+  }
+
+  static ProfileFold create(ReplicaRules rules) {
+    return new ProfileFold(rules);
   }
 
   /**
-   * Applies a record.
+   * Applies a change.
    *
    * @param offset the record's offset, from 1
    */
   public FoldOutcome apply(long offset, ProfileChange change) {
     ProfileEntry current = entries.get(change.profile());
-    Revision at = current == null ? Revision.NONE : current.revision();
-    String winner = current == null ? "" : current.changeId();
-    if (offset <= appliedOffset || !seenChanges.add(change.changeId())) {
-      return new FoldOutcome(FoldOutcome.Status.REPEATED, at, winner, "seen before");
+    if (!rules.isNew(offset, appliedOffset)) {
+      return outcome(FoldOutcome.Status.REPEATED, change, current, "the offset was applied before");
     }
     appliedOffset = offset;
-    if (!change.base().equals(at)) {
-      String detail = "builds on revision " + change.base() + ", current is " + at;
-      return new FoldOutcome(FoldOutcome.Status.CONFLICT, at, winner, detail);
+    if (!rules.buildsOn(change, revisionOf(current))) {
+      return refuse(change, current);
     }
-    return accept(new Revision(offset), change, at, winner);
+    return accept(offset, change, current);
   }
 
   /** Notes that the log has been read up to an offset, whatever stood there. */
@@ -75,7 +83,7 @@
 
   /** Returns every profile, retired ones included, by name. */
   public Map<ProfileName, ProfileEntry> entries() {
-    return Map.copyOf(entries);
+    return new TreeMap<>(entries);
   }
 
   /** Returns a live profile. */
@@ -83,6 +91,14 @@
     return entry(name).flatMap(ProfileEntry::profile);
   }
 
+  /**
+   * Returns a profile also if it is retired: its last state, under which a step that began before
+   * the retirement goes on to its end. New work must use {@link #profile}.
+   */
+  public Optional<Profile> profileOrLast(ProfileName name) {
+    return entry(name).map(ProfileEntry::last);
+  }
+
   /** Returns the live profiles of a service, by name. */
   public List<Profile> profilesOf(ServiceName service) {
     return entries.values().stream()
@@ -91,17 +107,59 @@
         .toList();
   }
 
-  private FoldOutcome accept(Revision made, ProfileChange change, Revision at, String winner) {
-    Optional<Profile> profile = Optional.empty();
-    if (change.kind() != ProfileChange.Kind.RETIRE) {
-      try {
-        profile = Optional.of(ProfileReader.read(change.profile(), change.document()));
-      } catch (SettingsException e) {
-        return new FoldOutcome(FoldOutcome.Status.INVALID, at, winner, e.getMessage());
-      }
+  /** Replaces the whole state; the caller has checked that it doesn't go back. */
+  void install(ProfileSnapshot snapshot) {
+    entries.clear();
+    snapshot.profiles().forEach(e -> entries.put(e.name(), e));
+    appliedOffset = snapshot.through();
+  }
+
+  private FoldOutcome refuse(ProfileChange change, ProfileEntry current) {
+    if (current != null && current.changeId().equals(change.changeId())) {
+      return outcome(FoldOutcome.Status.REPEATED, change, current, "the change is in force");
     }
-    String id = change.changeId();
-    entries.put(change.profile(), new ProfileEntry(made, id, profile, change.document()));
-    return new FoldOutcome(FoldOutcome.Status.ACCEPTED, made, id, "");
+    String detail =
+        "builds on revision " + change.base() + ", but the current is " + revisionOf(current);
+    return outcome(FoldOutcome.Status.CONFLICT, change, current, detail);
+  }
+
+  private FoldOutcome accept(long offset, ProfileChange change, ProfileEntry current) {
+    boolean live = current != null && !current.retired();
+    if (live == (change.kind() == ProfileChange.Kind.PUBLISH)) {
+      String detail = live ? "the profile exists already" : "there is no such profile";
+      return outcome(FoldOutcome.Status.INVALID, change, current, detail);
+    }
+    ProfileEntry made;
+    try {
+      made = makeEntry(new Revision(offset), change, current);
+    } catch (SettingsException e) {
+      return outcome(FoldOutcome.Status.INVALID, change, current, e.getMessage());
+    }
+    entries.put(change.profile(), made);
+    return outcome(FoldOutcome.Status.ACCEPTED, change, made, "");
+  }
+
+  private static ProfileEntry makeEntry(Revision made, ProfileChange change, ProfileEntry current)
+      throws SettingsException {
+    boolean retired = change.kind() == ProfileChange.Kind.RETIRE;
+    String document = retired ? current.document() : change.document();
+    Profile profile = ProfileReader.read(change.profile(), document);
+    return new ProfileEntry(
+        change.profile(), made, change.changeId(), change.operator(), retired, profile, document);
+  }
+
+  private static FoldOutcome outcome(
+      FoldOutcome.Status status, ProfileChange change, ProfileEntry current, String detail) {
+    return new FoldOutcome(
+        status,
+        change.base(),
+        revisionOf(current),
+        current == null ? "" : current.changeId(),
+        current == null ? "" : current.operator(),
+        detail);
+  }
+
+  private static Revision revisionOf(ProfileEntry entry) {
+    return entry == null ? Revision.NONE : entry.revision();
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/profile/SpreadCoordinator.java
@@ -0,0 +1,277 @@
+package org.carobhoist.core.profile;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.JitteredBackoff;
+
+/**
+ * Keeps one process's configuration up to date from two sources. It follows the log by long poll
+ * and, besides, compares offsets with a random peer every few seconds: who is ahead sends what the
+ * other lacks. So a process that is cut off from the log alone learns of a change one period later.
+ *
+ * <p>A starting process serves only from a configuration: either it has read the log to its end, or
+ * the log can't be read and at least two peers have sent snapshots of which the newest can be a
+ * later state of another. It then takes the newest. A process that serves goes on serving what it
+ * has, whatever fails.
+ *
+ * <p>Where the policy says so, it appends a snapshot record after a random delay when the newest
+ * one in the log is old or many records back, unless another process has done it in the meantime.
+ */
+public final class SpreadCoordinator {
+
+  private static final int BOOT_FANOUT = 4;
+
+  private final SpreadPort port;
+  private final SpreadPolicy policy;
+  private final ReplicaRules rules;
+  private final Clock clock;
+  private final SplittableRandom random;
+  private final ConfigReplica replica;
+  private final JitteredBackoff backoff;
+  private final Set<InstanceId> peers = new LinkedHashSet<>();
+  private final Map<InstanceId, ProfileSnapshot> candidates = new LinkedHashMap<>();
+  private boolean logReachable = true;
+  private boolean serving;
+  private boolean settling;
+  private boolean snapshotPlanned;
+
+  private SpreadCoordinator(
+      SpreadPort port,
+      SpreadPolicy policy,
+      ReplicaRules rules,
+      Clock clock,
+      SplittableRandom random,
+      ReplicaListener listener) {
+    this.port = port;
+    this.policy = policy;
+    this.rules = rules;
+    this.clock = clock;
+    this.random = random;
+    this.replica = ConfigReplica.create(rules, listener);
+    this.backoff = JitteredBackoff.create(policy.retryBase(), policy.retryCap(), random);
+  }
+
+  /** Returns a coordinator that hasn't started. */
+  public static SpreadCoordinator create(
+      SpreadPort port,
+      SpreadPolicy policy,
+      Clock clock,
+      SplittableRandom random,
+      ReplicaListener listener) {
+    return create(port, policy, ReplicaRules.STRICT, clock, random, listener);
+  }
+
+  static SpreadCoordinator create(
+      SpreadPort port,
+      SpreadPolicy policy,
+      ReplicaRules rules,
+      Clock clock,
+      SplittableRandom random,
+      ReplicaListener listener) {
+    return new SpreadCoordinator(port, policy, rules, clock, random, listener);
+  }
+
+  /** Begins to follow the log and to compare with peers. */
+  public void start() {
+    port.readLog(replica.readFrom(), Duration.ZERO);
+    port.after(gossipDelay(), this::gossip);
+  }
+
+  /** Returns the process's copy of the configuration. */
+  public ConfigReplica replica() {
+    return replica;
+  }
+
+  /** Returns whether the process has a configuration from which it may serve. */
+  public boolean isServing() {
+    return serving;
+  }
+
+  /** Returns whether the last read of the log succeeded. */
+  public boolean isLogReachable() {
+    return logReachable;
+  }
+
+  /** Takes a read's answer. */
+  public void onLogRead(LogRead read) {
+    logReachable = true;
+    boolean progress = replica.onLog(read);
+    boolean whole = !replica.hasGap() && replica.nextOffset() >= read.next();
+    if (whole && replica.isCurrent()) {
+      serve(SpreadPort.Source.LOG);
+    }
+    if (whole) {
+      planSnapshot(read.first());
+    }
+    if (progress || replica.readFrom() >= read.next()) {
+      backoff.reset();
+      port.readLog(replica.readFrom(), policy.pollWait());
+      return;
+    }
+    retryRead();
+  }
+
+  /** Takes a read's failure. */
+  public void onLogFailed() {
+    logReachable = false;
+    settle();
+    retryRead();
+  }
+
+  /** A link to a peer is up. */
+  public void onPeerUp(InstanceId peer) {
+    peers.add(peer);
+    if (serving) {
+      port.sendDigest(peer, replica.nextOffset());
+    } else {
+      askForSnapshot(peer);
+    }
+  }
+
+  /** The last link to a peer is down. */
+  public void onPeerDown(InstanceId peer) {
+    peers.remove(peer);
+  }
+
+  /** Takes a peer's offset: sends what the peer lacks, or shows it what this process lacks. */
+  public void onDigest(InstanceId peer, long peerNext) {
+    if (!serving) {
+      replica.noteKnown(peerNext);
+      return;
+    }
+    if (peerNext < replica.nextOffset() || peerNext <= 1) {
+      port.sendUpdate(peer, replica.updateFor(peerNext));
+    } else if (peerNext > replica.nextOffset()) {
+      port.sendDigest(peer, replica.nextOffset());
+    }
+  }
+
+  /** Takes what a peer sent. */
+  public void onUpdate(InstanceId peer, PeerUpdate update) {
+    if (!serving) {
+      replica.noteKnown(update.next());
+      update.snapshot().ifPresent(s -> collect(peer, s));
+      return;
+    }
+    boolean newer = update.next() > replica.nextOffset();
+    if (!replica.onPeer(update) && newer && update.snapshot().isPresent()) {
+      port.onDisagreement(peer);
+    }
+  }
+
+  private void serve(SpreadPort.Source source) {
+    if (serving) {
+      return;
+    }
+    serving = true;
+    candidates.clear();
+    port.onServing(source);
+    peers.forEach(p -> port.sendDigest(p, replica.nextOffset()));
+  }
+
+  private void retryRead() {
+    Duration delay = backoff.next();
+    port.after(delay, () -> port.readLog(replica.readFrom(), Duration.ZERO));
+  }
+
+  private void gossip() {
+    if (serving) {
+      randomPeer().ifPresent(p -> port.sendDigest(p, replica.nextOffset()));
+    } else {
+      peers.stream().limit(BOOT_FANOUT).forEach(this::askForSnapshot);
+    }
+    port.after(gossipDelay(), this::gossip);
+  }
+
+  private void askForSnapshot(InstanceId peer) {
+    port.sendDigest(peer, 1);
+  }
+
+  private Optional<InstanceId> randomPeer() {
+    if (peers.isEmpty()) {
+      return Optional.empty();
+    }
+    return peers.stream().skip(random.nextInt(peers.size())).findFirst();
+  }
+
+  private Duration gossipDelay() {
+    long millis = policy.gossipPeriod().toMillis();
+    return Duration.ofMillis(random.nextLong(millis / 2, millis + 1));
+  }
+
+  private void collect(InstanceId peer, ProfileSnapshot snapshot) {
+    candidates.merge(peer, snapshot, (a, b) -> a.through() > b.through() ? a : b);
+    if (!settling) {
+      settling = true;
+      port.after(policy.settleTime(), this::settled);
+    }
+  }
+
+  private void settled() {
+    settling = false;
+    settle();
+  }
+
+  /**
+   * Takes the newest of the peers' snapshots where the log can't be read or has a gap. Begins to
+   * serve from it only where the log can't be read.
+   */
+  private void settle() {
+    if (serving || settling || (logReachable && !replica.hasGap())) {
+      return;
+    }
+    vouched().ifPresent(replica::install);
+    if (!logReachable && replica.isCurrent() && vouched().isPresent()) {
+      serve(SpreadPort.Source.PEERS);
+    }
+  }
+
+  private Optional<ProfileSnapshot> vouched() {
+    List<ProfileSnapshot> byAge = new ArrayList<>(candidates.values());
+    byAge.sort(Comparator.comparingLong(ProfileSnapshot::through).reversed());
+    for (ProfileSnapshot s : byAge) {
+      long vouchers = byAge.stream().filter(s::isSuccessorOf).count();
+      if (s.isWellFormed() && rules.isVouched((int) vouchers)) {
+        return Optional.of(s);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private void planSnapshot(long first) {
+    if (!policy.appendsSnapshots() || snapshotPlanned || !isSnapshotDue(first)) {
+      return;
+    }
+    snapshotPlanned = true;
+    Duration delay = Duration.ofMillis(random.nextLong(policy.snapshotSpread().toMillis() + 1));
+    port.after(delay, () -> appendSnapshot(first));
+  }
+
+  private void appendSnapshot(long first) {
+    snapshotPlanned = false;
+    if (serving && logReachable && isSnapshotDue(first)) {
+      port.appendSnapshot(replica.snapshot());
+    }
+  }
+
+  private boolean isSnapshotDue(long first) {
+    long newest = replica.newestSnapshotOffset();
+    if (replica.fold().appliedOffset() == 0) {
+      return false;
+    }
+    long age = clock.now().toEpochMilli() - replica.newestSnapshotMillis();
+    return newest < first
+        || replica.fold().appliedOffset() - newest >= policy.snapshotRecords()
+        || age >= policy.snapshotPeriod().toMillis();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/profile/SimNode.java
@@ -0,0 +1,214 @@
+package org.carobhoist.core.profile;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.carobhoist.core.common.InstanceId;
+
+/** One process of the simulation, with the switches of its faults and the oracle over its state. */
+final class SimNode implements SpreadPort, ReplicaListener {
+
+  private static final Duration LATENCY = Duration.ofMillis(1);
+
+  final InstanceId id;
+  private final SpreadSim sim;
+  private final SplittableRandom random;
+  private final boolean entry;
+  private SpreadCoordinator spread;
+  private final Set<InstanceId> vouchers = new HashSet<>();
+  private final List<Runnable> held = new ArrayList<>();
+  private int epoch;
+  private long highest;
+  private long highestForeign;
+  boolean alive;
+  boolean paused;
+  boolean cutFromLog;
+  boolean cutFromPeers;
+  Duration messageDelay = LATENCY;
+
+  SimNode(SpreadSim sim, String name, boolean entry, SplittableRandom random) {
+    this.sim = sim;
+    this.id = new InstanceId(name);
+    this.entry = entry;
+    this.random = random;
+  }
+
+  boolean isEntry() {
+    return entry;
+  }
+
+  SpreadCoordinator spread() {
+    return spread;
+  }
+
+  void start() {
+    epoch++;
+    alive = true;
+    paused = false;
+    highest = 0;
+    highestForeign = 0;
+    vouchers.clear();
+    held.clear();
+    spread =
+        SpreadCoordinator.create(
+            this, sim.policy(entry), sim.rules(), sim.clock(), random.split(), this);
+    spread.start();
+    sim.peersOf(this).forEach(this::link);
+  }
+
+  void crash() {
+    if (alive) {
+      alive = false;
+      epoch++;
+      sim.peersOf(this).forEach(p -> p.unlink(this));
+    }
+  }
+
+  void resume() {
+    paused = false;
+    List<Runnable> now = List.copyOf(held);
+    held.clear();
+    now.forEach(this::run);
+  }
+
+  void onMessage(SimNode from, PeerUpdate update) {
+    if (update.snapshot().isPresent()) {
+      vouchers.add(from.id);
+    }
+    guarded(() -> spread.onUpdate(from.id, update)).run();
+  }
+
+  /** Throws if the state isn't the strict fold's at the same offset. */
+  void check() {
+    long applied = spread.replica().fold().appliedOffset();
+    if (applied < highest) {
+      throw new IllegalStateException(id + " went back to " + applied);
+    }
+    if (applied == highest) {
+      return;
+    }
+    highest = applied;
+    ProfileSnapshot state = spread.replica().snapshot();
+    if (!state.equals(sim.log().at(state.through()))) {
+      throw new IllegalStateException(id + " differs from the log at " + state.through());
+    }
+  }
+
+  @Override
+  public void readLog(long from, Duration wait) {
+    if (cutFromLog) {
+      after(Duration.ofMillis(100), spread::onLogFailed);
+      return;
+    }
+    int mine = epoch;
+    sim.log()
+        .read(
+            from,
+            wait,
+            read -> answer(mine, () -> spread.onLogRead(read)),
+            () -> answer(mine, spread::onLogFailed));
+  }
+
+  @Override
+  public void sendDigest(InstanceId peer, long nextOffset) {
+    send(peer, to -> to.guarded(() -> to.spread.onDigest(id, nextOffset)).run());
+  }
+
+  @Override
+  public void sendUpdate(InstanceId peer, PeerUpdate update) {
+    send(peer, to -> to.onMessage(this, update));
+  }
+
+  @Override
+  public void appendSnapshot(ProfileSnapshot snapshot) {
+    if (!cutFromLog) {
+      sim.log().append(snapshot, offset -> {});
+    }
+  }
+
+  @Override
+  public void after(Duration delay, Runnable task) {
+    sim.queue().after(delay, guarded(task));
+  }
+
+  @Override
+  public void onServing(Source source) {
+    if (source == Source.PEERS && vouchers.size() < 2) {
+      throw new IllegalStateException(id + " serves on the word of " + vouchers);
+    }
+  }
+
+  @Override
+  public void onDisagreement(InstanceId peer) {}
+
+  @Override
+  public void onChange(long offset, ProfileChange change, FoldOutcome outcome) {}
+
+  @Override
+  public void onForeign(LogItem item, ForeignRecord record) {
+    if (item.offset() <= highestForeign && record.key().equals("weights/m")) {
+      throw new IllegalStateException(id + " got an old order again");
+    }
+    highestForeign = item.offset();
+  }
+
+  @Override
+  public void onSkipped(long offset, String reason) {}
+
+  @Override
+  public void onInstalled(ProfileSnapshot snapshot) {}
+
+  private interface Delivery {
+    void to(SimNode node);
+  }
+
+  private void send(InstanceId peer, Delivery delivery) {
+    SimNode to = sim.node(peer);
+    sim.queue()
+        .after(
+            messageDelay,
+            () -> {
+              if (to.alive && !cutFromPeers && !to.cutFromPeers) {
+                delivery.to(to);
+              }
+            });
+  }
+
+  private void answer(int epochThen, Runnable task) {
+    if (epochThen == epoch) {
+      guarded(cutFromLog ? spread::onLogFailed : task).run();
+    }
+  }
+
+  private Runnable guarded(Runnable task) {
+    int mine = epoch;
+    return () -> {
+      if (mine == epoch && alive) {
+        run(task);
+      }
+    };
+  }
+
+  private void run(Runnable task) {
+    if (paused) {
+      held.add(task);
+      return;
+    }
+    task.run();
+    check();
+  }
+
+  private void link(SimNode peer) {
+    if (peer.alive) {
+      guarded(() -> spread.onPeerUp(peer.id)).run();
+      peer.guarded(() -> peer.spread.onPeerUp(id)).run();
+    }
+  }
+
+  private void unlink(SimNode peer) {
+    guarded(() -> spread.onPeerDown(peer.id)).run();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/profile/SimOperator.java
@@ -0,0 +1,140 @@
+package org.carobhoist.core.profile;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.carobhoist.core.common.JitteredBackoff;
+import org.carobhoist.core.common.ProfileName;
+
+/** An operator with one change: reads the log, submits, and is told the outcome. */
+final class SimOperator implements SubmissionPort, ReplicaListener {
+
+  private static final Duration POLL = Duration.ofSeconds(1);
+  private static final int ATTEMPTS = 20;
+
+  private final SpreadSim sim;
+  private final String changeId;
+  private final ConfigReplica replica = ConfigReplica.create(this);
+  private final SplittableRandom random;
+  private ChangeSubmission submission;
+  private FoldOutcome told;
+  private boolean gaveUp;
+
+  SimOperator(SpreadSim sim, String changeId, SplittableRandom random) {
+    this.sim = sim;
+    this.changeId = changeId;
+    this.random = random;
+  }
+
+  /** Reads the log, thinks for a while, then submits what fits the profile's state. */
+  void start(ProfileName name, Duration thinks, boolean retire) {
+    readUntilWhole(() -> sim.queue().after(thinks, () -> submit(name, retire)));
+  }
+
+  Optional<FoldOutcome> told() {
+    return Optional.ofNullable(told);
+  }
+
+  boolean isDone() {
+    return told != null || gaveUp;
+  }
+
+  String changeId() {
+    return changeId;
+  }
+
+  @Override
+  public void append(ProfileChange change) {
+    sim.log()
+        .append(
+            change,
+            offset -> {
+              if (offset < 0) {
+                submission.onAppendFailed();
+              } else {
+                sim.acknowledge(this, offset);
+              }
+            });
+  }
+
+  @Override
+  public void after(Duration delay, Runnable task) {
+    sim.queue().after(delay, task);
+  }
+
+  @Override
+  public void onSettled(FoldOutcome outcome) {
+    told = outcome;
+  }
+
+  @Override
+  public void onGivenUp() {
+    gaveUp = true;
+  }
+
+  @Override
+  public void onChange(long offset, ProfileChange change, FoldOutcome outcome) {
+    if (submission != null) {
+      submission.onChange(change, outcome);
+    }
+  }
+
+  @Override
+  public void onForeign(LogItem item, ForeignRecord record) {}
+
+  @Override
+  public void onSkipped(long offset, String reason) {}
+
+  @Override
+  public void onInstalled(ProfileSnapshot snapshot) {
+    if (submission != null) {
+      submission.onInstalled(snapshot);
+    }
+  }
+
+  /** Tells the operator that the change is accepted before it was seen; only a mutation does. */
+  void tellTooEarly(long offset) {
+    Revision made = new Revision(offset);
+    told = new FoldOutcome(FoldOutcome.Status.ACCEPTED, made, made, changeId, "", "");
+  }
+
+  private void readUntilWhole(Runnable then) {
+    sim.log()
+        .read(
+            replica.readFrom(),
+            Duration.ZERO,
+            read -> {
+              replica.onLog(read);
+              boolean whole = !replica.hasGap() && replica.nextOffset() >= read.next();
+              if (whole) {
+                then.run();
+              } else {
+                sim.queue().after(POLL, () -> readUntilWhole(then));
+              }
+            },
+            () -> sim.queue().after(POLL, () -> readUntilWhole(then)));
+  }
+
+  private void submit(ProfileName name, boolean retire) {
+    Optional<ProfileEntry> entry = replica.fold().entry(name);
+    boolean live = entry.flatMap(ProfileEntry::profile).isPresent();
+    ProfileChange.Kind kind = ProfileChange.Kind.PUBLISH;
+    if (live) {
+      kind = retire ? ProfileChange.Kind.RETIRE : ProfileChange.Kind.CHANGE;
+    }
+    Revision base = entry.map(ProfileEntry::revision).orElse(Revision.NONE);
+    ProfileChange change =
+        new ProfileChange(changeId, kind, name, base, SpreadSim.DOCUMENT, "op-" + changeId);
+    JitteredBackoff backoff =
+        JitteredBackoff.create(Duration.ofMillis(500), Duration.ofSeconds(8), random);
+    submission = ChangeSubmission.create(this, change, backoff, ATTEMPTS);
+    submission.start();
+    follow();
+  }
+
+  private void follow() {
+    if (!isDone()) {
+      readUntilWhole(() -> sim.queue().after(POLL, this::follow));
+    }
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/profile/SpreadFaultMatrixTest.java
@@ -0,0 +1,206 @@
+package org.carobhoist.core.profile;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.carobhoist.core.testing.FaultMatrix;
+import org.carobhoist.core.testing.FaultMatrix.Injection;
+import org.carobhoist.core.testing.Schedules;
+import org.junit.jupiter.api.Test;
+
+/** Every fault at every step of a configuration's life, and random schedules of them. */
+final class SpreadFaultMatrixTest {
+
+  private static final long MATRIX_SEED = 5;
+  private static final long FIRST_SEED = 1;
+  private static final int SCHEDULES = 150;
+  private static final Duration FAULT_LASTS = Duration.ofSeconds(16);
+  private static final Duration STEP_LASTS = Duration.ofSeconds(22);
+
+  private enum Step {
+    START,
+    PUBLISH,
+    CHANGE,
+    RACE,
+    RETIRE,
+    REPUBLISH,
+    SNAPSHOT,
+    BOOT
+  }
+
+  private enum Fault {
+    LOST_ANSWER,
+    LOG_DOWN,
+    SLOW_LOG,
+    CRASH,
+    RETENTION,
+    CUT_FROM_LOG,
+    PARTITION,
+    DELAYED_MESSAGES,
+    SHORTER_PEER,
+    MISDIRECTED_UPDATE,
+    TORN_RECORD,
+    PAUSE
+  }
+
+  private enum Mutation {
+    NO_BASE_CHECK,
+    APPLIES_OLD_RECORDS,
+    TAKES_ANY_SNAPSHOT,
+    SKIPS_GAPS,
+    TRUSTS_ONE_PEER,
+    ACKNOWLEDGES_EARLY
+  }
+
+  @Test
+  void holdsUnderEveryFaultAndPair() throws Exception {
+    FaultMatrix<Step, Fault> matrix = FaultMatrix.of("spread", Step.class, Fault.class);
+    List<String> broken = matrix.run(cell -> timeline(ReplicaRules.STRICT, false, cell));
+    assertThat(broken).isEmpty();
+    assertThat(matrix.tried()).isGreaterThan(3_000);
+  }
+
+  @Test
+  void holdsUnderRandomSchedules() {
+    Optional<String> failure =
+        Schedules.explore(FIRST_SEED, SCHEDULES, r -> schedule(ReplicaRules.STRICT, false, r));
+    assertThat(failure).isEqualTo(Optional.empty());
+  }
+
+  @Test
+  void catchesEveryMutation() {
+    for (Mutation m : Mutation.values()) {
+      boolean early = m == Mutation.ACKNOWLEDGES_EARLY;
+      Optional<String> failure =
+          Schedules.explore(FIRST_SEED, SCHEDULES, r -> schedule(rules(m), early, r));
+      assertWithMessage(m.name()).that(failure.isPresent()).isTrue();
+    }
+  }
+
+  private static Optional<String> timeline(
+      ReplicaRules rules, boolean early, List<Injection<Step, Fault>> cell) {
+    SplittableRandom random = new SplittableRandom(MATRIX_SEED);
+    SpreadSim sim = new SpreadSim(rules, early, random);
+    for (Step step : Step.values()) {
+      cell.stream().filter(i -> i.step() == step).forEach(i -> inject(sim, i.fault(), 2));
+      take(sim, step);
+      sim.run(FAULT_LASTS);
+      sim.heal();
+      sim.run(STEP_LASTS.minus(FAULT_LASTS));
+    }
+    return sim.verdict();
+  }
+
+  private static Optional<String> schedule(
+      ReplicaRules rules, boolean early, SplittableRandom random) {
+    SpreadSim sim = new SpreadSim(rules, early, random.split());
+    sim.nodes().forEach(SimNode::start);
+    for (int i = 0; i < 40; i++) {
+      if (random.nextInt(3) == 0) {
+        Fault[] faults = Fault.values();
+        inject(sim, faults[random.nextInt(faults.length)], random.nextInt(6));
+      }
+      if (random.nextInt(3) == 0) {
+        sim.heal();
+      }
+      Duration thinks = Duration.ofMillis(random.nextInt(6_000));
+      sim.operate("p" + random.nextInt(3), thinks, random.nextInt(4) == 0);
+      if (random.nextInt(4) == 0) {
+        sim.order(i);
+      }
+      sim.run(Duration.ofMillis(random.nextInt(12_000)));
+    }
+    return sim.verdict();
+  }
+
+  private static void take(SpreadSim sim, Step step) {
+    switch (step) {
+      case START -> sim.nodes().stream().filter(n -> !n.alive).forEach(SimNode::start);
+      case PUBLISH -> {
+        sim.operate("a", Duration.ZERO, false);
+        sim.operate("b", Duration.ZERO, false);
+      }
+      case CHANGE, REPUBLISH -> sim.operate("a", Duration.ZERO, false);
+      case RACE -> {
+        sim.operate("a", Duration.ofMillis(100), false);
+        sim.operate("a", Duration.ofMillis(100), false);
+        sim.order(1);
+      }
+      case RETIRE -> sim.operate("a", Duration.ZERO, true);
+      case SNAPSHOT -> sim.order(2);
+      case BOOT -> {
+        sim.nodes().get(3).crash();
+        sim.nodes().get(3).start();
+      }
+    }
+  }
+
+  private static void inject(SpreadSim sim, Fault fault, int victim) {
+    SimNode node = sim.nodes().get(victim);
+    switch (fault) {
+      case LOST_ANSWER -> sim.log().loseAnswers = 2;
+      case LOG_DOWN -> sim.log().down = true;
+      case SLOW_LOG -> sim.log().slow = true;
+      case CRASH -> node.crash();
+      case RETENTION -> sim.log().passRetention();
+      case CUT_FROM_LOG -> sim.nodes().subList(0, victim + 1).forEach(n -> n.cutFromLog = true);
+      case PARTITION -> node.cutFromPeers = true;
+      case DELAYED_MESSAGES -> sim.nodes().forEach(n -> n.messageDelay = Duration.ofSeconds(7));
+      case SHORTER_PEER -> sim.sendShorterHistory(sim.log().at((sim.log().next() - 1) / 2));
+      case MISDIRECTED_UPDATE -> sim.sendNewestRecord(sim.nodes().get(5));
+      case TORN_RECORD -> sim.log().tearNext = 1;
+      case PAUSE -> node.paused = node.alive;
+    }
+  }
+
+  private static ReplicaRules rules(Mutation mutation) {
+    Map<Mutation, ReplicaRules> all = new EnumMap<>(Mutation.class);
+    all.put(
+        Mutation.NO_BASE_CHECK,
+        new ReplicaRules() {
+          @Override
+          public boolean buildsOn(ProfileChange change, Revision current) {
+            return true;
+          }
+        });
+    all.put(
+        Mutation.APPLIES_OLD_RECORDS,
+        new ReplicaRules() {
+          @Override
+          public boolean isNew(long offset, long applied) {
+            return true;
+          }
+        });
+    all.put(
+        Mutation.TAKES_ANY_SNAPSHOT,
+        new ReplicaRules() {
+          @Override
+          public boolean replaces(ProfileSnapshot snapshot, ProfileSnapshot present) {
+            return true;
+          }
+        });
+    all.put(
+        Mutation.SKIPS_GAPS,
+        new ReplicaRules() {
+          @Override
+          public boolean joins(PeerUpdate update, long applied) {
+            return true;
+          }
+        });
+    all.put(
+        Mutation.TRUSTS_ONE_PEER,
+        new ReplicaRules() {
+          @Override
+          public boolean isVouched(int peers) {
+            return peers >= 1;
+          }
+        });
+    return all.getOrDefault(mutation, ReplicaRules.STRICT);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/profile/SpreadSim.java
@@ -0,0 +1,183 @@
+package org.carobhoist.core.profile;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.ProfileName;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+
+/**
+ * Two entries and four sidecars, each entry linked to each sidecar, over one log. After each event
+ * of a process its state is held against the strict fold of the log at the same offset.
+ */
+final class SpreadSim {
+
+  static final String DOCUMENT = "[profile]\nservice = horno-lm\nkind = engine\n";
+
+  private static final Duration HEALED_FOR = Duration.ofSeconds(60);
+
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue queue = new EventQueue(clock);
+  private final SimLog log = new SimLog(clock, queue);
+  private final ReplicaRules rules;
+  private final boolean acknowledgeEarly;
+  private final SplittableRandom random;
+  private final List<SimNode> nodes = new ArrayList<>();
+  private final List<SimOperator> operators = new ArrayList<>();
+
+  SpreadSim(ReplicaRules rules, boolean acknowledgeEarly, SplittableRandom random) {
+    this.rules = rules;
+    this.acknowledgeEarly = acknowledgeEarly;
+    this.random = random;
+    for (int i = 0; i < 6; i++) {
+      boolean entry = i < 2;
+      nodes.add(new SimNode(this, (entry ? "entry-" : "sidecar-") + i, entry, random.split()));
+    }
+  }
+
+  ManualClock clock() {
+    return clock;
+  }
+
+  EventQueue queue() {
+    return queue;
+  }
+
+  SimLog log() {
+    return log;
+  }
+
+  ReplicaRules rules() {
+    return rules;
+  }
+
+  List<SimNode> nodes() {
+    return nodes;
+  }
+
+  SimNode node(InstanceId id) {
+    return nodes.stream().filter(n -> n.id.equals(id)).findFirst().orElseThrow();
+  }
+
+  List<SimNode> peersOf(SimNode node) {
+    return nodes.stream().filter(n -> n.isEntry() != node.isEntry()).toList();
+  }
+
+  SpreadPolicy policy(boolean entry) {
+    return new SpreadPolicy(
+        Duration.ofSeconds(20),
+        Duration.ofMillis(500),
+        Duration.ofSeconds(4),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(2),
+        Duration.ofSeconds(15),
+        4,
+        Duration.ofSeconds(5),
+        entry);
+  }
+
+  void run(Duration span) {
+    Duration end = clock.elapsed().plus(span);
+    queue.run(end);
+    clock.advance(end.minus(clock.elapsed()));
+  }
+
+  void operate(String profile, Duration thinks, boolean retire) {
+    SimOperator operator = new SimOperator(this, "c" + operators.size(), random.split());
+    operators.add(operator);
+    operator.start(new ProfileName(profile), thinks, retire);
+  }
+
+  void order(int version) {
+    byte[] data = ("order " + version).getBytes(StandardCharsets.US_ASCII);
+    log.append(new ForeignRecord("weights/m", ByteBuffer.wrap(data)), offset -> {});
+  }
+
+  /** Sends everybody an earlier state as if it came from a peer that has heard less. */
+  void sendShorterHistory(ProfileSnapshot earlier) {
+    long next = earlier.through() + 1;
+    PeerUpdate update = new PeerUpdate(next, next, List.of(), Optional.of(earlier));
+    for (SimNode node : nodes) {
+      if (node.alive) {
+        node.onMessage(peersOf(node).get(0), update);
+      }
+    }
+  }
+
+  /** Sends everybody a process's newest record alone, as meant for a peer that lacks only that. */
+  void sendNewestRecord(SimNode from) {
+    if (!from.alive) {
+      return;
+    }
+    long next = from.spread().replica().nextOffset();
+    PeerUpdate update = from.spread().replica().updateFor(Math.max(2, next - 1));
+    nodes.stream().filter(n -> n.alive && n != from).forEach(n -> n.onMessage(from, update));
+  }
+
+  /** Ends every fault. */
+  void heal() {
+    log.down = false;
+    log.slow = false;
+    log.loseAnswers = 0;
+    log.tearNext = 0;
+    for (SimNode node : nodes) {
+      node.cutFromLog = false;
+      node.cutFromPeers = false;
+      node.messageDelay = Duration.ofMillis(1);
+      if (!node.alive) {
+        node.start();
+      } else if (node.paused) {
+        node.resume();
+      }
+    }
+  }
+
+  /** Heals, waits, and returns what doesn't hold. */
+  Optional<String> verdict() {
+    heal();
+    run(HEALED_FOR);
+    ProfileSnapshot last = log.at(log.next() - 1);
+    for (SimNode node : nodes) {
+      if (!node.spread().isServing()) {
+        return Optional.of(node.id + " doesn't serve");
+      }
+      if (!node.spread().replica().snapshot().equals(last)) {
+        return Optional.of(node.id + " isn't up to date");
+      }
+    }
+    return operators.stream().flatMap(o -> judge(o, last).stream()).findFirst();
+  }
+
+  void acknowledge(SimOperator operator, long offset) {
+    if (acknowledgeEarly) {
+      operator.tellTooEarly(offset);
+    }
+  }
+
+  private Optional<String> judge(SimOperator operator, ProfileSnapshot last) {
+    String id = operator.changeId();
+    if (!operator.isDone()) {
+      return Optional.of(id + " was never told");
+    }
+    if (operator.told().isEmpty()) {
+      return Optional.empty();
+    }
+    FoldOutcome told = operator.told().get();
+    boolean saidAccepted = told.status() == FoldOutcome.Status.ACCEPTED;
+    if (saidAccepted != log.isAccepted(id)) {
+      return Optional.of(id + " was told " + told.status() + " wrongly");
+    }
+    if (told.status() == FoldOutcome.Status.CONFLICT && told.winner().isEmpty()) {
+      return Optional.of(id + " lost without a winner");
+    }
+    boolean present =
+        last.profiles().stream().anyMatch(p -> p.revision().compareTo(told.current()) >= 0);
+    return saidAccepted && !present ? Optional.of(id + " is lost") : Optional.empty();
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.profile.SpreadPolicy;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.server.link.Link;
@@ -58,7 +59,7 @@
     this.settings = settings.instance();
     HttpPlatform platform = HttpPlatform.at(this.settings.platform());
     SplittableRandom random = new SplittableRandom();
-    this.config = ConfigFollower.create(platform, loop);
+    this.config = ConfigFollower.create(platform, loop, SpreadPolicy.ofEntry());
     this.network = LinkNetwork.create(this.settings.link(), hello(), new Frames());
     this.context =
         new CallContext(
@@ -133,12 +134,16 @@
       context.links().onAnnouncement(link, frame);
       return;
     }
+    if (config.onFrame(link, frame)) {
+      return;
+    }
     if (!context.table().dispatch(from, frame) && !steps.dispatch(from, frame)) {
       EventLog.info(LogEvent.FRAME_DROPPED, "peer", from, "kind", frame.getBodyCase());
     }
   }
 
   private void onDown(Link link) {
+    config.onLinkDown(link);
     context
         .links()
         .onDown(link)
@@ -171,7 +176,11 @@
 
     @Override
     public void onUp(Link link) {
-      loop.execute(() -> context.links().onUp(link));
+      loop.execute(
+          () -> {
+            context.links().onUp(link);
+            config.onLinkUp(link);
+          });
     }
 
     @Override
--- a/server/src/main/java/org/carobhoist/server/entry/StepRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/entry/StepRoutes.java
@@ -9,9 +9,11 @@
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.io.IOException;
 import java.time.Duration;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.carobhoist.core.common.ProfileName;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
 import org.carobhoist.core.common.RequestId;
@@ -55,8 +57,7 @@
           StepJson.MAPPER.readValue(http.content().array(), StepRequestMessage.class);
       StepRequest request = StepJson.request(message);
       Duration wait = Duration.ofMillis(message.waitMillis());
-      return profiles
-          .profile(request.key().profile())
+      return profile(request)
           .map(profile -> await(profile, request, wait))
           .orElseGet(() -> refuse(RefusalReason.UNKNOWN_SERVICE, "the profile is not in force"));
     } catch (IOException | IllegalArgumentException e) {
@@ -64,6 +65,13 @@
     }
   }
 
+  /** A step that began before its profile was retired goes on to its end. */
+  private Optional<Profile> profile(StepRequest request) {
+    boolean began = steps.has(request.key()) || request.cursor().count() > 0;
+    ProfileName name = request.key().profile();
+    return began ? profiles.profileOrLast(name) : profiles.profile(name);
+  }
+
   private CompletableFuture<HttpResponse> await(
       Profile profile, StepRequest request, Duration wait) {
     Duration bounded = wait.compareTo(MAX_WAIT) > 0 ? MAX_WAIT : wait;
--- a/server/src/main/java/org/carobhoist/server/entry/StepTable.java
+++ b/server/src/main/java/org/carobhoist/server/entry/StepTable.java
@@ -84,6 +84,11 @@
     steps.values().forEach(s -> s.onEngineLost(engine));
   }
 
+  /** Returns whether this entry works at the step. */
+  boolean has(StepKey key) {
+    return steps.containsKey(key);
+  }
+
   int size() {
     return steps.size();
   }
--- a/server/src/main/java/org/carobhoist/server/link/proto/PeerDigest.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/PeerDigest.java
@@ -9,7 +9,7 @@
  *
  *
  * <pre>
- * Newest log offset that the sender has folded.
+ * Offset after the last one that the sender has applied; 1 asks for its whole state.
  * </pre>
  *
  * Protobuf type {@code carobhoist.link.PeerDigest}
@@ -166,7 +166,7 @@
    *
    *
    * <pre>
-   * Newest log offset that the sender has folded.
+   * Offset after the last one that the sender has applied; 1 asks for its whole state.
    * </pre>
    *
    * Protobuf type {@code carobhoist.link.PeerDigest}
--- a/server/src/main/java/org/carobhoist/server/link/proto/PeerRecords.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/PeerRecords.java
@@ -13,8 +13,8 @@
     // @@protoc_insertion_point(message_implements:carobhoist.link.PeerRecords)
     PeerRecordsOrBuilder {
   private PeerRecords() {
-    records_ = emptyProtobufList();
     snapshot_ = com.google.protobuf.ByteString.EMPTY;
+    items_ = emptyProtobufList();
   }
 
   public static final int FIRST_OFFSET_FIELD_NUMBER = 1;
@@ -46,162 +46,254 @@
     firstOffset_ = 0L;
   }
 
-  public static final int RECORDS_FIELD_NUMBER = 2;
-  private com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> records_;
+  public static final int NEXT_OFFSET_FIELD_NUMBER = 3;
+  private long nextOffset_;
 
   /**
-   * <code>repeated bytes records = 2;</code>
+   * <code>int64 next_offset = 3;</code>
    *
-   * @return A list containing the records.
+   * @return The nextOffset.
    */
   @java.lang.Override
-  public java.util.List<com.google.protobuf.ByteString> getRecordsList() {
-    return records_;
+  public long getNextOffset() {
+    return nextOffset_;
   }
 
   /**
-   * <code>repeated bytes records = 2;</code>
+   * <code>int64 next_offset = 3;</code>
    *
-   * @return The count of records.
+   * @param value The nextOffset to set.
    */
-  @java.lang.Override
-  public int getRecordsCount() {
-    return records_.size();
+  private void setNextOffset(long value) {
+
+    nextOffset_ = value;
+  }
+
+  /** <code>int64 next_offset = 3;</code> */
+  private void clearNextOffset() {
+
+    nextOffset_ = 0L;
   }
 
+  public static final int SNAPSHOT_FIELD_NUMBER = 4;
+  private com.google.protobuf.ByteString snapshot_;
+
   /**
-   * <code>repeated bytes records = 2;</code>
    *
-   * @param index The index of the element to return.
-   * @return The records at the given index.
+   *
+   * <pre>
+   * A LogRecord with a snapshot, where the records alone would not reach back far enough.
+   * </pre>
+   *
+   * <code>bytes snapshot = 4;</code>
+   *
+   * @return The snapshot.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString getRecords(int index) {
-    return records_.get(index);
-  }
-
-  private void ensureRecordsIsMutable() {
-    com.google.protobuf.Internal.ProtobufList<com.google.protobuf.ByteString> tmp = records_;
-    if (!tmp.isModifiable()) {
-      records_ = com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
-    }
+  public com.google.protobuf.ByteString getSnapshot() {
+    return snapshot_;
   }
 
   /**
-   * <code>repeated bytes records = 2;</code>
    *
-   * @param index The index to set the value at.
-   * @param value The records to set.
+   *
+   * <pre>
+   * A LogRecord with a snapshot, where the records alone would not reach back far enough.
+   * </pre>
+   *
+   * <code>bytes snapshot = 4;</code>
+   *
+   * @param value The snapshot to set.
    */
-  private void setRecords(int index, com.google.protobuf.ByteString value) {
+  private void setSnapshot(com.google.protobuf.ByteString value) {
     java.lang.Class<?> valueClass = value.getClass();
-    ensureRecordsIsMutable();
-    records_.set(index, value);
+
+    snapshot_ = value;
   }
 
   /**
-   * <code>repeated bytes records = 2;</code>
    *
-   * @param value The records to add.
+   *
+   * <pre>
+   * A LogRecord with a snapshot, where the records alone would not reach back far enough.
+   * </pre>
+   *
+   * <code>bytes snapshot = 4;</code>
    */
-  private void addRecords(com.google.protobuf.ByteString value) {
-    java.lang.Class<?> valueClass = value.getClass();
-    ensureRecordsIsMutable();
-    records_.add(value);
+  private void clearSnapshot() {
+
+    snapshot_ = getDefaultInstance().getSnapshot();
   }
 
+  public static final int ITEMS_FIELD_NUMBER = 5;
+  private com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.PeerRecord>
+      items_;
+
   /**
-   * <code>repeated bytes records = 2;</code>
    *
-   * @param values The records to add.
+   *
+   * <pre>
+   * Every record from first_offset to before next_offset.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
    */
-  private void addAllRecords(java.lang.Iterable<? extends com.google.protobuf.ByteString> values) {
-    ensureRecordsIsMutable();
-    com.google.protobuf.AbstractMessageLite.addAll(values, records_);
+  @java.lang.Override
+  public java.util.List<org.carobhoist.server.link.proto.PeerRecord> getItemsList() {
+    return items_;
   }
 
-  /** <code>repeated bytes records = 2;</code> */
-  private void clearRecords() {
-    records_ = emptyProtobufList();
+  /**
+   *
+   *
+   * <pre>
+   * Every record from first_offset to before next_offset.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
+   */
+  public java.util.List<? extends org.carobhoist.server.link.proto.PeerRecordOrBuilder>
+      getItemsOrBuilderList() {
+    return items_;
   }
 
-  public static final int NEXT_OFFSET_FIELD_NUMBER = 3;
-  private long nextOffset_;
-
   /**
-   * <code>int64 next_offset = 3;</code>
    *
-   * @return The nextOffset.
+   *
+   * <pre>
+   * Every record from first_offset to before next_offset.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
    */
   @java.lang.Override
-  public long getNextOffset() {
-    return nextOffset_;
+  public int getItemsCount() {
+    return items_.size();
   }
 
   /**
-   * <code>int64 next_offset = 3;</code>
    *
-   * @param value The nextOffset to set.
+   *
+   * <pre>
+   * Every record from first_offset to before next_offset.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
    */
-  private void setNextOffset(long value) {
-
-    nextOffset_ = value;
+  @java.lang.Override
+  public org.carobhoist.server.link.proto.PeerRecord getItems(int index) {
+    return items_.get(index);
   }
 
-  /** <code>int64 next_offset = 3;</code> */
-  private void clearNextOffset() {
-
-    nextOffset_ = 0L;
+  /**
+   *
+   *
+   * <pre>
+   * Every record from first_offset to before next_offset.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
+   */
+  public org.carobhoist.server.link.proto.PeerRecordOrBuilder getItemsOrBuilder(int index) {
+    return items_.get(index);
   }
 
-  public static final int SNAPSHOT_FIELD_NUMBER = 4;
-  private com.google.protobuf.ByteString snapshot_;
+  private void ensureItemsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.PeerRecord> tmp =
+        items_;
+    if (!tmp.isModifiable()) {
+      items_ = com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+    }
+  }
 
   /**
    *
    *
    * <pre>
-   * Whole state, where the records alone would not reach back far enough.
+   * Every record from first_offset to before next_offset.
    * </pre>
    *
-   * <code>bytes snapshot = 4;</code>
-   *
-   * @return The snapshot.
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
    */
-  @java.lang.Override
-  public com.google.protobuf.ByteString getSnapshot() {
-    return snapshot_;
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setItems(int index, org.carobhoist.server.link.proto.PeerRecord value) {
+    value.getClass(); // minimal bytecode null check
+    ensureItemsIsMutable();
+    items_.set(index, value);
   }
 
   /**
    *
    *
    * <pre>
-   * Whole state, where the records alone would not reach back far enough.
+   * Every record from first_offset to before next_offset.
    * </pre>
    *
-   * <code>bytes snapshot = 4;</code>
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addItems(org.carobhoist.server.link.proto.PeerRecord value) {
+    value.getClass(); // minimal bytecode null check
+    ensureItemsIsMutable();
+    items_.add(value);
+  }
+
+  /**
    *
-   * @param value The snapshot to set.
+   *
+   * <pre>
+   * Every record from first_offset to before next_offset.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
    */
-  private void setSnapshot(com.google.protobuf.ByteString value) {
-    java.lang.Class<?> valueClass = value.getClass();
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addItems(int index, org.carobhoist.server.link.proto.PeerRecord value) {
+    value.getClass(); // minimal bytecode null check
+    ensureItemsIsMutable();
+    items_.add(index, value);
+  }
 
-    snapshot_ = value;
+  /**
+   *
+   *
+   * <pre>
+   * Every record from first_offset to before next_offset.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
+   */
+  private void addAllItems(
+      java.lang.Iterable<? extends org.carobhoist.server.link.proto.PeerRecord> values) {
+    ensureItemsIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(values, items_);
   }
 
   /**
    *
    *
    * <pre>
-   * Whole state, where the records alone would not reach back far enough.
+   * Every record from first_offset to before next_offset.
    * </pre>
    *
-   * <code>bytes snapshot = 4;</code>
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
    */
-  private void clearSnapshot() {
+  private void clearItems() {
+    items_ = emptyProtobufList();
+  }
 
-    snapshot_ = getDefaultInstance().getSnapshot();
+  /**
+   *
+   *
+   * <pre>
+   * Every record from first_offset to before next_offset.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
+   */
+  private void removeItems(int index) {
+    ensureItemsIsMutable();
+    items_.remove(index);
   }
 
   public static org.carobhoist.server.link.proto.PeerRecords parseFrom(java.nio.ByteBuffer data)
@@ -332,114 +424,204 @@
     }
 
     /**
-     * <code>repeated bytes records = 2;</code>
+     * <code>int64 next_offset = 3;</code>
      *
-     * @return A list containing the records.
+     * @return The nextOffset.
      */
     @java.lang.Override
-    public java.util.List<com.google.protobuf.ByteString> getRecordsList() {
-      return java.util.Collections.unmodifiableList(instance.getRecordsList());
+    public long getNextOffset() {
+      return instance.getNextOffset();
     }
 
     /**
-     * <code>repeated bytes records = 2;</code>
+     * <code>int64 next_offset = 3;</code>
      *
-     * @return The count of records.
+     * @param value The nextOffset to set.
+     * @return This builder for chaining.
      */
-    @java.lang.Override
-    public int getRecordsCount() {
-      return instance.getRecordsCount();
+    public Builder setNextOffset(long value) {
+      copyOnWrite();
+      instance.setNextOffset(value);
+      return this;
+    }
+
+    /**
+     * <code>int64 next_offset = 3;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearNextOffset() {
+      copyOnWrite();
+      instance.clearNextOffset();
+      return this;
     }
 
     /**
-     * <code>repeated bytes records = 2;</code>
      *
-     * @param index The index of the element to return.
-     * @return The records at the given index.
+     *
+     * <pre>
+     * A LogRecord with a snapshot, where the records alone would not reach back far enough.
+     * </pre>
+     *
+     * <code>bytes snapshot = 4;</code>
+     *
+     * @return The snapshot.
      */
     @java.lang.Override
-    public com.google.protobuf.ByteString getRecords(int index) {
-      return instance.getRecords(index);
+    public com.google.protobuf.ByteString getSnapshot() {
+      return instance.getSnapshot();
     }
 
     /**
-     * <code>repeated bytes records = 2;</code>
      *
-     * @param value The records to set.
+     *
+     * <pre>
+     * A LogRecord with a snapshot, where the records alone would not reach back far enough.
+     * </pre>
+     *
+     * <code>bytes snapshot = 4;</code>
+     *
+     * @param value The snapshot to set.
      * @return This builder for chaining.
      */
-    public Builder setRecords(int index, com.google.protobuf.ByteString value) {
+    public Builder setSnapshot(com.google.protobuf.ByteString value) {
       copyOnWrite();
-      instance.setRecords(index, value);
+      instance.setSnapshot(value);
       return this;
     }
 
     /**
-     * <code>repeated bytes records = 2;</code>
      *
-     * @param value The records to add.
+     *
+     * <pre>
+     * A LogRecord with a snapshot, where the records alone would not reach back far enough.
+     * </pre>
+     *
+     * <code>bytes snapshot = 4;</code>
+     *
      * @return This builder for chaining.
      */
-    public Builder addRecords(com.google.protobuf.ByteString value) {
+    public Builder clearSnapshot() {
       copyOnWrite();
-      instance.addRecords(value);
+      instance.clearSnapshot();
       return this;
     }
 
     /**
-     * <code>repeated bytes records = 2;</code>
      *
-     * @param values The records to add.
-     * @return This builder for chaining.
+     *
+     * <pre>
+     * Every record from first_offset to before next_offset.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
+     */
+    @java.lang.Override
+    public java.util.List<org.carobhoist.server.link.proto.PeerRecord> getItemsList() {
+      return java.util.Collections.unmodifiableList(instance.getItemsList());
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Every record from first_offset to before next_offset.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
+     */
+    @java.lang.Override
+    public int getItemsCount() {
+      return instance.getItemsCount();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Every record from first_offset to before next_offset.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
      */
-    public Builder addAllRecords(
-        java.lang.Iterable<? extends com.google.protobuf.ByteString> values) {
+    @java.lang.Override
+    public org.carobhoist.server.link.proto.PeerRecord getItems(int index) {
+      return instance.getItems(index);
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Every record from first_offset to before next_offset.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
+     */
+    public Builder setItems(int index, org.carobhoist.server.link.proto.PeerRecord value) {
       copyOnWrite();
-      instance.addAllRecords(values);
+      instance.setItems(index, value);
       return this;
     }
 
     /**
-     * <code>repeated bytes records = 2;</code>
      *
-     * @return This builder for chaining.
+     *
+     * <pre>
+     * Every record from first_offset to before next_offset.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
      */
-    public Builder clearRecords() {
+    public Builder setItems(
+        int index, org.carobhoist.server.link.proto.PeerRecord.Builder builderForValue) {
       copyOnWrite();
-      instance.clearRecords();
+      instance.setItems(index, builderForValue.build());
       return this;
     }
 
     /**
-     * <code>int64 next_offset = 3;</code>
      *
-     * @return The nextOffset.
+     *
+     * <pre>
+     * Every record from first_offset to before next_offset.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
      */
-    @java.lang.Override
-    public long getNextOffset() {
-      return instance.getNextOffset();
+    public Builder addItems(org.carobhoist.server.link.proto.PeerRecord value) {
+      copyOnWrite();
+      instance.addItems(value);
+      return this;
     }
 
     /**
-     * <code>int64 next_offset = 3;</code>
      *
-     * @param value The nextOffset to set.
-     * @return This builder for chaining.
+     *
+     * <pre>
+     * Every record from first_offset to before next_offset.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
      */
-    public Builder setNextOffset(long value) {
+    public Builder addItems(int index, org.carobhoist.server.link.proto.PeerRecord value) {
       copyOnWrite();
-      instance.setNextOffset(value);
+      instance.addItems(index, value);
       return this;
     }
 
     /**
-     * <code>int64 next_offset = 3;</code>
      *
-     * @return This builder for chaining.
+     *
+     * <pre>
+     * Every record from first_offset to before next_offset.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
      */
-    public Builder clearNextOffset() {
+    public Builder addItems(org.carobhoist.server.link.proto.PeerRecord.Builder builderForValue) {
       copyOnWrite();
-      instance.clearNextOffset();
+      instance.addItems(builderForValue.build());
       return this;
     }
 
@@ -447,33 +629,31 @@
      *
      *
      * <pre>
-     * Whole state, where the records alone would not reach back far enough.
+     * Every record from first_offset to before next_offset.
      * </pre>
      *
-     * <code>bytes snapshot = 4;</code>
-     *
-     * @return The snapshot.
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
      */
-    @java.lang.Override
-    public com.google.protobuf.ByteString getSnapshot() {
-      return instance.getSnapshot();
+    public Builder addItems(
+        int index, org.carobhoist.server.link.proto.PeerRecord.Builder builderForValue) {
+      copyOnWrite();
+      instance.addItems(index, builderForValue.build());
+      return this;
     }
 
     /**
      *
      *
      * <pre>
-     * Whole state, where the records alone would not reach back far enough.
+     * Every record from first_offset to before next_offset.
      * </pre>
      *
-     * <code>bytes snapshot = 4;</code>
-     *
-     * @param value The snapshot to set.
-     * @return This builder for chaining.
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
      */
-    public Builder setSnapshot(com.google.protobuf.ByteString value) {
+    public Builder addAllItems(
+        java.lang.Iterable<? extends org.carobhoist.server.link.proto.PeerRecord> values) {
       copyOnWrite();
-      instance.setSnapshot(value);
+      instance.addAllItems(values);
       return this;
     }
 
@@ -481,16 +661,29 @@
      *
      *
      * <pre>
-     * Whole state, where the records alone would not reach back far enough.
+     * Every record from first_offset to before next_offset.
      * </pre>
      *
-     * <code>bytes snapshot = 4;</code>
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
+     */
+    public Builder clearItems() {
+      copyOnWrite();
+      instance.clearItems();
+      return this;
+    }
+
+    /**
      *
-     * @return This builder for chaining.
+     *
+     * <pre>
+     * Every record from first_offset to before next_offset.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
      */
-    public Builder clearSnapshot() {
+    public Builder removeItems(int index) {
       copyOnWrite();
-      instance.clearSnapshot();
+      instance.removeItems(index);
       return this;
     }
 
@@ -516,11 +709,15 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "firstOffset_", "records_", "nextOffset_", "snapshot_",
+                "firstOffset_",
+                "nextOffset_",
+                "snapshot_",
+                "items_",
+                org.carobhoist.server.link.proto.PeerRecord.class,
               };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0001\u0000\u0001\u0002\u0002\u001c"
-                  + "\u0003\u0002\u0004\n";
+              "\u0000\u0004\u0000\u0000\u0001\u0005\u0004\u0000\u0001\u0000\u0001\u0002\u0003\u0002"
+                  + "\u0004\n\u0005\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/PeerRecordsOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/PeerRecordsOrBuilder.java
@@ -19,44 +19,55 @@
   long getFirstOffset();
 
   /**
-   * <code>repeated bytes records = 2;</code>
+   * <code>int64 next_offset = 3;</code>
    *
-   * @return A list containing the records.
+   * @return The nextOffset.
    */
-  java.util.List<com.google.protobuf.ByteString> getRecordsList();
+  long getNextOffset();
 
   /**
-   * <code>repeated bytes records = 2;</code>
    *
-   * @return The count of records.
+   *
+   * <pre>
+   * A LogRecord with a snapshot, where the records alone would not reach back far enough.
+   * </pre>
+   *
+   * <code>bytes snapshot = 4;</code>
+   *
+   * @return The snapshot.
    */
-  int getRecordsCount();
+  com.google.protobuf.ByteString getSnapshot();
 
   /**
-   * <code>repeated bytes records = 2;</code>
    *
-   * @param index The index of the element to return.
-   * @return The records at the given index.
+   *
+   * <pre>
+   * Every record from first_offset to before next_offset.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
    */
-  com.google.protobuf.ByteString getRecords(int index);
+  java.util.List<org.carobhoist.server.link.proto.PeerRecord> getItemsList();
 
   /**
-   * <code>int64 next_offset = 3;</code>
    *
-   * @return The nextOffset.
+   *
+   * <pre>
+   * Every record from first_offset to before next_offset.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
    */
-  long getNextOffset();
+  org.carobhoist.server.link.proto.PeerRecord getItems(int index);
 
   /**
    *
    *
    * <pre>
-   * Whole state, where the records alone would not reach back far enough.
+   * Every record from first_offset to before next_offset.
    * </pre>
    *
-   * <code>bytes snapshot = 4;</code>
-   *
-   * @return The snapshot.
+   * <code>repeated .carobhoist.link.PeerRecord items = 5;</code>
    */
-  com.google.protobuf.ByteString getSnapshot();
+  int getItemsCount();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/ProfileSnapshotRecord.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/ProfileSnapshotRecord.java
@@ -23,8 +23,7 @@
     ProfileSnapshotRecordOrBuilder {
   private ProfileSnapshotRecord() {
     profiles_ = emptyProtobufList();
-    orders_ = emptyProtobufList();
-    recentChanges_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+    foreign_ = emptyProtobufList();
   }
 
   public static final int THROUGH_OFFSET_FIELD_NUMBER = 1;
@@ -60,31 +59,71 @@
   private com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.ProfileState>
       profiles_;
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   @java.lang.Override
   public java.util.List<org.carobhoist.server.link.proto.ProfileState> getProfilesList() {
     return profiles_;
   }
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   public java.util.List<? extends org.carobhoist.server.link.proto.ProfileStateOrBuilder>
       getProfilesOrBuilderList() {
     return profiles_;
   }
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   @java.lang.Override
   public int getProfilesCount() {
     return profiles_.size();
   }
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   @java.lang.Override
   public org.carobhoist.server.link.proto.ProfileState getProfiles(int index) {
     return profiles_.get(index);
   }
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   public org.carobhoist.server.link.proto.ProfileStateOrBuilder getProfilesOrBuilder(int index) {
     return profiles_.get(index);
   }
@@ -97,7 +136,15 @@
     }
   }
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
   private void setProfiles(int index, org.carobhoist.server.link.proto.ProfileState value) {
     value.getClass(); // minimal bytecode null check
@@ -105,7 +152,15 @@
     profiles_.set(index, value);
   }
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
   private void addProfiles(org.carobhoist.server.link.proto.ProfileState value) {
     value.getClass(); // minimal bytecode null check
@@ -113,7 +168,15 @@
     profiles_.add(value);
   }
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
   private void addProfiles(int index, org.carobhoist.server.link.proto.ProfileState value) {
     value.getClass(); // minimal bytecode null check
@@ -121,209 +184,217 @@
     profiles_.add(index, value);
   }
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   private void addAllProfiles(
       java.lang.Iterable<? extends org.carobhoist.server.link.proto.ProfileState> values) {
     ensureProfilesIsMutable();
     com.google.protobuf.AbstractMessageLite.addAll(values, profiles_);
   }
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   private void clearProfiles() {
     profiles_ = emptyProtobufList();
   }
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   private void removeProfiles(int index) {
     ensureProfilesIsMutable();
     profiles_.remove(index);
   }
 
-  public static final int ORDERS_FIELD_NUMBER = 3;
-  private com.google.protobuf.Internal.ProtobufList<
-          org.carobhoist.server.link.proto.WeightOrderRecord>
-      orders_;
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  @java.lang.Override
-  public java.util.List<org.carobhoist.server.link.proto.WeightOrderRecord> getOrdersList() {
-    return orders_;
-  }
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  public java.util.List<? extends org.carobhoist.server.link.proto.WeightOrderRecordOrBuilder>
-      getOrdersOrBuilderList() {
-    return orders_;
-  }
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  @java.lang.Override
-  public int getOrdersCount() {
-    return orders_.size();
-  }
+  public static final int FOREIGN_FIELD_NUMBER = 5;
+  private com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.StoredRecord>
+      foreign_;
 
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
+   */
   @java.lang.Override
-  public org.carobhoist.server.link.proto.WeightOrderRecord getOrders(int index) {
-    return orders_.get(index);
-  }
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  public org.carobhoist.server.link.proto.WeightOrderRecordOrBuilder getOrdersOrBuilder(int index) {
-    return orders_.get(index);
-  }
-
-  private void ensureOrdersIsMutable() {
-    com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.WeightOrderRecord>
-        tmp = orders_;
-    if (!tmp.isModifiable()) {
-      orders_ = com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
-    }
-  }
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void setOrders(int index, org.carobhoist.server.link.proto.WeightOrderRecord value) {
-    value.getClass(); // minimal bytecode null check
-    ensureOrdersIsMutable();
-    orders_.set(index, value);
-  }
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void addOrders(org.carobhoist.server.link.proto.WeightOrderRecord value) {
-    value.getClass(); // minimal bytecode null check
-    ensureOrdersIsMutable();
-    orders_.add(value);
-  }
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void addOrders(int index, org.carobhoist.server.link.proto.WeightOrderRecord value) {
-    value.getClass(); // minimal bytecode null check
-    ensureOrdersIsMutable();
-    orders_.add(index, value);
-  }
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  private void addAllOrders(
-      java.lang.Iterable<? extends org.carobhoist.server.link.proto.WeightOrderRecord> values) {
-    ensureOrdersIsMutable();
-    com.google.protobuf.AbstractMessageLite.addAll(values, orders_);
-  }
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  private void clearOrders() {
-    orders_ = emptyProtobufList();
+  public java.util.List<org.carobhoist.server.link.proto.StoredRecord> getForeignList() {
+    return foreign_;
   }
 
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  private void removeOrders(int index) {
-    ensureOrdersIsMutable();
-    orders_.remove(index);
-  }
-
-  public static final int RECENT_CHANGES_FIELD_NUMBER = 4;
-  private com.google.protobuf.Internal.ProtobufList<java.lang.String> recentChanges_;
-
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @return A list containing the recentChanges.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
-  @java.lang.Override
-  public java.util.List<java.lang.String> getRecentChangesList() {
-    return recentChanges_;
+  public java.util.List<? extends org.carobhoist.server.link.proto.StoredRecordOrBuilder>
+      getForeignOrBuilderList() {
+    return foreign_;
   }
 
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @return The count of recentChanges.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
   @java.lang.Override
-  public int getRecentChangesCount() {
-    return recentChanges_.size();
+  public int getForeignCount() {
+    return foreign_.size();
   }
 
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @param index The index of the element to return.
-   * @return The recentChanges at the given index.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
   @java.lang.Override
-  public java.lang.String getRecentChanges(int index) {
-    return recentChanges_.get(index);
+  public org.carobhoist.server.link.proto.StoredRecord getForeign(int index) {
+    return foreign_.get(index);
   }
 
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @param index The index of the value to return.
-   * @return The bytes of the recentChanges at the given index.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
-  @java.lang.Override
-  public com.google.protobuf.ByteString getRecentChangesBytes(int index) {
-    return com.google.protobuf.ByteString.copyFromUtf8(recentChanges_.get(index));
+  public org.carobhoist.server.link.proto.StoredRecordOrBuilder getForeignOrBuilder(int index) {
+    return foreign_.get(index);
   }
 
-  private void ensureRecentChangesIsMutable() {
-    com.google.protobuf.Internal.ProtobufList<java.lang.String> tmp = recentChanges_;
+  private void ensureForeignIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.carobhoist.server.link.proto.StoredRecord> tmp =
+        foreign_;
     if (!tmp.isModifiable()) {
-      recentChanges_ = com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
+      foreign_ = com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
     }
   }
 
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @param index The index to set the value at.
-   * @param value The recentChanges to set.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void setRecentChanges(int index, java.lang.String value) {
+  private void setForeign(int index, org.carobhoist.server.link.proto.StoredRecord value) {
     value.getClass(); // minimal bytecode null check
-    ensureRecentChangesIsMutable();
-    recentChanges_.set(index, value);
+    ensureForeignIsMutable();
+    foreign_.set(index, value);
   }
 
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @param value The recentChanges to add.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
   @java.lang.SuppressWarnings("ReturnValueIgnored")
-  private void addRecentChanges(java.lang.String value) {
+  private void addForeign(org.carobhoist.server.link.proto.StoredRecord value) {
     value.getClass(); // minimal bytecode null check
-    ensureRecentChangesIsMutable();
-    recentChanges_.add(value);
+    ensureForeignIsMutable();
+    foreign_.add(value);
   }
 
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @param values The recentChanges to add.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
-  private void addAllRecentChanges(java.lang.Iterable<java.lang.String> values) {
-    ensureRecentChangesIsMutable();
-    com.google.protobuf.AbstractMessageLite.addAll(values, recentChanges_);
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void addForeign(int index, org.carobhoist.server.link.proto.StoredRecord value) {
+    value.getClass(); // minimal bytecode null check
+    ensureForeignIsMutable();
+    foreign_.add(index, value);
   }
 
-  /** <code>repeated string recent_changes = 4;</code> */
-  private void clearRecentChanges() {
-    recentChanges_ = com.google.protobuf.GeneratedMessageLite.emptyProtobufList();
+  /**
+   *
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
+   */
+  private void addAllForeign(
+      java.lang.Iterable<? extends org.carobhoist.server.link.proto.StoredRecord> values) {
+    ensureForeignIsMutable();
+    com.google.protobuf.AbstractMessageLite.addAll(values, foreign_);
   }
 
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @param value The bytes of the recentChanges to add.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
+   */
+  private void clearForeign() {
+    foreign_ = emptyProtobufList();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
-  private void addRecentChangesBytes(com.google.protobuf.ByteString value) {
-    checkByteStringIsUtf8(value);
-    ensureRecentChangesIsMutable();
-    recentChanges_.add(value.toStringUtf8());
+  private void removeForeign(int index) {
+    ensureForeignIsMutable();
+    foreign_.remove(index);
   }
 
   public static org.carobhoist.server.link.proto.ProfileSnapshotRecord parseFrom(
@@ -462,32 +533,72 @@
       return this;
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     @java.lang.Override
     public java.util.List<org.carobhoist.server.link.proto.ProfileState> getProfilesList() {
       return java.util.Collections.unmodifiableList(instance.getProfilesList());
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     @java.lang.Override
     public int getProfilesCount() {
       return instance.getProfilesCount();
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     @java.lang.Override
     public org.carobhoist.server.link.proto.ProfileState getProfiles(int index) {
       return instance.getProfiles(index);
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     public Builder setProfiles(int index, org.carobhoist.server.link.proto.ProfileState value) {
       copyOnWrite();
       instance.setProfiles(index, value);
       return this;
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     public Builder setProfiles(
         int index, org.carobhoist.server.link.proto.ProfileState.Builder builderForValue) {
       copyOnWrite();
@@ -495,21 +606,45 @@
       return this;
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     public Builder addProfiles(org.carobhoist.server.link.proto.ProfileState value) {
       copyOnWrite();
       instance.addProfiles(value);
       return this;
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     public Builder addProfiles(int index, org.carobhoist.server.link.proto.ProfileState value) {
       copyOnWrite();
       instance.addProfiles(index, value);
       return this;
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     public Builder addProfiles(
         org.carobhoist.server.link.proto.ProfileState.Builder builderForValue) {
       copyOnWrite();
@@ -517,7 +652,15 @@
       return this;
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     public Builder addProfiles(
         int index, org.carobhoist.server.link.proto.ProfileState.Builder builderForValue) {
       copyOnWrite();
@@ -525,7 +668,15 @@
       return this;
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     public Builder addAllProfiles(
         java.lang.Iterable<? extends org.carobhoist.server.link.proto.ProfileState> values) {
       copyOnWrite();
@@ -533,204 +684,214 @@
       return this;
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     public Builder clearProfiles() {
       copyOnWrite();
       instance.clearProfiles();
       return this;
     }
 
-    /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Every profile, retired ones included.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+     */
     public Builder removeProfiles(int index) {
       copyOnWrite();
       instance.removeProfiles(index);
       return this;
     }
 
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
+     */
     @java.lang.Override
-    public java.util.List<org.carobhoist.server.link.proto.WeightOrderRecord> getOrdersList() {
-      return java.util.Collections.unmodifiableList(instance.getOrdersList());
+    public java.util.List<org.carobhoist.server.link.proto.StoredRecord> getForeignList() {
+      return java.util.Collections.unmodifiableList(instance.getForeignList());
     }
 
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
+     */
     @java.lang.Override
-    public int getOrdersCount() {
-      return instance.getOrdersCount();
+    public int getForeignCount() {
+      return instance.getForeignCount();
     }
 
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
+    /**
+     *
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
+     */
     @java.lang.Override
-    public org.carobhoist.server.link.proto.WeightOrderRecord getOrders(int index) {
-      return instance.getOrders(index);
-    }
-
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-    public Builder setOrders(int index, org.carobhoist.server.link.proto.WeightOrderRecord value) {
-      copyOnWrite();
-      instance.setOrders(index, value);
-      return this;
-    }
-
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-    public Builder setOrders(
-        int index, org.carobhoist.server.link.proto.WeightOrderRecord.Builder builderForValue) {
-      copyOnWrite();
-      instance.setOrders(index, builderForValue.build());
-      return this;
-    }
-
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-    public Builder addOrders(org.carobhoist.server.link.proto.WeightOrderRecord value) {
-      copyOnWrite();
-      instance.addOrders(value);
-      return this;
-    }
-
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-    public Builder addOrders(int index, org.carobhoist.server.link.proto.WeightOrderRecord value) {
-      copyOnWrite();
-      instance.addOrders(index, value);
-      return this;
-    }
-
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-    public Builder addOrders(
-        org.carobhoist.server.link.proto.WeightOrderRecord.Builder builderForValue) {
-      copyOnWrite();
-      instance.addOrders(builderForValue.build());
-      return this;
-    }
-
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-    public Builder addOrders(
-        int index, org.carobhoist.server.link.proto.WeightOrderRecord.Builder builderForValue) {
-      copyOnWrite();
-      instance.addOrders(index, builderForValue.build());
-      return this;
-    }
-
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-    public Builder addAllOrders(
-        java.lang.Iterable<? extends org.carobhoist.server.link.proto.WeightOrderRecord> values) {
-      copyOnWrite();
-      instance.addAllOrders(values);
-      return this;
-    }
-
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-    public Builder clearOrders() {
-      copyOnWrite();
-      instance.clearOrders();
-      return this;
-    }
-
-    /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-    public Builder removeOrders(int index) {
-      copyOnWrite();
-      instance.removeOrders(index);
-      return this;
+    public org.carobhoist.server.link.proto.StoredRecord getForeign(int index) {
+      return instance.getForeign(index);
     }
 
     /**
-     * <code>repeated string recent_changes = 4;</code>
      *
-     * @return A list containing the recentChanges.
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
      */
-    @java.lang.Override
-    public java.util.List<java.lang.String> getRecentChangesList() {
-      return java.util.Collections.unmodifiableList(instance.getRecentChangesList());
+    public Builder setForeign(int index, org.carobhoist.server.link.proto.StoredRecord value) {
+      copyOnWrite();
+      instance.setForeign(index, value);
+      return this;
     }
 
     /**
-     * <code>repeated string recent_changes = 4;</code>
      *
-     * @return The count of recentChanges.
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
      */
-    @java.lang.Override
-    public int getRecentChangesCount() {
-      return instance.getRecentChangesCount();
+    public Builder setForeign(
+        int index, org.carobhoist.server.link.proto.StoredRecord.Builder builderForValue) {
+      copyOnWrite();
+      instance.setForeign(index, builderForValue.build());
+      return this;
     }
 
     /**
-     * <code>repeated string recent_changes = 4;</code>
      *
-     * @param index The index of the element to return.
-     * @return The recentChanges at the given index.
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
      */
-    @java.lang.Override
-    public java.lang.String getRecentChanges(int index) {
-      return instance.getRecentChanges(index);
+    public Builder addForeign(org.carobhoist.server.link.proto.StoredRecord value) {
+      copyOnWrite();
+      instance.addForeign(value);
+      return this;
     }
 
     /**
-     * <code>repeated string recent_changes = 4;</code>
      *
-     * @param index The index of the value to return.
-     * @return The bytes of the recentChanges at the given index.
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
      */
-    @java.lang.Override
-    public com.google.protobuf.ByteString getRecentChangesBytes(int index) {
-      return instance.getRecentChangesBytes(index);
+    public Builder addForeign(int index, org.carobhoist.server.link.proto.StoredRecord value) {
+      copyOnWrite();
+      instance.addForeign(index, value);
+      return this;
     }
 
     /**
-     * <code>repeated string recent_changes = 4;</code>
      *
-     * @param index The index to set the value at.
-     * @param value The recentChanges to set.
-     * @return This builder for chaining.
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
      */
-    public Builder setRecentChanges(int index, java.lang.String value) {
+    public Builder addForeign(
+        org.carobhoist.server.link.proto.StoredRecord.Builder builderForValue) {
       copyOnWrite();
-      instance.setRecentChanges(index, value);
+      instance.addForeign(builderForValue.build());
       return this;
     }
 
     /**
-     * <code>repeated string recent_changes = 4;</code>
      *
-     * @param value The recentChanges to add.
-     * @return This builder for chaining.
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
      */
-    public Builder addRecentChanges(java.lang.String value) {
+    public Builder addForeign(
+        int index, org.carobhoist.server.link.proto.StoredRecord.Builder builderForValue) {
       copyOnWrite();
-      instance.addRecentChanges(value);
+      instance.addForeign(index, builderForValue.build());
       return this;
     }
 
     /**
-     * <code>repeated string recent_changes = 4;</code>
      *
-     * @param values The recentChanges to add.
-     * @return This builder for chaining.
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
      */
-    public Builder addAllRecentChanges(java.lang.Iterable<java.lang.String> values) {
+    public Builder addAllForeign(
+        java.lang.Iterable<? extends org.carobhoist.server.link.proto.StoredRecord> values) {
       copyOnWrite();
-      instance.addAllRecentChanges(values);
+      instance.addAllForeign(values);
       return this;
     }
 
     /**
-     * <code>repeated string recent_changes = 4;</code>
      *
-     * @return This builder for chaining.
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
      */
-    public Builder clearRecentChanges() {
+    public Builder clearForeign() {
       copyOnWrite();
-      instance.clearRecentChanges();
+      instance.clearForeign();
       return this;
     }
 
     /**
-     * <code>repeated string recent_changes = 4;</code>
      *
-     * @param value The bytes of the recentChanges to add.
-     * @return This builder for chaining.
+     *
+     * <pre>
+     * Newest weight order of each model and newest home view of each service.
+     * </pre>
+     *
+     * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
      */
-    public Builder addRecentChangesBytes(com.google.protobuf.ByteString value) {
+    public Builder removeForeign(int index) {
       copyOnWrite();
-      instance.addRecentChangesBytes(value);
+      instance.removeForeign(index);
       return this;
     }
 
@@ -759,13 +920,12 @@
                 "throughOffset_",
                 "profiles_",
                 org.carobhoist.server.link.proto.ProfileState.class,
-                "orders_",
-                org.carobhoist.server.link.proto.WeightOrderRecord.class,
-                "recentChanges_",
+                "foreign_",
+                org.carobhoist.server.link.proto.StoredRecord.class,
               };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0003\u0000\u0001\u0002\u0002\u001b"
-                  + "\u0003\u001b\u0004\u021a";
+              "\u0000\u0003\u0000\u0000\u0001\u0005\u0003\u0000\u0002\u0000\u0001\u0002\u0002\u001b"
+                  + "\u0005\u001b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/ProfileSnapshotRecordOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/ProfileSnapshotRecordOrBuilder.java
@@ -18,51 +18,69 @@
    */
   long getThroughOffset();
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   java.util.List<org.carobhoist.server.link.proto.ProfileState> getProfilesList();
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
+   */
   org.carobhoist.server.link.proto.ProfileState getProfiles(int index);
 
-  /** <code>repeated .carobhoist.log.ProfileState profiles = 2;</code> */
-  int getProfilesCount();
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  java.util.List<org.carobhoist.server.link.proto.WeightOrderRecord> getOrdersList();
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  org.carobhoist.server.link.proto.WeightOrderRecord getOrders(int index);
-
-  /** <code>repeated .carobhoist.log.WeightOrderRecord orders = 3;</code> */
-  int getOrdersCount();
-
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @return A list containing the recentChanges.
+   *
+   * <pre>
+   * Every profile, retired ones included.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.ProfileState profiles = 2;</code>
    */
-  java.util.List<java.lang.String> getRecentChangesList();
+  int getProfilesCount();
 
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @return The count of recentChanges.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
-  int getRecentChangesCount();
+  java.util.List<org.carobhoist.server.link.proto.StoredRecord> getForeignList();
 
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @param index The index of the element to return.
-   * @return The recentChanges at the given index.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
-  java.lang.String getRecentChanges(int index);
+  org.carobhoist.server.link.proto.StoredRecord getForeign(int index);
 
   /**
-   * <code>repeated string recent_changes = 4;</code>
    *
-   * @param index The index of the element to return.
-   * @return The recentChanges at the given index.
+   *
+   * <pre>
+   * Newest weight order of each model and newest home view of each service.
+   * </pre>
+   *
+   * <code>repeated .carobhoist.log.StoredRecord foreign = 5;</code>
    */
-  com.google.protobuf.ByteString getRecentChangesBytes(int index);
+  int getForeignCount();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/ProfileState.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/ProfileState.java
@@ -16,6 +16,7 @@
     profile_ = "";
     changeId_ = "";
     document_ = "";
+    operator_ = "";
   }
 
   public static final int PROFILE_FIELD_NUMBER = 1;
@@ -182,6 +183,12 @@
   private java.lang.String document_;
 
   /**
+   *
+   *
+   * <pre>
+   * The last document, if retired.
+   * </pre>
+   *
    * <code>string document = 5;</code>
    *
    * @return The document.
@@ -192,6 +199,12 @@
   }
 
   /**
+   *
+   *
+   * <pre>
+   * The last document, if retired.
+   * </pre>
+   *
    * <code>string document = 5;</code>
    *
    * @return The bytes for document.
@@ -202,6 +215,12 @@
   }
 
   /**
+   *
+   *
+   * <pre>
+   * The last document, if retired.
+   * </pre>
+   *
    * <code>string document = 5;</code>
    *
    * @param value The document to set.
@@ -213,13 +232,27 @@
     document_ = value;
   }
 
-  /** <code>string document = 5;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * The last document, if retired.
+   * </pre>
+   *
+   * <code>string document = 5;</code>
+   */
   private void clearDocument() {
 
     document_ = getDefaultInstance().getDocument();
   }
 
   /**
+   *
+   *
+   * <pre>
+   * The last document, if retired.
+   * </pre>
+   *
    * <code>string document = 5;</code>
    *
    * @param value The bytes for document to set.
@@ -229,6 +262,57 @@
     document_ = value.toStringUtf8();
   }
 
+  public static final int OPERATOR_FIELD_NUMBER = 6;
+  private java.lang.String operator_;
+
+  /**
+   * <code>string operator = 6;</code>
+   *
+   * @return The operator.
+   */
+  @java.lang.Override
+  public java.lang.String getOperator() {
+    return operator_;
+  }
+
+  /**
+   * <code>string operator = 6;</code>
+   *
+   * @return The bytes for operator.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getOperatorBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(operator_);
+  }
+
+  /**
+   * <code>string operator = 6;</code>
+   *
+   * @param value The operator to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setOperator(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+
+    operator_ = value;
+  }
+
+  /** <code>string operator = 6;</code> */
+  private void clearOperator() {
+
+    operator_ = getDefaultInstance().getOperator();
+  }
+
+  /**
+   * <code>string operator = 6;</code>
+   *
+   * @param value The bytes for operator to set.
+   */
+  private void setOperatorBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    operator_ = value.toStringUtf8();
+  }
+
   public static org.carobhoist.server.link.proto.ProfileState parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -500,6 +584,12 @@
     }
 
     /**
+     *
+     *
+     * <pre>
+     * The last document, if retired.
+     * </pre>
+     *
      * <code>string document = 5;</code>
      *
      * @return The document.
@@ -510,6 +600,12 @@
     }
 
     /**
+     *
+     *
+     * <pre>
+     * The last document, if retired.
+     * </pre>
+     *
      * <code>string document = 5;</code>
      *
      * @return The bytes for document.
@@ -520,6 +616,12 @@
     }
 
     /**
+     *
+     *
+     * <pre>
+     * The last document, if retired.
+     * </pre>
+     *
      * <code>string document = 5;</code>
      *
      * @param value The document to set.
@@ -532,6 +634,12 @@
     }
 
     /**
+     *
+     *
+     * <pre>
+     * The last document, if retired.
+     * </pre>
+     *
      * <code>string document = 5;</code>
      *
      * @return This builder for chaining.
@@ -543,6 +651,12 @@
     }
 
     /**
+     *
+     *
+     * <pre>
+     * The last document, if retired.
+     * </pre>
+     *
      * <code>string document = 5;</code>
      *
      * @param value The bytes for document to set.
@@ -554,6 +668,61 @@
       return this;
     }
 
+    /**
+     * <code>string operator = 6;</code>
+     *
+     * @return The operator.
+     */
+    @java.lang.Override
+    public java.lang.String getOperator() {
+      return instance.getOperator();
+    }
+
+    /**
+     * <code>string operator = 6;</code>
+     *
+     * @return The bytes for operator.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getOperatorBytes() {
+      return instance.getOperatorBytes();
+    }
+
+    /**
+     * <code>string operator = 6;</code>
+     *
+     * @param value The operator to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOperator(java.lang.String value) {
+      copyOnWrite();
+      instance.setOperator(value);
+      return this;
+    }
+
+    /**
+     * <code>string operator = 6;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearOperator() {
+      copyOnWrite();
+      instance.clearOperator();
+      return this;
+    }
+
+    /**
+     * <code>string operator = 6;</code>
+     *
+     * @param value The bytes for operator to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOperatorBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setOperatorBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.log.ProfileState)
   }
 
@@ -576,11 +745,11 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "profile_", "revision_", "changeId_", "retired_", "document_",
+                "profile_", "revision_", "changeId_", "retired_", "document_", "operator_",
               };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0208\u0002\u0002"
-                  + "\u0003\u0208\u0004\u0007\u0005\u0208";
+              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u0208\u0002\u0002"
+                  + "\u0003\u0208\u0004\u0007\u0005\u0208\u0006\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/ProfileStateOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/ProfileStateOrBuilder.java
@@ -54,6 +54,12 @@
   boolean getRetired();
 
   /**
+   *
+   *
+   * <pre>
+   * The last document, if retired.
+   * </pre>
+   *
    * <code>string document = 5;</code>
    *
    * @return The document.
@@ -61,9 +67,29 @@
   java.lang.String getDocument();
 
   /**
+   *
+   *
+   * <pre>
+   * The last document, if retired.
+   * </pre>
+   *
    * <code>string document = 5;</code>
    *
    * @return The bytes for document.
    */
   com.google.protobuf.ByteString getDocumentBytes();
+
+  /**
+   * <code>string operator = 6;</code>
+   *
+   * @return The operator.
+   */
+  java.lang.String getOperator();
+
+  /**
+   * <code>string operator = 6;</code>
+   *
+   * @return The bytes for operator.
+   */
+  com.google.protobuf.ByteString getOperatorBytes();
 }
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -34,6 +34,16 @@
   RECORD_SKIPPED(5004, "log record skipped"),
   /** The platform's instance list can't be read. */
   LIST_UNREACHABLE(5005, "instance list unreachable"),
+  /** The process has a configuration and may serve. */
+  CONFIG_READY(5100, "configuration ready"),
+  /** The platform's log can be read again. */
+  LOG_REACHABLE(5101, "platform log reachable again"),
+  /** The whole configuration was taken from a snapshot. */
+  SNAPSHOT_INSTALLED(5102, "snapshot installed"),
+  /** A snapshot is appended to the log. */
+  SNAPSHOT_APPENDED(5103, "snapshot appended"),
+  /** A peer's configuration can't belong to the same log. */
+  PEER_DISAGREES(5104, "peer's configuration disagrees"),
   /** A weight swap went a step on. */
   SWAP(6001, "weight swap");
 
--- a/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
+++ b/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
@@ -2,45 +2,74 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.profile.FoldOutcome;
+import org.carobhoist.core.profile.ForeignRecord;
+import org.carobhoist.core.profile.LogItem;
+import org.carobhoist.core.profile.PeerUpdate;
 import org.carobhoist.core.profile.ProfileChange;
 import org.carobhoist.core.profile.ProfileFold;
-import org.carobhoist.server.link.proto.LogRecord;
+import org.carobhoist.core.profile.ProfileSnapshot;
+import org.carobhoist.core.profile.ReplicaListener;
+import org.carobhoist.core.profile.SpreadCoordinator;
+import org.carobhoist.core.profile.SpreadPolicy;
+import org.carobhoist.core.profile.SpreadPort;
+import org.carobhoist.server.link.Link;
+import org.carobhoist.server.link.proto.LinkFrame;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 import org.carobhoist.server.runtime.DecisionLoop;
+import org.carobhoist.server.runtime.SystemClock;
 import org.carobhoist.server.state.StateSource;
 
-/** Follows the platform's log by long poll and folds its records into the configuration. */
+/**
+ * Gives a process its configuration: the decisions are a {@link SpreadCoordinator}'s, this class
+ * carries them out over the platform's log and the links.
+ */
 public final class ConfigFollower implements StateSource {
 
-  private static final Duration POLL_WAIT = Duration.ofSeconds(20);
-  private static final Duration RETRY_DELAY = Duration.ofMillis(500);
-
   private final PlatformLog log;
   private final DecisionLoop loop;
-  private final ProfileFold fold = ProfileFold.create();
+  private final LogAppender appender;
+  private final SpreadCoordinator spread;
   private final List<RecordListener> listeners = new ArrayList<>();
-  private boolean reachable = true;
+  private final Map<InstanceId, Link> peers = new HashMap<>();
+  private boolean warned;
   private volatile boolean ready;
 
   /** State dump of the configuration. */
-  public record State(long revision, long appliedOffset, boolean ready, boolean logReachable) {}
-
-  private ConfigFollower(PlatformLog log, DecisionLoop loop) {
+  public record State(
+      long revision,
+      long appliedOffset,
+      boolean ready,
+      boolean logReachable,
+      boolean logGap,
+      int peers,
+      Map<String, Long> profiles) {}
+
+  private ConfigFollower(
+      PlatformLog log, DecisionLoop loop, SpreadPolicy policy, SplittableRandom random) {
     this.log = log;
     this.loop = loop;
+    this.appender = LogAppender.create(log, loop, random.split());
+    Clock clock = SystemClock.create();
+    this.spread =
+        SpreadCoordinator.create(new Effects(), policy, clock, random.split(), new Changes());
   }
 
   /** Returns a follower that hasn't started; its fold is touched on the loop only. */
-  public static ConfigFollower create(PlatformLog log, DecisionLoop loop) {
-    return new ConfigFollower(log, loop);
+  public static ConfigFollower create(PlatformLog log, DecisionLoop loop, SpreadPolicy policy) {
+    return new ConfigFollower(log, loop, policy, new SplittableRandom());
   }
 
   /** Begins to follow the log. */
   public void start() {
-    loop.execute(() -> poll(Duration.ZERO));
+    loop.execute(spread::start);
   }
 
   /** Adds a listener for weight orders and home views; to be called before {@link #start}. */
@@ -48,9 +77,14 @@
     listeners.add(listener);
   }
 
+  /** Returns the process's appender to the log; to be used on the loop only. */
+  public LogAppender appender() {
+    return appender;
+  }
+
   /** Returns the configuration; to be used on the loop only. */
   public ProfileFold fold() {
-    return fold;
+    return spread.replica().fold();
   }
 
   /** Returns whether the process has a configuration to serve from; may be read on any thread. */
@@ -58,6 +92,35 @@
     return ready;
   }
 
+  /** Takes a link that is up; on the loop. */
+  public void onLinkUp(Link link) {
+    peers.put(peer(link), link);
+    spread.onPeerUp(peer(link));
+  }
+
+  /** Takes the loss of a link; on the loop. */
+  public void onLinkDown(Link link) {
+    if (peers.remove(peer(link), link)) {
+      spread.onPeerDown(peer(link));
+    }
+  }
+
+  /** Takes a frame; on the loop; returns whether it was about the configuration. */
+  public boolean onFrame(Link link, LinkFrame frame) {
+    switch (frame.getBodyCase()) {
+      case PEER_DIGEST -> spread.onDigest(peer(link), frame.getPeerDigest().getNextOffset());
+      case PEER_RECORDS ->
+          PeerMapper.fromMessage(frame.getPeerRecords())
+              .ifPresentOrElse(
+                  update -> spread.onUpdate(peer(link), update),
+                  () -> EventLog.warn(LogEvent.FRAME_DROPPED, "peer", peer(link)));
+      default -> {
+        return false;
+      }
+    }
+    return true;
+  }
+
   @Override
   public String name() {
     return "configuration";
@@ -65,67 +128,126 @@
 
   @Override
   public Object state() {
-    return new State(fold.revision().offset(), fold.appliedOffset(), ready, reachable);
+    Map<String, Long> profiles = new HashMap<>();
+    fold().entries().forEach((name, e) -> profiles.put(name.value(), e.revision().offset()));
+    return new State(
+        fold().revision().offset(),
+        fold().appliedOffset(),
+        ready,
+        spread.isLogReachable(),
+        spread.replica().hasGap(),
+        peers.size(),
+        profiles);
   }
 
-  private void poll(Duration wait) {
-    log.read(fold.appliedOffset() + 1, wait)
-        .whenCompleteAsync((batch, failure) -> onRead(batch, failure), loop);
+  private static InstanceId peer(Link link) {
+    return new InstanceId(link.peer().getInstance());
   }
 
-  private void onRead(LogBatch batch, Throwable failure) {
-    if (failure != null) {
-      if (reachable) {
+  private final class Effects implements SpreadPort {
+
+    @Override
+    public void readLog(long from, Duration wait) {
+      log.read(from, wait)
+          .whenCompleteAsync((batch, failure) -> onRead(from, batch, failure), loop);
+    }
+
+    @Override
+    public void sendDigest(InstanceId peer, long nextOffset) {
+      send(peer, PeerMapper.digest(nextOffset, fold().revision().offset()));
+    }
+
+    @Override
+    public void sendUpdate(InstanceId peer, PeerUpdate update) {
+      send(peer, PeerMapper.update(update));
+    }
+
+    @Override
+    public void appendSnapshot(ProfileSnapshot snapshot) {
+      EventLog.info(LogEvent.SNAPSHOT_APPENDED, "through", snapshot.through());
+      appender.append(LogRecords.encode(snapshot));
+    }
+
+    @Override
+    public void after(Duration delay, Runnable task) {
+      loop.after(delay, task);
+    }
+
+    @Override
+    public void onServing(Source source) {
+      ready = true;
+      EventLog.info(LogEvent.CONFIG_READY, "source", source, "revision", fold().revision());
+    }
+
+    @Override
+    public void onDisagreement(InstanceId peer) {
+      EventLog.warn(LogEvent.PEER_DISAGREES, "peer", peer, "applied", fold().appliedOffset());
+    }
+
+    private void onRead(long from, LogBatch batch, Throwable failure) {
+      if (failure != null) {
+        warnOnce(failure);
+        spread.onLogFailed();
+        return;
+      }
+      if (warned) {
+        EventLog.info(LogEvent.LOG_REACHABLE, "next", batch.next());
+      }
+      warned = false;
+      spread.onLogRead(batch.toRead(from));
+    }
+
+    private void warnOnce(Throwable failure) {
+      if (!warned) {
         EventLog.warn(LogEvent.LOG_UNREACHABLE, "cause", failure.getMessage());
       }
-      reachable = false;
-      loop.after(RETRY_DELAY, () -> poll(Duration.ZERO));
-      return;
+      warned = true;
     }
-    reachable = true;
-    batch.records().forEach(this::apply);
-    if (batch.records().isEmpty() || fold.appliedOffset() + 1 >= batch.next()) {
-      ready = true;
+
+    private void send(InstanceId peer, LinkFrame frame) {
+      Link link = peers.get(peer);
+      if (link != null) {
+        link.send(frame);
+      }
     }
-    poll(POLL_WAIT);
   }
 
-  private void apply(LogBatch.StoredRecord record) {
-    if (record.offset() <= fold.appliedOffset()) {
-      return;
+  private final class Changes implements ReplicaListener {
+
+    @Override
+    public void onChange(long offset, ProfileChange change, FoldOutcome outcome) {
+      LogEvent event =
+          outcome.status() == FoldOutcome.Status.ACCEPTED
+              ? LogEvent.PROFILE_IN_FORCE
+              : LogEvent.PROFILE_VOID;
+      EventLog.info(
+          event,
+          "offset",
+          offset,
+          "profile",
+          change.profile(),
+          "revision",
+          outcome.current(),
+          "change",
+          change.changeId(),
+          "detail",
+          outcome.detail());
     }
-    LogRecord body = LogRecords.decode(record.data()).orElse(LogRecord.getDefaultInstance());
-    switch (body.getBodyCase()) {
-      case CHANGE -> applyChange(record.offset(), body);
-      case WEIGHT_ORDER, HOME_VIEW ->
-          listeners.forEach(l -> l.onRecord(record.offset(), record.timeMillis(), body));
-      default -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", record.offset());
+
+    @Override
+    public void onForeign(LogItem item, ForeignRecord record) {
+      LogRecords.message(record)
+          .ifPresent(m -> listeners.forEach(l -> l.onRecord(item.offset(), item.timeMillis(), m)));
     }
-    fold.advance(record.offset());
-  }
 
-  private void applyChange(long offset, LogRecord body) {
-    LogRecords.change(body.getChange())
-        .ifPresentOrElse(
-            change -> apply(offset, change),
-            () -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", offset));
-  }
+    @Override
+    public void onSkipped(long offset, String reason) {
+      EventLog.info(LogEvent.RECORD_SKIPPED, "offset", offset, "reason", reason);
+    }
 
-  private void apply(long offset, ProfileChange change) {
-    FoldOutcome outcome = fold.apply(offset, change);
-    LogEvent event =
-        outcome.status() == FoldOutcome.Status.ACCEPTED
-            ? LogEvent.PROFILE_IN_FORCE
-            : LogEvent.PROFILE_VOID;
-    EventLog.info(
-        event,
-        "profile",
-        change.profile(),
-        "revision",
-        outcome.current(),
-        "change",
-        change.changeId(),
-        "detail",
-        outcome.detail());
+    @Override
+    public void onInstalled(ProfileSnapshot snapshot) {
+      EventLog.info(LogEvent.SNAPSHOT_INSTALLED, "through", snapshot.through());
+    }
   }
 }
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/platform/LogAppender.java
@@ -0,0 +1,84 @@
+package org.carobhoist.server.platform;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.common.JitteredBackoff;
+import org.carobhoist.server.runtime.DecisionLoop;
+
+/**
+ * Appends the records of one process at a bounded rate, one after the other. After a failure the
+ * next append waits for a delay that grows and is drawn at random, so that the processes of a whole
+ * site don't come back at once after an outage. A failed append isn't repeated here: its record may
+ * have taken effect, and only its sender knows whether a repeat is harmless.
+ */
+public final class LogAppender {
+
+  private static final Duration SPACING = Duration.ofMillis(250);
+  private static final Duration RETRY_BASE = Duration.ofMillis(500);
+  private static final Duration RETRY_CAP = Duration.ofSeconds(8);
+  private static final int MAX_WAITING = 64;
+
+  private final PlatformLog log;
+  private final DecisionLoop loop;
+  private final JitteredBackoff backoff;
+  private final Deque<Waiting> queue = new ArrayDeque<>();
+  private boolean busy;
+
+  private record Waiting(byte[] record, CompletableFuture<Long> offset) {}
+
+  private LogAppender(PlatformLog log, DecisionLoop loop, SplittableRandom random) {
+    this.log = log;
+    this.loop = loop;
+    this.backoff = JitteredBackoff.create(RETRY_BASE, RETRY_CAP, random);
+  }
+
+  /** Returns an appender; to be used on the loop only. */
+  public static LogAppender create(PlatformLog log, DecisionLoop loop, SplittableRandom random) {
+    return new LogAppender(log, loop, random);
+  }
+
+  /**
+   * Appends a record in its turn.
+   *
+   * @return its offset; a failure means that nobody knows whether it was appended, but for an
+   *     {@link IllegalStateException}, which says that too many wait and it was not
+   */
+  public CompletableFuture<Long> append(byte[] record) {
+    Waiting waiting = new Waiting(record, new CompletableFuture<>());
+    if (queue.size() >= MAX_WAITING) {
+      waiting.offset().completeExceptionally(new IllegalStateException("too many appends wait"));
+      return waiting.offset();
+    }
+    queue.add(waiting);
+    next();
+    return waiting.offset();
+  }
+
+  private void next() {
+    if (busy || queue.isEmpty()) {
+      return;
+    }
+    busy = true;
+    Waiting head = queue.remove();
+    log.append(head.record())
+        .whenCompleteAsync((offset, failure) -> onDone(head, offset, failure), loop);
+  }
+
+  private void onDone(Waiting head, Long offset, Throwable failure) {
+    loop.after(failure == null ? SPACING : backoff.next(), this::free);
+    if (failure != null) {
+      head.offset().completeExceptionally(failure);
+      return;
+    }
+    backoff.reset();
+    head.offset().complete(offset);
+  }
+
+  private void free() {
+    busy = false;
+    next();
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/platform/LogBatch.java
+++ b/server/src/main/java/org/carobhoist/server/platform/LogBatch.java
@@ -1,6 +1,8 @@
 package org.carobhoist.server.platform;
 
 import java.util.List;
+import org.carobhoist.core.profile.LogItem;
+import org.carobhoist.core.profile.LogRead;
 
 /**
  * A read's answer.
@@ -19,4 +21,13 @@
    * @param data its bytes, which must not be changed
    */
   public record StoredRecord(long offset, long timeMillis, byte[] data) {}
+
+  /** Returns the answer to a read from an offset, with its records decoded. */
+  public LogRead toRead(long from) {
+    List<LogItem> items =
+        records.stream()
+            .map(r -> new LogItem(r.offset(), r.timeMillis(), LogRecords.decode(r.data())))
+            .toList();
+    return new LogRead(from, first, next, items);
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -18,6 +18,7 @@
 import org.carobhoist.core.limit.AdmissionQueue;
 import org.carobhoist.core.membership.EndpointAnnouncement;
 import org.carobhoist.core.membership.EndpointPhase;
+import org.carobhoist.core.profile.SpreadPolicy;
 import org.carobhoist.server.link.AnnouncementMapper;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
@@ -72,7 +73,9 @@
     this.calls = new CallWorker(queue, endpoint, kind, clock, tickets);
     this.samples = new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets);
     this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
-    this.config = ConfigFollower.create(HttpPlatform.at(settings.instance().platform()), loop);
+    this.config =
+        ConfigFollower.create(
+            HttpPlatform.at(settings.instance().platform()), loop, SpreadPolicy.ofSidecar());
   }
 
   /** Returns a sidecar that hasn't started. */
@@ -179,6 +182,7 @@
       case SAMPLE_START -> samples.onStart(link, frame.getSampleStart());
       case SAMPLE_CANCEL -> samples.onCancel(frame.getSampleCancel());
       case HELD_QUERY -> samples.onQuery(link, frame.getHeldQuery());
+      case PEER_DIGEST, PEER_RECORDS -> config.onFrame(link, frame);
       case STEP_ACK -> samples.onAck(frame.getStepAck());
       default -> EventLog.warn(LogEvent.FRAME_DROPPED, "kind", frame.getBodyCase());
     }
@@ -211,6 +215,7 @@
       loop.execute(
           () -> {
             links.add(link);
+            config.onLinkUp(link);
             announce();
           });
     }
@@ -225,6 +230,7 @@
       loop.execute(
           () -> {
             links.remove(link);
+            config.onLinkDown(link);
             calls.onLinkDown(link);
           });
     }
