--- a/core/src/test/java/org/carobhoist/core/chart/ChartPageTest.java
+++ b/core/src/test/java/org/carobhoist/core/chart/ChartPageTest.java
@@ -9,7 +9,9 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.Stream;
+import org.carobhoist.core.membership.EndpointLife;
 import org.carobhoist.core.request.RequestRun;
+import org.carobhoist.core.rollout.StepCoordinator;
 import org.carobhoist.core.swap.SwapCoordinator;
 import org.junit.jupiter.api.Test;
 
@@ -22,7 +24,11 @@
   private static final Path PAGE = Path.of("..", "docs", "CHARTS.md");
   private static final Path CHARTS = Path.of("src", "main", "resources", "charts");
   private static final List<StateChart<?, ?, ?>> ALL =
-      List.of(RequestRun.chart(), SwapCoordinator.chart());
+      List.of(
+          RequestRun.chart(),
+          EndpointLife.chart(),
+          StepCoordinator.sampleChart(),
+          SwapCoordinator.chart());
 
   @Test
   void pageShowsTheChartsInForce() throws IOException {
--- a/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
+++ b/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
@@ -38,8 +38,8 @@
   private static final Refusal HOME_UNKNOWN =
       Refusal.notRun(
           RefusalReason.KEY_UNAVAILABLE,
-          "the home of this key can't be reached at the moment; resend it later, or, if it was never"
-              + " sent before, use a key issued by POST /v1/keys");
+          "the home of this key can't be reached at the moment; resend it later, or, if it was"
+              + " never sent before, use a key issued by POST /v1/keys");
 
   private final Clock clock;
   private final LinkPool links;
--- a/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
@@ -48,10 +48,10 @@
 
   private KeyedHome(
       SidecarSettings settings, Incarnation incarnation, Clock clock, PlatformLog log) {
-    HomePolicy policy = HomePolicy.DEFAULT;
     this.service = settings.endpoint().service();
     this.self = new HomeMember(settings.instance().id(), incarnation);
     this.log = log;
+    HomePolicy policy = HomePolicy.DEFAULT;
     this.lease = HomeLease.create(policy, clock);
     this.keeper =
         HomeKeeper.create(self, this::append, clock, new SplittableRandom(), lease, history);
