--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -14,6 +14,7 @@
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
+import org.carobhoist.core.routing.RouterPolicy;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
 import org.carobhoist.server.link.LinkNetwork;
@@ -46,6 +47,7 @@
   private final LinkNetwork network;
   private final CallContext context;
   private final StepTable steps;
+  private final WeightRoutes weights;
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
   private volatile boolean draining;
@@ -67,8 +69,10 @@
             this.settings.zone(),
             new LinkPool(loop, platform),
             new CallTable(),
-            Router.create(random),
+            Router.create(random, SystemClock.create(), RouterPolicy.DEFAULT),
             RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST));
+    this.weights = new WeightRoutes(platform, loop);
+    config.onRecord(weights);
     this.steps = new StepTable(context, random.split());
   }
 
@@ -114,6 +118,7 @@
     StateDump dump = StateDump.of(loop, List.of(new WorkState(), config));
     AdminRoutes.create(this::isReady, metrics, dump).addTo(sb);
     new CallRoutes(context, config.fold(), config::isReady).addTo(sb);
+    weights.addTo(sb);
     new StepRoutes(context, config.fold(), config::isReady, steps).addTo(sb);
     return sb.build();
   }
