--- a/it/src/test/java/org/carobhoist/it/TestCluster.java
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -3,11 +3,9 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpStatus;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -22,6 +20,7 @@
 import org.carobhoist.core.profile.Revision;
 import org.carobhoist.server.platform.HttpPlatform;
 import org.carobhoist.server.platform.LogRecords;
+import org.carobhoist.standin.LoopbackPorts;
 import org.carobhoist.standin.PlatformStandIn;
 
 /** A platform stand-in and the processes that run on it; everything ends with close. */
@@ -114,7 +113,7 @@
 
   private void launch(String role, String name, String zone, String more, String service)
       throws IOException {
-    List<Integer> ports = freePorts(2);
+    List<Integer> ports = List.of(LoopbackPorts.next(), LoopbackPorts.next());
     String ini =
         "[instance]\nid = %s\nzone = %s\nhttp = 127.0.0.1:%d\nlink = 127.0.0.1:%d\n"
                 .formatted(name, zone, ports.get(0), ports.get(1))
@@ -139,18 +138,4 @@
       return false;
     }
   }
-
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0);
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return ports;
-  }
 }
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -25,6 +25,7 @@
       SidecarCommand.class,
       StateCommand.class,
       CheckCommand.class,
+      DemoCommand.class,
       HelpCommand.class,
       AutoComplete.GenerateCompletion.class
     })
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/demo/CallerLoad.java
@@ -0,0 +1,133 @@
+package org.carobhoist.server.demo;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Pattern;
+import org.carobhoist.core.common.Verdict;
+import org.carobhoist.server.entry.CarobhoistHeaders;
+
+/**
+ * Guests and hosts: bookings, which must not run twice, and questions to the concierge. Requests
+ * are sent at a steady rate, whether or not earlier ones have been answered. Every request asks for
+ * something that no other asks for, so that a foreign answer shows.
+ */
+final class CallerLoad {
+
+  private static final Duration PERIOD = Duration.ofMillis(20);
+  private static final int BOOKINGS_PER_QUESTION = 3;
+  private static final Duration DEADLINE = Duration.ofSeconds(4);
+  private static final Duration ANSWER_LIMIT = Duration.ofSeconds(8);
+  private static final int MIN_TOKENS = 8;
+  private static final int MAX_TOKENS = 64;
+  private static final Pattern TOKEN_LIST = Pattern.compile("\"tokens\":\\[([^\\]]*)\\]");
+
+  private final List<WebClient> entries;
+  private final SplittableRandom random;
+  private final RequestTally tally;
+  private final Map<String, Verdict> bookings = new ConcurrentHashMap<>();
+  private final Map<Integer, CompletableFuture<Void>> open = new ConcurrentHashMap<>();
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private int count;
+
+  CallerLoad(List<URI> entries, SplittableRandom random, RequestTally tally) {
+    this.entries =
+        entries.stream()
+            .map(u -> WebClient.builder(u).responseTimeout(ANSWER_LIMIT).build())
+            .toList();
+    this.random = random;
+    this.tally = tally;
+  }
+
+  void start() {
+    timer.scheduleAtFixedRate(this::sendNext, 0, PERIOD.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Stops sending, waits for the answers and compares what ran with what the callers were told. */
+  void stop(DemoCluster cluster) throws InterruptedException {
+    timer.shutdown();
+    timer.awaitTermination(ANSWER_LIMIT.toSeconds(), TimeUnit.SECONDS);
+    CompletableFuture.allOf(open.values().toArray(CompletableFuture[]::new)).join();
+    bookings.forEach((body, verdict) -> tally.onRuns(verdict, cluster.runs(body)));
+  }
+
+  private void sendNext() {
+    int number = ++count;
+    WebClient entry = entries.get(number % entries.size());
+    tally.onSent();
+    CompletableFuture<Void> answered =
+        number % (BOOKINGS_PER_QUESTION + 1) == 0 ? ask(entry) : book(entry, number);
+    open.put(number, answered);
+    answered.whenComplete((ok, failure) -> open.remove(number));
+  }
+
+  private CompletableFuture<Void> book(WebClient entry, int number) {
+    String body = "bench " + number % 7 + ", guest " + number;
+    String path = "/v1/services/" + DemoCluster.BOOKINGS + "/bookings";
+    return send(entry, path, MediaType.PLAIN_TEXT_UTF_8, body)
+        .thenAccept(
+            answer -> {
+              Verdict verdict = verdict(answer);
+              bookings.put(body, verdict);
+              tally.onAnswer(verdict, answer.contentUtf8().equals("done " + body));
+            })
+        .exceptionally(this::onNoAnswer);
+  }
+
+  private CompletableFuture<Void> ask(WebClient entry) {
+    int tokens = random.nextInt(MIN_TOKENS, MAX_TOKENS);
+    String body =
+        "{\"model\":\"%s\",\"prompt\":\"Is the kiln cool?\",\"max_tokens\":%d,\"stream\":true}"
+            .formatted(DemoCluster.MODEL, tokens);
+    return send(entry, "/v1/completions", MediaType.JSON, body)
+        .thenAccept(
+            answer -> tally.onAnswer(verdict(answer), isWhole(answer.contentUtf8(), tokens)))
+        .exceptionally(this::onNoAnswer);
+  }
+
+  private Void onNoAnswer(Throwable failure) {
+    tally.onNoAnswer();
+    return null;
+  }
+
+  private static CompletableFuture<AggregatedHttpResponse> send(
+      WebClient entry, String path, MediaType type, String body) {
+    RequestHeaders headers =
+        RequestHeaders.builder(HttpMethod.POST, path)
+            .contentType(type)
+            .add(CarobhoistHeaders.DEADLINE_MILLIS, Long.toString(DEADLINE.toMillis()))
+            .build();
+    HttpRequest request =
+        HttpRequest.of(headers, com.linecorp.armeria.common.HttpData.ofUtf8(body));
+    return entry.execute(request).aggregate();
+  }
+
+  private static Verdict verdict(AggregatedHttpResponse answer) {
+    return Verdict.valueOf(answer.headers().get(CarobhoistHeaders.VERDICT));
+  }
+
+  private static boolean isWhole(String stream, int tokens) {
+    long found =
+        TOKEN_LIST
+            .matcher(stream)
+            .results()
+            .map(m -> m.group(1))
+            .filter(list -> !list.isEmpty())
+            .mapToLong(list -> list.split(",").length)
+            .sum();
+    return found == tokens && stream.endsWith("data: [DONE]\n\n");
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/demo/DemoReport.java
@@ -0,0 +1,55 @@
+package org.carobhoist.server.demo;
+
+import java.util.stream.Collectors;
+
+/**
+ * What a run of the demo showed.
+ *
+ * @param requests how the callers' requests ended
+ * @param samples how the trainer fared
+ * @param changeInForce whether the operator's change came into force at every entry
+ */
+public record DemoReport(
+    RequestTally.Counts requests, SampleTally.Counts samples, boolean changeInForce) {
+
+  /** Returns whether every promise was kept. */
+  public boolean isClean() {
+    return requests.isClean() && samples.isClean() && changeInForce && samples.samples() > 0;
+  }
+
+  /** Returns the table for the end of the run. */
+  public String table() {
+    String staleness =
+        samples.byStaleness().entrySet().stream()
+            .map(e -> e.getValue() + " at " + e.getKey())
+            .collect(Collectors.joining(", "));
+    return """
+        requests   sent %d: completed %d, not run %d, may have run %d
+                   doubled %d, lost %d, broken answers %d, false "not run" %d
+        samples    %d in %d steps; versions behind the trainer: %s
+                   stale %d, doubled %d, lost %d, misattributed %d
+        trainer    idle %.0f%% of the time
+        operator   change in force at every entry: %s
+        invariants %s
+        """
+        .formatted(
+            requests.sent(),
+            requests.completed(),
+            requests.notRun(),
+            requests.mayHaveRun(),
+            requests.doubled(),
+            requests.lost(),
+            requests.broken(),
+            requests.falseNotRun(),
+            samples.samples(),
+            samples.steps(),
+            staleness,
+            samples.stale(),
+            samples.doubled(),
+            samples.lost(),
+            samples.misattributed(),
+            100 * samples.idleShare(),
+            changeInForce ? "yes" : "no",
+            isClean() ? "kept" : "BROKEN");
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/demo/RequestTally.java
@@ -0,0 +1,84 @@
+package org.carobhoist.server.demo;
+
+import java.util.EnumMap;
+import java.util.Map;
+import org.carobhoist.core.common.Verdict;
+
+/** Counts how requests ended, and every answer that broke a promise. Safe for many threads. */
+final class RequestTally {
+
+  private final Map<Verdict, Long> verdicts = new EnumMap<>(Verdict.class);
+  private long sent;
+  private long lost;
+  private long broken;
+  private long doubled;
+  private long falseNotRun;
+
+  /**
+   * The counts at one moment.
+   *
+   * @param sent requests sent
+   * @param completed answers that were whole
+   * @param notRun refusals that say "not run"
+   * @param mayHaveRun refusals that say "may have run"
+   * @param lost requests without any answer, and completed ones that never ran
+   * @param broken completed answers that weren't whole or weren't the request's own
+   * @param doubled non-idempotent requests that ran more than once
+   * @param falseNotRun requests that ran though their answer says "not run"
+   */
+  record Counts(
+      long sent,
+      long completed,
+      long notRun,
+      long mayHaveRun,
+      long lost,
+      long broken,
+      long doubled,
+      long falseNotRun) {
+
+    boolean isClean() {
+      return lost + broken + doubled + falseNotRun == 0;
+    }
+  }
+
+  synchronized void onSent() {
+    sent++;
+  }
+
+  /** Counts an answer; {@code whole} says whether a completed one was the request's own. */
+  synchronized void onAnswer(Verdict verdict, boolean whole) {
+    verdicts.merge(verdict, 1L, Long::sum);
+    if (verdict == Verdict.COMPLETED && !whole) {
+      broken++;
+    }
+  }
+
+  synchronized void onNoAnswer() {
+    lost++;
+  }
+
+  /** Compares how often a non-idempotent request ran with what its caller was told. */
+  synchronized void onRuns(Verdict verdict, int runs) {
+    if (runs > 1) {
+      doubled++;
+    }
+    if (verdict == Verdict.COMPLETED && runs == 0) {
+      lost++;
+    }
+    if (verdict == Verdict.NOT_RUN && runs > 0) {
+      falseNotRun++;
+    }
+  }
+
+  synchronized Counts counts() {
+    return new Counts(
+        sent,
+        verdicts.getOrDefault(Verdict.COMPLETED, 0L),
+        verdicts.getOrDefault(Verdict.NOT_RUN, 0L),
+        verdicts.getOrDefault(Verdict.MAY_HAVE_RUN, 0L),
+        lost,
+        broken,
+        doubled,
+        falseNotRun);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/demo/SampleTally.java
@@ -0,0 +1,106 @@
+package org.carobhoist.server.demo;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.carobhoist.standin.EngineStandIn;
+import org.carobhoist.trainer.StepPageMessage;
+
+/** Counts a trainer's samples and its waiting, and every sample that broke a promise. */
+final class SampleTally {
+
+  private final long maxStaleness;
+  private final Map<Long, Long> byStaleness = new TreeMap<>();
+  private Duration waited = Duration.ZERO;
+  private Duration trained = Duration.ZERO;
+  private long steps;
+  private long stale;
+  private long doubled;
+  private long lost;
+  private long misattributed;
+
+  /**
+   * The counts at one moment.
+   *
+   * @param steps steps taken
+   * @param byStaleness samples by the versions that their oldest token lay behind the trainer's
+   * @param stale samples older than the bound
+   * @param doubled samples that arrived more than once
+   * @param lost samples that never arrived
+   * @param misattributed samples that name a version that didn't make them
+   * @param idleShare share of the time for which the trainer waited, from 0 to 1
+   */
+  record Counts(
+      long steps,
+      Map<Long, Long> byStaleness,
+      long stale,
+      long doubled,
+      long lost,
+      long misattributed,
+      double idleShare) {
+
+    long samples() {
+      return byStaleness.values().stream().mapToLong(Long::longValue).sum();
+    }
+
+    boolean isClean() {
+      return stale + doubled + lost + misattributed == 0;
+    }
+  }
+
+  SampleTally(long maxStaleness) {
+    this.maxStaleness = maxStaleness;
+  }
+
+  synchronized void onSample(StepPageMessage.Sample sample, long trainerVersion) {
+    long oldest = sample.spans().stream().mapToLong(StepPageMessage.Span::version).min().orElse(0);
+    long behind = Math.max(0, trainerVersion - oldest);
+    byStaleness.merge(behind, 1L, Long::sum);
+    if (behind > maxStaleness) {
+      stale++;
+    }
+    if (!isTrulyAttributed(sample)) {
+      misattributed++;
+    }
+  }
+
+  synchronized void onStep(long wanted, long arrived) {
+    steps++;
+    doubled += Math.max(0, arrived - wanted);
+    lost += Math.max(0, wanted - arrived);
+  }
+
+  synchronized void onWaited(Duration time) {
+    waited = waited.plus(time);
+  }
+
+  synchronized void onTrained(Duration time) {
+    trained = trained.plus(time);
+  }
+
+  synchronized Counts counts() {
+    double all = waited.plus(trained).toNanos();
+    return new Counts(
+        steps,
+        new TreeMap<>(byStaleness),
+        stale,
+        doubled,
+        lost,
+        misattributed,
+        all == 0 ? 0 : waited.toNanos() / all);
+  }
+
+  /** The stand-in's tokens carry the version that made them. */
+  private static boolean isTrulyAttributed(StepPageMessage.Sample sample) {
+    int covered = 0;
+    for (StepPageMessage.Span span : sample.spans()) {
+      List<Integer> tokens = sample.tokens().subList(span.from(), span.to());
+      covered += tokens.size();
+      if (tokens.stream().anyMatch(t -> t / EngineStandIn.TOKEN_BASE != span.version())) {
+        return false;
+      }
+    }
+    return covered == sample.tokens().size();
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/demo/TrainerLoop.java
@@ -0,0 +1,114 @@
+package org.carobhoist.server.demo;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import java.net.URI;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.locks.LockSupport;
+import java.util.stream.IntStream;
+import org.carobhoist.trainer.StepPageMessage;
+import org.carobhoist.trainer.StepRequestMessage;
+import org.carobhoist.trainer.StepSession;
+import org.carobhoist.trainer.TrainerClient;
+
+/**
+ * A trainer: takes the samples of a step, trains for a moment, and after every few steps announces
+ * new weights. It checks every sample that it takes.
+ */
+final class TrainerLoop {
+
+  private static final String TRAINER = "trainer-1";
+  private static final int GROUPS = 8;
+  private static final int SAMPLES_PER_GROUP = 4;
+  private static final int TOKENS = 96;
+  private static final int STEPS_PER_VERSION = 4;
+  private static final Duration POLL_WAIT = Duration.ofSeconds(2);
+  private static final Duration TRAINING = Duration.ofMillis(400);
+  private static final Duration STEP_LIMIT = Duration.ofSeconds(30);
+
+  private final TrainerClient client;
+  private final WebClient orders;
+  private final SampleTally tally;
+  private final Thread thread = new Thread(this::run, "demo-trainer");
+  private volatile boolean running = true;
+  private volatile long version = 1;
+
+  TrainerLoop(List<URI> entries, SampleTally tally) {
+    this.client = TrainerClient.create(entries);
+    this.orders = WebClient.of(entries.get(0));
+    this.tally = tally;
+  }
+
+  void start() {
+    thread.start();
+  }
+
+  /** Returns the weight version that the trainer has. */
+  long version() {
+    return version;
+  }
+
+  /** Lets the present step end, then stops. */
+  void stop() throws InterruptedException {
+    running = false;
+    thread.join();
+  }
+
+  private void run() {
+    for (int step = 1; running; step++) {
+      takeStep(step);
+      LockSupport.parkNanos(TRAINING.toNanos());
+      tally.onTrained(TRAINING);
+      if (step % STEPS_PER_VERSION == 0) {
+        announce(version + 1);
+      }
+    }
+  }
+
+  private void takeStep(int step) {
+    StepSession session = StepSession.start(request(step));
+    long start = System.nanoTime();
+    int groups = 0;
+    while (!session.isComplete() && System.nanoTime() - start < STEP_LIMIT.toNanos()) {
+      groups += client.poll(session, POLL_WAIT).join();
+    }
+    tally.onWaited(Duration.ofNanos(System.nanoTime() - start));
+    tally.onStep(GROUPS * SAMPLES_PER_GROUP, groups * SAMPLES_PER_GROUP);
+    for (StepPageMessage.Group group : session.groups()) {
+      group.samples().forEach(sample -> tally.onSample(sample, version));
+    }
+  }
+
+  private StepRequestMessage request(int step) {
+    List<StepRequestMessage.Group> prompts =
+        IntStream.range(0, GROUPS)
+            .mapToObj(g -> new StepRequestMessage.Group(g, "correction " + step + "/" + g))
+            .toList();
+    String id = Integer.toString(step);
+    return new StepRequestMessage(
+        Demo.PROFILE, TRAINER, id, version, SAMPLES_PER_GROUP, TOKENS, "", prompts, 0);
+  }
+
+  /** Announces new weights; the trainer goes on with the old ones if the order isn't accepted. */
+  private void announce(long next) {
+    try {
+      HttpStatus status =
+          orders
+              .prepare()
+              .post("/v1/models/" + DemoCluster.MODEL + "/weights")
+              .content(MediaType.JSON, "{\"version\":" + next + "}")
+              .execute()
+              .aggregate()
+              .join()
+              .status();
+      if (status.equals(HttpStatus.OK)) {
+        version = next;
+      }
+    } catch (CompletionException e) {
+      // The answer is lost; the same version is announced again after the next steps.
+    }
+  }
+}
--- a/server/src/main/launcher/launcher.sh
+++ b/server/src/main/launcher/launcher.sh
@@ -4,10 +4,12 @@
 # disk first. The demo runs every role and stand-in in one JVM and gets a larger heap.
 unset JAVA_TOOL_OPTIONS JDK_JAVA_OPTIONS _JAVA_OPTIONS
 heap_mb=36
+initial_mb=8
 young_mb=6
 direct_mb=24
 if [ "${1:-}" = demo ]; then
   heap_mb=256
+  initial_mb=128
   young_mb=64
   direct_mb=128
 fi
@@ -15,7 +17,7 @@
 MALLOC_ARENA_MAX=1
 export MALLOC_ARENA_MAX
 exec "${JAVA_HOME:+$JAVA_HOME/bin/}java" \
-  -Xms8m "-Xmx${CAROBHOIST_HEAP_MB:-$heap_mb}m" "-Xmn${young_mb}m" -Xss256k -XX:+UseSerialGC \
+  "-Xms${initial_mb}m" "-Xmx${CAROBHOIST_HEAP_MB:-$heap_mb}m" "-Xmn${young_mb}m" -Xss256k -XX:+UseSerialGC \
   -XX:MinHeapFreeRatio=10 -XX:MaxHeapFreeRatio=25 \
   -XX:TieredStopAtLevel=1 -XX:CICompilerCount=1 -XX:ReservedCodeCacheSize=24m \
   -XX:MaxMetaspaceSize=64m -XX:MetaspaceReclaimPolicy=aggressive \
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/demo/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link org.carobhoist.server.demo}. */
+package org.carobhoist.server.demo;
