--- a/server/src/main/java/org/carobhoist/server/demo/CallerLoad.java
+++ b/server/src/main/java/org/carobhoist/server/demo/CallerLoad.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.MediaType;
@@ -16,6 +17,8 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.carobhoist.core.common.Verdict;
 import org.carobhoist.server.entry.CarobhoistHeaders;
@@ -77,14 +80,13 @@
   private CompletableFuture<Void> book(WebClient entry, int number) {
     String body = "bench " + number % 7 + ", guest " + number;
     String path = "/v1/services/" + DemoCluster.BOOKINGS + "/bookings";
-    return send(entry, path, MediaType.PLAIN_TEXT_UTF_8, body)
-        .thenAccept(
-            answer -> {
-              Verdict verdict = verdict(answer);
-              bookings.put(body, verdict);
-              tally.onAnswer(verdict, answer.contentUtf8().equals("done " + body));
-            })
-        .exceptionally(this::onNoAnswer);
+    return send(
+        entry,
+        request(path, MediaType.PLAIN_TEXT_UTF_8, body),
+        answer -> {
+          bookings.put(body, verdict(answer));
+          tally.onAnswer(verdict(answer), answer.contentUtf8().equals("done " + body));
+        });
   }
 
   private CompletableFuture<Void> ask(WebClient entry) {
@@ -92,27 +94,44 @@
     String body =
         "{\"model\":\"%s\",\"prompt\":\"Is the kiln cool?\",\"max_tokens\":%d,\"stream\":true}"
             .formatted(DemoCluster.MODEL, tokens);
-    return send(entry, "/v1/completions", MediaType.JSON, body)
-        .thenAccept(
-            answer -> tally.onAnswer(verdict(answer), isWhole(answer.contentUtf8(), tokens)))
-        .exceptionally(this::onNoAnswer);
+    return send(
+        entry,
+        request("/v1/completions", MediaType.JSON, body),
+        answer -> tally.onAnswer(verdict(answer), isWhole(answer.contentUtf8(), tokens)));
   }
 
-  private Void onNoAnswer(Throwable failure) {
-    tally.onNoAnswer();
-    return null;
+  /** Sends a request; an answer that fails has been cut short if its head had arrived. */
+  private CompletableFuture<Void> send(
+      WebClient entry, HttpRequest request, Consumer<AggregatedHttpResponse> onAnswer) {
+    AtomicBoolean begun = new AtomicBoolean();
+    return entry
+        .execute(request)
+        .peekHeaders(head -> begun.set(true))
+        .aggregate()
+        .thenAccept(onAnswer)
+        .exceptionally(
+            failure -> {
+              failure.printStackTrace();
+              onFailure(begun.get());
+              return null;
+            });
   }
 
-  private static CompletableFuture<AggregatedHttpResponse> send(
-      WebClient entry, String path, MediaType type, String body) {
+  private void onFailure(boolean begun) {
+    if (begun) {
+      tally.onCut();
+    } else {
+      tally.onNoAnswer();
+    }
+  }
+
+  private static HttpRequest request(String path, MediaType type, String body) {
     RequestHeaders headers =
         RequestHeaders.builder(HttpMethod.POST, path)
             .contentType(type)
             .add(CarobhoistHeaders.DEADLINE_MILLIS, Long.toString(DEADLINE.toMillis()))
             .build();
-    HttpRequest request =
-        HttpRequest.of(headers, com.linecorp.armeria.common.HttpData.ofUtf8(body));
-    return entry.execute(request).aggregate();
+    return HttpRequest.of(headers, HttpData.ofUtf8(body));
   }
 
   private static Verdict verdict(AggregatedHttpResponse answer) {
--- a/server/src/main/java/org/carobhoist/server/demo/DemoCluster.java
+++ b/server/src/main/java/org/carobhoist/server/demo/DemoCluster.java
@@ -4,9 +4,11 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.stream.Stream;
 import org.carobhoist.core.common.EndpointKind;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ProfileName;
@@ -99,16 +101,15 @@
 
   /** Stops the processes, the entries first, then the stand-ins. */
   void stop() {
-    stopAll(entryServices);
-    stopAll(sidecars);
-    engines.forEach(EngineStandIn::stop);
-    plains.forEach(PlainServiceStandIn::stop);
+    stopAll(entryServices.stream().map(Service::stop));
+    stopAll(sidecars.stream().map(Service::stop));
+    stopAll(engines.stream().map(e -> CompletableFuture.runAsync(e::stop)));
+    stopAll(plains.stream().map(p -> CompletableFuture.runAsync(p::stop)));
     platform.stop();
   }
 
-  private static void stopAll(List<Service> services) {
-    CompletableFuture.allOf(services.stream().map(Service::stop).toArray(CompletableFuture[]::new))
-        .join();
+  private static void stopAll(Stream<CompletableFuture<Void>> stops) {
+    CompletableFuture.allOf(stops.toArray(CompletableFuture[]::new)).join();
   }
 
   private void startEngine(int i) throws SettingsException {
@@ -133,7 +134,7 @@
     String ini =
         common(id, zone(i), address(), link)
             + "[endpoint]\nservice = %s\nkind = %s\nurl = %s\n"
-                .formatted(service, kind.name().toLowerCase(java.util.Locale.ROOT), endpoint);
+                .formatted(service, kind.name().toLowerCase(Locale.ROOT), endpoint);
     Service sidecar = SidecarService.create(SettingsLoader.parseSidecar(id, ini));
     sidecar.start().join();
     sidecars.add(sidecar);
--- a/server/src/main/java/org/carobhoist/server/demo/DemoReport.java
+++ b/server/src/main/java/org/carobhoist/server/demo/DemoReport.java
@@ -24,7 +24,7 @@
             .map(e -> e.getValue() + " at " + e.getKey())
             .collect(Collectors.joining(", "));
     return """
-        requests   sent %d: completed %d, not run %d, may have run %d
+        requests   sent %d: completed %d, not run %d, may have run %d, cut short %d
                    doubled %d, lost %d, broken answers %d, false "not run" %d
         samples    %d in %d steps; versions behind the trainer: %s
                    stale %d, doubled %d, lost %d, misattributed %d
@@ -37,6 +37,7 @@
             requests.completed(),
             requests.notRun(),
             requests.mayHaveRun(),
+            requests.cut(),
             requests.doubled(),
             requests.lost(),
             requests.broken(),
--- a/server/src/main/java/org/carobhoist/server/demo/RequestTally.java
+++ b/server/src/main/java/org/carobhoist/server/demo/RequestTally.java
@@ -9,6 +9,7 @@
 
   private final Map<Verdict, Long> verdicts = new EnumMap<>(Verdict.class);
   private long sent;
+  private long cut;
   private long lost;
   private long broken;
   private long doubled;
@@ -21,6 +22,7 @@
    * @param completed answers that were whole
    * @param notRun refusals that say "not run"
    * @param mayHaveRun refusals that say "may have run"
+   * @param cut answers that broke off with an error after they had begun, as when an engine crashes
    * @param lost requests without any answer, and completed ones that never ran
    * @param broken completed answers that weren't whole or weren't the request's own
    * @param doubled non-idempotent requests that ran more than once
@@ -31,6 +33,7 @@
       long completed,
       long notRun,
       long mayHaveRun,
+      long cut,
       long lost,
       long broken,
       long doubled,
@@ -53,6 +56,11 @@
     }
   }
 
+  /** Counts an answer that broke off; its caller knows, since the stream ended with an error. */
+  synchronized void onCut() {
+    cut++;
+  }
+
   synchronized void onNoAnswer() {
     lost++;
   }
@@ -76,6 +84,7 @@
         verdicts.getOrDefault(Verdict.COMPLETED, 0L),
         verdicts.getOrDefault(Verdict.NOT_RUN, 0L),
         verdicts.getOrDefault(Verdict.MAY_HAVE_RUN, 0L),
+        cut,
         lost,
         broken,
         doubled,
--- a/server/src/test/java/org/carobhoist/server/demo/DemoTest.java
+++ b/server/src/test/java/org/carobhoist/server/demo/DemoTest.java
@@ -41,6 +41,8 @@
     RequestTally tally = new RequestTally();
     tally.onAnswer(Verdict.COMPLETED, false);
     tally.onNoAnswer();
+    tally.onCut();
+    assertThat(tally.counts().cut()).isEqualTo(1);
     assertThat(tally.counts().broken()).isEqualTo(1);
     assertThat(tally.counts().lost()).isEqualTo(1);
     assertThat(tally.counts().isClean()).isFalse();
