--- a/server/src/main/java/org/carobhoist/server/demo/CallerLoad.java
+++ b/server/src/main/java/org/carobhoist/server/demo/CallerLoad.java
@@ -7,6 +7,8 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.stream.ClosedStreamException;
+import com.linecorp.armeria.common.util.Exceptions;
 import java.net.URI;
 import java.time.Duration;
 import java.util.List;
@@ -17,7 +19,6 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
 import java.util.regex.Pattern;
 import org.carobhoist.core.common.Verdict;
@@ -100,28 +101,25 @@
         answer -> tally.onAnswer(verdict(answer), isWhole(answer.contentUtf8(), tokens)));
   }
 
-  /** Sends a request; an answer that fails has been cut short if its head had arrived. */
   private CompletableFuture<Void> send(
       WebClient entry, HttpRequest request, Consumer<AggregatedHttpResponse> onAnswer) {
-    AtomicBoolean begun = new AtomicBoolean();
     return entry
         .execute(request)
-        .peekHeaders(head -> begun.set(true))
         .aggregate()
         .thenAccept(onAnswer)
         .exceptionally(
             failure -> {
-              failure.printStackTrace();
-              onFailure(begun.get());
+              onFailure(Exceptions.peel(failure));
               return null;
             });
   }
 
-  private void onFailure(boolean begun) {
-    if (begun) {
+  /** An entry that can't go on with an answer that it has begun ends the stream with an error. */
+  private void onFailure(Throwable failure) {
+    if (failure instanceof ClosedStreamException) {
       tally.onCut();
     } else {
-      tally.onNoAnswer();
+      tally.onNoAnswer(failure);
     }
   }
 
--- a/server/src/main/java/org/carobhoist/server/demo/Demo.java
+++ b/server/src/main/java/org/carobhoist/server/demo/Demo.java
@@ -73,6 +73,7 @@
     CallerLoad callers = new CallerLoad(cluster.entries(), random.split(), requests);
     TrainerLoop trainer = new TrainerLoop(cluster.entries(), samples);
     EngineStandIn victim = cluster.engines().get(random.nextInt(cluster.engines().size()));
+    say("entries: " + cluster.entries());
     start = System.nanoTime();
     callers.start();
     trainer.start();
--- a/server/src/main/java/org/carobhoist/server/demo/DemoCluster.java
+++ b/server/src/main/java/org/carobhoist/server/demo/DemoCluster.java
@@ -138,7 +138,7 @@
     Service sidecar = SidecarService.create(SettingsLoader.parseSidecar(id, ini));
     sidecar.start().join();
     sidecars.add(sidecar);
-    list(id, "sidecar", zone(i), link);
+    list(id, "sidecar", zone(i), link, service);
   }
 
   private void startEntry(int i) throws SettingsException {
@@ -149,14 +149,14 @@
     Service entry = EntryService.create(SettingsLoader.parseEntry(id, ini));
     entry.start().join();
     entryServices.add(entry);
-    list(id, "entry", zone(i), link);
+    list(id, "entry", zone(i), link, "");
     entries.add(URI.create("http://" + http.host() + ":" + http.port()));
   }
 
-  private void list(String id, String role, String zone, SocketAddressText link) {
+  private void list(String id, String role, String zone, SocketAddressText link, String service) {
     platform.list(
         new ListedInstance(
-            new InstanceId(id), role, new Zone(zone), link.host(), link.port(), false));
+            new InstanceId(id), role, new Zone(zone), link.host(), link.port(), false, service));
   }
 
   private String common(String id, String zone, SocketAddressText http, SocketAddressText link) {
--- a/server/src/main/java/org/carobhoist/server/demo/DemoReport.java
+++ b/server/src/main/java/org/carobhoist/server/demo/DemoReport.java
@@ -25,7 +25,7 @@
             .collect(Collectors.joining(", "));
     return """
         requests   sent %d: completed %d, not run %d, may have run %d, cut short %d
-                   doubled %d, lost %d, broken answers %d, false "not run" %d
+                   doubled %d, lost %d, broken answers %d, false "not run" %d%s
         samples    %d in %d steps; versions behind the trainer: %s
                    stale %d, doubled %d, lost %d, misattributed %d
         trainer    idle %.0f%% of the time
@@ -42,6 +42,7 @@
             requests.lost(),
             requests.broken(),
             requests.falseNotRun(),
+            requests.lost() == 0 ? "" : "; first loss: " + requests.firstLoss(),
             samples.samples(),
             samples.steps(),
             staleness,
--- a/server/src/main/java/org/carobhoist/server/demo/RequestTally.java
+++ b/server/src/main/java/org/carobhoist/server/demo/RequestTally.java
@@ -14,6 +14,7 @@
   private long broken;
   private long doubled;
   private long falseNotRun;
+  private String firstLoss = "";
 
   /**
    * The counts at one moment.
@@ -27,6 +28,7 @@
    * @param broken completed answers that weren't whole or weren't the request's own
    * @param doubled non-idempotent requests that ran more than once
    * @param falseNotRun requests that ran though their answer says "not run"
+   * @param firstLoss why the first lost request was lost, or empty
    */
   record Counts(
       long sent,
@@ -37,7 +39,8 @@
       long lost,
       long broken,
       long doubled,
-      long falseNotRun) {
+      long falseNotRun,
+      String firstLoss) {
 
     boolean isClean() {
       return lost + broken + doubled + falseNotRun == 0;
@@ -61,8 +64,11 @@
     cut++;
   }
 
-  synchronized void onNoAnswer() {
+  synchronized void onNoAnswer(Throwable failure) {
     lost++;
+    if (firstLoss.isEmpty()) {
+      firstLoss = failure.toString();
+    }
   }
 
   /** Compares how often a non-idempotent request ran with what its caller was told. */
@@ -72,6 +78,7 @@
     }
     if (verdict == Verdict.COMPLETED && runs == 0) {
       lost++;
+      firstLoss = firstLoss.isEmpty() ? "completed without a run" : firstLoss;
     }
     if (verdict == Verdict.NOT_RUN && runs > 0) {
       falseNotRun++;
@@ -88,6 +95,7 @@
         lost,
         broken,
         doubled,
-        falseNotRun);
+        falseNotRun,
+        firstLoss);
   }
 }
--- a/server/src/test/java/org/carobhoist/server/demo/DemoTest.java
+++ b/server/src/test/java/org/carobhoist/server/demo/DemoTest.java
@@ -40,7 +40,7 @@
   void noticesAnswersThatAreBrokenOrMissing() {
     RequestTally tally = new RequestTally();
     tally.onAnswer(Verdict.COMPLETED, false);
-    tally.onNoAnswer();
+    tally.onNoAnswer(new IllegalStateException("no answer"));
     tally.onCut();
     assertThat(tally.counts().cut()).isEqualTo(1);
     assertThat(tally.counts().broken()).isEqualTo(1);
@@ -72,6 +72,6 @@
   private static StepPageMessage.Sample sample(long named, long made) {
     List<Integer> tokens = List.of((int) made * EngineStandIn.TOKEN_BASE);
     return new StepPageMessage.Sample(
-        0, tokens, "w", "stop", List.of(new StepPageMessage.Span(named, 0, 1)));
+        0, tokens, "w", "stop", List.of(new StepPageMessage.Span(named, 0, 1)), null);
   }
 }
