--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/ApiPageTest.java
@@ -0,0 +1,87 @@
+package org.carobhoist.it;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.standin.EngineStandIn;
+import org.carobhoist.standin.PlainServiceStandIn;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Holds docs/API.md against the code: runs its curls and compares its table of refusals. */
+final class ApiPageTest {
+
+  private static final Path PAGE = Path.of("..", "docs", "API.md");
+  private static final String COMMAND = "    ";
+
+  @TempDir private Path folder;
+
+  @Test
+  void everyCurlWorks() throws Exception {
+    PlainServiceStandIn plain = new PlainServiceStandIn();
+    EngineStandIn engine = new EngineStandIn();
+    plain.start();
+    engine.start();
+    try (TestCluster cluster = TestCluster.start(folder)) {
+      cluster.publish("horno", "[profile]\nservice = horno-lm\nkind = engine\n");
+      cluster.startEntry("entry-1", "centro-a");
+      cluster.startSidecar("plain-1", "centro-a", "reservas", "plain", plain.uri());
+      cluster.startSidecar("engine-1", "centro-a", "horno-lm", "engine", engine.uri());
+      cluster.awaitReady();
+      cluster.awaitLinks("entry-1", 2);
+
+      List<String> curls = curls();
+      assertThat(curls).isNotEmpty();
+      for (String curl : curls) {
+        assertSucceeds(curl, cluster.http("entry-1").getAuthority());
+      }
+      assertThat(plain.runs().keySet()).containsExactly("bench 7", "bench 9");
+    } finally {
+      plain.stop();
+      engine.stop();
+    }
+  }
+
+  @Test
+  void tableNamesEveryRefusal() throws IOException {
+    List<String> documented =
+        Files.readString(PAGE)
+            .lines()
+            .filter(l -> l.matches("\\| `[a-z-]+` \\| \\d{3} \\|.*"))
+            .map(l -> l.split("\\|")[1].strip() + l.split("\\|")[2].stripTrailing())
+            .toList();
+    List<String> inCode =
+        Arrays.stream(RefusalReason.values())
+            .map(r -> "`" + r.name().toLowerCase(Locale.ROOT).replace('_', '-') + "` " + r.status())
+            .toList();
+    assertThat(documented).containsExactlyElementsIn(inCode);
+  }
+
+  private static List<String> curls() throws IOException {
+    return Files.readString(PAGE)
+        .lines()
+        .filter(l -> l.startsWith(COMMAND) && l.contains("curl "))
+        .map(String::strip)
+        .toList();
+  }
+
+  /** Runs a command line of the page; {@code -f} makes curl fail on a refusal. */
+  private static void assertSucceeds(String line, String entry)
+      throws IOException, InterruptedException {
+    String failing = line.replace("curl -sS", "curl -sS -f");
+    ProcessBuilder builder = new ProcessBuilder("bash", "-c", "set -o pipefail; " + failing);
+    builder.environment().put("ENTRY", entry);
+    Process process = builder.redirectErrorStream(true).start();
+    String out = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    assertWithMessage(line + "\n" + out).that(process.waitFor()).isEqualTo(0);
+    assertWithMessage(line).that(out.isEmpty()).isEqualTo(false);
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/demo/Demo.java
+++ b/server/src/main/java/org/carobhoist/server/demo/Demo.java
@@ -70,9 +70,9 @@
   }
 
   private DemoReport runLoad(long revision) throws InterruptedException {
-    CallerLoad callers = new CallerLoad(cluster.entries(), random.split(), requests);
-    TrainerLoop trainer = new TrainerLoop(cluster.entries(), samples);
-    EngineStandIn victim = cluster.engines().get(random.nextInt(cluster.engines().size()));
+    final CallerLoad callers = new CallerLoad(cluster.entries(), random.split(), requests);
+    final TrainerLoop trainer = new TrainerLoop(cluster.entries(), samples);
+    final EngineStandIn victim = cluster.engines().get(random.nextInt(cluster.engines().size()));
     say("entries: " + cluster.entries());
     start = System.nanoTime();
     callers.start();
--- a/server/src/main/java/org/carobhoist/server/demo/DemoReport.java
+++ b/server/src/main/java/org/carobhoist/server/demo/DemoReport.java
@@ -1,5 +1,6 @@
 package org.carobhoist.server.demo;
 
+import java.util.Locale;
 import java.util.stream.Collectors;
 
 /**
@@ -19,39 +20,41 @@
 
   /** Returns the table for the end of the run. */
   public String table() {
-    String staleness =
-        samples.byStaleness().entrySet().stream()
-            .map(e -> e.getValue() + " at " + e.getKey())
-            .collect(Collectors.joining(", "));
-    return """
-        requests   sent %d: completed %d, not run %d, may have run %d, cut short %d
-                   doubled %d, lost %d, broken answers %d, false "not run" %d%s
-        samples    %d in %d steps; versions behind the trainer: %s
-                   stale %d, doubled %d, lost %d, misattributed %d
-        trainer    idle %.0f%% of the time
-        operator   change in force at every entry: %s
-        invariants %s
-        """
-        .formatted(
+    return String.join(
+        "\n",
+        line(
+            "requests   sent %d: completed %d, not run %d, may have run %d, cut short %d",
             requests.sent(),
             requests.completed(),
             requests.notRun(),
             requests.mayHaveRun(),
-            requests.cut(),
+            requests.cut()),
+        line(
+            "           doubled %d, lost %d, broken answers %d, false \"not run\" %d%s",
             requests.doubled(),
             requests.lost(),
             requests.broken(),
             requests.falseNotRun(),
-            requests.lost() == 0 ? "" : "; first loss: " + requests.firstLoss(),
-            samples.samples(),
-            samples.steps(),
-            staleness,
-            samples.stale(),
-            samples.doubled(),
-            samples.lost(),
-            samples.misattributed(),
-            100 * samples.idleShare(),
-            changeInForce ? "yes" : "no",
-            isClean() ? "kept" : "BROKEN");
+            requests.lost() == 0 ? "" : "; first loss: " + requests.firstLoss()),
+        line(
+            "samples    %d in %d steps; versions behind the trainer: %s",
+            samples.samples(), samples.steps(), staleness()),
+        line(
+            "           stale %d, doubled %d, lost %d, misattributed %d",
+            samples.stale(), samples.doubled(), samples.lost(), samples.misattributed()),
+        line("trainer    idle %.0f%% of the time", 100 * samples.idleShare()),
+        line("operator   change in force at every entry: %s", changeInForce ? "yes" : "no"),
+        line("invariants %s", isClean() ? "kept" : "BROKEN"),
+        "");
+  }
+
+  private String staleness() {
+    return samples.byStaleness().entrySet().stream()
+        .map(e -> e.getValue() + " at " + e.getKey())
+        .collect(Collectors.joining(", "));
+  }
+
+  private static String line(String format, Object... values) {
+    return String.format(Locale.ROOT, format, values);
   }
 }
