Try every fault at every step of a request against the real decision classes

Cause: verdicts and at most once were argued but not attacked. Change: a deterministic simulation of two entries and three sidecars drives RequestRun, Router, KeyGate, DuplicateTable, HomeLease, HomeKeeper and AdmissionQueue under 14 faults at 8 steps, alone and in pairs, five kinds of requests a cell, and under 4,000 random schedules. Wrong rules are put in through the classes' functional interfaces and through the chart's text. CallSequence drops a start whose number isn't above all earlier ones of its link. The raw endpoint tests back the NOT_RUN claims of EndpointClient. Conclusion: the argument holds in the simulation; real processes follow.

--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/request/RequestFaultsTest.java
@@ -0,0 +1,165 @@
+package org.carobhoist.core.request;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.StringReader;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import java.util.SplittableRandom;
+import java.util.function.LongPredicate;
+import java.util.function.Supplier;
+import org.carobhoist.core.chart.ChartReader;
+import org.carobhoist.core.chart.StateChart;
+import org.carobhoist.core.idempotency.GateRules;
+import org.carobhoist.core.testing.FaultMatrix;
+import org.carobhoist.core.testing.Schedules;
+import org.junit.jupiter.api.Test;
+
+/** Every fault at every step of a request, random schedules, and rules broken on purpose. */
+final class RequestFaultsTest {
+
+  private static final long FIRST_SEED = 1;
+  private static final int SCHEDULES = 4_000;
+  private static final int MAX_FAULTS = 5;
+  private static final int FAULT_WINDOW_MILLIS = 60_000;
+  private static final Duration SKEW_RANGE = Duration.ofSeconds(1);
+
+  @Test
+  void holdsInEveryCell() throws IOException {
+    FaultMatrix<RequestState, WorldFault> matrix =
+        FaultMatrix.of("request", RequestState.class, WorldFault.class);
+    assertThat(matrix.run(cell -> runCell(WorldRules.sound(), cell))).isEmpty();
+    int injections = RequestState.values().length * WorldFault.values().length;
+    assertThat(matrix.tried()).isEqualTo(injections + injections * (injections + 1) / 2);
+  }
+
+  @Test
+  void holdsInRandomSchedules() {
+    assertThat(Schedules.explore(FIRST_SEED, SCHEDULES, r -> explore(WorldRules.sound(), r)))
+        .isEqualTo(Optional.empty());
+  }
+
+  @Test
+  void catchesSkippedLeaseCheck() {
+    assertCaught(sound(GateRules.sound().withLease(check -> () -> true)));
+  }
+
+  @Test
+  void catchesTenureWithoutFloor() {
+    assertCaught(sound(GateRules.sound().withTenureFloor(start -> Instant.MIN)));
+  }
+
+  @Test
+  void catchesTableThatForgetsWithoutFloor() {
+    assertCaught(sound(GateRules.sound().withTableFloor((floor, birth) -> floor)));
+  }
+
+  @Test
+  void catchesRetryOfWhatMayHaveRun() {
+    RetryRule always = (worst, idempotent) -> true;
+    assertCaught(WorldRules.sound().with(always));
+  }
+
+  @Test
+  void catchesNotRunAfterTheFirstByte() {
+    assertCaught(
+        chart(
+            "LINK_LOST = DECIDING NOTE_MAY_HAVE_RUN DECIDE",
+            "LINK_LOST = DECIDING NOTE_NOT_RUN DECIDE"));
+  }
+
+  @Test
+  void catchesDroppedDeadline() {
+    assertCaught(
+        chart(
+            "DEADLINE = REFUSED NOTE_MAY_HAVE_RUN NOTE_DEADLINE CANCEL_REMOTE REFUSE",
+            "DEADLINE = -"));
+  }
+
+  @Test
+  void catchesDeadlineThatClaimsNotRun() {
+    assertCaught(
+        chart(
+            "DEADLINE = REFUSED NOTE_MAY_HAVE_RUN NOTE_DEADLINE CANCEL_REMOTE REFUSE",
+            "DEADLINE = REFUSED NOTE_DEADLINE CANCEL_REMOTE REFUSE"));
+  }
+
+  @Test
+  void catchesShortAnswerTakenAsWhole() {
+    assertCaught(
+        chart(
+            "BROKEN = REFUSED NOTE_MAY_HAVE_RUN CANCEL_REMOTE ABORT", "BROKEN = COMPLETED FINISH"));
+  }
+
+  @Test
+  void catchesRetryAfterTheHead() {
+    assertCaught(
+        chart(
+            "LINK_LOST = REFUSED NOTE_MAY_HAVE_RUN ABORT",
+            "LINK_LOST = DECIDING NOTE_MAY_HAVE_RUN DECIDE"));
+  }
+
+  @Test
+  void catchesDoubledStartThatRuns() {
+    Supplier<LongPredicate> always = () -> id -> true;
+    assertCaught(WorldRules.sound().with(always));
+  }
+
+  private static void assertCaught(WorldRules rules) {
+    FaultMatrix<RequestState, WorldFault> matrix =
+        FaultMatrix.of("request-mutant", RequestState.class, WorldFault.class);
+    assertThat(matrix.findBroken(cell -> runCell(rules, cell)).isPresent()).isTrue();
+  }
+
+  private static WorldRules sound(GateRules gate) {
+    return WorldRules.sound().with(gate);
+  }
+
+  /** Returns the rules with some cells of the request's chart replaced. */
+  private static WorldRules chart(String cell, String replacement) {
+    try (InputStream in = RequestRun.class.getResourceAsStream("/charts/request.ini")) {
+      String text = new String(in.readAllBytes(), StandardCharsets.UTF_8);
+      assertThat(text).contains(cell);
+      StateChart<RequestState, RequestEvent, RequestAction> mutant =
+          ChartReader.read(
+              "mutant",
+              new StringReader(text.replace(cell, replacement)),
+              RequestState.class,
+              RequestEvent.class,
+              RequestAction.class);
+      return WorldRules.sound().with(mutant);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private static Optional<String> runCell(
+      WorldRules rules, List<FaultMatrix.Injection<RequestState, WorldFault>> cell) {
+    for (WorldWork.Kind kind : WorldWork.Kind.values()) {
+      Optional<String> fault = new RequestWorld(rules, kind, 1, cell).run(Duration.ZERO);
+      if (fault.isPresent()) {
+        return fault.map(f -> kind + ": " + f);
+      }
+    }
+    return Optional.empty();
+  }
+
+  private static Optional<String> explore(WorldRules rules, SplittableRandom random) {
+    WorldWork.Kind[] kinds = WorldWork.Kind.values();
+    WorldFault[] faults = WorldFault.values();
+    WorldWork.Kind kind = kinds[random.nextInt(kinds.length)];
+    RequestWorld world = new RequestWorld(rules, kind, random.nextLong(), List.of());
+    int count = 1 + random.nextInt(MAX_FAULTS);
+    for (int i = 0; i < count; i++) {
+      Duration at = Duration.ofMillis(random.nextInt(FAULT_WINDOW_MILLIS));
+      world.faultAt(at, faults[random.nextInt(faults.length)]);
+    }
+    return world.run(SKEW_RANGE).map(f -> kind + ": " + f);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/request/WorldNode.java
@@ -0,0 +1,40 @@
+package org.carobhoist.core.request;
+
+import java.time.Duration;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+
+/** A simulated process: events reach it unless it is dead, and late while it is paused. */
+class WorldNode {
+
+  final ManualClock time;
+  final EventQueue events;
+  boolean up = true;
+  int epoch;
+  Duration pausedUntil = Duration.ZERO;
+  Duration logCutUntil = Duration.ZERO;
+
+  WorldNode(ManualClock time, EventQueue events) {
+    this.time = time;
+    this.events = events;
+  }
+
+  /** Runs a task here after a delay, unless this run of the process has ended by then. */
+  final void post(Duration delay, Runnable task) {
+    int sentTo = epoch;
+    events.after(delay, () -> deliver(sentTo, task));
+  }
+
+  /** Runs a task of the given run of the process now, or when its pause ends. */
+  final void deliver(int run, Runnable task) {
+    if (!up || run != epoch) {
+      return;
+    }
+    Duration now = time.elapsed();
+    if (now.compareTo(pausedUntil) < 0) {
+      events.after(pausedUntil.minus(now), () -> deliver(run, task));
+      return;
+    }
+    task.run();
+  }
+}
--- a/core/src/test/java/org/carobhoist/core/testing/FaultMatrix.java
+++ b/core/src/test/java/org/carobhoist/core/testing/FaultMatrix.java
@@ -75,6 +75,20 @@
     return broken;
   }
 
+  /** Runs cells until one breaks and returns it with what broke; writes no file. */
+  public Optional<String> findBroken(Scenario<S, F> scenario) {
+    for (int i = 0; i < injections.size(); i++) {
+      for (int j = i; j < injections.size(); j++) {
+        List<Injection<S, F>> cell = List.of(injections.get(i), injections.get(j));
+        Optional<String> result = scenario.run(cell);
+        if (result.isPresent()) {
+          return result.map(why -> cell + ": " + why);
+        }
+      }
+    }
+    return Optional.empty();
+  }
+
   /** Returns the number of cells tried. */
   public int tried() {
     return cells.size();
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -14,6 +14,7 @@
 import org.carobhoist.core.common.RefusedException;
 import org.carobhoist.core.common.Verdict;
 import org.carobhoist.core.idempotency.RequestKey;
+import org.carobhoist.core.request.AnswerFrames;
 import org.carobhoist.core.request.RequestEvent;
 import org.carobhoist.core.request.RequestPort;
 import org.carobhoist.core.request.RequestRun;
@@ -42,10 +43,10 @@
   private final Duration expiry;
   private Runnable cancelTimer = () -> {};
   private Optional<RequestKey> key;
+  private AnswerFrames frames = AnswerFrames.create();
   private CallHead head;
   private InstanceId endpoint;
   private long frameId;
-  private int nextFrame;
 
   private EntryCall(CallContext context, CallRequest request, HttpResponseWriter out) {
     this.context = context;
@@ -117,8 +118,7 @@
   @Override
   public void send(InstanceId to, int attempt) {
     endpoint = to;
-    nextFrame = 0;
-    head = null;
+    frames = AnswerFrames.create();
     Optional<Link> link = context.links().link(to);
     frameId = context.table().add(new CallTable.Attempt(this, attempt, to));
     context.links().directory().onBegin(to);
@@ -193,23 +193,22 @@
   }
 
   private void onHead(int attempt, CallHead arrived) {
-    if (head == null) {
+    if (frames.onHead()) {
       head = arrived;
       run.on(attempt, RequestEvent.HEAD);
     }
   }
 
   private void onData(int attempt, LinkFrame frame) {
-    if (head == null || frame.getCallData().getSequence() != nextFrame) {
+    if (!frames.onData(frame.getCallData().getSequence())) {
       run.on(attempt, RequestEvent.BROKEN);
       return;
     }
-    nextFrame++;
     out.tryWrite(HttpData.wrap(frame.getCallData().getContent().toByteArray()));
   }
 
-  private void onEnd(int attempt, int frames) {
-    boolean whole = head != null && frames == nextFrame;
+  private void onEnd(int attempt, int sent) {
+    boolean whole = frames.onEnd(sent);
     run.on(attempt, whole ? RequestEvent.END : RequestEvent.BROKEN);
   }
 
--- a/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
+++ b/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
@@ -32,14 +32,12 @@
 final class KeyRouter {
 
   private static final Refusal ISSUER_GONE =
-      Refusal.mayHaveRun(
-          RefusalReason.KEY_FORGOTTEN,
-          "the run of the sidecar that the key names can't be reached");
+      Refusal.mayHaveRun(RefusalReason.KEY_FORGOTTEN, "the issuer of the key can't be reached");
   private static final Refusal HOME_UNKNOWN =
       Refusal.notRun(
           RefusalReason.KEY_UNAVAILABLE,
-          "the home of this key can't be reached at the moment; resend it later, or, if it was never"
-              + " sent before, use a key issued by POST /v1/keys");
+          "the home of this key can't be reached at the moment; resend it later, or, if it was"
+              + " never sent before, use a key issued by POST /v1/keys");
 
   private final Clock clock;
   private final LinkPool links;
--- a/server/src/main/java/org/carobhoist/server/sidecar/CallWorker.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/CallWorker.java
@@ -13,10 +13,13 @@
 import org.carobhoist.core.common.RefusalReason;
 import org.carobhoist.core.limit.AdmissionQueue;
 import org.carobhoist.core.limit.AdmissionTicket;
+import org.carobhoist.core.request.CallSequence;
 import org.carobhoist.server.link.CallMapper;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.proto.CallCancel;
 import org.carobhoist.server.link.proto.CallStart;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
 
 /** Runs calls at the endpoint: admission, the exchange, and frames back to the entry. */
 final class CallWorker {
@@ -30,6 +33,7 @@
   private final Clock clock;
   private final TicketIds tickets;
   private final KeyedCalls keyed;
+  private final Map<Link, CallSequence> starts = new HashMap<>();
   private final Map<CallId, Call> calls = new HashMap<>();
 
   private record CallId(Link link, long call) {}
@@ -51,15 +55,17 @@
 
   /** Takes a call from an entry. */
   void onStart(Link link, CallStart start) {
+    if (!starts.computeIfAbsent(link, key -> CallSequence.create()).isNew(start.getCall())) {
+      EventLog.warn(LogEvent.FRAME_DROPPED, "kind", "doubled CALL_START");
+      return;
+    }
     if (!start.getIdempotencyKey().isEmpty()) {
       keyed.onStart(link, start);
       return;
     }
     CallId id = new CallId(link, start.getCall());
     Call call = new Call(id, start, tickets.next());
-    if (calls.putIfAbsent(id, call) != null) {
-      return;
-    }
+    calls.put(id, call);
     Optional<Duration> deadline =
         start.getRemainingMillis() > 0
             ? Optional.of(clock.elapsed().plusMillis(start.getRemainingMillis()))
@@ -87,6 +93,7 @@
   void onLinkDown(Link link) {
     calls.values().stream().filter(c -> c.id.link().equals(link)).toList().forEach(Call::cancel);
     keyed.onLinkDown(link);
+    starts.remove(link);
   }
 
   /** To be called several times a second. */
--- a/server/src/main/java/org/carobhoist/server/sidecar/KeyedCalls.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/KeyedCalls.java
@@ -62,9 +62,6 @@
   /** Takes a keyed call from an entry. */
   void onStart(Link link, CallStart start) {
     CallId id = new CallId(link, start.getCall());
-    if (receivers.containsKey(id)) {
-      return;
-    }
     RequestKey key;
     try {
       key = RequestKey.parse(start.getIdempotencyKey());
--- a/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
@@ -48,15 +48,14 @@
 
   private KeyedHome(
       SidecarSettings settings, Incarnation incarnation, Clock clock, PlatformLog log) {
-    HomePolicy policy = HomePolicy.DEFAULT;
     this.service = settings.endpoint().service();
     this.self = new HomeMember(settings.instance().id(), incarnation);
     this.log = log;
-    this.lease = HomeLease.create(policy, clock);
+    this.lease = HomeLease.create(HomePolicy.DEFAULT, clock);
     this.keeper =
         HomeKeeper.create(self, this::append, clock, new SplittableRandom(), lease, history);
     this.table = DuplicateTable.create(DuplicatePolicy.DEFAULT, clock, KeyedAnswer::bytes);
-    this.gate = KeyGate.create(self, policy, clock, lease, history, table);
+    this.gate = KeyGate.create(self, HomePolicy.DEFAULT, clock, lease, history, table);
   }
 
   static KeyedHome create(
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/sidecar/EndpointClientTest.java
@@ -0,0 +1,169 @@
+package org.carobhoist.server.sidecar;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.Verdict;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** What the sidecar claims when its endpoint fails, against what the endpoint has read. */
+final class EndpointClientTest {
+
+  private static final String OK = "HTTP/1.1 200 OK\r\n";
+
+  private final AtomicInteger requestsRead = new AtomicInteger();
+  private ServerSocket listener;
+  private EndpointClient client;
+
+  @BeforeEach
+  void listen() throws IOException {
+    listener = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
+    URI uri = URI.create("http://127.0.0.1:" + listener.getLocalPort());
+    client = EndpointClient.at(uri, Runnable::run);
+  }
+
+  @AfterEach
+  void close() throws IOException {
+    listener.close();
+  }
+
+  @Test
+  void claimsNotRunWhereTheConnectionIsRefused() throws IOException {
+    listener.close();
+    Outcome outcome = exchange();
+    assertThat(outcome.refusal.verdict()).isEqualTo(Verdict.NOT_RUN);
+  }
+
+  @Test
+  void claimsNothingOnceTheRequestWasRead() {
+    serve("");
+    Outcome outcome = exchange();
+    assertThat(requestsRead.get()).isEqualTo(1);
+    assertThat(outcome.refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+  }
+
+  @Test
+  void reportsAnswerShorterThanItsLength() {
+    serve(OK + "Content-Length: 10\r\n\r\nhalf");
+    assertBrokenOff(exchange());
+  }
+
+  @Test
+  void reportsAnswerWithoutItsLastChunk() {
+    serve(OK + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n");
+    assertBrokenOff(exchange());
+  }
+
+  @Test
+  void takesWholeAnswer() {
+    serve(OK + "Content-Length: 4\r\n\r\nfull");
+    Outcome outcome = exchange();
+    assertThat(outcome.refusal).isNull();
+    assertThat(outcome.text.toString()).isEqualTo("full");
+  }
+
+  /** The endpoint closes a kept connection after each answer, which the next request may meet. */
+  @Test
+  void neverClaimsNotRunOfWhatWasReadOnStaleConnection() {
+    serve(OK + "Content-Length: 4\r\n\r\nfull");
+    for (int i = 0; i < 50; i++) {
+      int before = requestsRead.get();
+      Outcome outcome = exchange();
+      if (outcome.refusal != null && outcome.refusal.verdict() == Verdict.NOT_RUN) {
+        assertThat(requestsRead.get()).isEqualTo(before);
+      }
+    }
+  }
+
+  private static void assertBrokenOff(Outcome outcome) {
+    assertThat(outcome.refusal).isNotNull();
+    assertThat(outcome.refusal.verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+  }
+
+  private Outcome exchange() {
+    Outcome outcome = new Outcome();
+    RequestHeaders headers = RequestHeaders.of(HttpMethod.POST, "/bookings");
+    client.exchange(headers, "bench 7".getBytes(StandardCharsets.UTF_8), outcome);
+    outcome.done.orTimeout(20, TimeUnit.SECONDS).join();
+    return outcome;
+  }
+
+  private void serve(String answer) {
+    Thread t = new Thread(() -> acceptAll(answer), "raw-endpoint");
+    t.setDaemon(true);
+    t.start();
+  }
+
+  private void acceptAll(String answer) {
+    while (!listener.isClosed()) {
+      try (Socket socket = listener.accept()) {
+        readHead(socket);
+        OutputStream out = socket.getOutputStream();
+        out.write(answer.getBytes(StandardCharsets.UTF_8));
+        out.flush();
+        socket.shutdownOutput();
+      } catch (IOException e) {
+        if (!listener.isClosed()) {
+          throw new UncheckedIOException(e);
+        }
+      }
+    }
+  }
+
+  private void readHead(Socket socket) throws IOException {
+    BufferedReader in =
+        new BufferedReader(
+            new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+    for (String line = in.readLine(); line != null; line = in.readLine()) {
+      if (line.isEmpty()) {
+        requestsRead.incrementAndGet();
+        in.skip("bench 7".length());
+        return;
+      }
+    }
+  }
+
+  private static final class Outcome implements EndpointSink {
+
+    private final CompletableFuture<Void> done = new CompletableFuture<>();
+    private final StringBuilder text = new StringBuilder();
+    private Refusal refusal;
+
+    @Override
+    public void onHead(ResponseHeaders headers) {}
+
+    @Override
+    public void onData(byte[] content) {
+      text.append(new String(content, StandardCharsets.UTF_8));
+    }
+
+    @Override
+    public void onEnd() {
+      done.complete(null);
+    }
+
+    @Override
+    public void onFailed(Refusal failure) {
+      refusal = failure;
+      done.complete(null);
+    }
+  }
+}
