--- a/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
+++ b/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
@@ -32,9 +32,7 @@
 final class KeyRouter {
 
   private static final Refusal ISSUER_GONE =
-      Refusal.mayHaveRun(
-          RefusalReason.KEY_FORGOTTEN,
-          "the run of the sidecar that the key names can't be reached");
+      Refusal.mayHaveRun(RefusalReason.KEY_FORGOTTEN, "the issuer of the key can't be reached");
   private static final Refusal HOME_UNKNOWN =
       Refusal.notRun(
           RefusalReason.KEY_UNAVAILABLE,
