--- a/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
+++ b/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
@@ -8,6 +8,7 @@
 import org.carobhoist.core.common.Priority;
 import org.carobhoist.core.common.ProfileName;
 import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.limit.TenantPolicy;
 import org.carobhoist.core.request.RetryPolicy;
 import org.carobhoist.core.rollout.RolloutPolicy;
 import org.carobhoist.core.rollout.RolloutPolicy.SwapPolicy;
@@ -89,6 +90,26 @@
       SettingTypes.choice(
           "requests", "priority", Priority.class, "standard", "Class of its requests in a queue.");
 
+  private static final SettingSpec<Double> WEIGHT =
+      SettingTypes.decimal(
+          "requests",
+          "weight",
+          0.01,
+          100,
+          "1",
+          "Share of an endpoint while other profiles of the same class wait as well.");
+  private static final SettingSpec<Long> QUEUE =
+      SettingTypes.whole(
+          "requests", "queue", 0, 100_000, "100000", "Most requests that wait at one endpoint.");
+  private static final SettingSpec<Long> CONCURRENCY =
+      SettingTypes.whole(
+          "requests",
+          "concurrency",
+          1,
+          100_000,
+          "100000",
+          "Most requests that run at one endpoint at once.");
+
   /** Every key that a profile's document may have. */
   public static final List<SettingSpec<?>> SPECS =
       List.of(
@@ -101,7 +122,10 @@
           SCORER,
           MAX_ATTEMPTS,
           DEADLINE,
-          PRIORITY);
+          PRIORITY,
+          WEIGHT,
+          QUEUE,
+          CONCURRENCY);
 
   private ProfileReader() {}
 
@@ -124,7 +148,9 @@
             doc.get(SCORER)),
         new RetryPolicy(doc.get(MAX_ATTEMPTS).intValue()),
         doc.get(DEADLINE),
-        doc.get(PRIORITY));
+        doc.get(PRIORITY),
+        new TenantPolicy(
+            doc.get(WEIGHT), doc.get(QUEUE).intValue(), doc.get(CONCURRENCY).intValue()));
   }
 
   private static Optional<URI> scorer(String text) {
--- a/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
@@ -16,6 +16,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
+import org.carobhoist.core.chart.StateChart;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.WeightVersion;
@@ -106,6 +107,11 @@
     return new StepCoordinator(port, policy, clock, pace, random);
   }
 
+  /** Returns the chart that every sample follows. */
+  public static StateChart<SampleState, SampleEvent, SampleAction> sampleChart() {
+    return SampleSlot.chart();
+  }
+
   /** Takes a trainer's request; the first one asks every engine what it holds. */
   public void onRequest(StepRequest next) {
     final StepRequest previous = request;
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -23,6 +23,9 @@
     subcommands = {
       EntryCommand.class,
       SidecarCommand.class,
+      StateCommand.class,
+      CheckCommand.class,
+      DemoCommand.class,
       HelpCommand.class,
       AutoComplete.GenerateCompletion.class
     })
--- a/server/src/main/java/org/carobhoist/server/link/SampleMapper.java
+++ b/server/src/main/java/org/carobhoist/server/link/SampleMapper.java
@@ -71,17 +71,6 @@
         .build();
   }
 
-  /** Returns the failure of an attempt, with what it had made, for the wire. */
-  public static SampleFailed failed(AttemptKey attempt, String reason, SamplePrefix made) {
-    return SampleFailed.newBuilder()
-        .setName(toMessage(attempt))
-        .setReason(reason)
-        .addAllTokens(made.tokens())
-        .addAllSpans(made.spans().stream().map(SampleMapper::toMessage).toList())
-        .setText(made.text())
-        .build();
-  }
-
   /** Returns a report on an attempt in flight for the wire. */
   public static SampleProgress toMessage(RunningAttempt report) {
     SampleProgress.Builder progress =
@@ -100,6 +89,17 @@
         .build();
   }
 
+  /** Returns the failure of an attempt, with what it had made, for the wire. */
+  public static SampleFailed failed(AttemptKey attempt, String reason, SamplePrefix made) {
+    return SampleFailed.newBuilder()
+        .setName(toMessage(attempt))
+        .setReason(reason)
+        .addAllTokens(made.tokens())
+        .addAllSpans(made.spans().stream().map(SampleMapper::toMessage).toList())
+        .setText(made.text())
+        .build();
+  }
+
   /** Returns the attempt that a name on the wire means. */
   public static AttemptKey fromMessage(SampleName name) {
     StepKey step = step(name.getProfile(), name.getTrainer(), name.getStep());
@@ -139,15 +139,6 @@
         Optional.of(start.getScorer()).filter(s -> !s.isEmpty()).map(URI::create));
   }
 
-  /**
-   * Returns what a failed attempt had made.
-   *
-   * @throws IllegalArgumentException if its spans don't cover its tokens
-   */
-  public static SamplePrefix made(SampleFailed failed) {
-    return new SamplePrefix(failed.getTokensList(), spans(failed.getSpansList()), failed.getText());
-  }
-
   /** Returns the report that a sidecar sent. */
   public static RunningAttempt fromMessage(SampleProgress progress) {
     Optional<WeightVersion> oldest =
@@ -165,6 +156,15 @@
         reply.getRunningList().stream().map(SampleMapper::fromMessage).toList());
   }
 
+  /**
+   * Returns what a failed attempt had made.
+   *
+   * @throws IllegalArgumentException if its spans don't cover its tokens
+   */
+  public static SamplePrefix made(SampleFailed failed) {
+    return new SamplePrefix(failed.getTokensList(), spans(failed.getSpansList()), failed.getText());
+  }
+
   private static List<VersionSpan> spans(List<org.carobhoist.server.link.proto.VersionSpan> spans) {
     return spans.stream()
         .map(s -> new VersionSpan(new WeightVersion(s.getVersion()), s.getFrom(), s.getTo()))
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -10,16 +10,34 @@
   STOPPED(1003, "process stopped"),
   /** A task of the decision loop threw. */
   DECISION_FAILED(1004, "decision task failed"),
+  /** A process couldn't start. */
+  START_FAILED(1100, "process start failed"),
+  /** A planned stop didn't run to its end. */
+  STOP_FAILED(1101, "planned stop failed"),
   /** A link is up. */
   LINK_UP(2001, "link up"),
   /** A link is down. */
   LINK_DOWN(2002, "link down"),
   /** A frame could not be understood. */
   FRAME_DROPPED(2003, "frame dropped"),
+  /** Nothing was heard on a link for too long; it is closed. */
+  LINK_SILENT(2100, "link silent"),
+  /** An endpoint begins to leave; it is drained. */
+  ENDPOINT_LEAVING(2101, "endpoint leaving"),
+  /** An endpoint's phase changed after a probe. */
+  ENDPOINT_PHASE(2102, "endpoint phase"),
   /** A request was refused or failed. */
   REQUEST_REFUSED(3001, "request refused"),
   /** A request is sent again. */
   REQUEST_RETRIED(3002, "request retried"),
+  /** A home view of the sidecar's service has been read. */
+  HOME_VIEW(3101, "home view read"),
+  /** A home view is appended to the log. */
+  HOME_VIEW_APPENDED(3102, "home view appended"),
+  /** Nobody knows whether a home view was appended. */
+  HOME_VIEW_UNKNOWN(3103, "home view append unanswered"),
+  /** An entry takes a home that it can't reach out of the view. */
+  HOME_REMOVED(3104, "unreachable home removed from view"),
   /** A step begins at this entry. */
   STEP_STARTED(4001, "step started"),
   /** An attempt at a sample failed. */
@@ -36,6 +54,16 @@
   RECORD_SKIPPED(5004, "log record skipped"),
   /** The platform's instance list can't be read. */
   LIST_UNREACHABLE(5005, "instance list unreachable"),
+  /** The process has a configuration and may serve. */
+  CONFIG_READY(5100, "configuration ready"),
+  /** The platform's log can be read again. */
+  LOG_REACHABLE(5101, "platform log reachable again"),
+  /** The whole configuration was taken from a snapshot. */
+  SNAPSHOT_INSTALLED(5102, "snapshot installed"),
+  /** A snapshot is appended to the log. */
+  SNAPSHOT_APPENDED(5103, "snapshot appended"),
+  /** A peer's configuration can't belong to the same log. */
+  PEER_DISAGREES(5104, "peer's configuration disagrees"),
   /** A weight swap went a step on. */
   SWAP(6001, "weight swap");
 
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -6,19 +6,22 @@
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
-import java.util.HashSet;
+import java.util.ArrayList;
 import java.util.List;
-import java.util.Set;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.EndpointKind;
 import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.ProfileName;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.limit.AdmissionQueue;
+import org.carobhoist.core.limit.TenantPolicy;
 import org.carobhoist.core.membership.EndpointAnnouncement;
 import org.carobhoist.core.membership.EndpointPhase;
-import org.carobhoist.server.link.AnnouncementMapper;
+import org.carobhoist.core.profile.Profile;
+import org.carobhoist.core.profile.SpreadPolicy;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
 import org.carobhoist.server.link.LinkNetwork;
@@ -40,23 +43,21 @@
 public final class SidecarService implements Service {
 
   private static final Duration TICK = Duration.ofMillis(100);
-  private static final Duration DRAIN_POLL = Duration.ofMillis(20);
 
   private final SidecarSettings settings;
   private final Incarnation incarnation = new Incarnation(UUID.randomUUID().toString());
   private final Clock clock = SystemClock.create();
   private final DecisionLoop loop = DecisionLoop.create("sidecar");
   private final AdmissionQueue queue;
+  private final KeyedHome keys;
   private final CallWorker calls;
   private final SampleWorker samples;
   private final LinkNetwork network;
   private final ConfigFollower config;
-  private final Set<Link> links = new HashSet<>();
+  private final Optional<SwapWorker> swap;
+  private final EndpointKeeper keeper;
   private final PrometheusMeterRegistry metrics =
       new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
-  private EndpointPhase phase = EndpointPhase.SERVING;
-  private EndpointAnnouncement announced;
-  private long sequence;
   private Server http;
 
   /** State dump of the endpoint's admission. */
@@ -69,11 +70,23 @@
     EndpointClient endpoint = EndpointClient.at(settings.endpoint().url(), loop);
     TicketIds tickets = new TicketIds();
     EndpointKind kind = settings.endpoint().kind();
-    this.calls = new CallWorker(queue, endpoint, kind, clock, tickets);
+    HttpPlatform platform = HttpPlatform.at(settings.instance().platform());
+    this.keys = KeyedHome.create(settings, incarnation, clock, platform);
+    KeyedCalls keyed = new KeyedCalls(keys.gate(), keys.table(), queue, endpoint, clock, tickets);
+    this.calls = new CallWorker(queue, endpoint, kind, clock, tickets, keyed);
     this.samples =
         new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets, clock, loop);
     this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
-    this.config = ConfigFollower.create(HttpPlatform.at(settings.instance().platform()), loop);
+    this.config = ConfigFollower.create(platform, loop, SpreadPolicy.ofSidecar());
+    this.keeper =
+        new EndpointKeeper(
+            settings.instance().id(), loop, clock, queue, endpoint, platform, this::announcement);
+    queue.setTenants(this::tenantPolicy);
+    this.swap =
+        kind == EndpointKind.ENGINE
+            ? Optional.of(swapWorker(endpoint, platform))
+            : Optional.empty();
+    swap.ifPresent(config::onRecord);
   }
 
   /** Returns a sidecar that hasn't started. */
@@ -83,29 +96,42 @@
 
   @Override
   public CompletableFuture<Void> start() {
+    swap.ifPresent(worker -> loop.execute(worker::start));
     loop.every(TICK, this::tick);
+    config.listen(keys.listener());
     config.start();
     http = httpServer();
-    return network.start().thenCompose(ok -> http.start()).thenRun(this::logStarted);
+    return keeper
+        .start()
+        .thenCompose(ok -> network.start())
+        .thenCompose(ok -> http.start())
+        .thenRun(this::logStarted);
   }
 
-  /** Drains: refuses new work, finishes what runs, then leaves. */
+  /** Drains as the chart {@code drain} says, then leaves. */
   @Override
   public CompletableFuture<Void> stop() {
     EventLog.info(LogEvent.STOPPING, "instance", settings.instance().id());
-    CompletableFuture<Void> idle = new CompletableFuture<>();
-    loop.execute(
-        () -> {
-          phase = EndpointPhase.DRAINING;
-          queue.drain();
-          announce();
-          awaitIdle(idle);
-        });
-    return idle.thenCompose(ok -> network.stop())
+    loop.execute(keys::leave);
+    return keeper
+        .stop()
+        .thenCompose(ok -> network.stop())
         .thenCompose(ok -> http.stop())
         .thenCompose(ok -> loop.stop());
   }
 
+  private SwapWorker swapWorker(EndpointClient endpoint, HttpPlatform platform) {
+    return new SwapWorker(
+        settings.instance().id(),
+        settings.endpoint().service(),
+        endpoint,
+        platform,
+        platform,
+        loop,
+        clock,
+        () -> keeper().announce());
+  }
+
   private Hello hello() {
     return Hello.newBuilder()
         .setInstance(settings.instance().id().value())
@@ -116,7 +142,7 @@
   }
 
   private Server httpServer() {
-    StateDump dump = StateDump.of(loop, List.of(new EndpointState(), config));
+    StateDump dump = StateDump.of(loop, sources());
     ServerBuilder sb = Server.builder();
     sb.http(
         new InetSocketAddress(
@@ -125,6 +151,12 @@
     return sb.build();
   }
 
+  private List<StateSource> sources() {
+    List<StateSource> sources = new ArrayList<>(List.of(new EndpointState(), keys, config));
+    swap.ifPresent(sources::add);
+    return sources;
+  }
+
   private void logStarted() {
     EventLog.info(
         LogEvent.STARTED,
@@ -136,26 +168,22 @@
         incarnation);
   }
 
-  private void awaitIdle(CompletableFuture<Void> idle) {
-    if (queue.isIdle()) {
-      idle.complete(null);
-      return;
-    }
-    loop.after(DRAIN_POLL, () -> awaitIdle(idle));
+  private EndpointKeeper keeper() {
+    return keeper;
   }
 
-  private void tick() {
-    queue.expire();
-    if (announced == null || !announcement(announced.sequence()).equals(announced)) {
-      announce();
-    }
+  /** Returns the share that a tenant's profile gives it; the profile comes before any space. */
+  private TenantPolicy tenantPolicy(String tenant) {
+    ProfileName profile = new ProfileName(tenant.split(" ", 2)[0]);
+    return config.fold().profile(profile).map(Profile::share).orElse(TenantPolicy.DEFAULT);
   }
 
-  private void announce() {
-    announced = announcement(++sequence);
-    LinkFrame frame =
-        LinkFrame.newBuilder().setAnnouncement(AnnouncementMapper.toMessage(announced)).build();
-    links.forEach(link -> link.send(frame));
+  private void tick() {
+    queue.expire();
+    swap.ifPresent(SwapWorker::tick);
+    calls.tick();
+    keys.tick();
+    keeper.tick();
   }
 
   private EndpointAnnouncement announcement(long number) {
@@ -165,21 +193,31 @@
         settings.instance().zone(),
         settings.endpoint().service(),
         settings.endpoint().kind(),
-        phase,
+        announcedPhase(),
         queue.running(),
         queue.queued(),
         queue.limit(),
-        new WeightVersion(0),
+        swap.map(SwapWorker::served).orElse(new WeightVersion(0)),
         number);
   }
 
+  private EndpointPhase announcedPhase() {
+    boolean serving = swap.map(SwapWorker::isInRotation).orElse(true);
+    EndpointPhase phase = keeper.phase();
+    return phase == EndpointPhase.SERVING && !serving ? EndpointPhase.DOWN : phase;
+  }
+
   private void onFrame(Link link, LinkFrame frame) {
+    if (keeper.onFrame(link, frame)) {
+      return;
+    }
     switch (frame.getBodyCase()) {
       case CALL_START -> calls.onStart(link, frame.getCallStart());
       case CALL_CANCEL -> calls.onCancel(link, frame.getCallCancel());
       case SAMPLE_START -> samples.onStart(link, frame.getSampleStart());
       case SAMPLE_CANCEL -> samples.onCancel(frame.getSampleCancel());
       case HELD_QUERY -> samples.onQuery(link, frame.getHeldQuery());
+      case PEER_DIGEST, PEER_RECORDS -> config.onFrame(link, frame);
       case STEP_ACK -> samples.onAck(frame.getStepAck());
       default -> EventLog.warn(LogEvent.FRAME_DROPPED, "kind", frame.getBodyCase());
     }
@@ -196,7 +234,7 @@
     public Object state() {
       return new State(
           settings.endpoint().service().value(),
-          phase.name(),
+          keeper.state().name(),
           queue.running(),
           queue.queued(),
           queue.limit(),
@@ -211,8 +249,8 @@
     public void onUp(Link link) {
       loop.execute(
           () -> {
-            links.add(link);
-            announce();
+            keeper.onUp(link);
+            config.onLinkUp(link);
           });
     }
 
@@ -225,7 +263,8 @@
     public void onDown(Link link) {
       loop.execute(
           () -> {
-            links.remove(link);
+            keeper.onDown(link);
+            config.onLinkDown(link);
             calls.onLinkDown(link);
             samples.onLinkDown(link);
           });
