--- a/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
+++ b/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
@@ -78,13 +78,27 @@
 
   private ProfileReader() {}
 
+  /**
+   * Checks a profile's document before it is published.
+   *
+   * @param file name of the document in messages
+   * @throws SettingsException if the document is refused
+   */
+  public static void check(ProfileName name, String file, String document)
+      throws SettingsException {
+    read(name, SettingsReader.read(file, document, SPECS));
+  }
+
   /**
    * Reads a profile.
    *
    * @throws SettingsException if the document is refused
    */
   public static Profile read(ProfileName name, String document) throws SettingsException {
-    SettingsDocument doc = SettingsReader.read(name.value(), document, SPECS);
+    return read(name, SettingsReader.read(name.value(), document, SPECS));
+  }
+
+  private static Profile read(ProfileName name, SettingsDocument doc) {
     return new Profile(
         name,
         doc.get(SERVICE),
--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/ConfigTimeline.java
@@ -0,0 +1,90 @@
+package org.carobhoist.it;
+
+import java.time.OffsetDateTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/** When a process applied which offset, read from its log over all of its starts. */
+final class ConfigTimeline {
+
+  private static final Pattern LINE =
+      Pattern.compile("^(\\S+) \\S+ event=(0|5002|5003|5102)( .*)$", Pattern.MULTILINE);
+  private static final Pattern OFFSET = Pattern.compile(" (?:offset|through)=(\\d+)");
+  private static final String STARTED = "0";
+
+  private final List<Life> lives = new ArrayList<>();
+  private int reverts;
+
+  private static final class Life {
+    private final long start;
+    private final List<long[]> applied = new ArrayList<>();
+
+    private Life(long start) {
+      this.start = start;
+    }
+
+    private long highest() {
+      return applied.isEmpty() ? 0 : applied.get(applied.size() - 1)[1];
+    }
+  }
+
+  private ConfigTimeline() {}
+
+  static ConfigTimeline read(String log) {
+    ConfigTimeline timeline = new ConfigTimeline();
+    Matcher m = LINE.matcher(log);
+    while (m.find()) {
+      long time = OffsetDateTime.parse(m.group(1)).toInstant().toEpochMilli();
+      timeline.add(time, m.group(2), OFFSET.matcher(m.group(3)));
+    }
+    return timeline;
+  }
+
+  /** Returns the highest offset that the present process has applied. */
+  long applied() {
+    return lives.isEmpty() ? 0 : lives.get(lives.size() - 1).highest();
+  }
+
+  /** Returns how often a process applied an offset below one that it had applied. */
+  int reverts() {
+    return reverts;
+  }
+
+  /** Returns how long after a time an offset was applied, by the process that lived then. */
+  OptionalLong delay(long offset, long made) {
+    for (Life life : lives) {
+      if (life.start > made) {
+        continue;
+      }
+      for (long[] a : life.applied) {
+        if (a[1] >= offset) {
+          return OptionalLong.of(Math.max(0, a[0] - made));
+        }
+      }
+    }
+    return OptionalLong.empty();
+  }
+
+  private void add(long time, String event, Matcher offset) {
+    if (event.equals(STARTED)) {
+      lives.add(new Life(time));
+      return;
+    }
+    if (lives.isEmpty()) {
+      lives.add(new Life(time));
+    }
+    if (offset.find()) {
+      apply(lives.get(lives.size() - 1), time, Long.parseLong(offset.group(1)));
+    }
+  }
+
+  private void apply(Life life, long time, long offset) {
+    if (offset < life.highest()) {
+      reverts++;
+    }
+    life.applied.add(new long[] {time, offset});
+  }
+}
--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/ProfileCommandTest.java
@@ -0,0 +1,140 @@
+package org.carobhoist.it;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.MediaType;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.carobhoist.standin.EngineStandIn;
+import org.carobhoist.trainer.StepRequestMessage;
+import org.carobhoist.trainer.StepSession;
+import org.carobhoist.trainer.TrainerClient;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** The profile commands as an operator runs them, against real processes. */
+final class ProfileCommandTest {
+
+  private static final Path BINARY = Path.of("..", "server", "target", "carobhoist");
+  private static final Duration WAIT = Duration.ofSeconds(5);
+  private static final String DOCUMENT = "[profile]\nservice = horno-lm\nkind = engine\n";
+  private static final int DONE = 0;
+  private static final int FAILED = 1;
+  private static final int USAGE = 2;
+  private static final int CONFLICT = 3;
+
+  @TempDir private Path folder;
+
+  private record Result(int code, String output) {}
+
+  @Test
+  void publishesChangesAndRetires() throws Exception {
+    EngineStandIn engine = new EngineStandIn();
+    engine.start();
+    try (TestCluster cluster = TestCluster.start(folder)) {
+      cluster.startEntry("entry-1", "centro-a");
+      cluster.startSidecar("engine-1", "centro-a", "horno-lm", "engine", engine.uri());
+      cluster.awaitReady();
+      cluster.awaitLinks("entry-1", 1);
+      Path good = write("good.ini", DOCUMENT);
+
+      Result published = run(cluster, "publish", "--wait", "--operator", "ana", "horno", good);
+      assertThat(published.code()).isEqualTo(DONE);
+      assertThat(published.output()).contains("in force on every live process");
+
+      refusesLosers(cluster, good);
+      refusesBadDocuments(cluster);
+      stepOutlivesItsProfile(cluster);
+      namesLaggards(cluster, good);
+    } finally {
+      engine.stop();
+    }
+  }
+
+  private void refusesLosers(TestCluster cluster, Path good) throws Exception {
+    Result changed = run(cluster, "change", "--wait", "--operator", "bo", "horno", good);
+    assertThat(changed.code()).isEqualTo(DONE);
+    Result lost = run(cluster, "change", "--expect", "1", "horno", good);
+    assertThat(lost.code()).isEqualTo(CONFLICT);
+    assertThat(lost.output()).contains("builds on revision 1, but the current is 2, made by bo");
+    Result history = run(cluster, "history", "horno");
+    assertThat(history.output()).contains("1 publish base=0 operator=ana");
+    assertThat(history.output()).contains("CONFLICT");
+    assertThat(run(cluster, "list").output()).contains("horno revision=2 in-force operator=bo");
+    assertThat(run(cluster, "show", "horno").output()).contains("service = horno-lm");
+  }
+
+  private void refusesBadDocuments(TestCluster cluster) throws Exception {
+    Path bad = write("bad.ini", DOCUMENT + "[rollout]\nmax-staleness = -1\n");
+    long before = cluster.platform().nextOffset();
+    Result refused = run(cluster, "change", "horno", bad);
+    assertThat(refused.code()).isEqualTo(USAGE);
+    assertThat(refused.output()).contains("max-staleness");
+    assertThat(cluster.platform().nextOffset()).isEqualTo(before);
+  }
+
+  /** A step that began before the retirement ends whole; a new one is refused. */
+  private void stepOutlivesItsProfile(TestCluster cluster) throws Exception {
+    TrainerClient client = TrainerClient.create(List.of(cluster.http("entry-1")));
+    StepSession began = step("1");
+    client.poll(began, Duration.ZERO).join();
+    assertThat(run(cluster, "retire", "--wait", "horno").code()).isEqualTo(DONE);
+    for (int i = 0; i < 100 && !began.isComplete(); i++) {
+      client.poll(began, WAIT).join();
+    }
+    assertThat(began.isComplete()).isTrue();
+    assertThat(askForStep(cluster, step("2"))).contains("not in force");
+  }
+
+  private void namesLaggards(TestCluster cluster, Path good) throws Exception {
+    cluster.process("engine-1").kill();
+    Result result = run(cluster, "publish", "--wait", "--timeout", "5", "horno", good);
+    assertThat(result.code()).isEqualTo(FAILED);
+    assertThat(result.output()).contains("horno is at revision");
+    assertThat(result.output()).contains("engine-1: no answer");
+    assertThat(result.output()).doesNotContain("entry-1:");
+  }
+
+  private static String askForStep(TestCluster cluster, StepSession session) throws Exception {
+    byte[] body = new ObjectMapper().writeValueAsBytes(session.nextRequest(0));
+    return WebClient.of(cluster.http("entry-1"))
+        .prepare()
+        .post("/v1/steps")
+        .content(MediaType.JSON, body)
+        .execute()
+        .aggregate()
+        .join()
+        .contentUtf8();
+  }
+
+  private static StepSession step(String id) {
+    List<StepRequestMessage.Group> groups =
+        IntStream.range(0, 4).mapToObj(g -> new StepRequestMessage.Group(g, "p" + g)).toList();
+    return StepSession.start(
+        new StepRequestMessage("horno", "trainer-1", id, 1, 2, 40, "", groups, 0));
+  }
+
+  private Path write(String name, String text) throws IOException {
+    return Files.writeString(folder.resolve(name), text);
+  }
+
+  private static Result run(TestCluster cluster, String command, Object... arguments)
+      throws Exception {
+    List<String> line = new ArrayList<>(List.of(BINARY.toString(), "profile", command));
+    line.addAll(List.of("--platform", cluster.platform().uri().toString()));
+    for (Object a : arguments) {
+      line.add(a.toString());
+    }
+    Process process = new ProcessBuilder(line).redirectErrorStream(true).start();
+    String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+    return new Result(process.waitFor(), output);
+  }
+}
--- a/it/src/test/java/org/carobhoist/it/RoleProcess.java
+++ b/it/src/test/java/org/carobhoist/it/RoleProcess.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.time.Instant;
 import java.util.concurrent.TimeUnit;
 
 /** A process of the binary under test. */
@@ -32,6 +34,8 @@
 
   /** Starts the process again with the same settings. */
   void restart() throws IOException {
+    String mark = Instant.now() + " TEST event=0 text=start\n";
+    Files.writeString(log, mark, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
     process =
         new ProcessBuilder(BINARY.toString(), role, "--settings", settings.toString())
             .redirectErrorStream(true)
--- a/it/src/test/java/org/carobhoist/it/TestCluster.java
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpStatus;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Path;
@@ -11,7 +12,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.carobhoist.core.common.InstanceId;
@@ -29,12 +33,17 @@
 
   private static final Duration PATIENCE = Duration.ofSeconds(60);
   private static final Duration POLL = Duration.ofMillis(20);
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 32_000;
+  private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
 
   private final Path folder;
   private final PlatformStandIn platform = new PlatformStandIn();
   private final Map<String, RoleProcess> processes = new LinkedHashMap<>();
   private final Map<String, URI> https = new LinkedHashMap<>();
 
+  private URI platformUri;
+
   private TestCluster(Path folder) {
     this.folder = folder;
   }
@@ -42,6 +51,7 @@
   static TestCluster start(Path folder) {
     TestCluster cluster = new TestCluster(folder);
     cluster.platform.start();
+    cluster.platformUri = cluster.platform.uri();
     return cluster;
   }
 
@@ -49,6 +59,11 @@
     return platform;
   }
 
+  /** Lets the processes started from now on reach the platform at another address. */
+  void setPlatformUri(URI uri) {
+    platformUri = uri;
+  }
+
   RoleProcess process(String name) {
     return processes.get(name);
   }
@@ -117,7 +132,7 @@
     String ini =
         "[instance]\nid = %s\nzone = %s\nhttp = 127.0.0.1:%d\nlink = 127.0.0.1:%d\n"
                 .formatted(name, zone, ports.get(0), ports.get(1))
-            + "[platform]\nurl = %s\n".formatted(platform.uri())
+            + "[platform]\nurl = %s\n".formatted(platformUri)
             + more;
     processes.put(name, RoleProcess.start(role, folder, name, ini));
     https.put(name, URI.create("http://127.0.0.1:" + ports.get(0)));
@@ -139,17 +154,26 @@
     }
   }
 
+  /**
+   * Returns ports that nobody listens on, from below the range of which the system takes the ports
+   * of outgoing connections, so that they are still free when a process starts or starts again.
+   */
   private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
     List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0);
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
+    while (ports.size() < count) {
+      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+      if (isFree(port) && USED_PORTS.add(port)) {
+        ports.add(port);
+      }
     }
     return ports;
   }
+
+  private static boolean isFree(int port) throws IOException {
+    try (ServerSocket socket = new ServerSocket(port)) {
+      return socket.isBound();
+    } catch (BindException e) {
+      return false;
+    }
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -23,6 +23,7 @@
     subcommands = {
       EntryCommand.class,
       SidecarCommand.class,
+      ProfileCommand.class,
       HelpCommand.class,
       AutoComplete.GenerateCompletion.class
     })
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/app/PlatformOptions.java
@@ -0,0 +1,48 @@
+package org.carobhoist.server.app;
+
+import java.net.URI;
+import java.nio.file.Path;
+import java.time.Duration;
+import org.carobhoist.core.settings.SettingsException;
+import org.carobhoist.server.settings.SettingsLoader;
+import picocli.CommandLine.ArgGroup;
+import picocli.CommandLine.Option;
+
+/** Options that say where the platform is and how long to wait for it. */
+final class PlatformOptions {
+
+  @ArgGroup(multiplicity = "1")
+  private Place place;
+
+  @Option(
+      names = "--timeout",
+      paramLabel = "SECONDS",
+      defaultValue = "60",
+      description = "Longest wait for the platform's log; default ${DEFAULT-VALUE}.")
+  private int timeoutSeconds;
+
+  private static final class Place {
+
+    @Option(
+        names = {"-p", "--platform"},
+        paramLabel = "URL",
+        description = "Base URL of the platform.")
+    private URI url;
+
+    @Option(
+        names = {"-s", "--settings"},
+        paramLabel = "FILE",
+        description = "Settings file of an entry, which names the platform.")
+    private Path settings;
+  }
+
+  URI url() throws SettingsException {
+    return place.url != null
+        ? place.url
+        : SettingsLoader.loadEntry(place.settings).instance().platform();
+  }
+
+  Duration timeout() {
+    return Duration.ofSeconds(timeoutSeconds);
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/app/SpreadReport.java
@@ -0,0 +1,29 @@
+package org.carobhoist.server.app;
+
+import java.io.PrintWriter;
+import java.time.Duration;
+import java.util.Set;
+import org.carobhoist.core.profile.Revision;
+import org.carobhoist.server.platform.OperatorClient;
+import org.carobhoist.server.platform.SpreadWatch;
+
+/** Waits until a revision is in force everywhere and says who lags. */
+final class SpreadReport {
+
+  private SpreadReport() {}
+
+  /** Returns the exit code: done, or failed if some process still lags. */
+  static int await(OperatorClient client, Duration patience, Revision revision, PrintWriter out) {
+    try (SpreadWatch watch = SpreadWatch.of(client.instances(), revision.offset())) {
+      Set<String> lagging = watch.await(patience).join();
+      if (lagging.isEmpty()) {
+        out.println("in force on every live process");
+      } else {
+        out.println("not yet in force on:");
+        lagging.forEach(line -> out.println("  " + line));
+      }
+      out.flush();
+      return lagging.isEmpty() ? ExitCodes.DONE : ExitCodes.FAILED;
+    }
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/platform/LogRecords.java
+++ b/server/src/main/java/org/carobhoist/server/platform/LogRecords.java
@@ -36,10 +36,10 @@
   /** Returns the bytes of a record; an unreadable one becomes a record of no kind. */
   public static byte[] encode(ConfigRecord record) {
     if (record instanceof ProfileChange change) {
-      return LogRecord.newBuilder().setChange(toMessage(change)).build().toByteArray();
+      return LogRecord.newBuilder().setChange(changeMessage(change)).build().toByteArray();
     }
     if (record instanceof ProfileSnapshot snapshot) {
-      return LogRecord.newBuilder().setSnapshot(toMessage(snapshot)).build().toByteArray();
+      return LogRecord.newBuilder().setSnapshot(snapshotMessage(snapshot)).build().toByteArray();
     }
     return record instanceof ForeignRecord foreign ? bytes(foreign).toByteArray() : new byte[0];
   }
@@ -50,7 +50,7 @@
       return new UnreadableRecord("oversized: " + data.length + " bytes");
     }
     try {
-      return fromMessage(LogRecord.parseFrom(data), data);
+      return read(LogRecord.parseFrom(data), data);
     } catch (InvalidProtocolBufferException e) {
       return new UnreadableRecord("torn: " + e.getMessage());
     } catch (IllegalArgumentException | SettingsException e) {
@@ -67,10 +67,10 @@
     }
   }
 
-  private static ConfigRecord fromMessage(LogRecord message, byte[] data) throws SettingsException {
+  private static ConfigRecord read(LogRecord message, byte[] data) throws SettingsException {
     return switch (message.getBodyCase()) {
-      case CHANGE -> fromMessage(message.getChange());
-      case SNAPSHOT -> fromMessage(message.getSnapshot());
+      case CHANGE -> change(message.getChange());
+      case SNAPSHOT -> snapshot(message.getSnapshot());
       case WEIGHT_ORDER -> foreign("weights/" + message.getWeightOrder().getModel(), data);
       case HOME_VIEW -> foreign("homes/" + message.getHomeView().getService(), data);
       case BODY_NOT_SET -> new UnreadableRecord("unknown kind");
@@ -85,7 +85,7 @@
     return ByteString.copyFrom(record.data().duplicate());
   }
 
-  private static ConfigRecord fromMessage(ProfileChangeRecord r) {
+  private static ConfigRecord change(ProfileChangeRecord r) {
     if (r.getDocument().length() > ProfileFold.MAX_DOCUMENT_CHARS) {
       return new UnreadableRecord("oversized document: " + r.getDocument().length());
     }
@@ -101,7 +101,7 @@
         r.getOperator());
   }
 
-  private static ProfileChangeRecord toMessage(ProfileChange change) {
+  private static ProfileChangeRecord changeMessage(ProfileChange change) {
     return ProfileChangeRecord.newBuilder()
         .setChangeId(change.changeId())
         .setKind(change.kind().name().toLowerCase(Locale.ROOT))
@@ -112,10 +112,10 @@
         .build();
   }
 
-  private static ProfileSnapshot fromMessage(ProfileSnapshotRecord r) throws SettingsException {
+  private static ProfileSnapshot snapshot(ProfileSnapshotRecord r) throws SettingsException {
     List<ProfileEntry> profiles = new ArrayList<>();
     for (ProfileState p : r.getProfilesList()) {
-      profiles.add(fromMessage(p));
+      profiles.add(entry(p));
     }
     List<LogItem> foreign = new ArrayList<>();
     for (StoredRecord f : r.getForeignList()) {
@@ -128,7 +128,7 @@
     return new ProfileSnapshot(r.getThroughOffset(), profiles, foreign);
   }
 
-  private static ProfileEntry fromMessage(ProfileState p) throws SettingsException {
+  private static ProfileEntry entry(ProfileState p) throws SettingsException {
     ProfileName name = new ProfileName(p.getProfile());
     return new ProfileEntry(
         name,
@@ -140,10 +140,10 @@
         p.getDocument());
   }
 
-  private static ProfileSnapshotRecord toMessage(ProfileSnapshot snapshot) {
+  private static ProfileSnapshotRecord snapshotMessage(ProfileSnapshot snapshot) {
     ProfileSnapshotRecord.Builder out =
         ProfileSnapshotRecord.newBuilder().setThroughOffset(snapshot.through());
-    snapshot.profiles().forEach(p -> out.addProfiles(toMessage(p)));
+    snapshot.profiles().forEach(p -> out.addProfiles(stateMessage(p)));
     for (LogItem f : snapshot.foreign()) {
       out.addForeign(
           StoredRecord.newBuilder()
@@ -154,7 +154,7 @@
     return out.build();
   }
 
-  private static ProfileState toMessage(ProfileEntry p) {
+  private static ProfileState stateMessage(ProfileEntry p) {
     return ProfileState.newBuilder()
         .setProfile(p.name().value())
         .setRevision(p.revision().offset())
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/platform/OperatorClient.java
@@ -0,0 +1,192 @@
+package org.carobhoist.server.platform;
+
+import java.net.URI;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.carobhoist.core.common.JitteredBackoff;
+import org.carobhoist.core.profile.ChangeSubmission;
+import org.carobhoist.core.profile.ConfigReplica;
+import org.carobhoist.core.profile.FoldOutcome;
+import org.carobhoist.core.profile.ForeignRecord;
+import org.carobhoist.core.profile.LogItem;
+import org.carobhoist.core.profile.ProfileChange;
+import org.carobhoist.core.profile.ProfileFold;
+import org.carobhoist.core.profile.ProfileSnapshot;
+import org.carobhoist.core.profile.ReplicaListener;
+import org.carobhoist.core.profile.SubmissionPort;
+import org.carobhoist.server.runtime.DecisionLoop;
+
+/**
+ * Reads and changes the configuration for an operator. It folds the log itself, as every process
+ * does, so it needs none of them; a change's outcome is taken from the fold and nothing else.
+ */
+public final class OperatorClient implements AutoCloseable {
+
+  private static final Duration RETRY_BASE = Duration.ofMillis(500);
+  private static final Duration RETRY_CAP = Duration.ofSeconds(4);
+  private static final Duration POLL_WAIT = Duration.ofSeconds(5);
+  private static final int MAX_APPENDS = 10;
+
+  private final HttpPlatform platform;
+  private final Duration patience;
+  private final DecisionLoop loop = DecisionLoop.create("operator");
+  private final SplittableRandom random = new SplittableRandom();
+  private final List<HistoryItem> history = new ArrayList<>();
+  private final ConfigReplica replica = ConfigReplica.create(new Changes());
+  private final JitteredBackoff readBackoff =
+      JitteredBackoff.create(RETRY_BASE, RETRY_CAP, random.split());
+  private Submission submission;
+
+  /**
+   * A change that the log still holds.
+   *
+   * @param offset its place in the log
+   * @param change the change
+   * @param outcome what the fold made of it
+   */
+  public record HistoryItem(long offset, ProfileChange change, FoldOutcome outcome) {}
+
+  private OperatorClient(HttpPlatform platform, Duration patience) {
+    this.platform = platform;
+    this.patience = patience;
+  }
+
+  /**
+   * Returns a client.
+   *
+   * @param platform base URL of the platform
+   * @param patience longest time for which any of its operations waits
+   */
+  public static OperatorClient create(URI platform, Duration patience) {
+    return new OperatorClient(HttpPlatform.at(platform), patience);
+  }
+
+  /** Reads the log to its end; the fold is not changed by anybody until the next call. */
+  public CompletableFuture<ProfileFold> read() {
+    CompletableFuture<ProfileFold> whole = new CompletableFuture<>();
+    loop.execute(() -> readOn(Duration.ZERO, () -> whole.complete(replica.fold())));
+    return whole.orTimeout(patience.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the changes that the log still holds, oldest first; after {@link #read}. */
+  public List<HistoryItem> history() {
+    return List.copyOf(history);
+  }
+
+  /** Submits a change; completes with its outcome once that is seen in the log. */
+  public CompletableFuture<FoldOutcome> submit(ProfileChange change) {
+    CompletableFuture<FoldOutcome> outcome = new CompletableFuture<>();
+    loop.execute(
+        () -> {
+          submission = new Submission(change, outcome);
+          submission.run.start();
+          follow();
+        });
+    return outcome.orTimeout(patience.toMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  /** Returns the platform's instance list. */
+  public InstanceList instances() {
+    return platform;
+  }
+
+  @Override
+  public void close() {
+    loop.stop().join();
+  }
+
+  private void follow() {
+    if (!submission.run.isSettled()) {
+      readOn(POLL_WAIT, this::follow);
+    }
+  }
+
+  private void readOn(Duration wait, Runnable whole) {
+    long from = replica.readFrom();
+    platform
+        .read(from, wait)
+        .whenCompleteAsync((batch, failure) -> onRead(from, batch, failure, whole), loop);
+  }
+
+  private void onRead(long from, LogBatch batch, Throwable failure, Runnable whole) {
+    if (failure != null) {
+      loop.after(readBackoff.next(), () -> readOn(Duration.ZERO, whole));
+      return;
+    }
+    readBackoff.reset();
+    replica.onLog(batch.toRead(from));
+    if (!replica.hasGap() && replica.nextOffset() >= batch.next()) {
+      whole.run();
+      return;
+    }
+    Duration wait = replica.readFrom() >= batch.next() ? POLL_WAIT : Duration.ZERO;
+    readOn(wait, whole);
+  }
+
+  private final class Submission implements SubmissionPort {
+
+    private final CompletableFuture<FoldOutcome> outcome;
+    private final ChangeSubmission run;
+
+    private Submission(ProfileChange change, CompletableFuture<FoldOutcome> outcome) {
+      this.outcome = outcome;
+      JitteredBackoff backoff = JitteredBackoff.create(RETRY_BASE, RETRY_CAP, random.split());
+      this.run = ChangeSubmission.create(this, change, backoff, MAX_APPENDS);
+    }
+
+    @Override
+    public void append(ProfileChange change) {
+      platform
+          .append(LogRecords.encode(change))
+          .exceptionallyAsync(
+              failure -> {
+                run.onAppendFailed();
+                return null;
+              },
+              loop);
+    }
+
+    @Override
+    public void after(Duration delay, Runnable task) {
+      loop.after(delay, task);
+    }
+
+    @Override
+    public void onSettled(FoldOutcome settled) {
+      outcome.complete(settled);
+    }
+
+    @Override
+    public void onGivenUp() {
+      outcome.completeExceptionally(new IllegalStateException("the log doesn't answer"));
+    }
+  }
+
+  private final class Changes implements ReplicaListener {
+
+    @Override
+    public void onChange(long offset, ProfileChange change, FoldOutcome outcome) {
+      history.add(new HistoryItem(offset, change, outcome));
+      if (submission != null) {
+        submission.run.onChange(change, outcome);
+      }
+    }
+
+    @Override
+    public void onForeign(LogItem item, ForeignRecord record) {}
+
+    @Override
+    public void onSkipped(long offset, String reason) {}
+
+    @Override
+    public void onInstalled(ProfileSnapshot snapshot) {
+      if (submission != null) {
+        submission.run.onInstalled(snapshot);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/platform/SpreadWatch.java
@@ -0,0 +1,140 @@
+package org.carobhoist.server.platform;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.membership.ListedInstance;
+import org.carobhoist.core.settings.SocketAddressText;
+import org.carobhoist.server.link.Link;
+import org.carobhoist.server.link.LinkListener;
+import org.carobhoist.server.link.LinkNetwork;
+import org.carobhoist.server.link.proto.Hello;
+import org.carobhoist.server.link.proto.LinkFrame;
+import org.carobhoist.server.runtime.DecisionLoop;
+
+/**
+ * Waits until every live process has applied the log up to an offset. It opens a link to each
+ * process of the instance list, takes the digest that the process sends on a new link, closes it,
+ * and asks those that lag again a little later.
+ */
+public final class SpreadWatch implements AutoCloseable {
+
+  private static final Duration PERIOD = Duration.ofMillis(250);
+  private static final SocketAddressText UNUSED = new SocketAddressText("127.0.0.1", 0);
+
+  private final InstanceList list;
+  private final long offset;
+  private final DecisionLoop loop = DecisionLoop.create("watch");
+  private final LinkNetwork network;
+  private final Map<InstanceId, String> lagging = new TreeMap<>(this::compare);
+  private final Set<InstanceId> reached = new HashSet<>();
+  private final CompletableFuture<Set<String>> done = new CompletableFuture<>();
+
+  private SpreadWatch(InstanceList list, long offset) {
+    this.list = list;
+    this.offset = offset;
+    Hello self =
+        Hello.newBuilder()
+            .setInstance("operator-" + UUID.randomUUID())
+            .setRole("operator")
+            .setIncarnation(UUID.randomUUID().toString())
+            .build();
+    this.network = LinkNetwork.create(UNUSED, self, new Digests());
+  }
+
+  /** Returns a watch for the log's record at an offset. */
+  public static SpreadWatch of(InstanceList list, long offset) {
+    return new SpreadWatch(list, offset);
+  }
+
+  /**
+   * Watches until every live process is up to date or the time is over.
+   *
+   * @return the processes that lag, each with what is known of it; empty if there is none
+   */
+  public CompletableFuture<Set<String>> await(Duration patience) {
+    loop.execute(this::ask);
+    loop.after(patience, this::report);
+    return done;
+  }
+
+  @Override
+  public void close() {
+    network.stop().join();
+    loop.stop().join();
+  }
+
+  private void ask() {
+    if (!done.isDone()) {
+      list.read().whenCompleteAsync(this::onList, loop);
+    }
+  }
+
+  private void onList(List<ListedInstance> listed, Throwable failure) {
+    loop.after(PERIOD, this::ask);
+    if (failure != null) {
+      lagging.putIfAbsent(new InstanceId("instance-list"), "can't be read");
+      return;
+    }
+    List<ListedInstance> live = new ArrayList<>(listed);
+    live.removeIf(ListedInstance::leaving);
+    lagging.keySet().removeIf(id -> live.stream().noneMatch(i -> i.instance().equals(id)));
+    live.forEach(this::openLink);
+    if (lagging.isEmpty()) {
+      report();
+    }
+  }
+
+  private void openLink(ListedInstance i) {
+    if (reached.contains(i.instance())) {
+      return;
+    }
+    lagging.putIfAbsent(i.instance(), "no answer");
+    network.open(i.host(), i.port());
+  }
+
+  private void onDigest(Link link, long next) {
+    InstanceId peer = new InstanceId(link.peer().getInstance());
+    link.close();
+    if (next > offset) {
+      reached.add(peer);
+      lagging.remove(peer);
+    } else {
+      lagging.put(peer, "has read the log up to " + (next - 1));
+    }
+  }
+
+  private void report() {
+    Set<String> names = new TreeSet<>();
+    lagging.forEach((id, why) -> names.add(id + ": " + why));
+    done.complete(names);
+  }
+
+  private int compare(InstanceId a, InstanceId b) {
+    return a.value().compareTo(b.value());
+  }
+
+  private final class Digests implements LinkListener {
+
+    @Override
+    public void onUp(Link link) {}
+
+    @Override
+    public void onFrame(Link link, LinkFrame frame) {
+      if (frame.hasPeerDigest()) {
+        loop.execute(() -> onDigest(link, frame.getPeerDigest().getNextOffset()));
+      }
+    }
+
+    @Override
+    public void onDown(Link link) {}
+  }
+}
--- a/standin/src/main/java/org/carobhoist/standin/PlatformStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformStandIn.java
@@ -97,6 +97,15 @@
     return nextOffset;
   }
 
+  /** Returns when a record was appended, in milliseconds since 1970. */
+  public synchronized long timeMillis(long offset) {
+    return records.stream()
+        .filter(r -> r.offset() == offset)
+        .findFirst()
+        .orElseThrow()
+        .timeMillis();
+  }
+
   private void routes(ServerBuilder sb) {
     sb.service(
         "/log/append",
