--- a/core/src/test/java/org/carobhoist/core/request/WorldEntry.java
+++ b/core/src/test/java/org/carobhoist/core/request/WorldEntry.java
@@ -21,6 +21,7 @@
 import org.carobhoist.core.routing.EndpointView;
 import org.carobhoist.core.routing.RouteQuery;
 import org.carobhoist.core.routing.Router;
+import org.carobhoist.core.routing.RouterPolicy;
 
 /** A simulated entry: the real request runs and router over simulated links. */
 final class WorldEntry extends WorldNode {
@@ -45,7 +46,7 @@
   WorldEntry(RequestWorld world) {
     super(world.time, world.events);
     this.world = world;
-    this.router = Router.create(world.random);
+    this.router = Router.create(world.random, world.time, RouterPolicy.DEFAULT);
     read();
   }
 
--- a/it/src/test/java/org/carobhoist/it/TestCluster.java
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -9,7 +9,9 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.carobhoist.core.common.InstanceId;
@@ -28,12 +30,17 @@
 
   private static final Duration PATIENCE = Duration.ofSeconds(60);
   private static final Duration POLL = Duration.ofMillis(20);
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 32_000;
+  private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
 
   private final Path folder;
   private final PlatformStandIn platform = new PlatformStandIn();
   private final Map<String, RoleProcess> processes = new LinkedHashMap<>();
   private final Map<String, URI> https = new LinkedHashMap<>();
 
+  private URI platformUri;
+
   private TestCluster(Path folder) {
     this.folder = folder;
   }
@@ -41,6 +48,7 @@
   static TestCluster start(Path folder) {
     TestCluster cluster = new TestCluster(folder);
     cluster.platform.start();
+    cluster.platformUri = cluster.platform.uri();
     return cluster;
   }
 
@@ -48,6 +56,11 @@
     return platform;
   }
 
+  /** Lets the processes started from now on reach the platform at another address. */
+  void setPlatformUri(URI uri) {
+    platformUri = uri;
+  }
+
   RoleProcess process(String name) {
     return processes.get(name);
   }
@@ -117,7 +130,7 @@
     String ini =
         "[instance]\nid = %s\nzone = %s\nhttp = 127.0.0.1:%d\nlink = 127.0.0.1:%d\n"
                 .formatted(name, zone, ports.get(0), ports.get(1))
-            + "[platform]\nurl = %s\n".formatted(platform.uri())
+            + "[platform]\nurl = %s\n".formatted(platformUri)
             + more;
     processes.put(name, RoleProcess.start(role, folder, name, ini));
     https.put(name, URI.create("http://127.0.0.1:" + ports.get(0)));
