--- a/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
@@ -41,7 +41,8 @@
 
   private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(2);
   private static final int REPLY_ROUNDS = 3;
-  private static final Duration SILENCE = Duration.ofSeconds(3);
+  private static final Duration SILENCE_BEFORE_FIRST_REPORT = Duration.ofSeconds(3);
+  private static final Duration SILENCE = Duration.ofSeconds(10);
   private static final Duration ACTIVE_AFTER_REQUEST = Duration.ofSeconds(10);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
   private static final int MAX_BACKOFF_DOUBLINGS = 6;
@@ -529,21 +530,26 @@
   }
 
   private void askSilent() {
-    Duration silentSince = clock.elapsed().minus(SILENCE);
+    Duration now = clock.elapsed();
     Map<InstanceId, List<AttemptKey>> silent = new LinkedHashMap<>();
     inFlight.forEach(
         (attempt, slot) -> {
           Flight flight = slot.flight(attempt).orElseThrow();
-          if (flight.lastHeard.compareTo(silentSince) < 0 && !inquiries.awaits(flight.engine)) {
+          if (isSilent(flight, now) && !inquiries.awaits(flight.engine)) {
             silent.computeIfAbsent(flight.engine, key -> new ArrayList<>()).add(attempt);
           }
         });
-    Duration now = clock.elapsed();
     silent.forEach(
         (engine, attempts) ->
             ask(new Inquiry(engine, now, false, new LinkedHashSet<>(attempts), 1)));
   }
 
+  private static boolean isSilent(Flight flight, Duration now) {
+    boolean heard = flight.lastHeard.compareTo(flight.startedAt) > 0;
+    Duration allowed = heard ? SILENCE : SILENCE_BEFORE_FIRST_REPORT;
+    return now.minus(flight.lastHeard).compareTo(allowed) > 0;
+  }
+
   private void cancelDoomed() {
     for (SampleSlot slot : List.copyOf(inFlight.values())) {
       for (Flight flight : List.copyOf(slot.flights)) {
--- a/server/src/main/java/org/carobhoist/server/sidecar/SampleAttempt.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SampleAttempt.java
@@ -32,6 +32,7 @@
 final class SampleAttempt implements EndpointSink {
 
   private static final ObjectMapper JSON = new ObjectMapper();
+  private static final int LONGEST_REPORT_GAP = 8;
 
   private final AttemptOrder order;
   private final ServiceName model;
@@ -43,6 +44,7 @@
   private final EventStreamParser parser = new EventStreamParser();
   private Runnable abort = () -> {};
   private boolean done;
+  private int calls;
 
   private record PromptMessage(
       String model,
@@ -107,8 +109,23 @@
     abort.run();
   }
 
-  /** Tells how far the attempt has come. */
+  /**
+   * Tells how far the attempt has come; to be called once a second. The reports come at 1, 2, 4 and
+   * 8 seconds and then every 8, since a long attempt changes little from second to second.
+   */
   void report() {
+    calls++;
+    boolean due = calls >= LONGEST_REPORT_GAP ? calls % LONGEST_REPORT_GAP == 0 : isPowerOfTwo();
+    if (due) {
+      reportNow();
+    }
+  }
+
+  private boolean isPowerOfTwo() {
+    return Integer.bitCount(calls) == 1;
+  }
+
+  private void reportNow() {
     tell(LinkFrame.newBuilder().setSampleProgress(SampleMapper.toMessage(progress())).build());
   }
 
