--- a/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
@@ -1,10 +1,7 @@
 package org.carobhoist.core.rollout;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -12,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
@@ -60,20 +56,14 @@
   private final Map<Integer, Group> groups = new HashMap<>();
   private final TreeSet<Integer> wholeGroups = new TreeSet<>();
   private final Map<AttemptKey, SampleSlot> inFlight = new LinkedHashMap<>();
-  private final Deque<SampleSlot> delayed = new ArrayDeque<>();
   private final List<SampleSlot> asking = new ArrayList<>();
   private final Set<InstanceId> holders = new HashSet<>();
-  private final PriorityQueue<SampleSlot> missing =
-      new PriorityQueue<>(
-          Comparator.comparingInt((SampleSlot s) -> -s.prompt.expectedTokens())
-              .thenComparingInt(s -> s.key.group())
-              .thenComparingInt(s -> s.key.index()));
+  private final MissingSamples missing = new MissingSamples();
+  private final TokenTally tally = new TokenTally();
+  private final StalenessForecast forecast;
   private StepRequest request;
   private Duration lastRequest = Duration.ZERO;
   private Optional<Duration> firstStart = Optional.empty();
-  private boolean movesOn;
-  private long usefulTokens;
-  private long wastedTokens;
 
   private static final class Group {
     private final List<SampleSlot> slots = new ArrayList<>();
@@ -92,6 +82,7 @@
     this.pace = pace;
     this.random = random;
     this.picker = new EnginePicker(policy);
+    this.forecast = new StalenessForecast(policy, pace);
   }
 
   /**
@@ -124,7 +115,7 @@
     if (previous == null) {
       port.engines().forEach(e -> askAll(e.instance(), 1));
     } else if (!previous.trainerVersion().equals(next.trainerVersion())) {
-      movesOn |= !previous.prepare() && !next.prepare();
+      forecast.onNewVersion(previous, next);
       dropStale();
     }
     acknowledge(previous);
@@ -161,10 +152,10 @@
       slot.arriving = Optional.of(sample);
       boolean surplus =
           slot.whole.isPresent() && !slot.whole.get().attempt().equals(sample.attempt());
-      wastedTokens += surplus ? sample.tokens().size() : 0;
+      tally.onWasted(surplus ? sample.tokens().size() : 0);
       slot.fire(SampleEvent.DONE);
     } else {
-      wastedTokens += sample.tokens().size();
+      tally.onWasted(sample.tokens().size());
       backOff(slot, engine);
       removeFlight(slot, sample.attempt(), true);
     }
@@ -221,7 +212,7 @@
     repeatInquiries();
     askSilent();
     cancelDoomed();
-    requeueDelayed();
+    missing.readmit(clock.elapsed());
     migrateSlow();
     schedule();
   }
@@ -251,7 +242,7 @@
 
   /** Returns whether samples wait for an engine, so that the step can use its share of each. */
   public boolean isHungry() {
-    return request != null && isActive() && !missing.isEmpty() && !waits(missing.peek());
+    return request != null && isActive() && nextToStart().isPresent();
   }
 
   /** Returns the number of attempts in flight at an engine. */
@@ -276,12 +267,12 @@
 
   /** Returns the tokens of samples that were kept. */
   public long usefulTokens() {
-    return usefulTokens;
+    return tally.useful();
   }
 
   /** Returns the tokens that were made in vain. */
   public long wastedTokens() {
-    return wastedTokens;
+    return tally.wasted();
   }
 
   /** Returns the state of a sample. */
@@ -310,7 +301,7 @@
 
   private void act(SampleSlot slot, SampleAction action) {
     switch (action) {
-      case ENQUEUE -> enqueue(slot);
+      case ENQUEUE -> missing.add(slot);
       case KEEP -> keep(slot);
       case DROP -> drop(slot, true);
       case RELEASE -> drop(slot, false);
@@ -318,18 +309,11 @@
     }
   }
 
-  private void enqueue(SampleSlot slot) {
-    if (!slot.queued) {
-      slot.queued = true;
-      missing.add(slot);
-    }
-  }
-
   private void keep(SampleSlot slot) {
     slot.whole = slot.arriving;
     slot.prefix = SamplePrefix.NONE;
     slot.failures = 0;
-    usefulTokens += slot.whole.orElseThrow().tokens().size();
+    tally.onKept(slot.whole.orElseThrow().tokens().size());
     Group group = groups.get(slot.key.group());
     group.whole++;
     if (group.whole == group.slots.size()) {
@@ -347,9 +331,7 @@
 
   private void drop(SampleSlot slot, boolean wasted) {
     if (wasted) {
-      int tokens = slot.whole.orElseThrow().tokens().size();
-      usefulTokens -= tokens;
-      wastedTokens += tokens;
+      tally.onDropped(slot.whole.orElseThrow().tokens().size());
     }
     slot.whole = Optional.empty();
     groups.get(slot.key.group()).whole--;
@@ -359,14 +341,14 @@
   private void cancel(SampleSlot slot, Flight flight) {
     port.cancel(flight.engine, flight.attempt, false);
     slot.ended.add(flight.attempt.number());
-    wastedTokens += flight.generated;
+    tally.onWasted(flight.generated);
     slot.flights.remove(flight);
     inFlight.remove(flight.attempt);
     picker.onEnd(flight.engine);
   }
 
   private void giveUp(SampleSlot slot, Flight flight) {
-    wastedTokens += Math.max(0, flight.generated - slot.prefix.tokens().size());
+    tally.onWasted(Math.max(0, flight.generated - slot.prefix.tokens().size()));
     slot.avoid = Optional.of(flight.engine);
     removeFlight(slot, flight.attempt, true);
   }
@@ -553,7 +535,7 @@
   private void cancelDoomed() {
     for (SampleSlot slot : List.copyOf(inFlight.values())) {
       for (Flight flight : List.copyOf(slot.flights)) {
-        if (isDoomed(flight)) {
+        if (isDoomed(slot, flight)) {
           cancel(slot, flight);
           slot.prefix = SamplePrefix.NONE;
           fireGoneIfEmpty(slot);
@@ -568,59 +550,20 @@
     }
   }
 
-  /**
-   * Certain staleness always counts, a predicted one only within the allowance for waste. Most
-   * trainers don't move on before they have the step; one that did so once may do it again.
-   */
-  private boolean isDoomed(Flight flight) {
-    if (flight.oldest.isEmpty()) {
-      return false;
-    }
-    WeightVersion oldest = flight.oldest.get();
-    if (!isFresh(oldest)) {
+  /** Certain staleness always counts, a predicted one only within the allowance for waste. */
+  private boolean isDoomed(SampleSlot slot, Flight flight) {
+    if (flight.oldest.isPresent() && !isFresh(flight.oldest.get())) {
       return true;
     }
-    boolean mayWaste =
-        wastedTokens + flight.generated <= policy.maxWaste() * (usefulTokens + wastedTokens);
-    return mayWaste && !policy.isFresh(oldest, expectedVersion(flight));
-  }
-
-  /** Returns the version that the trainer is expected to have when it takes the sample. */
-  private WeightVersion expectedVersion(Flight flight) {
-    if (request.prepare()) {
-      return new WeightVersion(request.trainerVersion().number() + 1);
-    }
-    return movesOn ? pace.versionAt(expectedEnd(flight)) : request.trainerVersion();
-  }
-
-  /** The lower the idle weight, the further ahead the trainer's next versions are awaited. */
-  private Duration expectedEnd(Flight flight) {
-    Duration now = clock.elapsed();
-    double rate = Math.max(flight.rate(), SLOW_SHARE * pace.tokensPerSecond());
-    double left = Math.max(0, expectedLength(flight) - flight.generated);
-    double seconds = rate <= 0 ? 0 : (1 - policy.idleWeight()) * left / rate;
-    return now.plus(Duration.ofNanos((long) (seconds * 1e9)));
-  }
-
-  private double expectedLength(Flight flight) {
-    return pace.expectedTokens(inFlight.get(flight.attempt).prompt.expectedTokens());
-  }
-
-  private void requeueDelayed() {
-    Duration now = clock.elapsed();
-    for (int i = delayed.size(); i > 0; i--) {
-      SampleSlot slot = delayed.poll();
-      if (slot.notBefore.compareTo(now) <= 0) {
-        enqueue(slot);
-      } else {
-        delayed.add(slot);
-      }
-    }
+    int hint = slot.prompt.expectedTokens();
+    return tally.mayWaste(flight.generated, policy.maxWaste())
+        && forecast.isDoomed(flight, request, hint, clock.elapsed());
   }
 
   /** With nothing left to start, moves attempts off engines that are much slower than the rest. */
   private void migrateSlow() {
-    if (!missing.isEmpty() || pace.tokensPerSecond() == 0 || !isActive()) {
+    boolean startsLeft = missing.first(clock.elapsed()).isPresent();
+    if (startsLeft || pace.tokensPerSecond() == 0 || !isActive()) {
       return;
     }
     Duration now = clock.elapsed();
@@ -662,35 +605,29 @@
   }
 
   private void schedule() {
-    if (request == null || missing.isEmpty() || !isActive() || inquiries.awaitsWhole()) {
+    if (request == null || !isActive() || inquiries.awaitsWhole()) {
       return;
     }
-    List<EngineView> engines = port.engines();
-    while (!missing.isEmpty()) {
-      if (waits(missing.peek())) {
-        return;
-      }
-      SampleSlot slot = missing.poll();
-      slot.queued = false;
-      if (slot.state() != SampleState.MISSING) {
-        continue;
-      }
-      if (slot.notBefore.compareTo(clock.elapsed()) > 0) {
-        delayed.add(slot);
-        continue;
-      }
-      Optional<InstanceId> engine = pick(engines, slot.avoid);
+    Optional<SampleSlot> next = nextToStart();
+    List<EngineView> engines = next.isEmpty() ? List.of() : port.engines();
+    while (next.isPresent()) {
+      Optional<InstanceId> engine = pick(engines, next.get().avoid);
       if (engine.isEmpty()) {
-        enqueue(slot);
         return;
       }
-      start(slot, engine.get());
+      missing.removeFirst();
+      start(next.get(), engine.get());
+      next = nextToStart();
     }
   }
 
+  private Optional<SampleSlot> nextToStart() {
+    return missing.first(clock.elapsed()).filter(s -> !waits(s));
+  }
+
   private void start(SampleSlot slot, InstanceId engine) {
     if (!slot.prefix.isEmpty() && !isFresh(slot.prefix.oldest())) {
-      wastedTokens += slot.prefix.tokens().size();
+      tally.onWasted(slot.prefix.tokens().size());
       slot.prefix = SamplePrefix.NONE;
     }
     AttemptKey attempt = new AttemptKey(slot.key, random.nextInt(Integer.MAX_VALUE));
