--- a/core/src/main/java/org/carobhoist/core/idempotency/KeyGate.java
+++ b/core/src/main/java/org/carobhoist/core/idempotency/KeyGate.java
@@ -3,7 +3,6 @@
 import java.time.Instant;
 import java.util.Optional;
 import org.carobhoist.core.common.Clock;
-import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
 
@@ -87,8 +86,8 @@
   }
 
   private boolean submitIssued(
-      Incarnation issuer, RequestKey key, Fingerprint fingerprint, Waiter<A> waiter) {
-    if (!issuer.equals(self.incarnation())) {
+      HomeMember issuer, RequestKey key, Fingerprint fingerprint, Waiter<A> waiter) {
+    if (!issuer.equals(self)) {
       waiter.onRefused(OTHER_RUN);
       return false;
     }
--- a/core/src/test/java/org/carobhoist/core/request/WorldEntry.java
+++ b/core/src/test/java/org/carobhoist/core/request/WorldEntry.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.carobhoist.core.common.EndpointKind;
-import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.ServiceName;
@@ -21,6 +20,7 @@
 import org.carobhoist.core.routing.EndpointView;
 import org.carobhoist.core.routing.RouteQuery;
 import org.carobhoist.core.routing.Router;
+import org.carobhoist.core.routing.RouterPolicy;
 
 /** A simulated entry: the real request runs and router over simulated links. */
 final class WorldEntry extends WorldNode {
@@ -45,7 +45,7 @@
   WorldEntry(RequestWorld world) {
     super(world.time, world.events);
     this.world = world;
-    this.router = Router.create(world.random);
+    this.router = Router.create(world.random, world.time, RouterPolicy.DEFAULT);
     read();
   }
 
@@ -143,7 +143,7 @@
 
   private Optional<InstanceId> endpointOf(RequestKey key) {
     if (key.isIssued()) {
-      Incarnation issuer = key.issuer().get();
+      HomeMember issuer = key.issuer().get();
       return channels.values().stream()
           .filter(c -> c.peerRun.equals(issuer))
           .map(c -> c.sidecar.self.instance())
--- a/it/src/test/java/org/carobhoist/it/TestCluster.java
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -22,6 +22,7 @@
 import org.carobhoist.core.profile.Revision;
 import org.carobhoist.server.platform.HttpPlatform;
 import org.carobhoist.server.platform.LogRecords;
+import org.carobhoist.standin.FaultProxy;
 import org.carobhoist.standin.PlatformStandIn;
 
 /** A platform stand-in and the processes that run on it; everything ends with close. */
@@ -34,6 +35,7 @@
   private final PlatformStandIn platform = new PlatformStandIn();
   private final Map<String, RoleProcess> processes = new LinkedHashMap<>();
   private final Map<String, URI> https = new LinkedHashMap<>();
+  private final Map<String, ListedInstance> listed = new LinkedHashMap<>();
 
   private TestCluster(Path folder) {
     this.folder = folder;
@@ -58,14 +60,25 @@
   }
 
   void startEntry(String name, String zone) throws IOException {
-    launch("entry", name, zone, "");
+    launch("entry", name, zone, "", "");
   }
 
   void startSidecar(String name, String zone, String service, String kind, URI endpoint)
       throws IOException {
     String section =
         "[endpoint]\nservice = %s\nkind = %s\nurl = %s\n".formatted(service, kind, endpoint);
-    launch("sidecar", name, zone, section);
+    launch("sidecar", name, zone, section, service);
+  }
+
+  /** Puts a proxy before a sidecar's links; to be called before the entries start. */
+  FaultProxy proxyLinks(String name) throws IOException {
+    ListedInstance i = listed.get(name);
+    FaultProxy proxy = FaultProxy.before(i.host(), i.port());
+    proxy.start();
+    platform.list(
+        new ListedInstance(
+            i.instance(), i.role(), i.zone(), i.host(), proxy.port(), false, i.service()));
+    return proxy;
   }
 
   void publish(String profile, String document) {
@@ -112,7 +125,8 @@
     platform.stop();
   }
 
-  private void launch(String role, String name, String zone, String more) throws IOException {
+  private void launch(String role, String name, String zone, String more, String service)
+      throws IOException {
     List<Integer> ports = freePorts(2);
     String ini =
         "[instance]\nid = %s\nzone = %s\nhttp = 127.0.0.1:%d\nlink = 127.0.0.1:%d\n"
@@ -121,9 +135,11 @@
             + more;
     processes.put(name, RoleProcess.start(role, folder, name, ini));
     https.put(name, URI.create("http://127.0.0.1:" + ports.get(0)));
-    platform.list(
+    ListedInstance line =
         new ListedInstance(
-            new InstanceId(name), role, new Zone(zone), "127.0.0.1", ports.get(1), false));
+            new InstanceId(name), role, new Zone(zone), "127.0.0.1", ports.get(1), false, service);
+    listed.put(name, line);
+    platform.list(line);
   }
 
   private static boolean isReady(URI uri) {
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
 import org.carobhoist.core.common.RefusedException;
 import org.carobhoist.core.common.Verdict;
 import org.carobhoist.core.idempotency.RequestKey;
@@ -19,6 +20,7 @@
 import org.carobhoist.core.request.RequestPort;
 import org.carobhoist.core.request.RequestRun;
 import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.core.routing.PromptPrefix;
 import org.carobhoist.core.routing.RouteQuery;
 import org.carobhoist.server.link.CallMapper;
 import org.carobhoist.server.link.Link;
@@ -36,6 +38,9 @@
   private static final Set<String> HOP_HEADERS =
       Set.of("connection", "transfer-encoding", "keep-alive", "upgrade", "te", "trailer", "host");
 
+  private static final Duration LINK_WAIT = Duration.ofSeconds(2);
+  private static final Duration LINK_POLL = Duration.ofMillis(100);
+
   private final CallContext context;
   private final CallRequest request;
   private final HttpResponseWriter out;
@@ -47,25 +52,43 @@
   private CallHead head;
   private InstanceId endpoint;
   private long frameId;
+  private final PromptPrefix prefix;
+  private Duration sentAt = Duration.ZERO;
 
   private EntryCall(CallContext context, CallRequest request, HttpResponseWriter out) {
     this.context = context;
     this.request = request;
     this.out = out;
     this.run = RequestRun.create(this, request.retry(), context.budget(), request.idempotent());
+    this.prefix = PromptReader.prefix(request);
     this.key = request.key();
     this.expiry = context.clock().elapsed().plus(request.deadline());
   }
 
   /** Starts a call whose answer goes to the writer; to be called on the loop. */
   static void start(CallContext context, CallRequest request, HttpResponseWriter out) {
+    Duration now = context.clock().elapsed();
+    startWhenLinked(context, request, out, now.plus(LINK_WAIT));
+  }
+
+  /** Waits a moment for the link to the only endpoint that may take a keyed request. */
+  private static void startWhenLinked(
+      CallContext context, CallRequest request, HttpResponseWriter out, Duration latest) {
     Optional<Refusal> obstacle =
         request.key().flatMap(key -> context.keys().obstacle(request.service(), key));
-    if (obstacle.isPresent()) {
-      logRefused(request, obstacle.get());
-      Problems.write(out, request.id(), request.key(), obstacle.get());
+    if (obstacle.isEmpty()) {
+      startNow(context, request, out);
       return;
     }
+    if (context.clock().elapsed().compareTo(latest) < 0) {
+      context.loop().after(LINK_POLL, () -> startWhenLinked(context, request, out, latest));
+      return;
+    }
+    logRefused(request, obstacle.get());
+    Problems.write(out, request.id(), request.key(), obstacle.get());
+  }
+
+  private static void startNow(CallContext context, CallRequest request, HttpResponseWriter out) {
     EntryCall call = new EntryCall(context, request, out);
     out.whenComplete()
         .whenCompleteAsync(
@@ -95,6 +118,7 @@
 
   /** Takes the loss of the link of an attempt. */
   void onLinkLost(int attempt) {
+    context.router().onFailure(request.service(), endpoint);
     release();
     run.on(attempt, RequestEvent.LINK_LOST);
   }
@@ -119,6 +143,7 @@
   public void send(InstanceId to, int attempt) {
     endpoint = to;
     frames = AnswerFrames.create();
+    sentAt = context.clock().elapsed();
     Optional<Link> link = context.links().link(to);
     frameId = context.table().add(new CallTable.Attempt(this, attempt, to));
     context.links().directory().onBegin(to);
@@ -178,7 +203,7 @@
   }
 
   private Optional<InstanceId> route(Set<InstanceId> excluded) {
-    RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, 0);
+    RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, prefix);
     return context
         .router()
         .choose(query, context.links().directory().viewsOf(request.service()))
@@ -195,6 +220,8 @@
   private void onHead(int attempt, CallHead arrived) {
     if (frames.onHead()) {
       head = arrived;
+      Duration took = context.clock().elapsed().minus(sentAt);
+      context.router().onSuccess(request.service(), endpoint, took);
       run.on(attempt, RequestEvent.HEAD);
     }
   }
@@ -213,6 +240,9 @@
   }
 
   private void onFailed(int attempt, Refusal refusal) {
+    if (refusal.reason() == RefusalReason.ENDPOINT_FAILED) {
+      context.router().onFailure(request.service(), endpoint);
+    }
     release();
     run.onRefused(attempt, refusal);
   }
@@ -249,9 +279,19 @@
                 b.addHeaders(Header.newBuilder().setName(name.toString()).setValue(value));
               }
             });
+    if (request.key().isEmpty()) {
+      key.ifPresent(k -> b.addHeaders(keyHeader(k)));
+    }
     return LinkFrame.newBuilder().setCallStart(b).build();
   }
 
+  private static Header keyHeader(RequestKey key) {
+    return Header.newBuilder()
+        .setName(CarobhoistHeaders.IDEMPOTENCY_KEY)
+        .setValue(key.toString())
+        .build();
+  }
+
   private static void logRefused(CallRequest request, Refusal refusal) {
     EventLog.info(
         LogEvent.REQUEST_REFUSED,
--- a/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
+++ b/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
@@ -5,7 +5,6 @@
 import java.util.Optional;
 import java.util.Random;
 import org.carobhoist.core.common.Clock;
-import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
@@ -16,8 +15,6 @@
 import org.carobhoist.core.idempotency.HomeView;
 import org.carobhoist.core.idempotency.IdempotencyKey;
 import org.carobhoist.core.idempotency.RequestKey;
-import org.carobhoist.core.membership.EndpointAnnouncement;
-import org.carobhoist.core.routing.EndpointView;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 import org.carobhoist.server.platform.HomeRecords;
@@ -69,9 +66,7 @@
 
   /** Returns the endpoint to which a key's request must go, if it is linked. */
   Optional<InstanceId> endpointOf(ServiceName service, RequestKey key) {
-    return key.issuer()
-        .map(issuer -> issuerOf(service, issuer))
-        .orElseGet(() -> homeOf(service, key.id()));
+    return key.issuer().map(this::issuerOf).orElseGet(() -> homeOf(service, key.id()));
   }
 
   /** Returns a new key that only the present run of an endpoint's sidecar may execute. */
@@ -79,23 +74,16 @@
     return links
         .directory()
         .announcement(endpoint)
-        .map(EndpointAnnouncement::incarnation)
-        .map(run -> RequestKey.issued(run, IdempotencyKey.mint(clock.now(), random)));
+        .map(a -> new HomeMember(endpoint, a.incarnation()))
+        .map(issuer -> RequestKey.issued(issuer, IdempotencyKey.mint(clock.now(), random)));
   }
 
-  private Optional<InstanceId> issuerOf(ServiceName service, Incarnation issuer) {
-    return links.directory().viewsOf(service).stream()
-        .map(EndpointView::instance)
-        .filter(i -> runs(i, issuer))
-        .findFirst();
-  }
-
-  private boolean runs(InstanceId instance, Incarnation run) {
+  /** Asking for the link has it opened soon if there is none yet. */
+  private Optional<InstanceId> issuerOf(HomeMember issuer) {
     return links
-        .directory()
-        .announcement(instance)
-        .filter(a -> a.incarnation().equals(run))
-        .isPresent();
+        .link(issuer.instance())
+        .filter(link -> link.peer().getIncarnation().equals(issuer.incarnation().value()))
+        .map(link -> issuer.instance());
   }
 
   private Optional<InstanceId> homeOf(ServiceName service, IdempotencyKey key) {
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -10,12 +10,22 @@
   STOPPED(1003, "process stopped"),
   /** A task of the decision loop threw. */
   DECISION_FAILED(1004, "decision task failed"),
+  /** A process couldn't start. */
+  START_FAILED(1100, "process start failed"),
+  /** A planned stop didn't run to its end. */
+  STOP_FAILED(1101, "planned stop failed"),
   /** A link is up. */
   LINK_UP(2001, "link up"),
   /** A link is down. */
   LINK_DOWN(2002, "link down"),
   /** A frame could not be understood. */
   FRAME_DROPPED(2003, "frame dropped"),
+  /** Nothing was heard on a link for too long; it is closed. */
+  LINK_SILENT(2100, "link silent"),
+  /** An endpoint begins to leave; it is drained. */
+  ENDPOINT_LEAVING(2101, "endpoint leaving"),
+  /** An endpoint's phase changed after a probe. */
+  ENDPOINT_PHASE(2102, "endpoint phase"),
   /** A request was refused or failed. */
   REQUEST_REFUSED(3001, "request refused"),
   /** A request is sent again. */
@@ -32,6 +42,8 @@
   STEP_STARTED(4001, "step started"),
   /** An attempt at a sample failed. */
   SAMPLE_FAILED(4002, "sample attempt failed"),
+  /** A trainer holds every group of a step. */
+  STEP_FINISHED(4101, "step finished"),
   /** The platform's log can't be read. */
   LOG_UNREACHABLE(5001, "platform log unreachable"),
   /** A change of a profile is in force. */
--- a/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
+++ b/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
@@ -21,7 +21,8 @@
   private final PlatformLog log;
   private final DecisionLoop loop;
   private final ProfileFold fold = ProfileFold.create();
-  private final List<LogListener> listeners = new ArrayList<>();
+  private final List<RecordListener> listeners = new ArrayList<>();
+  private final List<LogListener> readers = new ArrayList<>();
   private boolean reachable = true;
   private volatile boolean ready;
 
@@ -43,9 +44,14 @@
     loop.execute(() -> poll(Duration.ZERO));
   }
 
+  /** Adds a listener for weight orders and home views; to be called before {@link #start}. */
+  public void onRecord(RecordListener listener) {
+    listeners.add(listener);
+  }
+
   /** Lets a listener see every read; to be called before the start. */
   public void listen(LogListener listener) {
-    listeners.add(listener);
+    readers.add(listener);
   }
 
   /** Returns the configuration; to be used on the loop only. */
@@ -70,7 +76,7 @@
 
   private void poll(Duration wait) {
     long from = fold.appliedOffset() + 1;
-    listeners.forEach(LogListener::onReadSent);
+    readers.forEach(LogListener::onReadSent);
     log.read(from, wait).whenCompleteAsync((batch, failure) -> onRead(from, batch, failure), loop);
   }
 
@@ -84,7 +90,7 @@
       return;
     }
     reachable = true;
-    listeners.forEach(l -> l.onBatch(from, batch));
+    readers.forEach(l -> l.onBatch(from, batch));
     batch.records().forEach(this::apply);
     if (batch.records().isEmpty() || fold.appliedOffset() + 1 >= batch.next()) {
       ready = true;
@@ -93,15 +99,26 @@
   }
 
   private void apply(LogBatch.StoredRecord record) {
-    LogRecords.decode(record.data())
-        .filter(LogRecord::hasChange)
-        .flatMap(r -> LogRecords.change(r.getChange()))
-        .ifPresentOrElse(
-            change -> apply(record.offset(), change),
-            () -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", record.offset()));
+    if (record.offset() <= fold.appliedOffset()) {
+      return;
+    }
+    LogRecord body = LogRecords.decode(record.data()).orElse(LogRecord.getDefaultInstance());
+    switch (body.getBodyCase()) {
+      case CHANGE -> applyChange(record.offset(), body);
+      case WEIGHT_ORDER, HOME_VIEW ->
+          listeners.forEach(l -> l.onRecord(record.offset(), record.timeMillis(), body));
+      default -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", record.offset());
+    }
     fold.advance(record.offset());
   }
 
+  private void applyChange(long offset, LogRecord body) {
+    LogRecords.change(body.getChange())
+        .ifPresentOrElse(
+            change -> apply(offset, change),
+            () -> EventLog.info(LogEvent.RECORD_SKIPPED, "offset", offset));
+  }
+
   private void apply(long offset, ProfileChange change) {
     FoldOutcome outcome = fold.apply(offset, change);
     LogEvent event =
--- a/server/src/main/java/org/carobhoist/server/sidecar/CallWorker.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/CallWorker.java
@@ -172,7 +172,7 @@
     @Override
     public void onFailed(Refusal refusal) {
       refuse(refusal);
-      queue.complete(ticket);
+      queue.fail(ticket);
     }
   }
 }
