--- a/it/src/test/java/org/carobhoist/it/KeyedCallsTest.java
+++ b/it/src/test/java/org/carobhoist/it/KeyedCallsTest.java
@@ -184,7 +184,7 @@
     awaitRun("c");
     cluster.process(SIDECAR).kill();
     assertThat(verdict(first.join())).isEqualTo("MAY_HAVE_RUN");
-    String callersKey = callersKey(Instant.now());
+    final String callersKey = callersKey(Instant.now());
     cluster.process(SIDECAR).restart();
     cluster.awaitReady();
     cluster.awaitLinks("entry-2", 1);
--- a/it/src/test/java/org/carobhoist/it/TestCluster.java
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -3,15 +3,15 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpStatus;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.carobhoist.core.common.InstanceId;
@@ -23,6 +23,7 @@
 import org.carobhoist.server.platform.HttpPlatform;
 import org.carobhoist.server.platform.LogRecords;
 import org.carobhoist.standin.FaultProxy;
+import org.carobhoist.standin.LoopbackPorts;
 import org.carobhoist.standin.PlatformStandIn;
 
 /** A platform stand-in and the processes that run on it; everything ends with close. */
@@ -30,6 +31,9 @@
 
   private static final Duration PATIENCE = Duration.ofSeconds(60);
   private static final Duration POLL = Duration.ofMillis(20);
+  private static final int FIRST_PORT = 12_000;
+  private static final int LAST_PORT = 32_000;
+  private static final Set<Integer> USED_PORTS = ConcurrentHashMap.newKeySet();
 
   private final Path folder;
   private final PlatformStandIn platform = new PlatformStandIn();
@@ -37,6 +41,8 @@
   private final Map<String, URI> https = new LinkedHashMap<>();
   private final Map<String, ListedInstance> listed = new LinkedHashMap<>();
 
+  private URI platformUri;
+
   private TestCluster(Path folder) {
     this.folder = folder;
   }
@@ -44,6 +50,7 @@
   static TestCluster start(Path folder) {
     TestCluster cluster = new TestCluster(folder);
     cluster.platform.start();
+    cluster.platformUri = cluster.platform.uri();
     return cluster;
   }
 
@@ -51,6 +58,11 @@
     return platform;
   }
 
+  /** Lets the processes started from now on reach the platform at another address. */
+  void setPlatformUri(URI uri) {
+    platformUri = uri;
+  }
+
   RoleProcess process(String name) {
     return processes.get(name);
   }
@@ -127,11 +139,11 @@
 
   private void launch(String role, String name, String zone, String more, String service)
       throws IOException {
-    List<Integer> ports = freePorts(2);
+    List<Integer> ports = List.of(LoopbackPorts.next(), LoopbackPorts.next());
     String ini =
         "[instance]\nid = %s\nzone = %s\nhttp = 127.0.0.1:%d\nlink = 127.0.0.1:%d\n"
                 .formatted(name, zone, ports.get(0), ports.get(1))
-            + "[platform]\nurl = %s\n".formatted(platform.uri())
+            + "[platform]\nurl = %s\n".formatted(platformUri)
             + more;
     processes.put(name, RoleProcess.start(role, folder, name, ini));
     https.put(name, URI.create("http://127.0.0.1:" + ports.get(0)));
@@ -154,18 +166,4 @@
       return false;
     }
   }
-
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      ServerSocket socket = new ServerSocket(0);
-      sockets.add(socket);
-      ports.add(socket.getLocalPort());
-    }
-    for (ServerSocket socket : sockets) {
-      socket.close();
-    }
-    return ports;
-  }
 }
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -25,6 +25,8 @@
       SidecarCommand.class,
       StateCommand.class,
       CheckCommand.class,
+      DemoCommand.class,
+      ProfileCommand.class,
       HelpCommand.class,
       AutoComplete.GenerateCompletion.class
     })
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -45,6 +45,7 @@
   private final CallRequest request;
   private final HttpResponseWriter out;
   private final RequestRun run;
+  private final PromptPrefix prefix;
   private final Duration expiry;
   private Runnable cancelTimer = () -> {};
   private Optional<RequestKey> key;
@@ -52,7 +53,6 @@
   private CallHead head;
   private InstanceId endpoint;
   private long frameId;
-  private final PromptPrefix prefix;
   private Duration sentAt = Duration.ZERO;
 
   private EntryCall(CallContext context, CallRequest request, HttpResponseWriter out) {
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -18,6 +18,7 @@
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.profile.SpreadPolicy;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.core.routing.RouterPolicy;
@@ -70,7 +71,7 @@
     this.settings = settings.instance();
     HttpPlatform platform = HttpPlatform.at(this.settings.platform());
     SplittableRandom random = new SplittableRandom();
-    this.config = ConfigFollower.create(platform, loop);
+    this.config = ConfigFollower.create(platform, loop, SpreadPolicy.ofEntry());
     this.network = LinkNetwork.create(this.settings.link(), hello(), new Frames());
     Clock clock = SystemClock.create();
     LinkPool links =
@@ -98,7 +99,7 @@
 
   @Override
   public CompletableFuture<Void> start() {
-    config.listen(context.keys().listener());
+    config.listen(context.keys().listener(loop));
     config.start();
     steps.start();
     http = httpServer();
@@ -174,6 +175,7 @@
       case ANNOUNCEMENT -> context.links().onAnnouncement(link, frame);
       case PING -> link.send(pong(frame.getPing()));
       case PONG -> {}
+      case PEER_DIGEST, PEER_RECORDS -> config.onFrame(link, frame);
       default -> dispatch(from, frame);
     }
   }
@@ -191,9 +193,11 @@
   private void onUp(Link link) {
     context.links().onUp(link).ifPresent(this::onLinkLost);
     steps.onLinkUp(LinkPool.peer(link));
+    config.onLinkUp(link);
   }
 
   private void onDown(Link link) {
+    config.onLinkDown(link);
     context.links().onDown(link).ifPresent(this::onLinkLost);
   }
 
--- a/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
+++ b/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.Executor;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Refusal;
@@ -52,8 +53,8 @@
   }
 
   /** Returns what follows the home views in the process's reads of the log. */
-  LogListener listener() {
-    return HomeViewReader.create(views::put, () -> {}, () -> {}, () -> {});
+  LogListener listener(Executor loop) {
+    return HomeViewReader.create(log, loop, views::put, new NoLease());
   }
 
   /** Returns why the key can be sent nowhere, or empty if it can. */
@@ -118,4 +119,17 @@
               return null;
             });
   }
+
+  /** An entry needs no lease: what it doesn't know, the sidecar that refuses does. */
+  private static final class NoLease implements HomeViewReader.LeaseEvents {
+
+    @Override
+    public void onReadSent() {}
+
+    @Override
+    public void onGap() {}
+
+    @Override
+    public void onCaughtUp() {}
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/platform/WeightOrderRecords.java
+++ b/server/src/main/java/org/carobhoist/server/platform/WeightOrderRecords.java
@@ -19,6 +19,11 @@
     return LogRecord.newBuilder().setWeightOrder(record).build().toByteArray();
   }
 
+  /** Returns the order in a record of the log, or empty if it holds none or a malformed one. */
+  public static Optional<WeightOrder> decode(LogBatch.StoredRecord stored) {
+    return LogRecords.parse(stored.data()).flatMap(r -> decode(stored.offset(), r));
+  }
+
   /** Returns the order in a record, or empty if it holds none or a malformed one. */
   public static Optional<WeightOrder> decode(long offset, LogRecord record) {
     if (!record.hasWeightOrder()) {
