--- a/core/src/test/java/org/carobhoist/core/request/RequestWorld.java
+++ b/core/src/test/java/org/carobhoist/core/request/RequestWorld.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Random;
 import java.util.function.Predicate;
-import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Verdict;
 import org.carobhoist.core.idempotency.DuplicatePolicy;
@@ -109,7 +108,7 @@
         .forEach(i -> cause(i.fault(), call.entry(), sidecar));
   }
 
-  RequestKey issue(Incarnation issuer) {
+  RequestKey issue(HomeMember issuer) {
     return RequestKey.issued(issuer, IdempotencyKey.mint(time.now(), random));
   }
 
@@ -164,7 +163,7 @@
   private Optional<RequestKey> key(int number) {
     return switch (kind) {
       case CALLERS_KEY, CALLERS_KEY_SMALL_TABLE -> Optional.of(callersKey());
-      case ISSUED_KEY -> Optional.of(issue(sidecars.get(number % SIDECARS).self.incarnation()));
+      case ISSUED_KEY -> Optional.of(issue(sidecars.get(number % SIDECARS).self));
       default -> Optional.empty();
     };
   }
--- a/core/src/test/java/org/carobhoist/core/request/WorldChannel.java
+++ b/core/src/test/java/org/carobhoist/core/request/WorldChannel.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 import java.util.function.LongPredicate;
-import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.idempotency.HomeMember;
 
 /** A simulated link between one run of an entry and one run of a sidecar. */
 final class WorldChannel {
@@ -14,7 +14,7 @@
 
   final WorldEntry entry;
   final WorldSidecar sidecar;
-  final Incarnation peerRun;
+  final HomeMember peerRun;
   final LongPredicate starts;
   boolean broken;
   boolean deaf;
@@ -26,7 +26,7 @@
     this.starts = starts;
     this.entry = entry;
     this.sidecar = sidecar;
-    this.peerRun = sidecar.self.incarnation();
+    this.peerRun = sidecar.self;
   }
 
   void up(Runnable atSidecar) {
--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/KeyedCallsTest.java
@@ -0,0 +1,251 @@
+package org.carobhoist.it;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.carobhoist.it.KeyedCaller.callersKey;
+import static org.carobhoist.it.KeyedCaller.verdict;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.UUID;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.carobhoist.core.idempotency.HomePolicy;
+import org.carobhoist.standin.FaultProxy;
+import org.carobhoist.standin.PlainServiceStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Bookings under keys through real processes: at most one run, whatever fails. */
+final class KeyedCallsTest {
+
+  private static final String SIDECAR = "reservas-1";
+  private static final Duration SLOW = Duration.ofSeconds(2);
+  private static final Duration SHORT = Duration.ofSeconds(1);
+  private static final Duration LONG = Duration.ofSeconds(30);
+
+  @TempDir private Path folder;
+  private final PlainServiceStandIn plain = new PlainServiceStandIn();
+  private TestCluster cluster;
+  private KeyedCaller caller;
+
+  @BeforeEach
+  void start() {
+    plain.start();
+    cluster = TestCluster.start(folder);
+    caller = new KeyedCaller(cluster);
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+    plain.stop();
+  }
+
+  @Test
+  void resendsJoinTheRunOrGetItsAnswer() throws IOException {
+    startSidecar(plain.uri().toString());
+    startEntries();
+    awaitTenure();
+    plain.setDelay(SLOW);
+    String key = callersKey(Instant.now());
+    CompletableFuture<AggregatedHttpResponse> first = caller.begin("entry-1", key, "b", LONG);
+    awaitRun("b");
+    assertCompleted(caller.book("entry-2", key, "b"), "b");
+    assertCompleted(first.join(), "b");
+    assertThat(first.join().headers().get("idempotency-key")).isEqualTo(key);
+    assertCompleted(caller.book("entry-2", key, "b"), "b");
+    assertThat(runs("b")).isEqualTo(1);
+    refusesWrongKeys(key);
+    goesOnWithoutTheLog(key);
+    survivesPauseLongerThanTheLease();
+  }
+
+  private void refusesWrongKeys(String key) {
+    AggregatedHttpResponse reused = caller.book("entry-1", key, "another");
+    assertThat(reused.status().code()).isEqualTo(422);
+    assertRefused(caller.book("entry-1", UUID.randomUUID().toString(), "v4"), 400, "NOT_RUN");
+    String future = callersKey(Instant.now().plus(HomePolicy.DEFAULT.skew()).plusSeconds(60));
+    assertRefused(caller.book("entry-1", future, "future"), 400, "NOT_RUN");
+    assertThat(runs("another") + runs("v4") + runs("future")).isEqualTo(0);
+  }
+
+  private void goesOnWithoutTheLog(String known) throws IOException {
+    plain.setDelay(Duration.ZERO);
+    cluster.platform().setLogDown(true);
+    TestCluster.await("lease lapsed", () -> state().contains("\"leaseValid\":false"));
+    AggregatedHttpResponse refused = caller.book("entry-1", callersKey(Instant.now()), "in outage");
+    assertRefused(refused, 503, "NOT_RUN");
+    assertThat(refused.contentUtf8()).contains("/v1/keys");
+    assertThat(runs("in outage")).isEqualTo(0);
+    assertCompleted(caller.book("entry-2", known, "b"), "b");
+    assertCompleted(caller.book("entry-1", caller.issuedKey("entry-2"), "issued"), "issued");
+    assertCompleted(caller.book("entry-1", "", "unkeyed"), "unkeyed");
+    cluster.platform().setLogDown(false);
+    TestCluster.await("lease renewed", () -> state().contains("\"leaseValid\":true"));
+  }
+
+  private void survivesPauseLongerThanTheLease() throws IOException {
+    String key = callersKey(Instant.now());
+    signal("-STOP");
+    long end = System.nanoTime() + HomePolicy.DEFAULT.lease().plusSeconds(1).toNanos();
+    AggregatedHttpResponse paused = caller.begin("entry-1", key, "paused", SHORT).join();
+    assertThat(verdict(paused)).isEqualTo("MAY_HAVE_RUN");
+    TestCluster.await("pause outlasts the lease", () -> System.nanoTime() > end);
+    signal("-CONT");
+    TestCluster.await(
+        "booked after the pause",
+        () -> verdict(caller.book("entry-2", key, "paused")).equals("COMPLETED"));
+    assertThat(runs("paused")).isEqualTo(1);
+  }
+
+  @Test
+  void linkFaultsCostNoSecondRun() throws IOException {
+    startSidecar(plain.uri().toString());
+    FaultProxy proxy = cluster.proxyLinks(SIDECAR);
+    startEntries();
+    plain.setDelay(SLOW);
+    try {
+      surviveLinkFault("cut", proxy::cut, () -> {}, LONG);
+      surviveLinkFault("frozen", () -> proxy.setFrozen(true), () -> proxy.setFrozen(false), SHORT);
+      surviveLinkFault(
+          "deaf",
+          () -> proxy.setDropReplies(true),
+          () -> {
+            proxy.setDropReplies(false);
+            proxy.cut();
+          },
+          SHORT);
+    } finally {
+      proxy.stop();
+    }
+  }
+
+  private void surviveLinkFault(String body, Runnable fault, Runnable mend, Duration deadline)
+      throws IOException {
+    cluster.awaitLinks("entry-1", 1);
+    cluster.awaitLinks("entry-2", 1);
+    String key = caller.issuedKey("entry-1");
+    CompletableFuture<AggregatedHttpResponse> first = caller.begin("entry-1", key, body, deadline);
+    awaitRun(body);
+    fault.run();
+    assertThat(verdict(first.join())).isEqualTo("MAY_HAVE_RUN");
+    mend.run();
+    TestCluster.await(
+        "answer after " + body,
+        () -> verdict(caller.book("entry-2", key, body)).equals("COMPLETED"));
+    assertThat(runs(body)).isEqualTo(1);
+  }
+
+  @Test
+  void endpointFaultsAreReportedHonestly() throws IOException {
+    FaultProxy proxy = FaultProxy.before("127.0.0.1", plain.uri().getPort());
+    proxy.start();
+    try {
+      startSidecar("http://127.0.0.1:" + proxy.port());
+      startEntries();
+      cutAnswerStaysUnknown(proxy);
+      refusedConnectionDidNotRun(proxy);
+    } finally {
+      proxy.stop();
+    }
+  }
+
+  private void cutAnswerStaysUnknown(FaultProxy proxy) throws IOException {
+    plain.setDelay(SLOW);
+    String key = caller.issuedKey("entry-1");
+    CompletableFuture<AggregatedHttpResponse> first = caller.begin("entry-1", key, "cut", LONG);
+    awaitRun("cut");
+    proxy.cut();
+    assertRefused(first.join(), 502, "MAY_HAVE_RUN");
+    assertRefused(caller.book("entry-2", key, "cut"), 502, "MAY_HAVE_RUN");
+    assertThat(runs("cut")).isEqualTo(1);
+    plain.setDelay(Duration.ZERO);
+  }
+
+  private void refusedConnectionDidNotRun(FaultProxy proxy) throws IOException {
+    String key = caller.issuedKey("entry-1");
+    proxy.stop();
+    assertThat(verdict(caller.book("entry-1", key, "down"))).isEqualTo("NOT_RUN");
+    assertThat(runs("down")).isEqualTo(0);
+  }
+
+  @Test
+  void crashBetweenRunAndAnswerIsNeverRunAgain() throws IOException {
+    startSidecar(plain.uri().toString());
+    startEntries();
+    plain.setDelay(SLOW);
+    String key = caller.issuedKey("entry-1");
+    CompletableFuture<AggregatedHttpResponse> first = caller.begin("entry-1", key, "c", LONG);
+    awaitRun("c");
+    cluster.process(SIDECAR).kill();
+    assertThat(verdict(first.join())).isEqualTo("MAY_HAVE_RUN");
+    final String callersKey = callersKey(Instant.now());
+    cluster.process(SIDECAR).restart();
+    cluster.awaitReady();
+    cluster.awaitLinks("entry-2", 1);
+    TestCluster.await("home again", () -> state().contains("\"member\":true"));
+    assertRefused(caller.book("entry-2", key, "c"), 409, "MAY_HAVE_RUN");
+    AggregatedHttpResponse early = caller.book("entry-2", callersKey, "early");
+    assertThat(verdict(early)).isAnyOf("MAY_HAVE_RUN", "NOT_RUN");
+    assertThat(runs("c")).isEqualTo(1);
+    assertThat(runs("early")).isEqualTo(0);
+  }
+
+  private void startSidecar(String endpoint) throws IOException {
+    cluster.startSidecar(SIDECAR, "centro-a", "reservas", "plain", java.net.URI.create(endpoint));
+  }
+
+  private void startEntries() throws IOException {
+    cluster.startEntry("entry-1", "centro-a");
+    cluster.startEntry("entry-2", "centro-b");
+    cluster.awaitReady();
+    cluster.awaitLinks("entry-1", 1);
+    cluster.awaitLinks("entry-2", 1);
+  }
+
+  /** Waits until keys born now lie beyond the floor of the sidecar's first tenure. */
+  private void awaitTenure() {
+    AtomicInteger tries = new AtomicInteger();
+    TestCluster.await(
+        "tenure",
+        () -> {
+          String body = "probe " + tries.getAndIncrement();
+          String key = callersKey(Instant.now());
+          return verdict(caller.book("entry-1", key, body)).equals("COMPLETED");
+        });
+  }
+
+  private void awaitRun(String body) {
+    TestCluster.await("run of " + body, () -> runs(body) == 1);
+  }
+
+  private int runs(String body) {
+    AtomicInteger count = plain.runs().get(body);
+    return count == null ? 0 : count.get();
+  }
+
+  private String state() {
+    return cluster.state(SIDECAR);
+  }
+
+  private void signal(String name) throws IOException {
+    String pid = Long.toString(cluster.process(SIDECAR).pid());
+    new ProcessBuilder("kill", name, pid).start().onExit().join();
+  }
+
+  private static void assertCompleted(AggregatedHttpResponse answer, String body) {
+    assertThat(verdict(answer)).isEqualTo("COMPLETED");
+    assertThat(answer.contentUtf8()).isEqualTo("done " + body);
+  }
+
+  private static void assertRefused(AggregatedHttpResponse answer, int status, String verdict) {
+    assertThat(answer.status().code()).isEqualTo(status);
+    assertThat(verdict(answer)).isEqualTo(verdict);
+    assertThat(answer.contentType().toString()).contains("application/problem+json");
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -38,6 +38,9 @@
   private static final Set<String> HOP_HEADERS =
       Set.of("connection", "transfer-encoding", "keep-alive", "upgrade", "te", "trailer", "host");
 
+  private static final Duration LINK_WAIT = Duration.ofSeconds(2);
+  private static final Duration LINK_POLL = Duration.ofMillis(100);
+
   private final CallContext context;
   private final CallRequest request;
   private final HttpResponseWriter out;
@@ -64,13 +67,28 @@
 
   /** Starts a call whose answer goes to the writer; to be called on the loop. */
   static void start(CallContext context, CallRequest request, HttpResponseWriter out) {
+    Duration now = context.clock().elapsed();
+    startWhenLinked(context, request, out, now.plus(LINK_WAIT));
+  }
+
+  /** Waits a moment for the link to the only endpoint that may take a keyed request. */
+  private static void startWhenLinked(
+      CallContext context, CallRequest request, HttpResponseWriter out, Duration latest) {
     Optional<Refusal> obstacle =
         request.key().flatMap(key -> context.keys().obstacle(request.service(), key));
-    if (obstacle.isPresent()) {
-      logRefused(request, obstacle.get());
-      Problems.write(out, request.id(), request.key(), obstacle.get());
+    if (obstacle.isEmpty()) {
+      startNow(context, request, out);
+      return;
+    }
+    if (context.clock().elapsed().compareTo(latest) < 0) {
+      context.loop().after(LINK_POLL, () -> startWhenLinked(context, request, out, latest));
       return;
     }
+    logRefused(request, obstacle.get());
+    Problems.write(out, request.id(), request.key(), obstacle.get());
+  }
+
+  private static void startNow(CallContext context, CallRequest request, HttpResponseWriter out) {
     EntryCall call = new EntryCall(context, request, out);
     out.whenComplete()
         .whenCompleteAsync(
@@ -261,9 +279,19 @@
                 b.addHeaders(Header.newBuilder().setName(name.toString()).setValue(value));
               }
             });
+    if (request.key().isEmpty()) {
+      key.ifPresent(k -> b.addHeaders(keyHeader(k)));
+    }
     return LinkFrame.newBuilder().setCallStart(b).build();
   }
 
+  private static Header keyHeader(RequestKey key) {
+    return Header.newBuilder()
+        .setName(CarobhoistHeaders.IDEMPOTENCY_KEY)
+        .setValue(key.toString())
+        .build();
+  }
+
   private static void logRefused(CallRequest request, Refusal refusal) {
     EventLog.info(
         LogEvent.REQUEST_REFUSED,
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -99,7 +99,7 @@
 
   @Override
   public CompletableFuture<Void> start() {
-    config.listen(context.keys().listener());
+    config.listen(context.keys().listener(loop));
     config.start();
     steps.start();
     http = httpServer();
--- a/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.concurrent.Executor;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.ServiceName;
@@ -72,9 +73,8 @@
   }
 
   /** Returns what follows the home views in the process's reads of the log. */
-  LogListener listener() {
-    return HomeViewReader.create(
-        this::onView, lease::onReadSent, history::onGap, lease::onCaughtUp);
+  LogListener listener(Executor loop) {
+    return HomeViewReader.create(log, loop, this::onView, new Reads());
   }
 
   /** To be called several times a second. */
@@ -131,4 +131,22 @@
               return null;
             });
   }
+
+  private final class Reads implements HomeViewReader.LeaseEvents {
+
+    @Override
+    public void onReadSent() {
+      lease.onReadSent();
+    }
+
+    @Override
+    public void onGap() {
+      history.onGap();
+    }
+
+    @Override
+    public void onCaughtUp() {
+      lease.onCaughtUp();
+    }
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -98,7 +98,7 @@
   public CompletableFuture<Void> start() {
     swap.ifPresent(worker -> loop.execute(worker::start));
     loop.every(TICK, this::tick);
-    config.listen(keys.listener());
+    config.listen(keys.listener(loop));
     config.start();
     http = httpServer();
     return keeper
