--- a/core/src/main/java/org/carobhoist/core/profile/SpreadPolicy.java
+++ b/core/src/main/java/org/carobhoist/core/profile/SpreadPolicy.java
@@ -40,7 +40,7 @@
 
   private static SpreadPolicy defaults(boolean appends) {
     return new SpreadPolicy(
-        Duration.ofSeconds(20),
+        Duration.ofSeconds(5),
         Duration.ofMillis(500),
         Duration.ofSeconds(4),
         Duration.ofSeconds(2),
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -24,6 +24,8 @@
       EntryCommand.class,
       SidecarCommand.class,
       ProfileCommand.class,
+      StateCommand.class,
+      CheckCommand.class,
       HelpCommand.class,
       AutoComplete.GenerateCompletion.class
     })
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -11,12 +11,15 @@
 import java.util.Set;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
 import org.carobhoist.core.common.RefusedException;
 import org.carobhoist.core.common.Verdict;
+import org.carobhoist.core.idempotency.RequestKey;
 import org.carobhoist.core.request.RequestEvent;
 import org.carobhoist.core.request.RequestPort;
 import org.carobhoist.core.request.RequestRun;
 import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.core.routing.PromptPrefix;
 import org.carobhoist.core.routing.RouteQuery;
 import org.carobhoist.server.link.CallMapper;
 import org.carobhoist.server.link.Link;
@@ -40,21 +43,33 @@
   private final RequestRun run;
   private final Duration expiry;
   private Runnable cancelTimer = () -> {};
+  private Optional<RequestKey> key;
   private CallHead head;
   private InstanceId endpoint;
   private long frameId;
   private int nextFrame;
+  private final PromptPrefix prefix;
+  private Duration sentAt = Duration.ZERO;
 
   private EntryCall(CallContext context, CallRequest request, HttpResponseWriter out) {
     this.context = context;
     this.request = request;
     this.out = out;
     this.run = RequestRun.create(this, request.retry(), context.budget(), request.idempotent());
+    this.prefix = PromptReader.prefix(request);
+    this.key = request.key();
     this.expiry = context.clock().elapsed().plus(request.deadline());
   }
 
   /** Starts a call whose answer goes to the writer; to be called on the loop. */
   static void start(CallContext context, CallRequest request, HttpResponseWriter out) {
+    Optional<Refusal> obstacle =
+        request.key().flatMap(key -> context.keys().obstacle(request.service(), key));
+    if (obstacle.isPresent()) {
+      logRefused(request, obstacle.get());
+      Problems.write(out, request.id(), request.key(), obstacle.get());
+      return;
+    }
     EntryCall call = new EntryCall(context, request, out);
     out.whenComplete()
         .whenCompleteAsync(
@@ -84,23 +99,32 @@
 
   /** Takes the loss of the link of an attempt. */
   void onLinkLost(int attempt) {
+    context.router().onFailure(request.service(), endpoint);
     release();
     run.on(attempt, RequestEvent.LINK_LOST);
   }
 
   @Override
   public Optional<InstanceId> choose(Set<InstanceId> excluded) {
-    RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, 0);
-    return context
-        .router()
-        .choose(query, context.links().directory().viewsOf(request.service()))
-        .map(EndpointView::instance);
+    if (request.key().isPresent()) {
+      return context
+          .keys()
+          .endpointOf(request.service(), request.key().get())
+          .filter(home -> !excluded.contains(home));
+    }
+    Optional<InstanceId> chosen = route(excluded);
+    if (!request.idempotent()) {
+      key = chosen.flatMap(context.keys()::mintFor);
+      return chosen.filter(c -> key.isPresent());
+    }
+    return chosen;
   }
 
   @Override
   public void send(InstanceId to, int attempt) {
     endpoint = to;
     nextFrame = 0;
+    sentAt = context.clock().elapsed();
     head = null;
     Optional<Link> link = context.links().link(to);
     frameId = context.table().add(new CallTable.Attempt(this, attempt, to));
@@ -133,6 +157,7 @@
     }
     b.set(CarobhoistHeaders.VERDICT, Verdict.COMPLETED.name());
     b.set(CarobhoistHeaders.REQUEST_ID, request.id().value());
+    key.ifPresent(k -> b.set(CarobhoistHeaders.IDEMPOTENCY_KEY, k.toString()));
     out.tryWrite(b.build());
   }
 
@@ -147,18 +172,26 @@
   public void refuse(Refusal refusal) {
     cancelTimer.run();
     release();
-    logRefused(refusal);
-    Problems.write(out, request.id(), refusal);
+    logRefused(request, refusal);
+    Problems.write(out, request.id(), key, refusal);
   }
 
   @Override
   public void abort(Refusal refusal) {
     cancelTimer.run();
     release();
-    logRefused(refusal);
+    logRefused(request, refusal);
     out.close(RefusedException.of(refusal));
   }
 
+  private Optional<InstanceId> route(Set<InstanceId> excluded) {
+    RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, prefix);
+    return context
+        .router()
+        .choose(query, context.links().directory().viewsOf(request.service()))
+        .map(EndpointView::instance);
+  }
+
   private void onWritten(int attempt, Throwable failure) {
     if (failure != null && attempt == run.attempt()) {
       release();
@@ -169,6 +202,8 @@
   private void onHead(int attempt, CallHead arrived) {
     if (head == null) {
       head = arrived;
+      Duration took = context.clock().elapsed().minus(sentAt);
+      context.router().onSuccess(request.service(), endpoint, took);
       run.on(attempt, RequestEvent.HEAD);
     }
   }
@@ -188,6 +223,9 @@
   }
 
   private void onFailed(int attempt, Refusal refusal) {
+    if (refusal.reason() == RefusalReason.ENDPOINT_FAILED) {
+      context.router().onFailure(request.service(), endpoint);
+    }
     release();
     run.onRefused(attempt, refusal);
   }
@@ -214,7 +252,7 @@
             .setRemainingMillis(Math.max(1, left.toMillis()))
             .setPriorityValue(CallMapper.priorityNumber(request.priority()))
             .setIdempotent(request.idempotent())
-            .setIdempotencyKey(request.key());
+            .setIdempotencyKey(key.map(RequestKey::toString).orElse(""));
     request
         .http()
         .headers()
@@ -227,7 +265,7 @@
     return LinkFrame.newBuilder().setCallStart(b).build();
   }
 
-  private void logRefused(Refusal refusal) {
+  private static void logRefused(CallRequest request, Refusal refusal) {
     EventLog.info(
         LogEvent.REQUEST_REFUSED,
         "request",
--- a/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
+++ b/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
@@ -38,6 +38,7 @@
   private final LogAppender appender;
   private final SpreadCoordinator spread;
   private final List<RecordListener> listeners = new ArrayList<>();
+  private final List<LogListener> readers = new ArrayList<>();
   private final Map<InstanceId, Link> peers = new HashMap<>();
   private boolean warned;
   private volatile boolean ready;
@@ -82,6 +83,11 @@
     return appender;
   }
 
+  /** Lets a listener see every read; to be called before the start. */
+  public void listen(LogListener listener) {
+    readers.add(listener);
+  }
+
   /** Returns the configuration; to be used on the loop only. */
   public ProfileFold fold() {
     return spread.replica().fold();
@@ -148,6 +154,7 @@
 
     @Override
     public void readLog(long from, Duration wait) {
+      readers.forEach(LogListener::onReadSent);
       log.read(from, wait)
           .whenCompleteAsync((batch, failure) -> onRead(from, batch, failure), loop);
     }
@@ -194,6 +201,7 @@
         EventLog.info(LogEvent.LOG_REACHABLE, "next", batch.next());
       }
       warned = false;
+      readers.forEach(l -> l.onBatch(from, batch));
       spread.onLogRead(batch.toRead(from));
     }
 
--- a/server/src/main/java/org/carobhoist/server/platform/LogRecords.java
+++ b/server/src/main/java/org/carobhoist/server/platform/LogRecords.java
@@ -45,12 +45,12 @@
   }
 
   /** Returns the record in some bytes; never fails, since a bad record is skipped by all alike. */
-  public static ConfigRecord decode(byte[] data) {
+  public static ConfigRecord read(byte[] data) {
     if (data.length > MAX_RECORD_BYTES) {
       return new UnreadableRecord("oversized: " + data.length + " bytes");
     }
     try {
-      return read(LogRecord.parseFrom(data), data);
+      return configRecord(LogRecord.parseFrom(data), data);
     } catch (InvalidProtocolBufferException e) {
       return new UnreadableRecord("torn: " + e.getMessage());
     } catch (IllegalArgumentException | SettingsException e) {
@@ -58,16 +58,22 @@
     }
   }
 
-  /** Returns the record of another part as its own message, or empty if it can't be read. */
-  public static Optional<LogRecord> message(ForeignRecord record) {
+  /** Returns the message in some bytes, or empty if they aren't one. */
+  public static Optional<LogRecord> decode(byte[] data) {
     try {
-      return Optional.of(LogRecord.parseFrom(bytes(record)));
+      return Optional.of(LogRecord.parseFrom(data));
     } catch (InvalidProtocolBufferException e) {
       return Optional.empty();
     }
   }
 
-  private static ConfigRecord read(LogRecord message, byte[] data) throws SettingsException {
+  /** Returns the record of another part as its own message, or empty if it can't be read. */
+  public static Optional<LogRecord> message(ForeignRecord record) {
+    return decode(bytes(record).toByteArray());
+  }
+
+  private static ConfigRecord configRecord(LogRecord message, byte[] data)
+      throws SettingsException {
     return switch (message.getBodyCase()) {
       case CHANGE -> change(message.getChange());
       case SNAPSHOT -> snapshot(message.getSnapshot());
@@ -119,7 +125,7 @@
     }
     List<LogItem> foreign = new ArrayList<>();
     for (StoredRecord f : r.getForeignList()) {
-      ConfigRecord body = decode(f.getRecord().toByteArray());
+      ConfigRecord body = read(f.getRecord().toByteArray());
       if (!(body instanceof ForeignRecord)) {
         throw new IllegalArgumentException("a snapshot holds a record of another kind");
       }
