--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -89,7 +89,7 @@
             new KeyRouter(clock, links, platform, new SecureRandom()));
     this.weights = new WeightRoutes(platform, loop);
     config.onRecord(weights);
-    this.steps = new StepTable(context, random.split(), config.fold()::profile);
+    this.steps = new StepTable(context, random.split(), config.fold()::profileOrLast);
   }
 
   /** Returns an entry that hasn't started. */
--- a/server/src/main/java/org/carobhoist/server/platform/LogBatch.java
+++ b/server/src/main/java/org/carobhoist/server/platform/LogBatch.java
@@ -26,7 +26,7 @@
   public LogRead toRead(long from) {
     List<LogItem> items =
         records.stream()
-            .map(r -> new LogItem(r.offset(), r.timeMillis(), LogRecords.decode(r.data())))
+            .map(r -> new LogItem(r.offset(), r.timeMillis(), LogRecords.read(r.data())))
             .toList();
     return new LogRead(from, first, next, items);
   }
