Add metrics for both roles, and endpoints and profiles to the state dumps

Cause: the metrics page was empty, and a dump showed neither what an entry knows of its endpoints nor which profiles are in force.

Change: requests by service and verdict, their time, retries, samples delivered, links, work in flight, queue, limit, configuration revision, the decision loop's lag, log events by number, and memory. The page is written on the decision loop, so gauges may read its state. A service gets series of its own only if an endpoint has announced it.

--- a/it/src/test/java/org/carobhoist/it/ApiPageTest.java
+++ b/it/src/test/java/org/carobhoist/it/ApiPageTest.java
@@ -3,6 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.linecorp.armeria.client.WebClient;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
@@ -10,17 +11,26 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.stream.Collectors;
 import org.carobhoist.core.common.RefusalReason;
 import org.carobhoist.standin.EngineStandIn;
 import org.carobhoist.standin.PlainServiceStandIn;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
 
-/** Holds docs/API.md against the code: runs its curls and compares its table of refusals. */
+/**
+ * Holds docs/API.md and docs/METRICS.md against running processes: runs the curls of the one, and
+ * compares the tables of refusals and of metrics.
+ */
 final class ApiPageTest {
 
   private static final Path PAGE = Path.of("..", "docs", "API.md");
+  private static final Path METRICS = Path.of("..", "docs", "METRICS.md");
   private static final String COMMAND = "    ";
+  private static final int ENTRY_COLUMN = 3;
+  private static final int SIDECAR_COLUMN = 4;
 
   @TempDir private Path folder;
 
@@ -43,6 +53,8 @@
       for (String curl : curls) {
         assertSucceeds(curl, cluster.http("entry-1").getAuthority());
       }
+      assertThat(metrics(cluster, "entry-1")).isEqualTo(documentedMetrics(ENTRY_COLUMN));
+      assertThat(metrics(cluster, "engine-1")).isEqualTo(documentedMetrics(SIDECAR_COLUMN));
       assertThat(plain.runs().keySet()).containsExactly("bench 7", "bench 9");
     } finally {
       plain.stop();
@@ -65,6 +77,25 @@
     assertThat(documented).containsExactlyElementsIn(inCode);
   }
 
+  private static Set<String> metrics(TestCluster cluster, String process) {
+    String page =
+        WebClient.of(cluster.http(process)).get("/metrics").aggregate().join().contentUtf8();
+    return page.lines()
+        .filter(l -> l.startsWith("# TYPE "))
+        .map(l -> l.split(" ")[2])
+        .collect(Collectors.toCollection(TreeSet::new));
+  }
+
+  private static Set<String> documentedMetrics(int column) throws IOException {
+    return Files.readString(METRICS)
+        .lines()
+        .filter(l -> l.startsWith("| `carobhoist_"))
+        .map(l -> l.split("\\|"))
+        .filter(cells -> cells[column].strip().equals("yes"))
+        .map(cells -> cells[1].strip().replace("`", ""))
+        .collect(Collectors.toCollection(TreeSet::new));
+  }
+
   private static List<String> curls() throws IOException {
     return Files.readString(PAGE)
         .lines()
--- a/server/src/main/java/org/carobhoist/server/entry/CallContext.java
+++ b/server/src/main/java/org/carobhoist/server/entry/CallContext.java
@@ -4,6 +4,7 @@
 import org.carobhoist.core.common.Zone;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
+import org.carobhoist.server.metrics.RequestMetrics;
 import org.carobhoist.server.runtime.DecisionLoop;
 
 /**
@@ -17,6 +18,7 @@
  * @param router chooses endpoints
  * @param budget the entry's retry budget
  * @param keys finds the endpoints of keyed requests
+ * @param metrics counts what the calls come to
  */
 record CallContext(
     DecisionLoop loop,
@@ -26,4 +28,5 @@
     CallTable table,
     Router router,
     RetryBudget budget,
-    KeyRouter keys) {}
+    KeyRouter keys,
+    RequestMetrics metrics) {}
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -67,6 +67,8 @@
         request.key().flatMap(key -> context.keys().obstacle(request.service(), key));
     if (obstacle.isPresent()) {
       logRefused(request, obstacle.get());
+      Verdict verdict = obstacle.get().verdict();
+      context.metrics().onEnd(request.service(), verdict, Duration.ZERO);
       Problems.write(out, request.id(), request.key(), obstacle.get());
       return;
     }
@@ -124,6 +126,9 @@
   public void send(InstanceId to, int attempt) {
     endpoint = to;
     nextFrame = 0;
+    if (attempt > 1) {
+      context.metrics().onRetry(request.service());
+    }
     sentAt = context.clock().elapsed();
     head = null;
     Optional<Link> link = context.links().link(to);
@@ -163,27 +168,32 @@
 
   @Override
   public void finish() {
-    cancelTimer.run();
-    release();
+    settle(Verdict.COMPLETED);
     out.close();
   }
 
   @Override
   public void refuse(Refusal refusal) {
-    cancelTimer.run();
-    release();
+    settle(refusal.verdict());
     logRefused(request, refusal);
     Problems.write(out, request.id(), key, refusal);
   }
 
   @Override
   public void abort(Refusal refusal) {
-    cancelTimer.run();
-    release();
+    settle(refusal.verdict());
     logRefused(request, refusal);
     out.close(RefusedException.of(refusal));
   }
 
+  private void settle(Verdict verdict) {
+    cancelTimer.run();
+    release();
+    Duration start = expiry.minus(request.deadline());
+    Duration took = context.clock().elapsed().minus(start);
+    context.metrics().onEnd(request.service(), verdict, took);
+  }
+
   private Optional<InstanceId> route(Set<InstanceId> excluded) {
     RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, prefix);
     return context
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -6,8 +6,6 @@
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
 import com.linecorp.armeria.server.ServiceRequestContext;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -30,6 +28,9 @@
 import org.carobhoist.server.link.proto.Pong;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
+import org.carobhoist.server.metrics.Metric;
+import org.carobhoist.server.metrics.ProcessMetrics;
+import org.carobhoist.server.metrics.RequestMetrics;
 import org.carobhoist.server.platform.ConfigFollower;
 import org.carobhoist.server.platform.HttpPlatform;
 import org.carobhoist.server.runtime.DecisionLoop;
@@ -38,6 +39,7 @@
 import org.carobhoist.server.settings.EntrySettings;
 import org.carobhoist.server.settings.InstanceSettings;
 import org.carobhoist.server.state.AdminRoutes;
+import org.carobhoist.server.state.ProfilesState;
 import org.carobhoist.server.state.StateDump;
 import org.carobhoist.server.state.StateSource;
 
@@ -58,8 +60,7 @@
   private final CallContext context;
   private final StepTable steps;
   private final WeightRoutes weights;
-  private final PrometheusMeterRegistry metrics =
-      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final ProcessMetrics metrics = ProcessMetrics.create(loop);
   private volatile boolean draining;
   private Server http;
 
@@ -85,10 +86,13 @@
             new CallTable(),
             Router.create(random, clock, RouterPolicy.DEFAULT),
             RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST),
-            new KeyRouter(clock, links, platform, new SecureRandom()));
+            new KeyRouter(clock, links, platform, new SecureRandom()),
+            RequestMetrics.create(
+                metrics, service -> !links.directory().viewsOf(service).isEmpty()));
     this.weights = new WeightRoutes(platform, loop);
     config.onRecord(weights);
     this.steps = new StepTable(context, random.split(), config.fold()::profile);
+    addGauges();
   }
 
   /** Returns an entry that hasn't started. */
@@ -96,8 +100,17 @@
     return new EntryService(settings);
   }
 
+  private void addGauges() {
+    metrics.gauge(Metric.LINKS, () -> context.links().linked().size());
+    metrics.gauge(Metric.CALLS, context.table()::size);
+    metrics.gauge(Metric.STEPS, steps::size);
+    metrics.gauge(Metric.SAMPLES_IN_FLIGHT, steps::inFlight);
+    metrics.gauge(Metric.REVISION, () -> config.fold().revision().offset());
+  }
+
   @Override
   public CompletableFuture<Void> start() {
+    metrics.start();
     config.listen(context.keys().listener());
     config.start();
     steps.start();
@@ -141,7 +154,14 @@
     sb.requestTimeoutMillis(0);
     sb.gracefulShutdownTimeout(QUIET_TIME, DRAIN_LIMIT);
     sb.decorator(this::closeWhileDraining);
-    StateDump dump = StateDump.of(loop, List.of(new WorkState(), config));
+    StateDump dump =
+        StateDump.of(
+            loop,
+            List.of(
+                new WorkState(),
+                new EndpointsState(context.links()),
+                config,
+                ProfilesState.of(config.fold())));
     AdminRoutes.create(this::isReady, metrics, dump).addTo(sb);
     new CallRoutes(context, config.fold(), config::isReady).addTo(sb);
     weights.addTo(sb);
--- a/server/src/main/java/org/carobhoist/server/entry/StepRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/entry/StepRoutes.java
@@ -67,10 +67,11 @@
   private CompletableFuture<HttpResponse> await(
       Profile profile, StepRequest request, Duration wait) {
     Duration bounded = wait.compareTo(MAX_WAIT) > 0 ? MAX_WAIT : wait;
-    return steps.request(profile, request, bounded).thenApply(StepRoutes::answer);
+    return steps.request(profile, request, bounded).thenApply(this::answer);
   }
 
-  private static HttpResponse answer(StepPage page) {
+  private HttpResponse answer(StepPage page) {
+    context.metrics().onDelivered(page.groups().stream().mapToInt(g -> g.samples().size()).sum());
     try {
       byte[] body = StepJson.MAPPER.writeValueAsBytes(StepJson.page(page));
       return HttpResponse.of(HttpStatus.OK, MediaType.JSON, body);
--- a/server/src/main/java/org/carobhoist/server/log/EventLog.java
+++ b/server/src/main/java/org/carobhoist/server/log/EventLog.java
@@ -1,5 +1,6 @@
 package org.carobhoist.server.log;
 
+import java.util.concurrent.atomic.AtomicLongArray;
 import org.carobhoist.server.settings.LogLevel;
 import org.tinylog.Logger;
 import org.tinylog.configuration.Configuration;
@@ -7,8 +8,15 @@
 /** Writes numbered events with their fields as {@code key=value} pairs. */
 public final class EventLog {
 
+  private static final AtomicLongArray COUNTS = new AtomicLongArray(LogEvent.values().length);
+
   private EventLog() {}
 
+  /** Returns how often an event has been written, or left out for its level. */
+  public static long count(LogEvent event) {
+    return COUNTS.get(event.ordinal());
+  }
+
   /**
    * Sets the least severe level that is written. Only works before the first event, since the log
    * reads its configuration once.
@@ -23,7 +31,7 @@
    * @param fields keys and values by turns
    */
   public static void info(LogEvent event, Object... fields) {
-    Logger.info("{}", line(event, fields));
+    Logger.info("{}", counted(event, fields));
   }
 
   /**
@@ -32,12 +40,17 @@
    * @param fields keys and values by turns
    */
   public static void warn(LogEvent event, Object... fields) {
-    Logger.warn("{}", line(event, fields));
+    Logger.warn("{}", counted(event, fields));
   }
 
   /** Writes an event with the failure behind it. */
   public static void error(LogEvent event, Throwable failure, Object... fields) {
-    Logger.error(failure, "{}", line(event, fields));
+    Logger.error(failure, "{}", counted(event, fields));
+  }
+
+  private static String counted(LogEvent event, Object... fields) {
+    COUNTS.incrementAndGet(event.ordinal());
+    return line(event, fields);
   }
 
   static String line(LogEvent event, Object... fields) {
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/metrics/Metric.java
@@ -0,0 +1,62 @@
+package org.carobhoist.server.metrics;
+
+/** The metrics; {@code docs/METRICS.md} is their catalogue. */
+public enum Metric {
+  /** Callers' requests that have ended. */
+  REQUESTS("carobhoist.requests", "", "callers' requests that have ended"),
+  /** Time from a request's arrival to the end of its answer. */
+  REQUEST_TIME("carobhoist.request", "", "time from a request's arrival to its answer's end"),
+  /** Attempts after the first one of a request. */
+  RETRIES("carobhoist.retries", "", "attempts after the first one of a request"),
+  /** Samples handed over to trainers. */
+  SAMPLES_DELIVERED("carobhoist.samples.delivered", "", "samples handed over to trainers"),
+  /** Links that are up. */
+  LINKS("carobhoist.links", "", "links that are up"),
+  /** Attempts of calls in flight. */
+  CALLS("carobhoist.calls", "", "attempts of calls in flight"),
+  /** Steps that this entry coordinates. */
+  STEPS("carobhoist.steps", "", "steps that this entry coordinates"),
+  /** Attempts at samples in flight. */
+  SAMPLES_IN_FLIGHT("carobhoist.samples.in.flight", "", "attempts at samples in flight"),
+  /** Requests that run at the endpoint. */
+  RUNNING("carobhoist.endpoint.running", "", "requests that run at the endpoint"),
+  /** Requests that wait for the endpoint. */
+  QUEUED("carobhoist.endpoint.queued", "", "requests that wait for the endpoint"),
+  /** Present concurrency limit of the endpoint. */
+  LIMIT("carobhoist.endpoint.limit", "", "concurrency limit of the endpoint"),
+  /** Attempts and samples held for trainers. */
+  SAMPLES_HELD("carobhoist.samples.held", "", "attempts and samples held for trainers"),
+  /** Revision of the configuration in force. */
+  REVISION("carobhoist.config.revision", "", "revision of the configuration in force"),
+  /** Wait of the last probe on the decision loop. */
+  LOOP_LAG("carobhoist.loop.lag", "seconds", "wait of the last probe on the decision loop"),
+  /** Log events, by number. */
+  EVENTS("carobhoist.events", "", "log events"),
+  /** Memory that the JVM uses. */
+  MEMORY("carobhoist.jvm.memory.used", "bytes", "memory that the JVM uses");
+
+  private final String id;
+  private final String unit;
+  private final String meaning;
+
+  Metric(String id, String unit, String meaning) {
+    this.id = id;
+    this.unit = unit;
+    this.meaning = meaning;
+  }
+
+  /** Returns Micrometer's name, apart by dots; the registry turns it into its own form. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns the base unit, or an empty text. */
+  public String unit() {
+    return unit;
+  }
+
+  /** Returns what the metric tells. */
+  public String meaning() {
+    return meaning;
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/metrics/RequestMetrics.java
@@ -0,0 +1,102 @@
+package org.carobhoist.server.metrics;
+
+import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.Timer;
+import java.time.Duration;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.Predicate;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.Verdict;
+
+/**
+ * Counts an entry's requests by service and verdict. Callers choose the service's name, so only
+ * names that an endpoint has announced get a series of their own, up to a bound; all others share
+ * one. Used on the decision loop only.
+ */
+public final class RequestMetrics {
+
+  private static final int MAX_SERVICES = 64;
+  private static final String OTHER = "other";
+  private static final Duration[] BUCKETS = {
+    Duration.ofMillis(10),
+    Duration.ofMillis(50),
+    Duration.ofMillis(250),
+    Duration.ofSeconds(1),
+    Duration.ofSeconds(5),
+    Duration.ofSeconds(30)
+  };
+
+  private final ProcessMetrics metrics;
+  private final Predicate<ServiceName> announced;
+  private final Map<String, Series> byService = new HashMap<>();
+  private final Counter delivered;
+
+  private record Series(Map<Verdict, Counter> ended, Timer time, Counter retries) {}
+
+  private RequestMetrics(ProcessMetrics metrics, Predicate<ServiceName> announced) {
+    this.metrics = metrics;
+    this.announced = announced;
+    this.delivered =
+        Counter.builder(Metric.SAMPLES_DELIVERED.id())
+            .description(Metric.SAMPLES_DELIVERED.meaning())
+            .register(metrics.registry());
+  }
+
+  /**
+   * Returns the counters of an entry.
+   *
+   * @param announced whether an endpoint of the service is known
+   */
+  public static RequestMetrics create(ProcessMetrics metrics, Predicate<ServiceName> announced) {
+    return new RequestMetrics(metrics, announced);
+  }
+
+  /** Counts a request that has ended. */
+  public void onEnd(ServiceName service, Verdict verdict, Duration took) {
+    Series series = series(service);
+    series.ended().get(verdict).increment();
+    series.time().record(took);
+  }
+
+  /** Counts an attempt after the first one. */
+  public void onRetry(ServiceName service) {
+    series(service).retries().increment();
+  }
+
+  /** Counts samples that are handed over. */
+  public void onDelivered(int samples) {
+    delivered.increment(samples);
+  }
+
+  private Series series(ServiceName service) {
+    Series known = byService.get(service.value());
+    if (known != null) {
+      return known;
+    }
+    boolean own = announced.test(service) && byService.size() < MAX_SERVICES;
+    return byService.computeIfAbsent(own ? service.value() : OTHER, this::newSeries);
+  }
+
+  private Series newSeries(String service) {
+    Map<Verdict, Counter> ended = new EnumMap<>(Verdict.class);
+    for (Verdict verdict : Verdict.values()) {
+      ended.put(verdict, counter(Metric.REQUESTS, "service", service, "verdict", verdict.name()));
+    }
+    Timer time =
+        Timer.builder(Metric.REQUEST_TIME.id())
+            .description(Metric.REQUEST_TIME.meaning())
+            .tag("service", service)
+            .serviceLevelObjectives(BUCKETS)
+            .register(metrics.registry());
+    return new Series(ended, time, counter(Metric.RETRIES, "service", service));
+  }
+
+  private Counter counter(Metric metric, String... tags) {
+    return Counter.builder(metric.id())
+        .description(metric.meaning())
+        .tags(tags)
+        .register(metrics.registry());
+  }
+}
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** The process's metrics, all of small and fixed cardinality. */
+package org.carobhoist.server.metrics;
--- a/server/src/main/java/org/carobhoist/server/sidecar/EndpointKeeper.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/EndpointKeeper.java
@@ -111,6 +111,11 @@
     return life.state();
   }
 
+  /** Returns the number of links that are up. */
+  int links() {
+    return links.size();
+  }
+
   void onUp(Link link) {
     links.add(link);
     monitor.onHeard(link);
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -2,8 +2,6 @@
 
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
-import io.micrometer.prometheusmetrics.PrometheusConfig;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -28,6 +26,8 @@
 import org.carobhoist.server.link.proto.LinkFrame;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
+import org.carobhoist.server.metrics.Metric;
+import org.carobhoist.server.metrics.ProcessMetrics;
 import org.carobhoist.server.platform.ConfigFollower;
 import org.carobhoist.server.platform.HttpPlatform;
 import org.carobhoist.server.runtime.DecisionLoop;
@@ -35,6 +35,7 @@
 import org.carobhoist.server.runtime.SystemClock;
 import org.carobhoist.server.settings.SidecarSettings;
 import org.carobhoist.server.state.AdminRoutes;
+import org.carobhoist.server.state.ProfilesState;
 import org.carobhoist.server.state.StateDump;
 import org.carobhoist.server.state.StateSource;
 
@@ -55,8 +56,7 @@
   private final ConfigFollower config;
   private final Optional<SwapWorker> swap;
   private final EndpointKeeper keeper;
-  private final PrometheusMeterRegistry metrics =
-      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final ProcessMetrics metrics = ProcessMetrics.create(loop);
   private Server http;
 
   /** State dump of the endpoint's admission. */
@@ -86,6 +86,7 @@
             ? Optional.of(swapWorker(endpoint, platform))
             : Optional.empty();
     swap.ifPresent(config::onRecord);
+    addGauges();
   }
 
   /** Returns a sidecar that hasn't started. */
@@ -93,8 +94,19 @@
     return new SidecarService(settings);
   }
 
+  private void addGauges() {
+    metrics.gauge(Metric.LINKS, keeper::links);
+    metrics.gauge(Metric.CALLS, calls::size);
+    metrics.gauge(Metric.RUNNING, queue::running);
+    metrics.gauge(Metric.QUEUED, queue::queued);
+    metrics.gauge(Metric.LIMIT, queue::limit);
+    metrics.gauge(Metric.SAMPLES_HELD, samples::held);
+    metrics.gauge(Metric.REVISION, () -> config.fold().revision().offset());
+  }
+
   @Override
   public CompletableFuture<Void> start() {
+    metrics.start();
     swap.ifPresent(worker -> loop.execute(worker::start));
     loop.every(TICK, this::tick);
     config.listen(keys.listener());
@@ -151,7 +163,9 @@
   }
 
   private List<StateSource> sources() {
-    List<StateSource> sources = new ArrayList<>(List.of(new EndpointState(), keys, config));
+    List<StateSource> sources =
+        new ArrayList<>(
+            List.of(new EndpointState(), keys, config, ProfilesState.of(config.fold())));
     swap.ifPresent(sources::add);
     return sources;
   }
--- a/server/src/main/java/org/carobhoist/server/state/AdminRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/state/AdminRoutes.java
@@ -6,20 +6,22 @@
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.server.ServerBuilder;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
+import org.carobhoist.server.metrics.ProcessMetrics;
 
 /** The HTTP routes that every role has: health, metrics and the state dump. */
 public final class AdminRoutes {
 
+  private static final MediaType PROMETHEUS =
+      MediaType.parse("text/plain; version=0.0.4; charset=utf-8");
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final BooleanSupplier ready;
-  private final PrometheusMeterRegistry metrics;
+  private final ProcessMetrics metrics;
   private final StateDump dump;
 
-  private AdminRoutes(BooleanSupplier ready, PrometheusMeterRegistry metrics, StateDump dump) {
+  private AdminRoutes(BooleanSupplier ready, ProcessMetrics metrics, StateDump dump) {
     this.ready = ready;
     this.metrics = metrics;
     this.dump = dump;
@@ -30,8 +32,7 @@
    *
    * @param ready whether the process takes work; read on any thread
    */
-  public static AdminRoutes create(
-      BooleanSupplier ready, PrometheusMeterRegistry metrics, StateDump dump) {
+  public static AdminRoutes create(BooleanSupplier ready, ProcessMetrics metrics, StateDump dump) {
     return new AdminRoutes(ready, metrics, dump);
   }
 
@@ -39,7 +40,8 @@
   public void addTo(ServerBuilder sb) {
     sb.service("/health/live", (ctx, req) -> HttpResponse.of(HttpStatus.OK));
     sb.service("/health/ready", (ctx, req) -> readiness());
-    sb.service("/metrics", (ctx, req) -> HttpResponse.of(metrics.scrape()));
+    sb.service(
+        "/metrics", (ctx, req) -> HttpResponse.of(metrics.scrape().thenApply(AdminRoutes::page)));
     sb.service("/state", (ctx, req) -> HttpResponse.of(dump.take().thenApply(AdminRoutes::json)));
   }
 
@@ -47,6 +49,10 @@
     return HttpResponse.of(ready.getAsBoolean() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
   }
 
+  private static HttpResponse page(String metrics) {
+    return HttpResponse.of(HttpStatus.OK, PROMETHEUS, metrics);
+  }
+
   private static HttpResponse json(Object value) {
     try {
       return HttpResponse.of(HttpStatus.OK, MediaType.JSON, JSON.writeValueAsString(value));
