--- a/server/src/main/java/org/carobhoist/server/app/DemoCommand.java
+++ b/server/src/main/java/org/carobhoist/server/app/DemoCommand.java
@@ -17,8 +17,8 @@
 @Command(
     name = "demo",
     description = {
-      "Runs a small deployment in this process, under load and faults, and checks every answer",
-      "and every sample. Exits with 1 if an invariant broke."
+      "Runs a small deployment under load and faults, and checks it.",
+      "Everything runs in this process; exits with 1 if an invariant broke."
     })
 final class DemoCommand implements Callable<Integer> {
 
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -26,6 +26,7 @@
       StateCommand.class,
       CheckCommand.class,
       DemoCommand.class,
+      ProfileCommand.class,
       HelpCommand.class,
       AutoComplete.GenerateCompletion.class
     })
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -16,6 +16,7 @@
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.profile.SpreadPolicy;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.core.routing.RouterPolicy;
@@ -71,7 +72,7 @@
     this.settings = settings.instance();
     HttpPlatform platform = HttpPlatform.at(this.settings.platform());
     SplittableRandom random = new SplittableRandom();
-    this.config = ConfigFollower.create(platform, loop);
+    this.config = ConfigFollower.create(platform, loop, SpreadPolicy.ofEntry());
     this.network = LinkNetwork.create(this.settings.link(), hello(), new Frames());
     Clock clock = SystemClock.create();
     LinkPool links =
@@ -194,6 +195,7 @@
       case ANNOUNCEMENT -> context.links().onAnnouncement(link, frame);
       case PING -> link.send(pong(frame.getPing()));
       case PONG -> {}
+      case PEER_DIGEST, PEER_RECORDS -> config.onFrame(link, frame);
       default -> dispatch(from, frame);
     }
   }
@@ -211,9 +213,11 @@
   private void onUp(Link link) {
     context.links().onUp(link).ifPresent(this::onLinkLost);
     steps.onLinkUp(LinkPool.peer(link));
+    config.onLinkUp(link);
   }
 
   private void onDown(Link link) {
+    config.onLinkDown(link);
     context.links().onDown(link).ifPresent(this::onLinkLost);
   }
 
--- a/server/src/main/java/org/carobhoist/server/metrics/ProcessMetrics.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/ProcessMetrics.java
@@ -73,7 +73,7 @@
     MemoryMXBean memory = ManagementFactory.getMemoryMXBean();
     taggedGauge(
         Metric.MEMORY, Tags.of("area", "heap"), () -> memory.getHeapMemoryUsage().getUsed());
-    gauge(
+    taggedGauge(
         Metric.MEMORY, Tags.of("area", "nonheap"), () -> memory.getNonHeapMemoryUsage().getUsed());
   }
 
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -19,6 +19,7 @@
 import org.carobhoist.core.membership.EndpointAnnouncement;
 import org.carobhoist.core.membership.EndpointPhase;
 import org.carobhoist.core.profile.Profile;
+import org.carobhoist.core.profile.SpreadPolicy;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
 import org.carobhoist.server.link.LinkNetwork;
@@ -76,7 +77,7 @@
     this.samples =
         new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets, clock, loop);
     this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
-    this.config = ConfigFollower.create(platform, loop);
+    this.config = ConfigFollower.create(platform, loop, SpreadPolicy.ofSidecar());
     this.keeper =
         new EndpointKeeper(
             settings.instance().id(), loop, clock, queue, endpoint, platform, this::announcement);
@@ -230,6 +231,7 @@
       case SAMPLE_START -> samples.onStart(link, frame.getSampleStart());
       case SAMPLE_CANCEL -> samples.onCancel(frame.getSampleCancel());
       case HELD_QUERY -> samples.onQuery(link, frame.getHeldQuery());
+      case PEER_DIGEST, PEER_RECORDS -> config.onFrame(link, frame);
       case STEP_ACK -> samples.onAck(frame.getStepAck());
       default -> EventLog.warn(LogEvent.FRAME_DROPPED, "kind", frame.getBodyCase());
     }
@@ -259,7 +261,11 @@
 
     @Override
     public void onUp(Link link) {
-      loop.execute(() -> keeper.onUp(link));
+      loop.execute(
+          () -> {
+            keeper.onUp(link);
+            config.onLinkUp(link);
+          });
     }
 
     @Override
@@ -272,6 +278,7 @@
       loop.execute(
           () -> {
             keeper.onDown(link);
+            config.onLinkDown(link);
             calls.onLinkDown(link);
             samples.onLinkDown(link);
           });
--- a/server/src/main/java/org/carobhoist/server/sidecar/SwapWorker.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SwapWorker.java
@@ -29,7 +29,6 @@
 import org.carobhoist.server.log.LogEvent;
 import org.carobhoist.server.platform.InstanceList;
 import org.carobhoist.server.platform.LogBatch;
-import org.carobhoist.server.platform.LogRecords;
 import org.carobhoist.server.platform.PlatformLog;
 import org.carobhoist.server.platform.RecordListener;
 import org.carobhoist.server.platform.WeightOrderRecords;
@@ -104,9 +103,7 @@
 
   @Override
   public void onRecord(long offset, long timeMillis, LogRecord record) {
-    WeightOrderRecords.decode(offset, record)
-        .filter(order -> order.model().equals(model) && orders.apply(order))
-        .ifPresent(this::begin);
+    WeightOrderRecords.decode(offset, record).ifPresent(this::take);
   }
 
   @Override
@@ -158,6 +155,12 @@
         isInRotation());
   }
 
+  private void take(WeightOrder order) {
+    if (order.model().equals(model) && orders.apply(order)) {
+      begin(order);
+    }
+  }
+
   /** Learns the model's other engines before it begins, so that not all of them load at once. */
   private void begin(WeightOrder order) {
     EventLog.info(
@@ -231,7 +234,7 @@
     }
     long next = batch.next();
     for (LogBatch.StoredRecord r : batch.records()) {
-      LogRecords.decode(r.data()).ifPresent(body -> onRecord(r.offset(), r.timeMillis(), body));
+      WeightOrderRecords.decode(r).ifPresent(this::take);
       next = r.offset() + 1;
     }
     if (next < batch.next()) {
