--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -85,6 +85,7 @@
       return;
     }
     logRefused(request, obstacle.get());
+    context.metrics().onEnd(request.service(), obstacle.get().verdict(), Duration.ZERO);
     Problems.write(out, request.id(), request.key(), obstacle.get());
   }
 
@@ -143,6 +144,9 @@
   public void send(InstanceId to, int attempt) {
     endpoint = to;
     frames = AnswerFrames.create();
+    if (attempt > 1) {
+      context.metrics().onRetry(request.service());
+    }
     sentAt = context.clock().elapsed();
     Optional<Link> link = context.links().link(to);
     frameId = context.table().add(new CallTable.Attempt(this, attempt, to));
@@ -181,27 +185,32 @@
 
   @Override
   public void finish() {
-    cancelTimer.run();
-    release();
+    settle(Verdict.COMPLETED);
     out.close();
   }
 
   @Override
   public void refuse(Refusal refusal) {
-    cancelTimer.run();
-    release();
+    settle(refusal.verdict());
     logRefused(request, refusal);
     Problems.write(out, request.id(), key, refusal);
   }
 
   @Override
   public void abort(Refusal refusal) {
-    cancelTimer.run();
-    release();
+    settle(refusal.verdict());
     logRefused(request, refusal);
     out.close(RefusedException.of(refusal));
   }
 
+  private void settle(Verdict verdict) {
+    cancelTimer.run();
+    release();
+    Duration start = expiry.minus(request.deadline());
+    Duration took = context.clock().elapsed().minus(start);
+    context.metrics().onEnd(request.service(), verdict, took);
+  }
+
   private Optional<InstanceId> route(Set<InstanceId> excluded) {
     RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, prefix);
     return context
