--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/CallerLoad.java
@@ -0,0 +1,102 @@
+package org.carobhoist.it;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpHeaderNames;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/**
+ * Callers that send one request after the other, each through an entry that is ready, as the
+ * platform's balancer picks them, and note every request that didn't get its whole answer.
+ */
+final class CallerLoad {
+
+  private final List<URI> entries = new ArrayList<>();
+  private final List<WebClient> clients = new ArrayList<>();
+  private final List<Thread> threads = new ArrayList<>();
+  private final Queue<String> failures = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger answers = new AtomicInteger();
+  private volatile boolean running = true;
+
+  private CallerLoad(TestCluster cluster, String... names) {
+    for (String name : names) {
+      entries.add(cluster.http(name));
+      clients.add(WebClient.of(cluster.http(name)));
+    }
+  }
+
+  static CallerLoad start(TestCluster cluster, int threads, String... entries) {
+    CallerLoad load = new CallerLoad(cluster, entries);
+    for (int i = 0; i < threads; i++) {
+      int number = i;
+      Thread t = new Thread(() -> load.run(number), "caller-" + i);
+      t.setDaemon(true);
+      load.threads.add(t);
+      t.start();
+    }
+    return load;
+  }
+
+  /** Waits until so many more requests have got their answers. */
+  void awaitAnswers(int more) {
+    int goal = answers.get() + more;
+    TestCluster.await(goal + " answers", () -> answers.get() >= goal || !failures.isEmpty());
+  }
+
+  /** Stops the callers and returns what went wrong. */
+  List<String> stop() throws InterruptedException {
+    running = false;
+    for (Thread t : threads) {
+      t.join();
+    }
+    return List.copyOf(failures);
+  }
+
+  private void run(int number) {
+    for (int i = 0; running; i++) {
+      int entry = pickReady(number + i);
+      call(clients.get(entry), "guest-" + number + "-" + i);
+    }
+  }
+
+  /** A balancer asks before it sends; an entry that has gone counts as not ready. */
+  private int pickReady(int turn) {
+    for (int i = 0; i < entries.size(); i++) {
+      int entry = (turn + i) % entries.size();
+      if (TestCluster.isReady(entries.get(entry))) {
+        return entry;
+      }
+    }
+    return turn % entries.size();
+  }
+
+  private void call(WebClient client, String body) {
+    RequestHeaders headers =
+        RequestHeaders.builder(HttpMethod.POST, "/v1/services/reservas/bookings")
+            .add(HttpHeaderNames.CONTENT_TYPE, "text/plain")
+            .build();
+    try {
+      AggregatedHttpResponse answer =
+          client.execute(HttpRequest.of(headers, HttpData.ofUtf8(body))).aggregate().join();
+      boolean whole =
+          answer.status().equals(HttpStatus.OK) && answer.contentUtf8().equals("done " + body);
+      if (!whole) {
+        failures.add(body + ": " + answer.status() + " " + answer.contentUtf8());
+      }
+    } catch (CompletionException e) {
+      failures.add(body + ": " + e.getCause());
+    }
+    answers.incrementAndGet();
+  }
+}
--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/PlannedStopTest.java
@@ -0,0 +1,90 @@
+package org.carobhoist.it;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.file.Path;
+import java.time.Duration;
+import org.carobhoist.standin.PlainServiceStandIn;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Planned stops of real processes under load, and an endpoint that the list says is leaving. */
+final class PlannedStopTest {
+
+  private static final int LOAD_THREADS = 8;
+  private static final int ENOUGH = 100;
+
+  @TempDir private Path folder;
+  private final PlainServiceStandIn first = new PlainServiceStandIn();
+  private final PlainServiceStandIn second = new PlainServiceStandIn();
+  private TestCluster cluster;
+
+  @BeforeEach
+  void start() throws Exception {
+    first.start();
+    second.start();
+    first.setDelay(Duration.ofMillis(50));
+    second.setDelay(Duration.ofMillis(50));
+    cluster = TestCluster.start(folder);
+    cluster.startEntry("entry-1", "centro-a");
+    cluster.startEntry("entry-2", "centro-a");
+    cluster.startSidecar("plain-1", "centro-a", "reservas", "plain", first.uri());
+    cluster.startSidecar("plain-2", "centro-b", "reservas", "plain", second.uri());
+    cluster.awaitReady();
+    cluster.awaitLinks("entry-1", 2);
+    cluster.awaitLinks("entry-2", 2);
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+    first.stop();
+    second.stop();
+  }
+
+  @Test
+  void stopOfSidecarCutsNothing() throws Exception {
+    CallerLoad load = CallerLoad.start(cluster, LOAD_THREADS, "entry-1", "entry-2");
+    load.awaitAnswers(ENOUGH);
+    assertThat(cluster.process("plain-1").terminate()).isEqualTo(0);
+    load.awaitAnswers(ENOUGH);
+    assertThat(load.stop()).isEmpty();
+  }
+
+  @Test
+  void stopOfEntryCutsNothing() throws Exception {
+    CallerLoad load = CallerLoad.start(cluster, LOAD_THREADS, "entry-1", "entry-2");
+    load.awaitAnswers(ENOUGH);
+    assertThat(cluster.process("entry-1").terminate()).isEqualTo(0);
+    load.awaitAnswers(ENOUGH);
+    assertThat(load.stop()).isEmpty();
+  }
+
+  @Test
+  void leavingEndpointGetsNoNewWork() throws Exception {
+    CallerLoad load = CallerLoad.start(cluster, LOAD_THREADS, "entry-1", "entry-2");
+    load.awaitAnswers(ENOUGH);
+    cluster.listLeaving("plain-1");
+    TestCluster.await("plain-1 retired", () -> cluster.state("plain-1").contains("RETIRED"));
+
+    int before = first.runs().size();
+    load.awaitAnswers(ENOUGH);
+    assertThat(first.runs().size()).isEqualTo(before);
+    assertThat(load.stop()).isEmpty();
+  }
+
+  @Test
+  void sidecarKilledBesideLivingEndpointComesBack() throws Exception {
+    cluster.process("plain-1").kill();
+    cluster.awaitLinks("entry-1", 1);
+    cluster.process("plain-1").restart();
+    cluster.awaitLinks("entry-1", 2);
+
+    CallerLoad load = CallerLoad.start(cluster, LOAD_THREADS, "entry-1");
+    load.awaitAnswers(ENOUGH);
+    TestCluster.await("plain-1 serves again", () -> !first.runs().isEmpty());
+    assertThat(load.stop()).isEmpty();
+  }
+}
--- a/it/src/test/java/org/carobhoist/it/TestCluster.java
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -22,6 +22,7 @@
 import org.carobhoist.core.profile.Revision;
 import org.carobhoist.server.platform.HttpPlatform;
 import org.carobhoist.server.platform.LogRecords;
+import org.carobhoist.standin.FaultProxy;
 import org.carobhoist.standin.PlatformStandIn;
 
 /** A platform stand-in and the processes that run on it; everything ends with close. */
@@ -34,6 +35,7 @@
   private final PlatformStandIn platform = new PlatformStandIn();
   private final Map<String, RoleProcess> processes = new LinkedHashMap<>();
   private final Map<String, URI> https = new LinkedHashMap<>();
+  private final Map<String, ListedInstance> listed = new LinkedHashMap<>();
 
   private TestCluster(Path folder) {
     this.folder = folder;
@@ -80,6 +82,25 @@
     HttpPlatform.at(platform.uri()).append(LogRecords.encode(change)).join();
   }
 
+  /** Makes the instance list say that an instance is leaving. */
+  void listLeaving(String name) {
+    ListedInstance i = listed.get(name);
+    platform.list(
+        new ListedInstance(
+            i.instance(), i.role(), i.zone(), i.host(), i.port(), true, i.service()));
+  }
+
+  /** Starts a proxy before an instance's link port, and lists the instance with its port. */
+  FaultProxy listBehindProxy(String name) throws IOException {
+    ListedInstance i = listed.get(name);
+    FaultProxy proxy = FaultProxy.before(i.host(), i.port());
+    proxy.start();
+    platform.list(
+        new ListedInstance(
+            i.instance(), i.role(), i.zone(), i.host(), proxy.port(), false, i.service()));
+    return proxy;
+  }
+
   /** Waits until every process is ready. */
   void awaitReady() {
     https.values().forEach(uri -> await("ready: " + uri, () -> isReady(uri)));
@@ -122,12 +143,14 @@
             + more;
     processes.put(name, RoleProcess.start(role, folder, name, ini));
     https.put(name, URI.create("http://127.0.0.1:" + ports.get(0)));
-    platform.list(
+    ListedInstance line =
         new ListedInstance(
-            new InstanceId(name), role, new Zone(zone), "127.0.0.1", ports.get(1), false, service));
+            new InstanceId(name), role, new Zone(zone), "127.0.0.1", ports.get(1), false, service);
+    listed.put(name, line);
+    platform.list(line);
   }
 
-  private static boolean isReady(URI uri) {
+  static boolean isReady(URI uri) {
     try {
       return WebClient.of(uri)
           .get("/health/ready")
--- a/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
+++ b/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
@@ -1,5 +1,6 @@
 package org.carobhoist.server.app;
 
+import com.linecorp.armeria.client.ClientFactory;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import org.carobhoist.core.settings.SettingsException;
@@ -28,6 +29,9 @@
       System.err.println(e.getMessage());
       return ExitCodes.USAGE;
     }
+    // Otherwise the client library cuts its connections as soon as the process is asked to end,
+    // while the requests in flight still need them.
+    ClientFactory.disableShutdownHook();
     try {
       service.start().join();
     } catch (CompletionException e) {
--- a/server/src/main/java/org/carobhoist/server/state/AdminRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/state/AdminRoutes.java
@@ -5,7 +5,9 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.TransientHttpService;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
@@ -37,14 +39,19 @@
 
   /** Adds the routes to a server. */
   public void addTo(ServerBuilder sb) {
-    sb.service("/health/live", (ctx, req) -> HttpResponse.of(HttpStatus.OK));
-    sb.service("/health/ready", (ctx, req) -> readiness());
+    sb.service("/health/live", probe(() -> true));
+    sb.service("/health/ready", probe(ready));
     sb.service("/metrics", (ctx, req) -> HttpResponse.of(metrics.scrape()));
     sb.service("/state", (ctx, req) -> HttpResponse.of(dump.take().thenApply(AdminRoutes::json)));
   }
 
-  private HttpResponse readiness() {
-    return HttpResponse.of(ready.getAsBoolean() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
+  /** Probes are no work: a planned stop doesn't wait for the next one to stay away. */
+  private static HttpService probe(BooleanSupplier healthy) {
+    HttpService service =
+        (ctx, req) ->
+            HttpResponse.of(
+                healthy.getAsBoolean() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
+    return service.decorate(TransientHttpService.newDecorator());
   }
 
   private static HttpResponse json(Object value) {
