--- a/it/src/test/java/org/carobhoist/it/TestCluster.java
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -105,6 +105,25 @@
     HttpPlatform.at(platform.uri()).append(LogRecords.encode(change)).join();
   }
 
+  /** Makes the instance list say that an instance is leaving. */
+  void listLeaving(String name) {
+    ListedInstance i = listed.get(name);
+    platform.list(
+        new ListedInstance(
+            i.instance(), i.role(), i.zone(), i.host(), i.port(), true, i.service()));
+  }
+
+  /** Starts a proxy before an instance's link port, and lists the instance with its port. */
+  FaultProxy listBehindProxy(String name) throws IOException {
+    ListedInstance i = listed.get(name);
+    FaultProxy proxy = FaultProxy.before(i.host(), i.port());
+    proxy.start();
+    platform.list(
+        new ListedInstance(
+            i.instance(), i.role(), i.zone(), i.host(), proxy.port(), false, i.service()));
+    return proxy;
+  }
+
   /** Waits until every process is ready. */
   void awaitReady() {
     https.values().forEach(uri -> await("ready: " + uri, () -> isReady(uri)));
@@ -154,7 +173,7 @@
     platform.list(line);
   }
 
-  private static boolean isReady(URI uri) {
+  static boolean isReady(URI uri) {
     try {
       return WebClient.of(uri)
           .get("/health/ready")
