Send late, doubled, out-of-order and foreign frames to a real entry

Cause: whole answers were checked frame by frame in core only. Conclusion: an answer that isn't whole never looks whole.

--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/LinkFramesTest.java
@@ -0,0 +1,149 @@
+package org.carobhoist.it;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.carobhoist.it.FakeSidecar.data;
+import static org.carobhoist.it.FakeSidecar.end;
+import static org.carobhoist.it.FakeSidecar.head;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import java.nio.file.Path;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.membership.ListedInstance;
+import org.carobhoist.server.link.Link;
+import org.carobhoist.server.link.proto.CallStart;
+import org.carobhoist.standin.LoopbackPorts;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Frames that are late, doubled, out of order, foreign or missing, sent to a real entry. */
+final class LinkFramesTest {
+
+  private static final String SERVICE = "reservas";
+  private static final long UNKNOWN_CALL = 1_000_000;
+
+  @TempDir private Path folder;
+  private TestCluster cluster;
+  private FakeSidecar sidecar;
+  private FakeSidecar stranger;
+
+  @BeforeEach
+  void start() throws Exception {
+    cluster = TestCluster.start(folder);
+    sidecar = list("fake-1", SERVICE);
+    stranger = list("fake-2", "another-service");
+    cluster.startEntry("entry-1", "centro-a");
+    cluster.awaitReady();
+    cluster.awaitLinks("entry-1", 2);
+  }
+
+  @AfterEach
+  void stop() {
+    cluster.close();
+    sidecar.stop();
+    stranger.stop();
+  }
+
+  @Test
+  void passesOnWholeAnswersOnly() {
+    assertThat(get("/whole")).isEqualTo(Optional.of("onetwo"));
+    assertThat(get("/doubled-head")).isEqualTo(Optional.of("onetwo"));
+    assertThat(get("/late-frames")).isEqualTo(Optional.of("onetwo"));
+    assertThat(get("/unknown-call")).isEqualTo(Optional.of("onetwo"));
+    assertThat(get("/stranger")).isEqualTo(Optional.of("onetwo"));
+    assertThat(get("/doubled-data")).isEqualTo(Optional.empty());
+    assertThat(get("/out-of-order")).isEqualTo(Optional.empty());
+    assertThat(get("/missing-data")).isEqualTo(Optional.empty());
+    assertThat(get("/no-head")).isEqualTo(Optional.empty());
+    assertThat(get("/whole")).isEqualTo(Optional.of("onetwo"));
+  }
+
+  private void answer(Link link, CallStart start) {
+    long call = start.getCall();
+    switch (start.getPath()) {
+      case "/whole" -> sendWhole(link, call);
+      case "/doubled-head" -> {
+        link.send(head(call));
+        sendWhole(link, call);
+      }
+      case "/late-frames" -> {
+        sendWhole(link, call);
+        link.send(data(call, 2, "late"));
+        link.send(end(call, 3));
+      }
+      case "/unknown-call" -> {
+        sendWhole(link, UNKNOWN_CALL);
+        sendWhole(link, call);
+      }
+      case "/stranger" -> {
+        stranger.broadcast(head(call));
+        stranger.broadcast(data(call, 0, "foreign"));
+        stranger.broadcast(end(call, 1));
+        sendWhole(link, call);
+      }
+      case "/doubled-data" -> {
+        link.send(head(call));
+        link.send(data(call, 0, "one"));
+        link.send(data(call, 0, "one"));
+        link.send(end(call, 2));
+      }
+      case "/out-of-order" -> {
+        link.send(head(call));
+        link.send(data(call, 1, "two"));
+        link.send(data(call, 0, "one"));
+        link.send(end(call, 2));
+      }
+      case "/missing-data" -> {
+        link.send(head(call));
+        link.send(data(call, 0, "one"));
+        link.send(end(call, 2));
+      }
+      default -> link.send(end(call, 0));
+    }
+  }
+
+  private static void sendWhole(Link link, long call) {
+    link.send(head(call));
+    link.send(data(call, 0, "one"));
+    link.send(data(call, 1, "two"));
+    link.send(end(call, 2));
+  }
+
+  /** Returns the body of a whole answer with status 200, or empty. */
+  private Optional<String> get(String path) {
+    try {
+      AggregatedHttpResponse answer =
+          WebClient.of(cluster.http("entry-1"))
+              .get("/v1/services/" + SERVICE + path)
+              .aggregate()
+              .join();
+      boolean whole = answer.status().code() == 200;
+      return whole ? Optional.of(answer.contentUtf8()) : Optional.empty();
+    } catch (CompletionException e) {
+      return Optional.empty();
+    }
+  }
+
+  private FakeSidecar list(String name, String service) {
+    int port = LoopbackPorts.next();
+    FakeSidecar fake = new FakeSidecar(name, service, port, this::answer);
+    fake.start();
+    cluster
+        .platform()
+        .list(
+            new ListedInstance(
+                new InstanceId(name),
+                "sidecar",
+                new Zone("centro-a"),
+                "127.0.0.1",
+                port,
+                false,
+                service));
+    return fake;
+  }
+}
