--- a/core/src/test/java/org/carobhoist/core/rollout/StepCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/rollout/StepCoordinatorTest.java
@@ -79,7 +79,7 @@
   }
 
   @Test
-  void missingAnswerBlocksOnlyForAWhile() {
+  void missingAnswerBlocksForSomeTimeOnly() {
     StepCoordinator c = coordinator(1, 0.5);
     c.onRequest(request(5, 1));
     for (int i = 0; i < 4; i++) {
@@ -117,7 +117,7 @@
   }
 
   @Test
-  void resumesElsewhereFromTheTokensOfAFailedAttempt() {
+  void resumesElsewhereFromTokensOfFailedAttempt() {
     StepCoordinator c = coordinator(2, 1);
     begin(c, request(5, 1));
     Sent first = port.started.get(0);
@@ -168,7 +168,7 @@
   }
 
   @Test
-  void lateReportOnACancelledAttemptIsNoNews() {
+  void lateReportOnCancelledAttemptIsNoNews() {
     StepCoordinator c = coordinator(1, 0.5);
     begin(c, request(5, 1));
     AttemptKey attempt = port.started.get(0).order().attempt();
