--- a/it/src/test/java/org/carobhoist/it/RolloutFaultsTest.java
+++ b/it/src/test/java/org/carobhoist/it/RolloutFaultsTest.java
@@ -3,6 +3,10 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
 import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -144,6 +148,7 @@
       one.join();
       two.join();
       repair.run();
+      cluster.awaitReady();
     }
     assertThat(first.taken).hasSize(STEPS);
     assertThat(second.taken).hasSize(STEPS);
@@ -169,9 +174,17 @@
     cluster.awaitLinks("entry-2", ENGINES);
   }
 
-  /** Gives every engine the weights of a version, in the middle of whatever it does. */
+  /** Orders new weights, which reach the engines one after the other in the middle of the steps. */
   private void publish(long version) {
-    engines.forEach(e -> e.setVersion(version));
+    AggregatedHttpResponse answer =
+        WebClient.of(cluster.http("entry-2"))
+            .prepare()
+            .post("/v1/models/horno-lm/weights")
+            .content(MediaType.JSON, "{\"version\":%d}".formatted(version))
+            .execute()
+            .aggregate()
+            .join();
+    assertThat(answer.status()).isEqualTo(HttpStatus.OK);
   }
 
   private void setChunkTime(Duration time) {
@@ -201,10 +214,7 @@
       case 5 -> engine.setVersion(engine.version() + 1);
       default -> {}
     }
-    return () -> {
-      engine.setHideVersion(false);
-      cluster.awaitReady();
-    };
+    return () -> engine.setHideVersion(false);
   }
 
   private void awaitWork() {
