--- a/core/src/main/java/org/carobhoist/core/profile/ConfigReplica.java
+++ b/core/src/main/java/org/carobhoist/core/profile/ConfigReplica.java
@@ -200,7 +200,10 @@
   private void keepForeign(LogItem item) {
     ForeignRecord record = (ForeignRecord) item.body();
     LogItem held = foreign.get(record.key());
-    if (held == null || held.offset() < item.offset()) {
+    boolean inForce =
+        held == null
+            || (held.offset() < item.offset() && record.replaces((ForeignRecord) held.body()));
+    if (inForce) {
       foreign.put(record.key(), item);
       listener.onForeign(item, record);
     }
--- a/core/src/main/java/org/carobhoist/core/profile/SpreadPolicy.java
+++ b/core/src/main/java/org/carobhoist/core/profile/SpreadPolicy.java
@@ -5,7 +5,8 @@
 /**
  * Tunables of the configuration's spread.
  *
- * @param pollWait longest wait of a long poll on the log
+ * @param pollWait longest wait of a long poll on the log; well below the lease of home views, which
+ *     each read renews
  * @param retryBase longest delay after the first failed read
  * @param retryCap longest delay after many failed reads
  * @param gossipPeriod time between digests to a random peer
--- a/core/src/test/java/org/carobhoist/core/profile/ConfigReplicaTest.java
+++ b/core/src/test/java/org/carobhoist/core/profile/ConfigReplicaTest.java
@@ -84,6 +84,15 @@
     assertThat(r.fold().revision()).isEqualTo(new Revision(2));
   }
 
+  @Test
+  void keepsTheForeignRecordOfTheHighestRank() {
+    ConfigReplica r = replica();
+    LogItem newer = new LogItem(1, 0, new ForeignRecord("w", 3, ByteBuffer.allocate(0)));
+    LogItem older = new LogItem(2, 0, new ForeignRecord("w", 2, ByteBuffer.allocate(0)));
+    r.onLog(read(1, 1, 3, newer, older));
+    assertThat(r.snapshot().foreign()).containsExactly(newer);
+  }
+
   private static Optional<String> compare(SplittableRandom random) {
     ConfigReplica whole = replica();
     List<LogItem> log = new ArrayList<>();
@@ -106,10 +115,11 @@
   }
 
   private static ConfigRecord record(SplittableRandom random, ConfigReplica whole, int offset) {
-    return switch (random.nextInt(6)) {
+    return switch (random.nextInt(7)) {
       case 0 -> whole.snapshot();
       case 1 -> new ForeignRecord("m" + random.nextInt(2), ByteBuffer.wrap(new byte[] {1}));
       case 2 -> new UnreadableRecord("torn");
+      case 3 -> new ForeignRecord("w", random.nextInt(5), ByteBuffer.wrap(new byte[] {2}));
       default -> change(random, whole, offset);
     };
   }
--- a/it/src/test/java/org/carobhoist/it/ProcessFootprint.java
+++ b/it/src/test/java/org/carobhoist/it/ProcessFootprint.java
@@ -39,7 +39,7 @@
   private static final Duration SETTLE = Duration.ofSeconds(5);
   private static final Duration WAIT = Duration.ofSeconds(5);
   private static final int CALLERS = 16;
-  private static final int TICKS_PER_SECOND = 100;
+  static final int TICKS_PER_SECOND = 100;
   private static final Pattern RSS = Pattern.compile("VmRSS:\\s+(\\d+) kB");
   private static final Pattern THREADS = Pattern.compile("Threads:\\s+(\\d+)");
   private static final Pattern BYTES = Pattern.compile("bytes_(?:sent|received):(\\d+)");
@@ -50,8 +50,7 @@
 
   @TempDir private Path folder;
 
-  private record Reading(
-      long rssKilobytes, int threads, long ticks, Map<String, Long> socketBytes) {}
+  record Reading(long rssKilobytes, int threads, long ticks, Map<String, Long> socketBytes) {}
 
   @Test
   void measure() throws Exception {
@@ -111,7 +110,7 @@
     return all;
   }
 
-  private static Reading read(long pid) throws IOException {
+  static Reading read(long pid) throws IOException {
     String status = Files.readString(Path.of("/proc/" + pid + "/status"));
     String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
     String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
@@ -140,7 +139,7 @@
   }
 
   /** Adds up what the sockets carried that are open at the end of the phase. */
-  private static long tcpBytes(Reading before, Reading now) {
+  static long tcpBytes(Reading before, Reading now) {
     return now.socketBytes().entrySet().stream()
         .mapToLong(s -> s.getValue() - before.socketBytes().getOrDefault(s.getKey(), 0L))
         .sum();
--- a/it/src/test/java/org/carobhoist/it/TestCluster.java
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -3,19 +3,15 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.HttpStatus;
 import java.io.IOException;
-import java.net.BindException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.UUID;
 import java.util.concurrent.ConcurrentHashMap;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.BooleanSupplier;
 import org.carobhoist.core.common.InstanceId;
@@ -26,6 +22,7 @@
 import org.carobhoist.core.profile.Revision;
 import org.carobhoist.server.platform.HttpPlatform;
 import org.carobhoist.server.platform.LogRecords;
+import org.carobhoist.standin.LoopbackPorts;
 import org.carobhoist.standin.PlatformStandIn;
 
 /** A platform stand-in and the processes that run on it; everything ends with close. */
@@ -41,6 +38,7 @@
   private final PlatformStandIn platform = new PlatformStandIn();
   private final Map<String, RoleProcess> processes = new LinkedHashMap<>();
   private final Map<String, URI> https = new LinkedHashMap<>();
+  private final Map<String, Integer> linkPorts = new LinkedHashMap<>();
 
   private URI platformUri;
 
@@ -72,6 +70,10 @@
     return https.get(name);
   }
 
+  int linkPort(String name) {
+    return linkPorts.get(name);
+  }
+
   void startEntry(String name, String zone) throws IOException {
     launch("entry", name, zone, "", "");
   }
@@ -129,13 +131,14 @@
 
   private void launch(String role, String name, String zone, String more, String service)
       throws IOException {
-    List<Integer> ports = freePorts(2);
+    List<Integer> ports = List.of(LoopbackPorts.next(), LoopbackPorts.next());
     String ini =
         "[instance]\nid = %s\nzone = %s\nhttp = 127.0.0.1:%d\nlink = 127.0.0.1:%d\n"
                 .formatted(name, zone, ports.get(0), ports.get(1))
             + "[platform]\nurl = %s\n".formatted(platformUri)
             + more;
     processes.put(name, RoleProcess.start(role, folder, name, ini));
+    linkPorts.put(name, ports.get(1));
     https.put(name, URI.create("http://127.0.0.1:" + ports.get(0)));
     platform.list(
         new ListedInstance(
@@ -154,27 +157,4 @@
       return false;
     }
   }
-
-  /**
-   * Returns ports that nobody listens on, from below the range of which the system takes the ports
-   * of outgoing connections, so that they are still free when a process starts or starts again.
-   */
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<Integer> ports = new ArrayList<>();
-    while (ports.size() < count) {
-      int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
-      if (isFree(port) && USED_PORTS.add(port)) {
-        ports.add(port);
-      }
-    }
-    return ports;
-  }
-
-  private static boolean isFree(int port) throws IOException {
-    try (ServerSocket socket = new ServerSocket(port)) {
-      return socket.isBound();
-    } catch (BindException e) {
-      return false;
-    }
-  }
 }
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -23,9 +23,10 @@
     subcommands = {
       EntryCommand.class,
       SidecarCommand.class,
-      ProfileCommand.class,
       StateCommand.class,
       CheckCommand.class,
+      DemoCommand.class,
+      ProfileCommand.class,
       HelpCommand.class,
       AutoComplete.GenerateCompletion.class
     })
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -175,7 +175,8 @@
       case ANNOUNCEMENT -> context.links().onAnnouncement(link, frame);
       case PING -> link.send(pong(frame.getPing()));
       case PONG -> {}
-      default -> dispatch(link, from, frame);
+      case PEER_DIGEST, PEER_RECORDS -> config.onFrame(link, frame);
+      default -> dispatch(from, frame);
     }
   }
 
@@ -183,10 +184,7 @@
     return LinkFrame.newBuilder().setPong(Pong.newBuilder().setNonce(ping.getNonce())).build();
   }
 
-  private void dispatch(Link link, InstanceId from, LinkFrame frame) {
-    if (config.onFrame(link, frame)) {
-      return;
-    }
+  private void dispatch(InstanceId from, LinkFrame frame) {
     if (!context.table().dispatch(from, frame) && !steps.dispatch(from, frame)) {
       EventLog.info(LogEvent.FRAME_DROPPED, "peer", from, "kind", frame.getBodyCase());
     }
--- a/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
+++ b/server/src/main/java/org/carobhoist/server/platform/ConfigFollower.java
@@ -78,16 +78,16 @@
     listeners.add(listener);
   }
 
-  /** Returns the process's appender to the log; to be used on the loop only. */
-  public LogAppender appender() {
-    return appender;
-  }
-
   /** Lets a listener see every read; to be called before the start. */
   public void listen(LogListener listener) {
     readers.add(listener);
   }
 
+  /** Returns the process's appender to the log; to be used on the loop only. */
+  public LogAppender appender() {
+    return appender;
+  }
+
   /** Returns the configuration; to be used on the loop only. */
   public ProfileFold fold() {
     return spread.replica().fold();
--- a/server/src/main/java/org/carobhoist/server/platform/PeerMapper.java
+++ b/server/src/main/java/org/carobhoist/server/platform/PeerMapper.java
@@ -43,7 +43,7 @@
       return Optional.of(
           new PeerUpdate(m.getFirstOffset(), m.getNextOffset(), items, Optional.empty()));
     }
-    return LogRecords.read(m.getSnapshot().toByteArray()) instanceof ProfileSnapshot s
+    return LogRecords.decode(m.getSnapshot().toByteArray()) instanceof ProfileSnapshot s
         ? Optional.of(
             new PeerUpdate(m.getFirstOffset(), m.getNextOffset(), List.of(), Optional.of(s)))
         : Optional.empty();
@@ -51,7 +51,7 @@
 
   private static LogItem item(PeerRecord r) {
     return new LogItem(
-        r.getOffset(), r.getTimeMillis(), LogRecords.read(r.getRecord().toByteArray()));
+        r.getOffset(), r.getTimeMillis(), LogRecords.decode(r.getRecord().toByteArray()));
   }
 
   private static ByteString bytes(byte[] data) {
--- a/server/src/test/java/org/carobhoist/server/platform/LogRecordsTest.java
+++ b/server/src/test/java/org/carobhoist/server/platform/LogRecordsTest.java
@@ -26,7 +26,7 @@
 
   @Test
   void changesSurviveEncoding() {
-    assertThat(LogRecords.read(LogRecords.encode(change(DOCUMENT)))).isEqualTo(change(DOCUMENT));
+    assertThat(LogRecords.decode(LogRecords.encode(change(DOCUMENT)))).isEqualTo(change(DOCUMENT));
   }
 
   @Test
@@ -34,11 +34,11 @@
     ConfigReplica replica = ConfigReplica.create(new Silence());
     byte[] order = WeightOrderRecords.encode(new ServiceName("horno-lm"), new WeightVersion(7));
     List<LogItem> items =
-        List.of(new LogItem(1, 5, change(DOCUMENT)), new LogItem(2, 6, LogRecords.read(order)));
+        List.of(new LogItem(1, 5, change(DOCUMENT)), new LogItem(2, 6, LogRecords.decode(order)));
     replica.onLog(new LogRead(1, 1, 3, items));
     ProfileSnapshot snapshot = replica.snapshot();
     assertThat(snapshot.foreign()).hasSize(1);
-    assertThat(LogRecords.read(LogRecords.encode(snapshot))).isEqualTo(snapshot);
+    assertThat(LogRecords.decode(LogRecords.encode(snapshot))).isEqualTo(snapshot);
   }
 
   @Test
@@ -49,7 +49,7 @@
     byte[] oversized = new byte[LogRecords.MAX_RECORD_BYTES + 1];
     byte[] longDocument = LogRecords.encode(change("#".repeat(ProfileFold.MAX_DOCUMENT_CHARS + 1)));
     for (byte[] data : List.of(torn, unknown, oversized, longDocument, new byte[0])) {
-      assertThat(LogRecords.read(data)).isInstanceOf(UnreadableRecord.class);
+      assertThat(LogRecords.decode(data)).isInstanceOf(UnreadableRecord.class);
     }
   }
 
