--- a/it/src/test/java/org/carobhoist/it/TestCluster.java
+++ b/it/src/test/java/org/carobhoist/it/TestCluster.java
@@ -40,6 +40,7 @@
   private final Map<String, RoleProcess> processes = new LinkedHashMap<>();
   private final Map<String, URI> https = new LinkedHashMap<>();
   private final Map<String, ListedInstance> listed = new LinkedHashMap<>();
+  private final Map<String, Integer> linkPorts = new LinkedHashMap<>();
 
   private URI platformUri;
 
@@ -71,6 +72,10 @@
     return https.get(name);
   }
 
+  int linkPort(String name) {
+    return linkPorts.get(name);
+  }
+
   void startEntry(String name, String zone) throws IOException {
     launch("entry", name, zone, "", "");
   }
@@ -165,6 +170,7 @@
             + "[platform]\nurl = %s\n".formatted(platformUri)
             + more;
     processes.put(name, RoleProcess.start(role, folder, name, ini));
+    linkPorts.put(name, ports.get(1));
     https.put(name, URI.create("http://127.0.0.1:" + ports.get(0)));
     ListedInstance line =
         new ListedInstance(
