--- a/server/src/main/java/org/carobhoist/server/platform/HomeRecords.java
+++ b/server/src/main/java/org/carobhoist/server/platform/HomeRecords.java
@@ -33,7 +33,7 @@
   public static void decode(
       LogBatch.StoredRecord stored, BiConsumer<ServiceName, HomeView> consumer) {
     Optional<HomeViewRecord> found =
-        LogRecords.decode(stored.data()).filter(LogRecord::hasHomeView).map(LogRecord::getHomeView);
+        LogRecords.parse(stored.data()).filter(LogRecord::hasHomeView).map(LogRecord::getHomeView);
     if (found.isEmpty()) {
       return;
     }
--- a/server/src/main/java/org/carobhoist/server/platform/LogRecords.java
+++ b/server/src/main/java/org/carobhoist/server/platform/LogRecords.java
@@ -46,12 +46,12 @@
   }
 
   /** Returns the record in some bytes; never fails, since a bad record is skipped by all alike. */
-  public static ConfigRecord read(byte[] data) {
+  public static ConfigRecord decode(byte[] data) {
     if (data.length > MAX_RECORD_BYTES) {
       return new UnreadableRecord("oversized: " + data.length + " bytes");
     }
     try {
-      return configRecord(LogRecord.parseFrom(data), data);
+      return fromMessage(LogRecord.parseFrom(data), data);
     } catch (InvalidProtocolBufferException e) {
       return new UnreadableRecord("torn: " + e.getMessage());
     } catch (IllegalArgumentException | SettingsException e) {
@@ -59,8 +59,8 @@
     }
   }
 
-  /** Returns the message in some bytes, or empty if they aren't one. */
-  public static Optional<LogRecord> decode(byte[] data) {
+  /** Returns the message in some bytes, of whatever kind, or empty if they aren't one. */
+  static Optional<LogRecord> parse(byte[] data) {
     try {
       return Optional.of(LogRecord.parseFrom(data));
     } catch (InvalidProtocolBufferException e) {
@@ -70,14 +70,13 @@
 
   /** Returns the record of another part as its own message, or empty if it can't be read. */
   public static Optional<LogRecord> message(ForeignRecord record) {
-    return decode(bytes(record).toByteArray());
+    return parse(bytes(record).toByteArray());
   }
 
-  private static ConfigRecord configRecord(LogRecord message, byte[] data)
-      throws SettingsException {
+  private static ConfigRecord fromMessage(LogRecord message, byte[] data) throws SettingsException {
     return switch (message.getBodyCase()) {
-      case CHANGE -> change(message.getChange());
-      case SNAPSHOT -> snapshot(message.getSnapshot());
+      case CHANGE -> changeFrom(message.getChange());
+      case SNAPSHOT -> snapshotFrom(message.getSnapshot());
       case WEIGHT_ORDER -> weightOrder(message.getWeightOrder(), data);
       case HOME_VIEW ->
           new ForeignRecord("homes/" + message.getHomeView().getService(), readOnly(data));
@@ -98,7 +97,7 @@
     return ByteString.copyFrom(record.data().duplicate());
   }
 
-  private static ConfigRecord change(ProfileChangeRecord r) {
+  private static ConfigRecord changeFrom(ProfileChangeRecord r) {
     if (r.getDocument().length() > ProfileFold.MAX_DOCUMENT_CHARS) {
       return new UnreadableRecord("oversized document: " + r.getDocument().length());
     }
@@ -125,14 +124,14 @@
         .build();
   }
 
-  private static ProfileSnapshot snapshot(ProfileSnapshotRecord r) throws SettingsException {
+  private static ProfileSnapshot snapshotFrom(ProfileSnapshotRecord r) throws SettingsException {
     List<ProfileEntry> profiles = new ArrayList<>();
     for (ProfileState p : r.getProfilesList()) {
-      profiles.add(entry(p));
+      profiles.add(entryFrom(p));
     }
     List<LogItem> foreign = new ArrayList<>();
     for (StoredRecord f : r.getForeignList()) {
-      ConfigRecord body = read(f.getRecord().toByteArray());
+      ConfigRecord body = decode(f.getRecord().toByteArray());
       if (!(body instanceof ForeignRecord)) {
         throw new IllegalArgumentException("a snapshot holds a record of another kind");
       }
@@ -141,7 +140,7 @@
     return new ProfileSnapshot(r.getThroughOffset(), profiles, foreign);
   }
 
-  private static ProfileEntry entry(ProfileState p) throws SettingsException {
+  private static ProfileEntry entryFrom(ProfileState p) throws SettingsException {
     ProfileName name = new ProfileName(p.getProfile());
     return new ProfileEntry(
         name,
@@ -156,7 +155,7 @@
   private static ProfileSnapshotRecord snapshotMessage(ProfileSnapshot snapshot) {
     ProfileSnapshotRecord.Builder out =
         ProfileSnapshotRecord.newBuilder().setThroughOffset(snapshot.through());
-    snapshot.profiles().forEach(p -> out.addProfiles(stateMessage(p)));
+    snapshot.profiles().forEach(p -> out.addProfiles(entryMessage(p)));
     for (LogItem f : snapshot.foreign()) {
       out.addForeign(
           StoredRecord.newBuilder()
@@ -167,7 +166,7 @@
     return out.build();
   }
 
-  private static ProfileState stateMessage(ProfileEntry p) {
+  private static ProfileState entryMessage(ProfileEntry p) {
     return ProfileState.newBuilder()
         .setProfile(p.name().value())
         .setRevision(p.revision().offset())
--- a/server/src/main/java/org/carobhoist/server/platform/WeightOrderRecords.java
+++ b/server/src/main/java/org/carobhoist/server/platform/WeightOrderRecords.java
@@ -21,7 +21,7 @@
 
   /** Returns the order in a record of the log, or empty if it holds none or a malformed one. */
   public static Optional<WeightOrder> decode(LogBatch.StoredRecord stored) {
-    return LogRecords.decode(stored.data()).flatMap(r -> decode(stored.offset(), r));
+    return LogRecords.parse(stored.data()).flatMap(r -> decode(stored.offset(), r));
   }
 
   /** Returns the order in a record, or empty if it holds none or a malformed one. */
