--- a/it/src/test/java/org/carobhoist/it/NodeSlopes.java
+++ b/it/src/test/java/org/carobhoist/it/NodeSlopes.java
@@ -24,6 +24,7 @@
 import org.carobhoist.server.link.proto.LinkFrame;
 import org.carobhoist.server.link.proto.Ping;
 import org.carobhoist.server.link.proto.Pong;
+import org.carobhoist.standin.LoopbackPorts;
 import org.carobhoist.standin.PlainServiceStandIn;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -88,7 +89,7 @@
   private void addSidecar(TestCluster cluster, int i) throws Exception {
     String zone = i % PER_SERVICE < NEAR ? "a" : "b";
     String service = "service-" + i / PER_SERVICE;
-    int port = TestCluster.freePorts(1).get(0);
+    int port = LoopbackPorts.next();
     LinkNetwork network =
         network(new SocketAddressText("127.0.0.1", port), "fake-" + i, "sidecar", zone, service);
     network.start().join();
