--- a/core/src/main/java/org/carobhoist/core/profile/ConfigReplica.java
+++ b/core/src/main/java/org/carobhoist/core/profile/ConfigReplica.java
@@ -27,7 +27,7 @@
   private final Map<String, LogItem> foreign = new HashMap<>();
   private final Deque<LogItem> recent = new ArrayDeque<>();
   private int recentChars;
-  private long scanned;
+  private long logOffset;
   private long known;
   private LogItem newestSnapshot = new LogItem(0, 0, new UnreadableRecord("none yet"));
 
@@ -56,14 +56,18 @@
     return fold.appliedOffset() + 1;
   }
 
-  /** Returns the offset from which to read the log: the next one, or further on in a gap. */
+  /**
+   * Returns the offset from which to read the log. It moves on with the log's answers alone, also
+   * where peers have brought the records before, so that whoever watches the reads sees each record
+   * that the log kept.
+   */
   public long readFrom() {
-    return Math.max(nextOffset(), scanned + 1);
+    return logOffset + 1;
   }
 
   /** Returns whether the log has forgotten the next record and no snapshot has closed the gap. */
   public boolean hasGap() {
-    return scanned > fold.appliedOffset();
+    return logOffset > fold.appliedOffset();
   }
 
   /** Returns whether everything that the log or a peer is known to hold has been applied. */
@@ -98,13 +102,11 @@
     if (read.from() > before) {
       return false;
     }
-    if (read.first() > readFrom()) {
-      scanned = read.first() - 1;
-    }
+    logOffset = Math.max(logOffset, read.first() - 1);
     if (hasGap()) {
       scan(read);
     } else {
-      read.items().forEach(this::apply);
+      read.items().forEach(this::applyRead);
     }
     return readFrom() != before;
   }
@@ -154,7 +156,7 @@
     fold.install(snapshot);
     recent.clear();
     recentChars = 0;
-    scanned = Math.min(scanned, snapshot.through());
+    logOffset = Math.min(logOffset, snapshot.through());
     listener.onInstalled(snapshot);
     snapshot.foreign().forEach(this::keepForeign);
     return true;
@@ -163,17 +165,21 @@
   /** Looks for a snapshot from which on the log is whole; the records after it are read again. */
   private void scan(LogRead read) {
     for (LogItem item : read.items()) {
-      scanned = Math.max(scanned, item.offset());
+      logOffset = Math.max(logOffset, item.offset());
       if (item.body() instanceof ProfileSnapshot snapshot
           && snapshot.through() >= read.first() - 1
           && snapshot.through() < item.offset()
           && install(snapshot)) {
-        scanned = 0;
         return;
       }
     }
   }
 
+  private void applyRead(LogItem item) {
+    apply(item);
+    logOffset = Math.max(logOffset, item.offset());
+  }
+
   private void apply(LogItem item) {
     if (!rules.isNew(item.offset(), fold.appliedOffset())) {
       return;
--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/KeyedCaller.java
@@ -0,0 +1,62 @@
+package org.carobhoist.it;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.client.WebClientRequestPreparation;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.MediaType;
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.idempotency.IdempotencyKey;
+
+/** A caller that books with idempotency keys. */
+final class KeyedCaller {
+
+  private static final Duration LONG = Duration.ofSeconds(30);
+
+  private final TestCluster cluster;
+
+  KeyedCaller(TestCluster cluster) {
+    this.cluster = cluster;
+  }
+
+  static String callersKey(Instant birth) {
+    return IdempotencyKey.mint(birth, new Random()).toString();
+  }
+
+  String issuedKey(String entry) throws IOException {
+    AggregatedHttpResponse answer =
+        WebClient.of(cluster.http(entry))
+            .post("/v1/keys?service=reservas&count=3", "")
+            .aggregate()
+            .join();
+    return new ObjectMapper().readTree(answer.contentUtf8()).at("/keys/0").asText();
+  }
+
+  CompletableFuture<AggregatedHttpResponse> begin(
+      String entry, String key, String body, Duration deadline) {
+    WebClientRequestPreparation request =
+        WebClient.builder(cluster.http(entry))
+            .responseTimeout(LONG.multipliedBy(2))
+            .build()
+            .prepare()
+            .post("/v1/services/reservas/bookings")
+            .header("carobhoist-deadline-ms", Long.toString(deadline.toMillis()))
+            .content(MediaType.PLAIN_TEXT_UTF_8, body);
+    if (!key.isEmpty()) {
+      request.header("idempotency-key", key);
+    }
+    return request.execute().aggregate();
+  }
+
+  AggregatedHttpResponse book(String entry, String key, String body) {
+    return begin(entry, key, body, LONG).join();
+  }
+
+  static String verdict(AggregatedHttpResponse answer) {
+    return answer.headers().get("carobhoist-verdict", "none");
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -92,7 +92,7 @@
                 metrics, service -> !links.directory().viewsOf(service).isEmpty()));
     this.weights = new WeightRoutes(platform, loop);
     config.onRecord(weights);
-    this.steps = new StepTable(context, random.split(), config.fold()::profile);
+    this.steps = new StepTable(context, random.split(), config.fold()::profileOrLast);
     addGauges();
   }
 
@@ -112,7 +112,7 @@
   @Override
   public CompletableFuture<Void> start() {
     metrics.start();
-    config.listen(context.keys().listener());
+    config.listen(context.keys().listener(loop));
     config.start();
     steps.start();
     http = httpServer();
--- a/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
+++ b/server/src/main/java/org/carobhoist/server/entry/KeyRouter.java
@@ -4,8 +4,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import java.util.concurrent.Executor;
 import org.carobhoist.core.common.Clock;
-import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
@@ -16,8 +16,6 @@
 import org.carobhoist.core.idempotency.HomeView;
 import org.carobhoist.core.idempotency.IdempotencyKey;
 import org.carobhoist.core.idempotency.RequestKey;
-import org.carobhoist.core.membership.EndpointAnnouncement;
-import org.carobhoist.core.routing.EndpointView;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 import org.carobhoist.server.platform.HomeRecords;
@@ -55,8 +53,8 @@
   }
 
   /** Returns what follows the home views in the process's reads of the log. */
-  LogListener listener() {
-    return HomeViewReader.create(views::put, () -> {}, () -> {}, () -> {});
+  LogListener listener(Executor loop) {
+    return HomeViewReader.create(log, loop, views::put, new NoLease());
   }
 
   /** Returns why the key can be sent nowhere, or empty if it can. */
@@ -69,9 +67,7 @@
 
   /** Returns the endpoint to which a key's request must go, if it is linked. */
   Optional<InstanceId> endpointOf(ServiceName service, RequestKey key) {
-    return key.issuer()
-        .map(issuer -> issuerOf(service, issuer))
-        .orElseGet(() -> homeOf(service, key.id()));
+    return key.issuer().map(this::issuerOf).orElseGet(() -> homeOf(service, key.id()));
   }
 
   /** Returns a new key that only the present run of an endpoint's sidecar may execute. */
@@ -79,23 +75,16 @@
     return links
         .directory()
         .announcement(endpoint)
-        .map(EndpointAnnouncement::incarnation)
-        .map(run -> RequestKey.issued(run, IdempotencyKey.mint(clock.now(), random)));
+        .map(a -> new HomeMember(endpoint, a.incarnation()))
+        .map(issuer -> RequestKey.issued(issuer, IdempotencyKey.mint(clock.now(), random)));
   }
 
-  private Optional<InstanceId> issuerOf(ServiceName service, Incarnation issuer) {
-    return links.directory().viewsOf(service).stream()
-        .map(EndpointView::instance)
-        .filter(i -> runs(i, issuer))
-        .findFirst();
-  }
-
-  private boolean runs(InstanceId instance, Incarnation run) {
+  /** Asking for the link has it opened soon if there is none yet. */
+  private Optional<InstanceId> issuerOf(HomeMember issuer) {
     return links
-        .directory()
-        .announcement(instance)
-        .filter(a -> a.incarnation().equals(run))
-        .isPresent();
+        .link(issuer.instance())
+        .filter(link -> link.peer().getIncarnation().equals(issuer.incarnation().value()))
+        .map(link -> issuer.instance());
   }
 
   private Optional<InstanceId> homeOf(ServiceName service, IdempotencyKey key) {
@@ -130,4 +119,17 @@
               return null;
             });
   }
+
+  /** An entry needs no lease: what it doesn't know, the sidecar that refuses does. */
+  private static final class NoLease implements HomeViewReader.LeaseEvents {
+
+    @Override
+    public void onReadSent() {}
+
+    @Override
+    public void onGap() {}
+
+    @Override
+    public void onCaughtUp() {}
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/sidecar/KeyedCalls.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/KeyedCalls.java
@@ -238,7 +238,7 @@
     @Override
     public void onFailed(Refusal refusal) {
       refuse(refusal);
-      queue.complete(ticket);
+      queue.fail(ticket);
     }
 
     /** The first caller has the whole answer; others can't get it any more. */
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -110,7 +110,7 @@
     metrics.start();
     swap.ifPresent(worker -> loop.execute(worker::start));
     loop.every(TICK, this::tick);
-    config.listen(keys.listener());
+    config.listen(keys.listener(loop));
     config.start();
     http = httpServer();
     return keeper
