--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -85,7 +85,8 @@
       return;
     }
     logRefused(request, obstacle.get());
-    context.metrics().onEnd(request.service(), obstacle.get().verdict(), Duration.ZERO);
+    Duration waited = context.clock().elapsed().minus(latest.minus(LINK_WAIT));
+    context.metrics().onEnd(request.service(), obstacle.get().verdict(), waited);
     Problems.write(out, request.id(), request.key(), obstacle.get());
   }
 
