--- a/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
@@ -5,6 +5,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.Executor;
 import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.EndpointKind;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.idempotency.DuplicatePolicy;
@@ -29,6 +30,7 @@
 final class KeyedHome implements StateSource {
 
   private final ServiceName service;
+  private final EndpointKind kind;
   private final HomeMember self;
   private final PlatformLog log;
   private final HomeHistory history = HomeHistory.create();
@@ -50,6 +52,7 @@
   private KeyedHome(
       SidecarSettings settings, Incarnation incarnation, Clock clock, PlatformLog log) {
     this.service = settings.endpoint().service();
+    this.kind = settings.endpoint().kind();
     this.self = new HomeMember(settings.instance().id(), incarnation);
     this.log = log;
     this.lease = HomeLease.create(HomePolicy.DEFAULT, clock);
@@ -77,9 +80,11 @@
     return HomeViewReader.create(log, loop, this::onView, new Reads());
   }
 
-  /** To be called several times a second. */
+  /** To be called several times a second. Requests to engines need no keys, so no home either. */
   void tick() {
-    keeper.tick();
+    if (kind == EndpointKind.PLAIN) {
+      keeper.tick();
+    }
   }
 
   /** Takes this sidecar out of the view for good. */
