--- a/it/src/test/java/org/carobhoist/it/RolloutFaultsTest.java
+++ b/it/src/test/java/org/carobhoist/it/RolloutFaultsTest.java
@@ -143,7 +143,7 @@
           CompletableFuture.runAsync(() -> first.step(number, number % 4 == 3));
       CompletableFuture<Void> two =
           CompletableFuture.runAsync(() -> second.step(number, number % 4 == 1));
-      Runnable repair = breakOne(s);
+      final Runnable repair = breakOne(s);
       setChunkTime(FAST);
       one.join();
       two.join();
