--- a/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
+++ b/core/src/main/java/org/carobhoist/core/profile/ProfileReader.java
@@ -1,7 +1,9 @@
 package org.carobhoist.core.profile;
 
+import java.net.URI;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.carobhoist.core.common.EndpointKind;
 import org.carobhoist.core.common.Priority;
 import org.carobhoist.core.common.ProfileName;
@@ -57,6 +59,22 @@
           1,
           "0.5",
           "Weight between staleness (0) and trainer idle time (1).");
+  private static final SettingSpec<Double> MAX_WASTE =
+      SettingTypes.decimal(
+          "rollout",
+          "max-waste",
+          0,
+          1,
+          String.valueOf(RolloutPolicy.DEFAULT_MAX_WASTE),
+          "Largest share of tokens that cancellations by choice may waste.");
+  private static final SettingSpec<Optional<URI>> SCORER =
+      SettingTypes.value(
+          "rollout",
+          "scorer",
+          "http or https URL, or none",
+          "none",
+          "Where each sample is scored before its group counts as whole.",
+          ProfileReader::scorer);
   private static final SettingSpec<Long> MAX_ATTEMPTS =
       SettingTypes.whole(
           "requests", "max-attempts", 1, 10, "3", "Attempts at a request, the first one included.");
@@ -100,6 +118,8 @@
           MAX_STALENESS,
           SWAP_POLICY,
           IDLE_WEIGHT,
+          MAX_WASTE,
+          SCORER,
           MAX_ATTEMPTS,
           DEADLINE,
           PRIORITY,
@@ -109,22 +129,52 @@
 
   private ProfileReader() {}
 
+  /**
+   * Checks a profile's document before it is published.
+   *
+   * @param file name of the document in messages
+   * @throws SettingsException if the document is refused
+   */
+  public static void check(ProfileName name, String file, String document)
+      throws SettingsException {
+    read(name, SettingsReader.read(file, document, SPECS));
+  }
+
   /**
    * Reads a profile.
    *
    * @throws SettingsException if the document is refused
    */
   public static Profile read(ProfileName name, String document) throws SettingsException {
-    SettingsDocument doc = SettingsReader.read(name.value(), document, SPECS);
+    return read(name, SettingsReader.read(name.value(), document, SPECS));
+  }
+
+  private static Profile read(ProfileName name, SettingsDocument doc) {
     return new Profile(
         name,
         doc.get(SERVICE),
         doc.get(KIND),
-        new RolloutPolicy(doc.get(MAX_STALENESS), doc.get(SWAP_POLICY), doc.get(IDLE_WEIGHT)),
+        new RolloutPolicy(
+            doc.get(MAX_STALENESS),
+            doc.get(SWAP_POLICY),
+            doc.get(IDLE_WEIGHT),
+            doc.get(MAX_WASTE),
+            doc.get(SCORER)),
         new RetryPolicy(doc.get(MAX_ATTEMPTS).intValue()),
         doc.get(DEADLINE),
         doc.get(PRIORITY),
         new TenantPolicy(
             doc.get(WEIGHT), doc.get(QUEUE).intValue(), doc.get(CONCURRENCY).intValue()));
   }
+
+  private static Optional<URI> scorer(String text) {
+    if (text.equals("none")) {
+      return Optional.empty();
+    }
+    URI uri = URI.create(text);
+    if (uri.getHost() == null || !uri.toString().matches("https?://.+")) {
+      throw new IllegalArgumentException("not an http or https URL");
+    }
+    return Optional.of(uri);
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -18,6 +18,7 @@
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.profile.SpreadPolicy;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.core.routing.RouterPolicy;
@@ -70,7 +71,7 @@
     this.settings = settings.instance();
     HttpPlatform platform = HttpPlatform.at(this.settings.platform());
     SplittableRandom random = new SplittableRandom();
-    this.config = ConfigFollower.create(platform, loop);
+    this.config = ConfigFollower.create(platform, loop, SpreadPolicy.ofEntry());
     this.network = LinkNetwork.create(this.settings.link(), hello(), new Frames());
     Clock clock = SystemClock.create();
     LinkPool links =
@@ -88,7 +89,7 @@
             new KeyRouter(clock, links, platform, new SecureRandom()));
     this.weights = new WeightRoutes(platform, loop);
     config.onRecord(weights);
-    this.steps = new StepTable(context, random.split());
+    this.steps = new StepTable(context, random.split(), config.fold()::profile);
   }
 
   /** Returns an entry that hasn't started. */
@@ -174,6 +175,7 @@
       case ANNOUNCEMENT -> context.links().onAnnouncement(link, frame);
       case PING -> link.send(pong(frame.getPing()));
       case PONG -> {}
+      case PEER_DIGEST, PEER_RECORDS -> config.onFrame(link, frame);
       default -> dispatch(from, frame);
     }
   }
@@ -183,6 +185,9 @@
   }
 
   private void dispatch(InstanceId from, LinkFrame frame) {
+    if (frame.getCallEnd().getInFlight() > 0) {
+      context.links().directory().onLoad(from, frame.getCallEnd().getInFlight());
+    }
     if (!context.table().dispatch(from, frame) && !steps.dispatch(from, frame)) {
       EventLog.info(LogEvent.FRAME_DROPPED, "peer", from, "kind", frame.getBodyCase());
     }
@@ -190,9 +195,12 @@
 
   private void onUp(Link link) {
     context.links().onUp(link).ifPresent(this::onLinkLost);
+    steps.onLinkUp(LinkPool.peer(link));
+    config.onLinkUp(link);
   }
 
   private void onDown(Link link) {
+    config.onLinkDown(link);
     context.links().onDown(link).ifPresent(this::onLinkLost);
   }
 
--- a/server/src/main/java/org/carobhoist/server/link/proto/CallEnd.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/CallEnd.java
@@ -92,6 +92,55 @@
     frames_ = 0;
   }
 
+  public static final int IN_FLIGHT_FIELD_NUMBER = 3;
+  private int inFlight_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Requests at the endpoint, running or waiting, this one included; 0 is unknown.
+   * </pre>
+   *
+   * <code>int32 in_flight = 3;</code>
+   *
+   * @return The inFlight.
+   */
+  @java.lang.Override
+  public int getInFlight() {
+    return inFlight_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Requests at the endpoint, running or waiting, this one included; 0 is unknown.
+   * </pre>
+   *
+   * <code>int32 in_flight = 3;</code>
+   *
+   * @param value The inFlight to set.
+   */
+  private void setInFlight(int value) {
+
+    inFlight_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Requests at the endpoint, running or waiting, this one included; 0 is unknown.
+   * </pre>
+   *
+   * <code>int32 in_flight = 3;</code>
+   */
+  private void clearInFlight() {
+
+    inFlight_ = 0;
+  }
+
   public static org.carobhoist.server.link.proto.CallEnd parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -270,6 +319,57 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Requests at the endpoint, running or waiting, this one included; 0 is unknown.
+     * </pre>
+     *
+     * <code>int32 in_flight = 3;</code>
+     *
+     * @return The inFlight.
+     */
+    @java.lang.Override
+    public int getInFlight() {
+      return instance.getInFlight();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Requests at the endpoint, running or waiting, this one included; 0 is unknown.
+     * </pre>
+     *
+     * <code>int32 in_flight = 3;</code>
+     *
+     * @param value The inFlight to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInFlight(int value) {
+      copyOnWrite();
+      instance.setInFlight(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Requests at the endpoint, running or waiting, this one included; 0 is unknown.
+     * </pre>
+     *
+     * <code>int32 in_flight = 3;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearInFlight() {
+      copyOnWrite();
+      instance.clearInFlight();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.CallEnd)
   }
 
@@ -292,11 +392,11 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "call_", "frames_",
+                "call_", "frames_", "inFlight_",
               };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0002\u0002\u0004"
-                  + "";
+              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0002\u0002\u0004"
+                  + "\u0003\u0004";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/sidecar/KeyedCalls.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/KeyedCalls.java
@@ -62,9 +62,6 @@
   /** Takes a keyed call from an entry. */
   void onStart(Link link, CallStart start) {
     CallId id = new CallId(link, start.getCall());
-    if (receivers.containsKey(id)) {
-      return;
-    }
     RequestKey key;
     try {
       key = RequestKey.parse(start.getIdempotencyKey());
@@ -167,7 +164,7 @@
           frames.data(answer.content());
         }
       }
-      frames.end();
+      frames.end(queue.running() + queue.queued());
     }
 
     @Override
@@ -241,7 +238,7 @@
     @Override
     public void onFailed(Refusal refusal) {
       refuse(refusal);
-      queue.complete(ticket);
+      queue.fail(ticket);
     }
 
     /** The first caller has the whole answer; others can't get it any more. */
@@ -249,7 +246,7 @@
       if (!first.gone) {
         table.leave(key, first);
         receivers.remove(first.id);
-        first.frames.end();
+        first.frames.end(queue.running() + queue.queued());
       }
       table.fail(
           key,
--- a/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SidecarService.java
@@ -21,6 +21,7 @@
 import org.carobhoist.core.membership.EndpointAnnouncement;
 import org.carobhoist.core.membership.EndpointPhase;
 import org.carobhoist.core.profile.Profile;
+import org.carobhoist.core.profile.SpreadPolicy;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
 import org.carobhoist.server.link.LinkNetwork;
@@ -73,9 +74,10 @@
     this.keys = KeyedHome.create(settings, incarnation, clock, platform);
     KeyedCalls keyed = new KeyedCalls(keys.gate(), keys.table(), queue, endpoint, clock, tickets);
     this.calls = new CallWorker(queue, endpoint, kind, clock, tickets, keyed);
-    this.samples = new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets);
+    this.samples =
+        new SampleWorker(queue, endpoint, settings.endpoint().service(), tickets, clock, loop);
     this.network = LinkNetwork.create(settings.instance().link(), hello(), new Frames());
-    this.config = ConfigFollower.create(platform, loop);
+    this.config = ConfigFollower.create(platform, loop, SpreadPolicy.ofSidecar());
     this.keeper =
         new EndpointKeeper(
             settings.instance().id(), loop, clock, queue, endpoint, platform, this::announcement);
@@ -215,6 +217,7 @@
       case SAMPLE_START -> samples.onStart(link, frame.getSampleStart());
       case SAMPLE_CANCEL -> samples.onCancel(frame.getSampleCancel());
       case HELD_QUERY -> samples.onQuery(link, frame.getHeldQuery());
+      case PEER_DIGEST, PEER_RECORDS -> config.onFrame(link, frame);
       case STEP_ACK -> samples.onAck(frame.getStepAck());
       default -> EventLog.warn(LogEvent.FRAME_DROPPED, "kind", frame.getBodyCase());
     }
@@ -244,7 +247,11 @@
 
     @Override
     public void onUp(Link link) {
-      loop.execute(() -> keeper.onUp(link));
+      loop.execute(
+          () -> {
+            keeper.onUp(link);
+            config.onLinkUp(link);
+          });
     }
 
     @Override
@@ -257,7 +264,9 @@
       loop.execute(
           () -> {
             keeper.onDown(link);
+            config.onLinkDown(link);
             calls.onLinkDown(link);
+            samples.onLinkDown(link);
           });
     }
   }
