Catch a sidecar that ends before its answers were read

Leaving out the flush from the drain chart on purpose passed the matrix, since a limit rescued the stop and messages still arrived after the end. The scenario now drops what arrives after the end and asks that answers were read.

--- a/core/src/test/java/org/carobhoist/core/membership/DrainScenario.java
+++ b/core/src/test/java/org/carobhoist/core/membership/DrainScenario.java
@@ -55,6 +55,7 @@
   private boolean endpointUp = true;
   private boolean linkUp = true;
   private boolean finished;
+  private boolean read;
   private boolean longRequest;
   private long sent;
   private long excused;
@@ -211,7 +212,7 @@
     deliver(() -> answers.merge(id, 1, Integer::sum));
   }
 
-  /** Delivers in order, and not at all if the link is down. */
+  /** Delivers in order, and not at all if the link is down or the sidecar has ended. */
   private void deliver(Runnable message) {
     if (!linkUp) {
       return;
@@ -219,7 +220,13 @@
     Duration now = clock.elapsed();
     Duration at = now.plus(hop);
     linkFreeAt = linkFreeAt.compareTo(at) > 0 ? linkFreeAt : at;
-    events.after(linkFreeAt.minus(now), message);
+    events.after(
+        linkFreeAt.minus(now),
+        () -> {
+          if (!finished) {
+            message.run();
+          }
+        });
   }
 
   private void announce() {
@@ -284,12 +291,17 @@
     @Override
     public void flush() {
       events.after(LIMIT, () -> fire(life::onLimit));
-      deliver(() -> fire(life::onFlushed));
+      deliver(
+          () -> {
+            read = true;
+            fire(life::onFlushed);
+          });
     }
 
     @Override
     public void finish() {
       finished = true;
+      check(read || excused > 0, "ended before the entry had read its answers");
     }
   }
 }
