--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -205,6 +205,9 @@
   }
 
   private void dispatch(InstanceId from, LinkFrame frame) {
+    if (frame.getCallEnd().getInFlight() > 0) {
+      context.links().directory().onLoad(from, frame.getCallEnd().getInFlight());
+    }
     if (!context.table().dispatch(from, frame) && !steps.dispatch(from, frame)) {
       EventLog.info(LogEvent.FRAME_DROPPED, "peer", from, "kind", frame.getBodyCase());
     }
--- a/server/src/main/java/org/carobhoist/server/link/proto/CallEndOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/CallEndOrBuilder.java
@@ -30,4 +30,17 @@
    * @return The frames.
    */
   int getFrames();
+
+  /**
+   *
+   *
+   * <pre>
+   * Requests at the endpoint, running or waiting, this one included; 0 is unknown.
+   * </pre>
+   *
+   * <code>int32 in_flight = 3;</code>
+   *
+   * @return The inFlight.
+   */
+  int getInFlight();
 }
--- a/server/src/main/java/org/carobhoist/server/sidecar/CallFrames.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/CallFrames.java
@@ -48,8 +48,10 @@
     link.send(LinkFrame.newBuilder().setCallData(data).build());
   }
 
-  void end() {
-    CallEnd end = CallEnd.newBuilder().setCall(call).setFrames(frames).build();
+  /** Ends the answer; entries learn the endpoint's load from it sooner than from announcements. */
+  void end(int inFlight) {
+    CallEnd end =
+        CallEnd.newBuilder().setCall(call).setFrames(frames).setInFlight(inFlight).build();
     link.send(LinkFrame.newBuilder().setCallEnd(end).build());
   }
 
--- a/server/src/main/java/org/carobhoist/server/sidecar/CallWorker.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/CallWorker.java
@@ -165,7 +165,7 @@
         return;
       }
       calls.remove(id);
-      frames.end();
+      frames.end(queue.running() + queue.queued());
       queue.complete(ticket);
     }
 
--- a/server/src/main/java/org/carobhoist/server/sidecar/KeyedCalls.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/KeyedCalls.java
@@ -164,7 +164,7 @@
           frames.data(answer.content());
         }
       }
-      frames.end();
+      frames.end(queue.running() + queue.queued());
     }
 
     @Override
@@ -246,7 +246,7 @@
       if (!first.gone) {
         table.leave(key, first);
         receivers.remove(first.id);
-        first.frames.end();
+        first.frames.end(queue.running() + queue.queued());
       }
       table.fail(
           key,
