--- a/core/src/test/java/org/carobhoist/core/profile/SimNode.java
+++ b/core/src/test/java/org/carobhoist/core/profile/SimNode.java
@@ -28,6 +28,8 @@
   boolean cutFromLog;
   boolean cutFromPeers;
   Duration messageDelay = LATENCY;
+  long messages;
+  long reads;
 
   SimNode(SpreadSim sim, String name, boolean entry, SplittableRandom random) {
     this.sim = sim;
@@ -99,6 +101,7 @@
 
   @Override
   public void readLog(long from, Duration wait) {
+    reads++;
     if (cutFromLog) {
       after(Duration.ofMillis(100), spread::onLogFailed);
       return;
@@ -166,6 +169,7 @@
   }
 
   private void send(InstanceId peer, Delivery delivery) {
+    messages++;
     SimNode to = sim.node(peer);
     sim.queue()
         .after(
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/profile/SpreadScale.java
@@ -0,0 +1,85 @@
+package org.carobhoist.core.profile;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Prints in virtual time how the spread behaves as the deployment grows: time until a change is in
+ * force everywhere while half of the sidecars are cut off from the log, messages and reads of a
+ * node, and the reads of all in the first second after an outage. A benchmark: it asserts nothing
+ * and its name keeps it out of the default run; docs/CAPACITY.md has the command.
+ */
+final class SpreadScale {
+
+  private static final int[][] SIZES = {{20, 30}, {40, 60}, {80, 120}, {160, 240}, {400, 600}};
+  private static final int LINKS = 24;
+  private static final int CHANGES = 10;
+  private static final Duration POLL = Duration.ofMillis(50);
+  private static final Duration QUIET = Duration.ofSeconds(30);
+  private static final long SEED = 9;
+
+  @Test
+  void measure() {
+    for (int[] size : SIZES) {
+      SpreadSim sim =
+          new SpreadSim(
+              ReplicaRules.STRICT, false, new SplittableRandom(SEED), size[0], size[1], LINKS);
+      sim.nodes().forEach(SimNode::start);
+      sim.run(QUIET);
+      long messages = sum(sim, true);
+      long reads = sum(sim, false);
+      sim.run(QUIET);
+      double nodeSeconds = sim.nodes().size() * (double) QUIET.toSeconds();
+      double messageRate = (sum(sim, true) - messages) / nodeSeconds;
+      double readRate = (sum(sim, false) - reads) / nodeSeconds;
+      List<Long> delays = spread(sim, size[0], size[1]);
+      System.out.printf(
+          "SCALE nodes=%d messages/node/s=%.2f reads/node/s=%.2f half-cut-off p50=%dms max=%dms"
+              + " reads in the first s after an outage=%d%n",
+          sim.nodes().size(),
+          messageRate,
+          readRate,
+          delays.get(delays.size() / 2),
+          delays.get(delays.size() - 1),
+          outage(sim));
+    }
+  }
+
+  private static List<Long> spread(SpreadSim sim, int entries, int sidecars) {
+    List<SimNode> cut = sim.nodes().subList(entries, entries + sidecars / 2);
+    cut.forEach(n -> n.cutFromLog = true);
+    sim.run(QUIET);
+    List<Long> delays = new ArrayList<>();
+    for (int i = 0; i < CHANGES; i++) {
+      long next = sim.log().next();
+      sim.operate("p" + i, Duration.ZERO, false);
+      while (sim.log().next() == next) {
+        sim.run(Duration.ofMillis(1));
+      }
+      Duration start = sim.clock().elapsed();
+      while (sim.nodes().stream().anyMatch(n -> n.spread().replica().nextOffset() <= next)) {
+        sim.run(POLL);
+      }
+      delays.add(sim.clock().elapsed().minus(start).toMillis());
+    }
+    delays.sort(null);
+    sim.heal();
+    return delays;
+  }
+
+  private static long outage(SpreadSim sim) {
+    sim.log().down = true;
+    sim.run(QUIET);
+    sim.log().down = false;
+    long before = sum(sim, false);
+    sim.run(Duration.ofSeconds(1));
+    return sum(sim, false) - before;
+  }
+
+  private static long sum(SpreadSim sim, boolean messages) {
+    return sim.nodes().stream().mapToLong(n -> messages ? n.messages : n.reads).sum();
+  }
+}
