--- a/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/StepCoordinator.java
@@ -1,10 +1,7 @@
 package org.carobhoist.core.rollout;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -12,7 +9,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.random.RandomGenerator;
@@ -41,13 +37,13 @@
 
   private static final Duration REPLY_TIMEOUT = Duration.ofSeconds(2);
   private static final int REPLY_ROUNDS = 3;
-  private static final Duration SILENCE = Duration.ofSeconds(3);
+  private static final Duration SILENCE_BEFORE_FIRST_REPORT = Duration.ofSeconds(3);
+  private static final Duration SILENCE = Duration.ofSeconds(10);
   private static final Duration ACTIVE_AFTER_REQUEST = Duration.ofSeconds(10);
   private static final Duration FIRST_BACKOFF = Duration.ofMillis(100);
   private static final int MAX_BACKOFF_DOUBLINGS = 6;
   private static final Duration MIN_AGE_TO_MIGRATE = Duration.ofSeconds(2);
   private static final double SLOW_SHARE = 0.5;
-  private static final double RATE_SMOOTHING = 0.05;
   private static final int MAX_PAGE_TOKENS = 500_000;
 
   private final RolloutPort port;
@@ -60,22 +56,14 @@
   private final Map<Integer, Group> groups = new HashMap<>();
   private final TreeSet<Integer> wholeGroups = new TreeSet<>();
   private final Map<AttemptKey, SampleSlot> inFlight = new LinkedHashMap<>();
-  private final Deque<SampleSlot> delayed = new ArrayDeque<>();
   private final List<SampleSlot> asking = new ArrayList<>();
   private final Set<InstanceId> holders = new HashSet<>();
-  private final PriorityQueue<SampleSlot> missing =
-      new PriorityQueue<>(
-          Comparator.comparingInt((SampleSlot s) -> -s.prompt.expectedTokens())
-              .thenComparingInt(s -> s.key.group())
-              .thenComparingInt(s -> s.key.index()));
+  private final MissingSamples missing = new MissingSamples();
+  private final TokenTally tally = new TokenTally();
+  private final StalenessForecast forecast;
   private StepRequest request;
   private Duration lastRequest = Duration.ZERO;
   private Optional<Duration> firstStart = Optional.empty();
-  private boolean movesOn;
-  private double typicalRate;
-  private double typicalLength;
-  private long usefulTokens;
-  private long wastedTokens;
 
   private static final class Group {
     private final List<SampleSlot> slots = new ArrayList<>();
@@ -94,6 +82,7 @@
     this.pace = pace;
     this.random = random;
     this.picker = new EnginePicker(policy);
+    this.forecast = new StalenessForecast(policy, pace);
   }
 
   /**
@@ -126,7 +115,7 @@
     if (previous == null) {
       port.engines().forEach(e -> askAll(e.instance(), 1));
     } else if (!previous.trainerVersion().equals(next.trainerVersion())) {
-      movesOn |= !previous.prepare() && !next.prepare();
+      forecast.onNewVersion(previous, next);
       dropStale();
     }
     acknowledge(previous);
@@ -163,10 +152,10 @@
       slot.arriving = Optional.of(sample);
       boolean surplus =
           slot.whole.isPresent() && !slot.whole.get().attempt().equals(sample.attempt());
-      wastedTokens += surplus ? sample.tokens().size() : 0;
+      tally.onWasted(surplus ? sample.tokens().size() : 0);
       slot.fire(SampleEvent.DONE);
     } else {
-      wastedTokens += sample.tokens().size();
+      tally.onWasted(sample.tokens().size());
       backOff(slot, engine);
       removeFlight(slot, sample.attempt(), true);
     }
@@ -223,7 +212,7 @@
     repeatInquiries();
     askSilent();
     cancelDoomed();
-    requeueDelayed();
+    missing.readmit(clock.elapsed());
     migrateSlow();
     schedule();
   }
@@ -253,7 +242,7 @@
 
   /** Returns whether samples wait for an engine, so that the step can use its share of each. */
   public boolean isHungry() {
-    return request != null && isActive() && !isHeldOff() && !missing.isEmpty();
+    return request != null && isActive() && nextToStart().isPresent();
   }
 
   /** Returns the number of attempts in flight at an engine. */
@@ -278,12 +267,12 @@
 
   /** Returns the tokens of samples that were kept. */
   public long usefulTokens() {
-    return usefulTokens;
+    return tally.useful();
   }
 
   /** Returns the tokens that were made in vain. */
   public long wastedTokens() {
-    return wastedTokens;
+    return tally.wasted();
   }
 
   /** Returns the state of a sample. */
@@ -312,7 +301,7 @@
 
   private void act(SampleSlot slot, SampleAction action) {
     switch (action) {
-      case ENQUEUE -> enqueue(slot);
+      case ENQUEUE -> missing.add(slot);
       case KEEP -> keep(slot);
       case DROP -> drop(slot, true);
       case RELEASE -> drop(slot, false);
@@ -320,18 +309,11 @@
     }
   }
 
-  private void enqueue(SampleSlot slot) {
-    if (!slot.queued) {
-      slot.queued = true;
-      missing.add(slot);
-    }
-  }
-
   private void keep(SampleSlot slot) {
     slot.whole = slot.arriving;
     slot.prefix = SamplePrefix.NONE;
     slot.failures = 0;
-    usefulTokens += slot.whole.orElseThrow().tokens().size();
+    tally.onKept(slot.whole.orElseThrow().tokens().size());
     Group group = groups.get(slot.key.group());
     group.whole++;
     if (group.whole == group.slots.size()) {
@@ -349,9 +331,7 @@
 
   private void drop(SampleSlot slot, boolean wasted) {
     if (wasted) {
-      int tokens = slot.whole.orElseThrow().tokens().size();
-      usefulTokens -= tokens;
-      wastedTokens += tokens;
+      tally.onDropped(slot.whole.orElseThrow().tokens().size());
     }
     slot.whole = Optional.empty();
     groups.get(slot.key.group()).whole--;
@@ -361,14 +341,14 @@
   private void cancel(SampleSlot slot, Flight flight) {
     port.cancel(flight.engine, flight.attempt, false);
     slot.ended.add(flight.attempt.number());
-    wastedTokens += flight.generated;
+    tally.onWasted(flight.generated);
     slot.flights.remove(flight);
     inFlight.remove(flight.attempt);
     picker.onEnd(flight.engine);
   }
 
   private void giveUp(SampleSlot slot, Flight flight) {
-    wastedTokens += Math.max(0, flight.generated - slot.prefix.tokens().size());
+    tally.onWasted(Math.max(0, flight.generated - slot.prefix.tokens().size()));
     slot.avoid = Optional.of(flight.engine);
     removeFlight(slot, flight.attempt, true);
   }
@@ -426,12 +406,8 @@
   private void learn(Flight flight, FinishedSample sample) {
     flight.generated = sample.tokens().size();
     flight.lastHeard = clock.elapsed();
-    double rate = flight.rate();
-    picker.onRate(flight.engine, rate);
-    typicalRate = typicalRate == 0 ? rate : typicalRate + RATE_SMOOTHING * (rate - typicalRate);
-    double length = sample.tokens().size();
-    typicalLength =
-        typicalLength == 0 ? length : typicalLength + RATE_SMOOTHING * (length - typicalLength);
+    picker.onRate(flight.engine, flight.rate());
+    pace.onSample(sample.tokens().size(), flight.rate());
   }
 
   private Optional<SampleSlot> slot(SampleKey key) {
@@ -536,25 +512,30 @@
   }
 
   private void askSilent() {
-    Duration silentSince = clock.elapsed().minus(SILENCE);
+    Duration now = clock.elapsed();
     Map<InstanceId, List<AttemptKey>> silent = new LinkedHashMap<>();
     inFlight.forEach(
         (attempt, slot) -> {
           Flight flight = slot.flight(attempt).orElseThrow();
-          if (flight.lastHeard.compareTo(silentSince) < 0 && !inquiries.awaits(flight.engine)) {
+          if (isSilent(flight, now) && !inquiries.awaits(flight.engine)) {
             silent.computeIfAbsent(flight.engine, key -> new ArrayList<>()).add(attempt);
           }
         });
-    Duration now = clock.elapsed();
     silent.forEach(
         (engine, attempts) ->
             ask(new Inquiry(engine, now, false, new LinkedHashSet<>(attempts), 1)));
   }
 
+  private static boolean isSilent(Flight flight, Duration now) {
+    boolean heard = flight.lastHeard.compareTo(flight.startedAt) > 0;
+    Duration allowed = heard ? SILENCE : SILENCE_BEFORE_FIRST_REPORT;
+    return now.minus(flight.lastHeard).compareTo(allowed) > 0;
+  }
+
   private void cancelDoomed() {
     for (SampleSlot slot : List.copyOf(inFlight.values())) {
       for (Flight flight : List.copyOf(slot.flights)) {
-        if (isDoomed(flight)) {
+        if (isDoomed(slot, flight)) {
           cancel(slot, flight);
           slot.prefix = SamplePrefix.NONE;
           fireGoneIfEmpty(slot);
@@ -569,67 +550,30 @@
     }
   }
 
-  /**
-   * Certain staleness always counts, a predicted one only within the allowance for waste. Most
-   * trainers don't move on before they have the step; one that did so once may do it again.
-   */
-  private boolean isDoomed(Flight flight) {
-    if (flight.oldest.isEmpty()) {
-      return false;
-    }
-    WeightVersion oldest = flight.oldest.get();
-    if (!isFresh(oldest)) {
+  /** Certain staleness always counts, a predicted one only within the allowance for waste. */
+  private boolean isDoomed(SampleSlot slot, Flight flight) {
+    if (flight.oldest.isPresent() && !isFresh(flight.oldest.get())) {
       return true;
     }
-    boolean mayWaste =
-        wastedTokens + flight.generated <= policy.maxWaste() * (usefulTokens + wastedTokens);
-    return mayWaste && !policy.isFresh(oldest, expectedVersion(flight));
-  }
-
-  /** Returns the version that the trainer is expected to have when it takes the sample. */
-  private WeightVersion expectedVersion(Flight flight) {
-    if (request.prepare()) {
-      return new WeightVersion(request.trainerVersion().number() + 1);
-    }
-    return movesOn ? pace.versionAt(expectedEnd(flight)) : request.trainerVersion();
-  }
-
-  /** The lower the idle weight, the further ahead the trainer's next versions are awaited. */
-  private Duration expectedEnd(Flight flight) {
-    Duration now = clock.elapsed();
-    double rate = Math.max(flight.rate(), SLOW_SHARE * typicalRate);
-    double left = Math.max(0, expectedLength(flight) - flight.generated);
-    double seconds = rate <= 0 ? 0 : (1 - policy.idleWeight()) * left / rate;
-    return now.plus(Duration.ofNanos((long) (seconds * 1e9)));
-  }
-
-  private double expectedLength(Flight flight) {
-    int hint = inFlight.get(flight.attempt).prompt.expectedTokens();
-    return hint > 0 ? hint : typicalLength;
-  }
-
-  private void requeueDelayed() {
-    Duration now = clock.elapsed();
-    for (int i = delayed.size(); i > 0; i--) {
-      SampleSlot slot = delayed.poll();
-      if (slot.notBefore.compareTo(now) <= 0) {
-        enqueue(slot);
-      } else {
-        delayed.add(slot);
-      }
-    }
+    int hint = slot.prompt.expectedTokens();
+    return tally.mayWaste(flight.generated, policy.maxWaste())
+        && forecast.isDoomed(flight, request, hint, clock.elapsed());
   }
 
   /** With nothing left to start, moves attempts off engines that are much slower than the rest. */
   private void migrateSlow() {
-    if (!missing.isEmpty() || typicalRate == 0 || !isActive()) {
+    boolean startsLeft = missing.first(clock.elapsed()).isPresent();
+    if (startsLeft || pace.tokensPerSecond() == 0 || !isActive()) {
       return;
     }
     Duration now = clock.elapsed();
     for (SampleSlot slot : List.copyOf(inFlight.values())) {
       for (Flight f : slot.flights) {
         boolean old = now.minus(f.startedAt).compareTo(MIN_AGE_TO_MIGRATE) >= 0;
-        if (old && !f.handingBack && f.rate() < SLOW_SHARE * typicalRate && hasRoomBeside(f)) {
+        if (old
+            && !f.handingBack
+            && f.rate() < SLOW_SHARE * pace.tokensPerSecond()
+            && hasRoomBeside(f)) {
           f.handingBack = true;
           port.cancel(f.engine, f.attempt, true);
         }
@@ -649,45 +593,41 @@
 
   private Optional<InstanceId> pick(List<EngineView> engines, Optional<InstanceId> avoid) {
     boolean prepare = request.prepare();
-    boolean patient = prepare && clock.elapsed().compareTo(pace.latestBegin()) < 0;
+    Duration patientUntil =
+        prepare ? pace.latestBegin() : pace.awaitsSwapUntil(policy.idleWeight());
+    boolean patient = clock.elapsed().compareTo(patientUntil) < 0;
     return picker.pick(engines, request.trainerVersion(), prepare, patient, avoid);
   }
 
-  /** A step that is only prepared isn't begun earlier than its idle weight asks for. */
-  private boolean isHeldOff() {
-    return request.prepare() && clock.elapsed().compareTo(pace.beginAt(policy.idleWeight())) < 0;
+  private boolean waits(SampleSlot slot) {
+    return request.prepare()
+        && pace.waitsForNextVersion(policy.idleWeight(), slot.prompt.expectedTokens());
   }
 
   private void schedule() {
-    if (request == null || missing.isEmpty() || !isActive() || inquiries.awaitsWhole()) {
+    if (request == null || !isActive() || inquiries.awaitsWhole()) {
       return;
     }
-    if (isHeldOff()) {
-      return;
-    }
-    List<EngineView> engines = port.engines();
-    while (!missing.isEmpty()) {
-      SampleSlot slot = missing.poll();
-      slot.queued = false;
-      if (slot.state() != SampleState.MISSING) {
-        continue;
-      }
-      if (slot.notBefore.compareTo(clock.elapsed()) > 0) {
-        delayed.add(slot);
-        continue;
-      }
-      Optional<InstanceId> engine = pick(engines, slot.avoid);
+    Optional<SampleSlot> next = nextToStart();
+    List<EngineView> engines = next.isEmpty() ? List.of() : port.engines();
+    while (next.isPresent()) {
+      Optional<InstanceId> engine = pick(engines, next.get().avoid);
       if (engine.isEmpty()) {
-        enqueue(slot);
         return;
       }
-      start(slot, engine.get());
+      missing.removeFirst();
+      start(next.get(), engine.get());
+      next = nextToStart();
     }
   }
 
+  private Optional<SampleSlot> nextToStart() {
+    return missing.first(clock.elapsed()).filter(s -> !waits(s));
+  }
+
   private void start(SampleSlot slot, InstanceId engine) {
     if (!slot.prefix.isEmpty() && !isFresh(slot.prefix.oldest())) {
-      wastedTokens += slot.prefix.tokens().size();
+      tally.onWasted(slot.prefix.tokens().size());
       slot.prefix = SamplePrefix.NONE;
     }
     AttemptKey attempt = new AttemptKey(slot.key, random.nextInt(Integer.MAX_VALUE));
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/idempotency/HomeMoveTest.java
@@ -0,0 +1,152 @@
+package org.carobhoist.core.idempotency;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Random;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Verdict;
+import org.carobhoist.core.testing.ManualClock;
+import org.junit.jupiter.api.Test;
+
+/** Two sidecars that both take themselves for the home of a key, with clocks that differ. */
+final class HomeMoveTest {
+
+  private static final HomePolicy POLICY = HomePolicy.DEFAULT;
+  private static final Fingerprint BODY = Fingerprint.of("POST", "/", new byte[0]);
+  private static final Duration INSTANT = Duration.ofMillis(1);
+
+  private final ManualClock time = new ManualClock();
+  private final Random random = new Random(3);
+  private final Home old = new Home("old", GateRules.sound());
+  private final Home next = new Home("next", GateRules.sound());
+
+  @Test
+  void neverRunsAtBothWhileTheOldLeaseLasts() {
+    move();
+    int ranAtOld = 0;
+    int ranAtNext = 0;
+    for (int i = 0; i < 400; i++) {
+      RequestKey key = keyBorn(time.now());
+      boolean first = old.runs(key);
+      next.renew();
+      boolean second = next.runs(key);
+      assertThat(first && second).isFalse();
+      ranAtOld += first ? 1 : 0;
+      ranAtNext += second ? 1 : 0;
+      time.advance(Duration.ofMillis(50));
+      sync();
+    }
+    assertThat(ranAtOld).isGreaterThan(0);
+    assertThat(ranAtNext).isGreaterThan(0);
+  }
+
+  @Test
+  void holderPausedAfterTheReceiptDoesNotRun() {
+    final RequestKey key = keyBorn(time.now());
+    move();
+    time.advance(POLICY.lease());
+    sync();
+    assertThat(old.runs(key)).isFalse();
+    assertThat(old.waiter.refusals.get(0).verdict()).isEqualTo(Verdict.NOT_RUN);
+  }
+
+  @Test
+  void skewAtTheBoundIsCovered() {
+    old.clock.setSkew(POLICY.skew());
+    move();
+    RequestKey key = latestKeyOfOldHome();
+    assertThat(old.runs(key)).isTrue();
+    settleNext();
+    assertThat(next.runs(key)).isFalse();
+    assertThat(next.waiter.refusals.get(0).verdict()).isEqualTo(Verdict.MAY_HAVE_RUN);
+  }
+
+  @Test
+  void floorWithOneSkewWouldRunTwice() {
+    GateRules narrow =
+        GateRules.sound().withTenureFloor(s -> s.plus(POLICY.lease()).plus(POLICY.skew()));
+    Home careless = new Home("next", narrow);
+    old.clock.setSkew(POLICY.skew());
+    move();
+    careless.history.add(view(2, careless));
+    RequestKey key = latestKeyOfOldHome();
+    assertThat(old.runs(key)).isTrue();
+    time.advance(POLICY.skew().multipliedBy(3));
+    careless.clock.advance(time.elapsed());
+    careless.renew();
+    assertThat(careless.runs(key)).isTrue();
+  }
+
+  /** What is lost past the bound, as the page on at most once says. */
+  @Test
+  void skewPastTheBoundIsNotCovered() {
+    old.clock.setSkew(POLICY.skew().plusMillis(2));
+    move();
+    RequestKey key = latestKeyOfOldHome();
+    assertThat(old.runs(key)).isTrue();
+    settleNext();
+    assertThat(next.runs(key)).isTrue();
+  }
+
+  /** The old home reads the log for the last time just before it is moved. */
+  private void move() {
+    old.history.add(view(1, old));
+    time.advance(Duration.ofSeconds(30));
+    sync();
+    old.renew();
+    next.history.add(view(2, next));
+  }
+
+  private RequestKey latestKeyOfOldHome() {
+    time.advance(POLICY.lease().minus(INSTANT));
+    sync();
+    return keyBorn(old.clock.now().plus(POLICY.skew()));
+  }
+
+  private void settleNext() {
+    time.advance(POLICY.skew().multipliedBy(3));
+    sync();
+    next.renew();
+  }
+
+  private void sync() {
+    old.clock.advance(time.elapsed().minus(old.clock.elapsed()));
+    next.clock.advance(time.elapsed().minus(next.clock.elapsed()));
+  }
+
+  private HomeView view(long offset, Home home) {
+    return new HomeView(offset, time.now(), List.of(home.self));
+  }
+
+  private RequestKey keyBorn(Instant birth) {
+    return RequestKey.ofCaller(IdempotencyKey.mint(birth, random));
+  }
+
+  private static final class Home {
+
+    private final ManualClock clock = new ManualClock();
+    private final HomeMember self;
+    private final HomeHistory history = HomeHistory.create();
+    private final HomeLease lease = HomeLease.create(POLICY, clock);
+    private final RecordingWaiter waiter = new RecordingWaiter();
+    private final KeyGate<String> gate;
+
+    private Home(String name, GateRules rules) {
+      self = new HomeMember(new InstanceId(name), new Incarnation(name + "-run"));
+      gate = rules.gate(self, clock, lease, history, rules.table(DuplicatePolicy.DEFAULT, clock));
+    }
+
+    private void renew() {
+      lease.onReadSent();
+      lease.onCaughtUp();
+    }
+
+    private boolean runs(RequestKey key) {
+      return gate.submit(key, BODY, waiter);
+    }
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -38,6 +38,9 @@
   private static final Set<String> HOP_HEADERS =
       Set.of("connection", "transfer-encoding", "keep-alive", "upgrade", "te", "trailer", "host");
 
+  private static final Duration LINK_WAIT = Duration.ofSeconds(2);
+  private static final Duration LINK_POLL = Duration.ofMillis(100);
+
   private final CallContext context;
   private final CallRequest request;
   private final HttpResponseWriter out;
@@ -64,13 +67,29 @@
 
   /** Starts a call whose answer goes to the writer; to be called on the loop. */
   static void start(CallContext context, CallRequest request, HttpResponseWriter out) {
+    Duration now = context.clock().elapsed();
+    startWhenLinked(context, request, out, now.plus(LINK_WAIT));
+  }
+
+  /** Waits a moment for the link to the only endpoint that may take a keyed request. */
+  private static void startWhenLinked(
+      CallContext context, CallRequest request, HttpResponseWriter out, Duration latest) {
     Optional<Refusal> obstacle =
         request.key().flatMap(key -> context.keys().obstacle(request.service(), key));
-    if (obstacle.isPresent()) {
-      logRefused(request, obstacle.get());
-      Problems.write(out, request.id(), request.key(), obstacle.get());
+    if (obstacle.isEmpty()) {
+      startNow(context, request, out);
       return;
     }
+    if (context.clock().elapsed().compareTo(latest) < 0) {
+      context.loop().after(LINK_POLL, () -> startWhenLinked(context, request, out, latest));
+      return;
+    }
+    logRefused(request, obstacle.get());
+    context.metrics().onEnd(request.service(), obstacle.get().verdict(), Duration.ZERO);
+    Problems.write(out, request.id(), request.key(), obstacle.get());
+  }
+
+  private static void startNow(CallContext context, CallRequest request, HttpResponseWriter out) {
     EntryCall call = new EntryCall(context, request, out);
     out.whenComplete()
         .whenCompleteAsync(
@@ -125,6 +144,9 @@
   public void send(InstanceId to, int attempt) {
     endpoint = to;
     frames = AnswerFrames.create();
+    if (attempt > 1) {
+      context.metrics().onRetry(request.service());
+    }
     sentAt = context.clock().elapsed();
     Optional<Link> link = context.links().link(to);
     frameId = context.table().add(new CallTable.Attempt(this, attempt, to));
@@ -163,27 +185,32 @@
 
   @Override
   public void finish() {
-    cancelTimer.run();
-    release();
+    settle(Verdict.COMPLETED);
     out.close();
   }
 
   @Override
   public void refuse(Refusal refusal) {
-    cancelTimer.run();
-    release();
+    settle(refusal.verdict());
     logRefused(request, refusal);
     Problems.write(out, request.id(), key, refusal);
   }
 
   @Override
   public void abort(Refusal refusal) {
-    cancelTimer.run();
-    release();
+    settle(refusal.verdict());
     logRefused(request, refusal);
     out.close(RefusedException.of(refusal));
   }
 
+  private void settle(Verdict verdict) {
+    cancelTimer.run();
+    release();
+    Duration start = expiry.minus(request.deadline());
+    Duration took = context.clock().elapsed().minus(start);
+    context.metrics().onEnd(request.service(), verdict, took);
+  }
+
   private Optional<InstanceId> route(Set<InstanceId> excluded) {
     RouteQuery query = new RouteQuery(request.service(), context.zone(), excluded, prefix);
     return context
@@ -261,9 +288,19 @@
                 b.addHeaders(Header.newBuilder().setName(name.toString()).setValue(value));
               }
             });
+    if (request.key().isEmpty()) {
+      key.ifPresent(k -> b.addHeaders(keyHeader(k)));
+    }
     return LinkFrame.newBuilder().setCallStart(b).build();
   }
 
+  private static Header keyHeader(RequestKey key) {
+    return Header.newBuilder()
+        .setName(CarobhoistHeaders.IDEMPOTENCY_KEY)
+        .setValue(key.toString())
+        .build();
+  }
+
   private static void logRefused(CallRequest request, Refusal refusal) {
     EventLog.info(
         LogEvent.REQUEST_REFUSED,
--- a/server/src/main/java/org/carobhoist/server/state/AdminRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/state/AdminRoutes.java
@@ -5,21 +5,25 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpStatus;
 import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServerBuilder;
-import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import com.linecorp.armeria.server.TransientHttpService;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
+import org.carobhoist.server.metrics.ProcessMetrics;
 
 /** The HTTP routes that every role has: health, metrics and the state dump. */
 public final class AdminRoutes {
 
+  private static final MediaType PROMETHEUS =
+      MediaType.parse("text/plain; version=0.0.4; charset=utf-8");
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final BooleanSupplier ready;
-  private final PrometheusMeterRegistry metrics;
+  private final ProcessMetrics metrics;
   private final StateDump dump;
 
-  private AdminRoutes(BooleanSupplier ready, PrometheusMeterRegistry metrics, StateDump dump) {
+  private AdminRoutes(BooleanSupplier ready, ProcessMetrics metrics, StateDump dump) {
     this.ready = ready;
     this.metrics = metrics;
     this.dump = dump;
@@ -30,21 +34,30 @@
    *
    * @param ready whether the process takes work; read on any thread
    */
-  public static AdminRoutes create(
-      BooleanSupplier ready, PrometheusMeterRegistry metrics, StateDump dump) {
+  public static AdminRoutes create(BooleanSupplier ready, ProcessMetrics metrics, StateDump dump) {
     return new AdminRoutes(ready, metrics, dump);
   }
 
   /** Adds the routes to a server. */
   public void addTo(ServerBuilder sb) {
-    sb.service("/health/live", (ctx, req) -> HttpResponse.of(HttpStatus.OK));
-    sb.service("/health/ready", (ctx, req) -> readiness());
-    sb.service("/metrics", (ctx, req) -> HttpResponse.of(metrics.scrape()));
+    sb.service("/health/live", probe(() -> true));
+    sb.service("/health/ready", probe(ready));
+    sb.service(
+        "/metrics", (ctx, req) -> HttpResponse.of(metrics.scrape().thenApply(AdminRoutes::page)));
     sb.service("/state", (ctx, req) -> HttpResponse.of(dump.take().thenApply(AdminRoutes::json)));
   }
 
-  private HttpResponse readiness() {
-    return HttpResponse.of(ready.getAsBoolean() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
+  /** Probes are no work: a planned stop doesn't wait for the next one to stay away. */
+  private static HttpService probe(BooleanSupplier healthy) {
+    HttpService service =
+        (ctx, req) ->
+            HttpResponse.of(
+                healthy.getAsBoolean() ? HttpStatus.OK : HttpStatus.SERVICE_UNAVAILABLE);
+    return service.decorate(TransientHttpService.newDecorator());
+  }
+
+  private static HttpResponse page(String metrics) {
+    return HttpResponse.of(HttpStatus.OK, PROMETHEUS, metrics);
   }
 
   private static HttpResponse json(Object value) {
