--- a/it/src/test/java/org/carobhoist/it/LinkFaultTest.java
+++ b/it/src/test/java/org/carobhoist/it/LinkFaultTest.java
@@ -30,7 +30,7 @@
     plain.start();
     try (TestCluster cluster = TestCluster.start(folder)) {
       cluster.startSidecar("plain-1", "centro-a", "reservas", "plain", plain.uri());
-      FaultProxy proxy = cluster.listBehindProxy("plain-1");
+      final FaultProxy proxy = cluster.listBehindProxy("plain-1");
       cluster.startEntry("entry-1", "centro-a");
       cluster.awaitReady();
       cluster.awaitLinks("entry-1", 1);
@@ -72,7 +72,7 @@
                           MediaType.JSON.toString()),
                       HttpData.ofUtf8(
                           "{\"model\":\"horno-lm\",\"prompt\":\"kiln?\",\"max_tokens\":100000}")));
-      CompletableFuture<Void> reading = answer.subscribe();
+      final CompletableFuture<Void> reading = answer.subscribe();
       TestCluster.await("engine runs", () -> running(engine) == 1);
 
       answer.abort();
