Bound the steps kept for a trainer; give every sidecar two entries; count waits against deadlines

Steps: an entry kept each step for five minutes and a sidecar for ten after the last message, and a trainer that holds its last page sends none; with quick steps that fills a small heap, and every kept step is looked at in each tick. Of one trainer's steps under a profile the newest four are kept at both; what is forgotten is soft state. Links: with entries and sidecars in different zones a sidecar could be left without a link, and so without peers for its configuration. Each sidecar is now owed links by the two entries that rank highest for it. Deadlines: the wait for a keyed request's link (2 s at most) came on top of the caller's deadline; it counts against it now. Samples: a trainer's share follows its profile's policy (tenant is profile and trainer), and an attempt that ends without a sample no longer counts as a measured service time.

--- a/core/src/main/java/org/carobhoist/core/membership/LinkSubset.java
+++ b/core/src/main/java/org/carobhoist/core/membership/LinkSubset.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Zone;
@@ -21,6 +22,8 @@
   private static final int NEAR = 16;
   private static final int FAR = 8;
 
+  private static final int ENTRIES_PER_SIDECAR = 2;
+
   private LinkSubset() {}
 
   /**
@@ -45,4 +48,26 @@
     Stream.concat(near, far).forEach(i -> out.add(i.instance()));
     return out;
   }
+
+  /**
+   * Returns the sidecars to which an entry keeps links for their sake: each sidecar is owed links
+   * by the two entries that rank highest for it. So a sidecar has peers for its configuration
+   * however the zones of entries and sidecars are spread, also while it can't reach the log.
+   *
+   * @param self the entry
+   * @param entries the entries that the instance list names; may lack this one
+   * @param sidecars the sidecars of all services
+   */
+  public static Set<InstanceId> owed(
+      InstanceId self, Collection<InstanceId> entries, Collection<InstanceId> sidecars) {
+    return sidecars.stream()
+        .filter(sidecar -> owes(self, entries, Rendezvous.key(sidecar.value())))
+        .collect(Collectors.toSet());
+  }
+
+  private static boolean owes(InstanceId self, Collection<InstanceId> entries, long key) {
+    long own = Rendezvous.score(key, self.value());
+    long better = entries.stream().filter(e -> Rendezvous.score(key, e.value()) > own).count();
+    return better < ENTRIES_PER_SIDECAR;
+  }
 }
--- a/core/src/main/java/org/carobhoist/core/rollout/SampleStore.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/SampleStore.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -14,6 +15,10 @@
  * or nobody has asked for their step for the retention time, so that another entry can take a step
  * over without generating anything twice.
  *
+ * <p>A trainer that never ends its steps must not fill the memory: of one trainer's steps under a
+ * profile only the newest few are kept, by the last message about them. What is forgotten is made
+ * again if it is asked for after all.
+ *
  * <p>An acknowledgement counts only for what is held at that moment. It leaves no mark behind, so a
  * trainer that is restored with an older cursor is served again.
  */
@@ -22,6 +27,9 @@
   /** How long the samples of a step are kept after the last message about it. */
   public static final Duration RETENTION = Duration.ofMinutes(10);
 
+  /** Most steps of one trainer under one profile that are kept. */
+  public static final int STEPS_PER_TRAINER = 4;
+
   private final Clock clock;
   private final Map<StepKey, Step> steps = new HashMap<>();
 
@@ -46,7 +54,11 @@
 
   /** Notes the start of an attempt; returns false if it runs or is finished already. */
   public boolean begin(AttemptKey attempt) {
-    Step step = steps.computeIfAbsent(attempt.sample().step(), key -> new Step());
+    StepKey key = attempt.sample().step();
+    if (!steps.containsKey(key)) {
+      makeRoom(key);
+    }
+    Step step = steps.computeIfAbsent(key, k -> new Step());
     step.touched = clock.elapsed();
     return !step.finished.containsKey(attempt) && step.running.add(attempt);
   }
@@ -132,6 +144,22 @@
     return steps.values().stream().mapToInt(s -> s.running.size() + s.finished.size()).sum();
   }
 
+  /** Makes room for a step: the ones longest not spoken of go, unless something of them runs. */
+  private void makeRoom(StepKey key) {
+    List<StepKey> idle =
+        steps.entrySet().stream()
+            .filter(e -> isOfSameTrainer(e.getKey(), key) && e.getValue().running.isEmpty())
+            .sorted(Map.Entry.comparingByValue(Comparator.comparing(step -> step.touched)))
+            .map(Map.Entry::getKey)
+            .toList();
+    int excess = idle.size() - (STEPS_PER_TRAINER - 1);
+    idle.stream().limit(Math.max(0, excess)).forEach(steps::remove);
+  }
+
+  private static boolean isOfSameTrainer(StepKey a, StepKey b) {
+    return a.profile().equals(b.profile()) && a.trainer().equals(b.trainer());
+  }
+
   private Step touch(StepKey key) {
     Step step = steps.get(key);
     if (step != null) {
--- a/core/src/test/java/org/carobhoist/core/membership/LinkSubsetTest.java
+++ b/core/src/test/java/org/carobhoist/core/membership/LinkSubsetTest.java
@@ -42,6 +42,21 @@
     assertThat(Collections.min(counts.values())).isAtLeast(2);
   }
 
+  @Test
+  void givesEverySidecarTwoEntriesWhateverTheZones() {
+    List<InstanceId> entries = new ArrayList<>();
+    for (int i = 0; i < ENTRIES; i++) {
+      entries.add(new InstanceId("entry-" + i));
+    }
+    List<InstanceId> all = sidecars.stream().map(ListedInstance::instance).toList();
+    Map<InstanceId, Integer> counts = new HashMap<>();
+    for (InstanceId entry : entries) {
+      LinkSubset.owed(entry, entries, all).forEach(id -> counts.merge(id, 1, Integer::sum));
+    }
+    assertThat(counts).hasSize(SIDECARS);
+    assertThat(new HashSet<>(counts.values())).containsExactly(2);
+  }
+
   @Test
   void replacesOnlyTheSidecarThatWent() {
     List<ListedInstance> fewer = sidecars.subList(1, SIDECARS);
--- a/core/src/test/java/org/carobhoist/core/rollout/SampleStoreTest.java
+++ b/core/src/test/java/org/carobhoist/core/rollout/SampleStoreTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.time.Duration;
 import java.util.List;
 import org.carobhoist.core.common.ProfileName;
 import org.carobhoist.core.common.StepId;
@@ -61,6 +62,20 @@
     assertThat(store.size()).isEqualTo(0);
   }
 
+  @Test
+  void keepsOnlyTheNewestStepsOfTrainerThatNeverEndsThem() {
+    int steps = 3 * SampleStore.STEPS_PER_TRAINER;
+    for (int i = 0; i < steps; i++) {
+      AttemptKey first = new AttemptKey(new SampleKey(stepNumber(i), 0, 0), 1);
+      store.begin(first);
+      store.finish(sample(first));
+      clock.advance(Duration.ofSeconds(1));
+    }
+    assertThat(store.size()).isEqualTo(SampleStore.STEPS_PER_TRAINER);
+    assertThat(store.finished(stepNumber(steps - 1))).hasSize(1);
+    assertThat(store.finished(stepNumber(0))).isEmpty();
+  }
+
   @Test
   void questionKeepsStepFromExpiring() {
     store.begin(attempt(0));
@@ -74,12 +89,16 @@
     return new AttemptKey(new SampleKey(step, group, 0), 1);
   }
 
+  private StepKey stepNumber(int number) {
+    return new StepKey(step.profile(), step.trainer(), new StepId("s" + number));
+  }
+
   private FinishedSample sample(int group) {
+    return sample(attempt(group));
+  }
+
+  private static FinishedSample sample(AttemptKey attempt) {
     return new FinishedSample(
-        attempt(group),
-        List.of(7),
-        List.of(new VersionSpan(new WeightVersion(1), 0, 1)),
-        "w",
-        "stop");
+        attempt, List.of(7), List.of(new VersionSpan(new WeightVersion(1), 0, 1)), "w", "stop");
   }
 }
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -55,43 +55,44 @@
   private long frameId;
   private Duration sentAt = Duration.ZERO;
 
-  private EntryCall(CallContext context, CallRequest request, HttpResponseWriter out) {
+  private EntryCall(
+      CallContext context, CallRequest request, HttpResponseWriter out, Duration begun) {
     this.context = context;
     this.request = request;
     this.out = out;
     this.run = RequestRun.create(this, request.retry(), context.budget(), request.idempotent());
     this.prefix = PromptReader.prefix(request);
     this.key = request.key();
-    this.expiry = context.clock().elapsed().plus(request.deadline());
+    this.expiry = begun.plus(request.deadline());
   }
 
   /** Starts a call whose answer goes to the writer; to be called on the loop. */
   static void start(CallContext context, CallRequest request, HttpResponseWriter out) {
-    Duration now = context.clock().elapsed();
-    startWhenLinked(context, request, out, now.plus(LINK_WAIT));
+    startWhenLinked(context, request, out, context.clock().elapsed());
   }
 
   /** Waits a moment for the link to the only endpoint that may take a keyed request. */
   private static void startWhenLinked(
-      CallContext context, CallRequest request, HttpResponseWriter out, Duration latest) {
+      CallContext context, CallRequest request, HttpResponseWriter out, Duration begun) {
     Optional<Refusal> obstacle =
         request.key().flatMap(key -> context.keys().obstacle(request.service(), key));
     if (obstacle.isEmpty()) {
-      startNow(context, request, out);
+      startNow(context, request, out, begun);
       return;
     }
-    if (context.clock().elapsed().compareTo(latest) < 0) {
-      context.loop().after(LINK_POLL, () -> startWhenLinked(context, request, out, latest));
+    Duration waited = context.clock().elapsed().minus(begun);
+    if (waited.compareTo(LINK_WAIT) < 0 && waited.compareTo(request.deadline()) < 0) {
+      context.loop().after(LINK_POLL, () -> startWhenLinked(context, request, out, begun));
       return;
     }
     logRefused(request, obstacle.get());
-    Duration waited = context.clock().elapsed().minus(latest.minus(LINK_WAIT));
     context.metrics().onEnd(request.service(), obstacle.get().verdict(), waited);
     Problems.write(out, request.id(), request.key(), obstacle.get());
   }
 
-  private static void startNow(CallContext context, CallRequest request, HttpResponseWriter out) {
-    EntryCall call = new EntryCall(context, request, out);
+  private static void startNow(
+      CallContext context, CallRequest request, HttpResponseWriter out, Duration begun) {
+    EntryCall call = new EntryCall(context, request, out, begun);
     out.whenComplete()
         .whenCompleteAsync(
             (ok, failure) -> {
@@ -100,7 +101,8 @@
               }
             },
             context.loop());
-    call.cancelTimer = context.loop().after(request.deadline(), call.run::onDeadline);
+    Duration left = call.expiry.minus(context.clock().elapsed());
+    call.cancelTimer = context.loop().after(left, call.run::onDeadline);
     call.run.start();
   }
 
--- a/server/src/main/java/org/carobhoist/server/entry/LinkPool.java
+++ b/server/src/main/java/org/carobhoist/server/entry/LinkPool.java
@@ -44,6 +44,7 @@
   private static final Duration WIDEN_PERIOD = Duration.ofSeconds(2);
   private static final int MAX_FACTOR = 16;
   private static final String SIDECAR = "sidecar";
+  private static final String ENTRY = "entry";
 
   private final InstanceId self;
   private final Zone zone;
@@ -207,9 +208,17 @@
         (service, sidecars) ->
             wanted.addAll(
                 LinkSubset.choose(self, zone, sidecars, factors.getOrDefault(service, 1))));
+    wanted.addAll(LinkSubset.owed(self, listedEntries(), targets.keySet()));
     targets.forEach((id, target) -> target.wanted = wanted.contains(id));
   }
 
+  private List<InstanceId> listedEntries() {
+    return lastList.stream()
+        .filter(i -> i.role().equals(ENTRY) && !i.leaving())
+        .map(ListedInstance::instance)
+        .toList();
+  }
+
   private void tick() {
     monitor.tick();
     openMissing();
--- a/server/src/main/java/org/carobhoist/server/entry/StepRun.java
+++ b/server/src/main/java/org/carobhoist/server/entry/StepRun.java
@@ -92,6 +92,16 @@
     answerIfWhole();
   }
 
+  /** Returns when the trainer last asked, by the clock's elapsed time. */
+  Duration lastRequest() {
+    return lastRequest;
+  }
+
+  /** Returns whether a request waits for a page. */
+  boolean isAwaited() {
+    return !waiters.isEmpty();
+  }
+
   boolean isIdleSince(Duration time) {
     return waiters.isEmpty() && lastRequest.compareTo(time) < 0;
   }
--- a/server/src/main/java/org/carobhoist/server/entry/StepTable.java
+++ b/server/src/main/java/org/carobhoist/server/entry/StepTable.java
@@ -1,11 +1,13 @@
 package org.carobhoist.server.entry;
 
 import java.time.Duration;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -18,6 +20,7 @@
 import org.carobhoist.core.rollout.AttemptKey;
 import org.carobhoist.core.rollout.EngineShares;
 import org.carobhoist.core.rollout.HeldAnswer;
+import org.carobhoist.core.rollout.SampleStore;
 import org.carobhoist.core.rollout.StepCoordinator;
 import org.carobhoist.core.rollout.StepKey;
 import org.carobhoist.core.rollout.StepPage;
@@ -70,6 +73,9 @@
   /** Takes a trainer's request; the page comes as soon as a group is whole, or when time is up. */
   CompletableFuture<StepPage> request(Profile profile, StepRequest request, Duration wait) {
     dropIf(s -> s.key().equals(request.key()) && !s.profile().equals(profile));
+    if (!steps.containsKey(request.key())) {
+      makeRoom(request.key());
+    }
     StepRun step = steps.computeIfAbsent(request.key(), key -> begin(profile, key));
     CompletableFuture<StepPage> page = step.request(request, wait);
     if (request.isComplete()) {
@@ -127,6 +133,25 @@
     return steps.values().stream().mapToInt(s -> s.coordinator().inFlight()).sum();
   }
 
+  /**
+   * Drops the steps of a trainer that asks for new ones without ending the old: a step holds
+   * samples until its trainer's next request, and a trainer that has its last page may send none.
+   */
+  private void makeRoom(StepKey key) {
+    List<StepRun> idle =
+        steps.values().stream()
+            .filter(s -> isOfSameTrainer(s.key(), key) && !s.isAwaited())
+            .sorted(Comparator.comparing(StepRun::lastRequest))
+            .toList();
+    int excess = idle.size() - (SampleStore.STEPS_PER_TRAINER - 1);
+    Set<StepRun> old = Set.copyOf(idle.subList(0, Math.max(0, excess)));
+    dropIf(old::contains);
+  }
+
+  private static boolean isOfSameTrainer(StepKey a, StepKey b) {
+    return a.profile().equals(b.profile()) && a.trainer().equals(b.trainer());
+  }
+
   private StepRun begin(Profile profile, StepKey key) {
     StepRun step = new StepRun(context, shares, profile, key, pace(key.trainer()), random);
     shares.add(key, step.coordinator());
--- a/server/src/main/java/org/carobhoist/server/sidecar/SampleWorker.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SampleWorker.java
@@ -72,7 +72,7 @@
         new AdmissionTicket(
             attempt.ticket(),
             Priority.ROLLOUT,
-            key.sample().step().trainer().value(),
+            tenant(key.sample().step()),
             Optional.empty(),
             attempt::run,
             attempt::onFailed));
@@ -127,6 +127,11 @@
     return store.size();
   }
 
+  /** Each trainer has a share of its own under its profile's policy. */
+  private static String tenant(StepKey step) {
+    return step.profile() + " " + step.trainer();
+  }
+
   private void report() {
     attempts.values().forEach(SampleAttempt::report);
     cancelAll(store.expire());
@@ -161,7 +166,7 @@
       attempts.remove(attempt.order().attempt(), attempt);
       store.drop(attempt.order().attempt());
       if (!queue.withdraw(attempt.ticket())) {
-        queue.complete(attempt.ticket());
+        queue.fail(attempt.ticket());
       }
     }
 
