--- a/it/src/test/java/org/carobhoist/it/ProcessFootprint.java
+++ b/it/src/test/java/org/carobhoist/it/ProcessFootprint.java
@@ -25,6 +25,7 @@
 import org.carobhoist.trainer.StepSession;
 import org.carobhoist.trainer.TrainerClient;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.CleanupMode;
 import org.junit.jupiter.api.io.TempDir;
 
 /**
@@ -48,7 +49,8 @@
   private static final int LOCAL_FIELD = 3;
   private static final int PEER_FIELD = 4;
 
-  @TempDir private Path folder;
+  @TempDir(cleanup = CleanupMode.ON_SUCCESS)
+  private Path folder;
 
   record Reading(long rssKilobytes, int threads, long ticks, Map<String, Long> socketBytes) {}
 
