--- a/core/src/test/java/org/carobhoist/core/swap/SwapBenchmark.java
+++ b/core/src/test/java/org/carobhoist/core/swap/SwapBenchmark.java
@@ -62,7 +62,8 @@
       WeightOrder order = new WeightOrder(SwapWorld.MODEL, new WeightVersion(2), 10);
       nodes.forEach(n -> n.sidecar.onOrder(order));
       queue.run(LIMIT);
-      return "SWAP engines %d, store %d fetches/s: all serve after %.1f s, most out at once %d, refused %d"
+      return ("SWAP engines %d, store %d fetches/s: all serve after %.1f s,"
+              + " most out at once %d, refused %d")
           .formatted(
               nodes.size(),
               storeRate,
