--- a/core/src/main/java/org/carobhoist/core/rollout/SampleStore.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/SampleStore.java
@@ -148,7 +148,7 @@
   private void makeRoom(StepKey key) {
     List<StepKey> idle =
         steps.entrySet().stream()
-            .filter(e -> isOfSameTrainer(e.getKey(), key) && e.getValue().running.isEmpty())
+            .filter(e -> e.getKey().isOfSameTrainer(key) && e.getValue().running.isEmpty())
             .sorted(Map.Entry.comparingByValue(Comparator.comparing(step -> step.touched)))
             .map(Map.Entry::getKey)
             .toList();
@@ -156,10 +156,6 @@
     idle.stream().limit(Math.max(0, excess)).forEach(steps::remove);
   }
 
-  private static boolean isOfSameTrainer(StepKey a, StepKey b) {
-    return a.profile().equals(b.profile()) && a.trainer().equals(b.trainer());
-  }
-
   private Step touch(StepKey key) {
     Step step = steps.get(key);
     if (step != null) {
--- a/core/src/main/java/org/carobhoist/core/rollout/StepKey.java
+++ b/core/src/main/java/org/carobhoist/core/rollout/StepKey.java
@@ -11,4 +11,10 @@
  * @param trainer the trainer
  * @param step the step
  */
-public record StepKey(ProfileName profile, TrainerId trainer, StepId step) {}
+public record StepKey(ProfileName profile, TrainerId trainer, StepId step) {
+
+  /** Returns whether both steps are of one trainer under one profile. */
+  public boolean isOfSameTrainer(StepKey other) {
+    return profile.equals(other.profile) && trainer.equals(other.trainer);
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/entry/StepTable.java
+++ b/server/src/main/java/org/carobhoist/server/entry/StepTable.java
@@ -140,7 +140,7 @@
   private void makeRoom(StepKey key) {
     List<StepRun> idle =
         steps.values().stream()
-            .filter(s -> isOfSameTrainer(s.key(), key) && !s.isAwaited())
+            .filter(s -> s.key().isOfSameTrainer(key) && !s.isAwaited())
             .sorted(Comparator.comparing(StepRun::lastRequest))
             .toList();
     int excess = idle.size() - (SampleStore.STEPS_PER_TRAINER - 1);
@@ -148,10 +148,6 @@
     dropIf(old::contains);
   }
 
-  private static boolean isOfSameTrainer(StepKey a, StepKey b) {
-    return a.profile().equals(b.profile()) && a.trainer().equals(b.trainer());
-  }
-
   private StepRun begin(Profile profile, StepKey key) {
     StepRun step = new StepRun(context, shares, profile, key, pace(key.trainer()), random);
     shares.add(key, step.coordinator());
