--- a/server/src/main/java/org/carobhoist/server/link/proto/LinkFrameOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/LinkFrameOrBuilder.java
@@ -319,5 +319,117 @@
    */
   org.carobhoist.server.link.proto.SampleProgress getSampleProgress();
 
+  /**
+   * <code>.carobhoist.link.RunnerAttach runner_attach = 23;</code>
+   *
+   * @return Whether the runnerAttach field is set.
+   */
+  boolean hasRunnerAttach();
+
+  /**
+   * <code>.carobhoist.link.RunnerAttach runner_attach = 23;</code>
+   *
+   * @return The runnerAttach.
+   */
+  org.carobhoist.server.link.proto.RunnerAttach getRunnerAttach();
+
+  /**
+   * <code>.carobhoist.link.RunnerState runner_state = 24;</code>
+   *
+   * @return Whether the runnerState field is set.
+   */
+  boolean hasRunnerState();
+
+  /**
+   * <code>.carobhoist.link.RunnerState runner_state = 24;</code>
+   *
+   * @return The runnerState.
+   */
+  org.carobhoist.server.link.proto.RunnerState getRunnerState();
+
+  /**
+   * <code>.carobhoist.link.RunStart run_start = 25;</code>
+   *
+   * @return Whether the runStart field is set.
+   */
+  boolean hasRunStart();
+
+  /**
+   * <code>.carobhoist.link.RunStart run_start = 25;</code>
+   *
+   * @return The runStart.
+   */
+  org.carobhoist.server.link.proto.RunStart getRunStart();
+
+  /**
+   * <code>.carobhoist.link.RunCancel run_cancel = 26;</code>
+   *
+   * @return Whether the runCancel field is set.
+   */
+  boolean hasRunCancel();
+
+  /**
+   * <code>.carobhoist.link.RunCancel run_cancel = 26;</code>
+   *
+   * @return The runCancel.
+   */
+  org.carobhoist.server.link.proto.RunCancel getRunCancel();
+
+  /**
+   * <code>.carobhoist.link.RunReport run_report = 27;</code>
+   *
+   * @return Whether the runReport field is set.
+   */
+  boolean hasRunReport();
+
+  /**
+   * <code>.carobhoist.link.RunReport run_report = 27;</code>
+   *
+   * @return The runReport.
+   */
+  org.carobhoist.server.link.proto.RunReport getRunReport();
+
+  /**
+   * <code>.carobhoist.link.StoreRelay store_relay = 28;</code>
+   *
+   * @return Whether the storeRelay field is set.
+   */
+  boolean hasStoreRelay();
+
+  /**
+   * <code>.carobhoist.link.StoreRelay store_relay = 28;</code>
+   *
+   * @return The storeRelay.
+   */
+  org.carobhoist.server.link.proto.StoreRelay getStoreRelay();
+
+  /**
+   * <code>.carobhoist.link.StoreRelayReply store_relay_reply = 29;</code>
+   *
+   * @return Whether the storeRelayReply field is set.
+   */
+  boolean hasStoreRelayReply();
+
+  /**
+   * <code>.carobhoist.link.StoreRelayReply store_relay_reply = 29;</code>
+   *
+   * @return The storeRelayReply.
+   */
+  org.carobhoist.server.link.proto.StoreRelayReply getStoreRelayReply();
+
+  /**
+   * <code>.carobhoist.link.JobNotice job_notice = 30;</code>
+   *
+   * @return Whether the jobNotice field is set.
+   */
+  boolean hasJobNotice();
+
+  /**
+   * <code>.carobhoist.link.JobNotice job_notice = 30;</code>
+   *
+   * @return The jobNotice.
+   */
+  org.carobhoist.server.link.proto.JobNotice getJobNotice();
+
   public org.carobhoist.server.link.proto.LinkFrame.BodyCase getBodyCase();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/Pong.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/Pong.java
@@ -42,6 +42,55 @@
     nonce_ = 0L;
   }
 
+  public static final int STORE_REACHABLE_FIELD_NUMBER = 2;
+  private boolean storeReachable_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the sender reaches the platform's store by itself.
+   * </pre>
+   *
+   * <code>bool store_reachable = 2;</code>
+   *
+   * @return The storeReachable.
+   */
+  @java.lang.Override
+  public boolean getStoreReachable() {
+    return storeReachable_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the sender reaches the platform's store by itself.
+   * </pre>
+   *
+   * <code>bool store_reachable = 2;</code>
+   *
+   * @param value The storeReachable to set.
+   */
+  private void setStoreReachable(boolean value) {
+
+    storeReachable_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the sender reaches the platform's store by itself.
+   * </pre>
+   *
+   * <code>bool store_reachable = 2;</code>
+   */
+  private void clearStoreReachable() {
+
+    storeReachable_ = false;
+  }
+
   public static org.carobhoist.server.link.proto.Pong parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -168,6 +217,57 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Whether the sender reaches the platform's store by itself.
+     * </pre>
+     *
+     * <code>bool store_reachable = 2;</code>
+     *
+     * @return The storeReachable.
+     */
+    @java.lang.Override
+    public boolean getStoreReachable() {
+      return instance.getStoreReachable();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the sender reaches the platform's store by itself.
+     * </pre>
+     *
+     * <code>bool store_reachable = 2;</code>
+     *
+     * @param value The storeReachable to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStoreReachable(boolean value) {
+      copyOnWrite();
+      instance.setStoreReachable(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether the sender reaches the platform's store by itself.
+     * </pre>
+     *
+     * <code>bool store_reachable = 2;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearStoreReachable() {
+      copyOnWrite();
+      instance.clearStoreReachable();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.Pong)
   }
 
@@ -190,10 +290,11 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "nonce_",
+                "nonce_", "storeReachable_",
               };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u0002";
+              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u0002\u0002\u0007"
+                  + "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/PongOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/PongOrBuilder.java
@@ -17,4 +17,17 @@
    * @return The nonce.
    */
   long getNonce();
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether the sender reaches the platform's store by itself.
+   * </pre>
+   *
+   * <code>bool store_reachable = 2;</code>
+   *
+   * @return The storeReachable.
+   */
+  boolean getStoreReachable();
 }
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -65,7 +65,69 @@
   /** A peer's configuration can't belong to the same log. */
   PEER_DISAGREES(5104, "peer's configuration disagrees"),
   /** A weight swap went a step on. */
-  SWAP(6001, "weight swap");
+  SWAP(6001, "weight swap"),
+  /** A request of a client was served. */
+  REQUEST_SERVED(7001, "request served"),
+  /** An attempt at a server failed after it may have run. */
+  ATTEMPT_FAILED(7002, "attempt failed"),
+  /** A call was refused before any attempt. */
+  CALL_REFUSED(7003, "call refused"),
+  /** A job is in the store. */
+  JOB_ACCEPTED(7101, "job accepted"),
+  /** A job was refused, or it isn't known whether the store has it. */
+  JOB_REFUSED(7102, "job not accepted"),
+  /** A job has become known from the store. */
+  JOB_KNOWN(7103, "job known"),
+  /** A job has ended. */
+  JOB_ENDED(7104, "job ended"),
+  /** A read can't be answered for want of news from the store. */
+  READ_UNSURE(7105, "read can't be answered"),
+  /** A record of a job is stored again, since it isn't known to be there. */
+  STORE_TRIED_AGAIN(7106, "store tried again"),
+  /** An item has been given to an engine. */
+  ITEM_PLACED(7201, "item placed"),
+  /** A run ended without a result; its item waits again. */
+  ITEM_WAITS_AGAIN(7202, "item waits again"),
+  /** A run is taken off its engine. */
+  RUN_MOVED(7203, "run taken off its engine"),
+  /** A result of a former job stands for an item again. */
+  RESULT_REUSED(7204, "result of a former job listed"),
+  /** An item is given up. */
+  ITEM_GIVEN_UP(7205, "item given up"),
+  /** A run has ended at its runner. */
+  RUN_ENDED(7206, "run ended"),
+  /** An order of an older coordinator was ignored. */
+  OLD_TERM_IGNORED(7207, "order of an older term ignored"),
+  /** An engine was ordered to load weights. */
+  ENGINE_ORDERED(7301, "engine ordered to load"),
+  /** An engine didn't take an order. */
+  ENGINE_ORDER_FAILED(7302, "order not taken by engine"),
+  /** An engine's report couldn't be read. */
+  ENGINE_REPORT_FAILED(7303, "engine report failed"),
+  /** A trainer has named a weight version. */
+  VERSION_NAMED(7304, "weight version named"),
+  /** This process holds the coordinator's lease. */
+  LEASE_TAKEN(7401, "coordinator lease taken"),
+  /** This process no longer holds the coordinator's lease. */
+  LEASE_LOST(7402, "coordinator lease lost"),
+  /** Another holder of the lease was seen. */
+  LEASE_SEEN(7403, "coordinator lease changed"),
+  /** A peer can't be reached any more. */
+  PEER_LOST(7404, "peer lost"),
+  /** This process's record for the others couldn't be written. */
+  MEMBER_WRITE_FAILED(7405, "membership record not written"),
+  /** A manifest is in force. */
+  MANIFEST_IN_FORCE(7501, "manifest in force"),
+  /** A shard of the store can't be read. */
+  SHARD_LOST(7502, "shard unreadable"),
+  /** A shard of the store can be read again. */
+  SHARD_REGAINED(7503, "shard readable again"),
+  /** The store can't be reached directly. */
+  STORE_PATH_LOST(7504, "direct path to the store lost"),
+  /** The store can be reached directly again. */
+  STORE_PATH_REGAINED(7505, "direct path to the store regained"),
+  /** A server is gone from the registry. */
+  ENDPOINT_GONE(7506, "endpoint gone");
 
   private final int number;
   private final String text;
--- a/server/src/main/java/org/carobhoist/server/platform/HttpPlatform.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/HttpPlatform.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.platform;
+package org.carobhoist.server.logservice;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
--- a/server/src/main/java/org/carobhoist/server/platform/InstanceList.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/InstanceList.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.platform;
+package org.carobhoist.server.logservice;
 
 import java.util.List;
 import java.util.Optional;
--- a/server/src/main/java/org/carobhoist/server/platform/LogAppender.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/LogAppender.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.platform;
+package org.carobhoist.server.logservice;
 
 import java.time.Duration;
 import java.util.ArrayDeque;
--- a/server/src/main/java/org/carobhoist/server/platform/LogListener.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/LogListener.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.platform;
+package org.carobhoist.server.logservice;
 
 /** Sees the reads of the log that a process makes anyway; called on the decision loop. */
 public interface LogListener {
--- a/server/src/main/java/org/carobhoist/server/platform/LogRecords.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/LogRecords.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.platform;
+package org.carobhoist.server.logservice;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
--- a/server/src/main/java/org/carobhoist/server/platform/package-info.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/package-info.java
@@ -1,2 +1,2 @@
 /** Clients of the platform's log, instance list and weight store. */
-package org.carobhoist.server.platform;
+package org.carobhoist.server.logservice;
--- a/server/src/main/java/org/carobhoist/server/metrics/Metric.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/Metric.java
@@ -30,6 +30,10 @@
   REVISION("carobhoist.config.revision", "", "revision of the configuration in force"),
   /** Wait of the last probe on the decision loop. */
   LOOP_LAG("carobhoist.loop.lag", "seconds", "wait of the last probe on the decision loop"),
+  /** Whether this process coordinates. */
+  COORDINATES("carobhoist.coordinates", "", "1 while this process coordinates, else 0"),
+  /** Items of jobs that wait for an engine. */
+  ITEMS_WAITING("carobhoist.items.waiting", "", "items of jobs that wait for an engine"),
   /** Log events, by number. */
   EVENTS("carobhoist.events", "", "log events"),
   /** Memory that the JVM uses. */
--- a/server/src/main/java/org/carobhoist/server/runtime/DecisionLoop.java
+++ b/server/src/main/java/org/carobhoist/server/runtime/DecisionLoop.java
@@ -8,6 +8,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.carobhoist.core.common.Scheduler;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 
@@ -16,25 +17,30 @@
  * touched only here, so that they need no locks; I/O happens on other threads, which hand events
  * over.
  */
-public final class DecisionLoop implements Executor, Service {
+public final class DecisionLoop implements Executor, Scheduler, Service {
 
   private static final long STOP_TIMEOUT_SECONDS = 5;
 
   private final ScheduledExecutorService executor;
 
-  private DecisionLoop(String name) {
-    this.executor =
+  private DecisionLoop(ScheduledExecutorService executor) {
+    this.executor = executor;
+  }
+
+  /** Returns a loop whose thread has the given name. */
+  public static DecisionLoop create(String name) {
+    return new DecisionLoop(
         Executors.newSingleThreadScheduledExecutor(
             task -> {
               Thread t = new Thread(task, name);
               t.setDaemon(true);
               return t;
-            });
+            }));
   }
 
-  /** Returns a loop whose thread has the given name. */
-  public static DecisionLoop create(String name) {
-    return new DecisionLoop(name);
+  /** Returns a loop on a thread that also does the process's I/O. */
+  public static DecisionLoop on(ScheduledExecutorService thread) {
+    return new DecisionLoop(thread);
   }
 
   @Override
@@ -51,7 +57,7 @@
     return CompletableFuture.supplyAsync(task, this);
   }
 
-  /** Runs a task once after a delay; the returned handle cancels it. */
+  @Override
   public Runnable after(Duration delay, Runnable task) {
     try {
       var future = executor.schedule(() -> runLogged(task), delay.toNanos(), TimeUnit.NANOSECONDS);
--- a/server/src/main/java/org/carobhoist/server/sidecar/EndpointKeeper.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/EndpointKeeper.java
@@ -31,7 +31,7 @@
 import org.carobhoist.server.link.proto.Pong;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
-import org.carobhoist.server.platform.InstanceList;
+import org.carobhoist.server.logservice.InstanceList;
 import org.carobhoist.server.runtime.DecisionLoop;
 
 /**
--- a/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/KeyedHome.java
@@ -19,10 +19,10 @@
 import org.carobhoist.core.idempotency.KeyGate;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
-import org.carobhoist.server.platform.HomeRecords;
-import org.carobhoist.server.platform.HomeViewReader;
-import org.carobhoist.server.platform.LogListener;
-import org.carobhoist.server.platform.PlatformLog;
+import org.carobhoist.server.logservice.HomeRecords;
+import org.carobhoist.server.logservice.HomeViewReader;
+import org.carobhoist.server.logservice.LogListener;
+import org.carobhoist.server.logservice.PlatformLog;
 import org.carobhoist.server.settings.SidecarSettings;
 import org.carobhoist.server.state.StateSource;
 
--- a/server/src/main/java/org/carobhoist/server/sidecar/SampleScorer.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SampleScorer.java
@@ -7,8 +7,8 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleConsumer;
 import org.carobhoist.core.rollout.FinishedSample;
-import org.carobhoist.server.platform.HttpScorer;
-import org.carobhoist.server.platform.Scorer;
+import org.carobhoist.server.logservice.HttpScorer;
+import org.carobhoist.server.logservice.Scorer;
 import org.carobhoist.server.runtime.DecisionLoop;
 
 /**
--- a/server/src/main/java/org/carobhoist/server/sidecar/SwapWorker.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SwapWorker.java
@@ -27,11 +27,11 @@
 import org.carobhoist.server.link.proto.LogRecord;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
-import org.carobhoist.server.platform.InstanceList;
-import org.carobhoist.server.platform.LogBatch;
-import org.carobhoist.server.platform.PlatformLog;
-import org.carobhoist.server.platform.RecordListener;
-import org.carobhoist.server.platform.WeightOrderRecords;
+import org.carobhoist.server.logservice.InstanceList;
+import org.carobhoist.server.logservice.LogBatch;
+import org.carobhoist.server.logservice.PlatformLog;
+import org.carobhoist.server.logservice.RecordListener;
+import org.carobhoist.server.logservice.WeightOrderRecords;
 import org.carobhoist.server.runtime.DecisionLoop;
 import org.carobhoist.server.state.StateSource;
 
--- a/server/src/test/java/org/carobhoist/server/platform/LogRecordsTest.java
+++ b/server/src/test/java/org/carobhoist/server/logservice/LogRecordsTest.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.platform;
+package org.carobhoist.server.logservice;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/logservice/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of the platform's clients. */
+package org.carobhoist.server.logservice;
--- a/server/src/test/java/org/carobhoist/server/platform/package-info.java
+++ /dev/null
@@ -1,2 +0,0 @@
-/** Tests of the platform's clients. */
-package org.carobhoist.server.platform;
