--- a/core/src/main/java/org/carobhoist/core/job/Job.java
+++ b/core/src/main/java/org/carobhoist/core/job/Job.java
@@ -21,6 +21,7 @@
   private final byte[][] chunks;
   private final List<ItemResult> results = new ArrayList<>();
   private final Map<ItemId, ItemResult> byItem = new HashMap<>();
+  private final Map<ItemId, Long> offsets = new HashMap<>();
   private boolean ended;
   private JobContent content;
   private Map<ItemId, JobItem> items;
@@ -102,11 +103,17 @@
     return Arrays.stream(chunks).allMatch(c -> c != null);
   }
 
+  /** Returns the offset of the record that listed an item; -1 if none did. */
+  long offsetOf(ItemId item) {
+    return offsets.getOrDefault(item, -1L);
+  }
+
   /** Takes a result; returns whether it is new. */
-  boolean add(ItemResult result) {
+  boolean add(ItemResult result, long offset) {
     if (byItem.putIfAbsent(result.item(), result) != null) {
       return false;
     }
+    offsets.put(result.item(), offset);
     results.add(result);
     return true;
   }
--- a/core/src/main/java/org/carobhoist/core/job/JobListener.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobListener.java
@@ -12,6 +12,9 @@
   /** A job was ended, or forgotten without having been ended. */
   void onEnded(Job job);
 
+  /** A second record lists an item; the first one counts. */
+  void onListedAgain(Job job, ItemResult result, long offset);
+
   /** A record of the shard can't be read. */
   void onUnreadable(String key, long offset, String why);
 
--- a/core/src/main/java/org/carobhoist/core/job/JobView.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobView.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 import org.carobhoist.core.store.StoredRecord;
 import org.carobhoist.core.store.TailListener;
+import org.carobhoist.core.store.Want;
 
 /**
  * All jobs as the store tells of them, the same in every process that has read as far. Each job
@@ -59,11 +60,21 @@
     return Collections.unmodifiableCollection(jobs.values());
   }
 
-  /** Returns whether a result with the given key may still be appended. */
-  public boolean isWanted(String resultKey) {
+  /** Returns whether a result with the given key may be appended. */
+  public Want want(String resultKey) {
     JobRecordCodec.ListedKey key = codec.listedKey(resultKey);
     Job job = jobs.get(key.job());
-    return job != null && job.isOpen() && job.result(key.item()).isEmpty();
+    if (job == null) {
+      return Want.LATER;
+    }
+    return job.isOpen() && job.result(key.item()).isEmpty() ? Want.NOW : Want.NEVER;
+  }
+
+  /** Returns a job that isn't in the store yet; it is no part of this view. */
+  public Job provisional(JobHead head, byte[] submitted) {
+    Job job = new Job(head, 1, decoder);
+    job.addChunk(0, submitted);
+    return job;
   }
 
   /** Returns the listener of the tail of one shard. */
@@ -87,8 +98,8 @@
     if (job == null) {
       return;
     }
-    if (decoded instanceof JobRecord.Listed l && job.add(l.result())) {
-      listeners.forEach(listener -> listener.onListed(job, l.result()));
+    if (decoded instanceof JobRecord.Listed l) {
+      list(job, l.result(), stored.offset());
     } else if (decoded instanceof JobRecord.Ended) {
       end(job);
     } else if (decoded instanceof JobRecord.Forgotten) {
@@ -103,6 +114,14 @@
     }
   }
 
+  private void list(Job job, ItemResult result, long offset) {
+    if (job.add(result, offset)) {
+      listeners.forEach(l -> l.onListed(job, result));
+    } else if (job.offsetOf(result.item()) != offset) {
+      listeners.forEach(l -> l.onListedAgain(job, result, offset));
+    }
+  }
+
   private void end(Job job) {
     if (job.end()) {
       listeners.forEach(l -> l.onEnded(job));
--- a/core/src/main/java/org/carobhoist/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseKeeper.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.Predicate;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
@@ -20,8 +21,10 @@
  * paused can't renew over its successor. The position of the record that begins a term, counted
  * from 1, is the term's number and the fencing number of everything ordered in it.
  *
- * <p>A candidate takes the lease after a silence that it has seen in the store itself; while the
- * store can't be read no silence counts, so an outage doesn't change the holder.
+ * <p>A candidate takes the lease after a silence that it has seen in the store itself, or at once
+ * where the holder's process is known to have ended; while the store can't be read no silence
+ * counts, so an outage doesn't change the holder. After a silence alone the new holder gives no
+ * orders for a while, since the former one may still be there.
  */
 public final class LeaseKeeper implements TailListener {
 
@@ -37,13 +40,16 @@
   private final LeasePort port;
   private final LeasePolicy policy;
   private final Clock clock;
+  private final Predicate<LeaseEntry> ended;
   private KeyedTail tail;
   private Optional<LeaseEntry> last = Optional.empty();
+  private Optional<LeaseEntry> former = Optional.empty();
   private long lastTerm;
   private Duration quietSince = Duration.ZERO;
   private boolean busy;
   private boolean retired;
   private boolean held;
+  private Duration sentAt = Duration.ZERO;
   private Duration renewedAt = Duration.ZERO;
   private Duration ordersFrom = Duration.ZERO;
 
@@ -54,7 +60,8 @@
       LeaseCodec codec,
       LeasePort port,
       LeasePolicy policy,
-      Clock clock) {
+      Clock clock,
+      Predicate<LeaseEntry> ended) {
     this.self = self;
     this.incarnation = incarnation;
     this.store = store;
@@ -62,9 +69,14 @@
     this.port = port;
     this.policy = policy;
     this.clock = clock;
+    this.ended = ended;
   }
 
-  /** Returns the part of a process that holds nothing. */
+  /**
+   * Returns the part of a process that holds nothing.
+   *
+   * @param ended whether the process that wrote a record is known to have ended
+   */
   public static LeaseKeeper create(
       InstanceId self,
       Incarnation incarnation,
@@ -72,8 +84,9 @@
       LeaseCodec codec,
       LeasePort port,
       LeasePolicy policy,
-      Clock clock) {
-    return new LeaseKeeper(self, incarnation, store, codec, port, policy, clock);
+      Clock clock,
+      Predicate<LeaseEntry> ended) {
+    return new LeaseKeeper(self, incarnation, store, codec, port, policy, clock, ended);
   }
 
   /** Sets the tail of the lease's shard, whose listener this is. */
@@ -98,6 +111,9 @@
     LeaseEntry entry = codec.decode(stored.value());
     lastTerm = entry.term() == 0 ? stored.offset() + 1 : entry.term();
     last = Optional.of(entry);
+    if (held && isOwn(entry) && busy) {
+      renewedAt = sentAt;
+    }
     if (held && !isOwn(entry)) {
       lose("another instance holds a newer term");
     }
@@ -132,7 +148,7 @@
   public boolean mayOrder() {
     return held
         && since(renewedAt).compareTo(policy.trust()) < 0
-        && clock.elapsed().compareTo(ordersFrom) >= 0;
+        && (clock.elapsed().compareTo(ordersFrom) >= 0 || former.map(this::isOver).orElse(true));
   }
 
   /** Returns the term of the newest record; it grows with each holder. */
@@ -163,23 +179,27 @@
       boolean mine = entry.heir().isEmpty() || entry.heir().get().equals(self);
       return mine || since(quietSince).compareTo(policy.heirTime()) >= 0;
     }
+    if (isOver(entry)) {
+      return true;
+    }
     Duration silentAt = quietSince.plus(policy.silence());
     return !tail.isLost() && tail.freshAsOf().compareTo(silentAt) >= 0;
   }
 
   private void append(LeaseEntry entry) {
     busy = true;
-    Duration sentAt = clock.elapsed();
+    sentAt = clock.elapsed();
+    Duration began = sentAt;
     KeyedRecord content = new KeyedRecord(KEY, codec.encode(entry));
     store
         .append(tail.shard(), List.of(content), OptionalLong.of(tail.next()))
-        .whenComplete((outcome, failure) -> onAnswer(entry, content, sentAt, outcome, failure));
+        .whenComplete((outcome, failure) -> onAnswer(entry, content, began, outcome, failure));
   }
 
   private void onAnswer(
       LeaseEntry entry,
       KeyedRecord content,
-      Duration sentAt,
+      Duration began,
       AppendOutcome outcome,
       Throwable failure) {
     busy = false;
@@ -189,17 +209,24 @@
       tail.barrier().whenComplete((ok, unread) -> busy = false);
       return;
     }
-    boolean first = last.isEmpty();
+    Optional<LeaseEntry> before = last;
     tail.onAppended(((AppendOutcome.Appended) outcome).offset(), List.of(content));
     if (entry.released() || retired) {
       return;
     }
     if (!held) {
       held = true;
-      ordersFrom = first ? sentAt : clock.elapsed().plus(policy.orderGap());
+      former = before;
+      ordersFrom = clock.elapsed().plus(policy.orderGap());
       port.onAcquired(lastTerm);
     }
-    renewedAt = sentAt;
+    renewedAt = began;
+  }
+
+  /** Returns whether the writer of a record gives no order any more. */
+  private boolean isOver(LeaseEntry entry) {
+    boolean ownFormerRun = entry.holder().equals(self) && !entry.incarnation().equals(incarnation);
+    return entry.released() || ownFormerRun || ended.test(entry);
   }
 
   private void lose(String why) {
--- a/core/src/main/java/org/carobhoist/core/placement/ItemState.java
+++ b/core/src/main/java/org/carobhoist/core/placement/ItemState.java
@@ -17,7 +17,7 @@
   /** Tokens of one event where the manifest doesn't tell. */
   private static final int DEFAULT_EVENT_TOKENS = 1;
 
-  private final Job job;
+  private Job job;
   private final JobItem item;
   private RunText text = RunText.empty();
   private Phase phase = Phase.WAITING;
@@ -47,6 +47,11 @@
     return job;
   }
 
+  /** Takes the job as the store has it, in place of one that was not there yet. */
+  void onStored(Job stored) {
+    job = stored;
+  }
+
   JobItem item() {
     return item;
   }
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -46,6 +46,9 @@
   /** Time after which a cancelled run whose runner doesn't answer counts as ended. */
   private static final Duration CANCEL_TIME = Duration.ofSeconds(2);
 
+  /** Time in which a job that runs already has to reach the store. */
+  private static final Duration PROVISIONAL_TIME = Duration.ofSeconds(15);
+
   /** Bits of a run's number that count the runs of one term. */
   private static final int RUN_BITS = 24;
 
@@ -125,6 +128,19 @@
     return load == null ? 0 : load.items().size();
   }
 
+  /** Returns how long the longest run of an engine is expected to go on; zero if it has none. */
+  public Duration longestRunAt(InstanceId engine) {
+    EngineLoad load = engines.get(engine);
+    if (load == null) {
+      return Duration.ZERO;
+    }
+    Duration now = clock.elapsed();
+    return load.items().stream()
+        .map(s -> timeLeft(s, now))
+        .max(Comparator.naturalOrder())
+        .orElse(Duration.ZERO);
+  }
+
   /** Takes the version that an engine says it serves. */
   public void onEngineVersion(InstanceId engine, WeightVersion version) {
     EngineLoad load = engines.get(engine);
@@ -150,12 +166,25 @@
       return;
     }
     for (JobItem item : job.content().items()) {
-      if (job.result(item.id()).isEmpty()) {
+      ItemState known = items.get(new ItemKey(job.id(), item.id()));
+      if (known != null) {
+        known.onStored(job);
+      } else if (job.result(item.id()).isEmpty()) {
         enter(job, item);
       }
     }
   }
 
+  /**
+   * Takes a job that its entry can't store yet. Its items run; they are given up if the store
+   * hasn't got the job after a while.
+   */
+  public void onProvisional(Job job) {
+    if (active && view.job(job.id()).isEmpty()) {
+      onAccepted(job);
+    }
+  }
+
   /** Takes a result that was listed, by whichever process. */
   public void onListed(Job job, ItemResult result) {
     ItemState state = items.remove(new ItemKey(job.id(), result.item()));
@@ -311,6 +340,11 @@
   }
 
   private void giveUpExpired(Instant wall) {
+    List.copyOf(items.values()).stream()
+        .map(ItemState::job)
+        .distinct()
+        .filter(j -> view.job(j.id()).isEmpty() && isAbandoned(j, wall))
+        .forEach(this::onEnded);
     for (ItemState state : List.copyOf(items.values())) {
       if (state.phase() != Phase.DONE && state.job().head().isExpired(wall)) {
         giveUp(state, "retention passed");
@@ -318,6 +352,10 @@
     }
   }
 
+  private static boolean isAbandoned(Job job, Instant wall) {
+    return wall.isAfter(job.head().acceptedAt().plus(PROVISIONAL_TIME));
+  }
+
   /** Takes runs off engines that have gone silent, and off slow ones when faster ones have room. */
   private void watchRuns(Duration now) {
     for (ItemState state : List.copyOf(runs.values())) {
--- a/core/src/main/java/org/carobhoist/core/store/OrderedAppender.java
+++ b/core/src/main/java/org/carobhoist/core/store/OrderedAppender.java
@@ -2,11 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Predicate;
+import java.util.function.Function;
 import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.core.common.Scheduler;
 
@@ -27,11 +29,11 @@
 
   private final RecordStore store;
   private final KeyedTail tail;
-  private final Predicate<String> wanted;
+  private final Function<String, Want> wanted;
   private final Scheduler scheduler;
   private final Duration linger;
   private final JitteredBackoff backoff;
-  private final List<Pending> waiting = new ArrayList<>();
+  private final Map<String, Pending> waiting = new LinkedHashMap<>();
   private boolean busy;
 
   private record Pending(KeyedRecord content, CompletableFuture<Boolean> done) {}
@@ -39,7 +41,7 @@
   private OrderedAppender(
       RecordStore store,
       KeyedTail tail,
-      Predicate<String> wanted,
+      Function<String, Want> wanted,
       Scheduler scheduler,
       Duration linger) {
     this.store = store;
@@ -55,26 +57,28 @@
   /**
    * Returns an appender to the shard of a tail.
    *
-   * @param wanted whether a record with this key is wanted, as far as the tail has been read
+   * @param wanted whether the record of a key is wanted, as far as the tail has been read
    * @param linger how long records wait for others before an append
    */
   public static OrderedAppender create(
       RecordStore store,
       KeyedTail tail,
-      Predicate<String> wanted,
+      Function<String, Want> wanted,
       Scheduler scheduler,
       Duration linger) {
     return new OrderedAppender(store, tail, wanted, scheduler, linger);
   }
 
   /**
-   * Appends a record as soon as the store can be reached, however long that takes.
+   * Appends a record as soon as the store can be reached, however long that takes. A record whose
+   * key waits already is not added.
    *
    * @return whether this process's record is the one in the store; false if it was not wanted
    */
   public CompletableFuture<Boolean> append(KeyedRecord content) {
-    Pending pending = new Pending(content, new CompletableFuture<>());
-    waiting.add(pending);
+    Pending pending =
+        waiting.computeIfAbsent(
+            content.key(), key -> new Pending(content, new CompletableFuture<>()));
     if (!busy) {
       busy = true;
       scheduler.after(linger, this::step);
@@ -98,6 +102,10 @@
       return;
     }
     List<Pending> batch = batch();
+    if (batch.isEmpty()) {
+      scheduler.after(LONGEST_PAUSE, this::step);
+      return;
+    }
     long at = tail.next();
     store
         .append(tail.shard(), batch.stream().map(Pending::content).toList(), OptionalLong.of(at))
@@ -111,7 +119,7 @@
     }
     backoff.reset();
     if (outcome instanceof AppendOutcome.Appended appended) {
-      waiting.removeAll(batch);
+      batch.forEach(p -> waiting.remove(p.content().key()));
       tail.onAppended(appended.offset(), batch.stream().map(Pending::content).toList());
       batch.forEach(p -> p.done().complete(true));
       step();
@@ -133,9 +141,9 @@
   }
 
   private void dropUnwanted() {
-    for (Pending p : List.copyOf(waiting)) {
-      if (!wanted.test(p.content().key())) {
-        waiting.remove(p);
+    for (Pending p : List.copyOf(waiting.values())) {
+      if (wanted.apply(p.content().key()) == Want.NEVER) {
+        waiting.remove(p.content().key());
         p.done().complete(false);
       }
     }
@@ -144,7 +152,10 @@
   private List<Pending> batch() {
     List<Pending> batch = new ArrayList<>();
     int bytes = 0;
-    for (Pending p : waiting) {
+    for (Pending p : waiting.values()) {
+      if (wanted.apply(p.content().key()) == Want.LATER) {
+        continue;
+      }
       bytes += p.content().size();
       if (!batch.isEmpty() && bytes > MAX_BYTES) {
         break;
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/store/ListingScheduleTest.java
@@ -0,0 +1,36 @@
+package org.carobhoist.core.store;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.carobhoist.core.testing.Schedules;
+import org.junit.jupiter.api.Test;
+
+/** Lists items under random losses, delays, cuts, restarts and lost history. */
+final class ListingScheduleTest {
+
+  private static final long FIRST_SEED = 1;
+  private static final int SCHEDULES = 6_000;
+  private static final int MUTANT_SCHEDULES = 2_000;
+
+  @Test
+  void positionsNeverChange() {
+    assertThat(
+            Schedules.explore(
+                FIRST_SEED, SCHEDULES, r -> ListingWorld.run(r, ListingWorld.Rules.ALL)))
+        .isEmpty();
+  }
+
+  @Test
+  void withoutTheConditionAppendsArePutTwice() {
+    ListingWorld.Rules rules = new ListingWorld.Rules(false, true);
+    assertThat(Schedules.explore(FIRST_SEED, MUTANT_SCHEDULES, r -> ListingWorld.run(r, rules)))
+        .isPresent();
+  }
+
+  @Test
+  void withoutTheCheckBeforeAnAppendItemsAreListedTwice() {
+    ListingWorld.Rules rules = new ListingWorld.Rules(true, false);
+    assertThat(Schedules.explore(FIRST_SEED, MUTANT_SCHEDULES, r -> ListingWorld.run(r, rules)))
+        .isPresent();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/store/SharedLog.java
@@ -0,0 +1,84 @@
+package org.carobhoist.core.store;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.TreeMap;
+
+/** What a store holds: shards of records, of which the newest of each key lasts. */
+public final class SharedLog {
+
+  private final Map<Shard, Content> shards = new HashMap<>();
+  private final List<Runnable> waiters = new ArrayList<>();
+
+  private static final class Content {
+    private final List<StoredRecord> records = new ArrayList<>();
+    private long first;
+  }
+
+  /** Appends if the condition holds; returns what a store would say. */
+  public AppendOutcome append(Shard shard, List<KeyedRecord> records, OptionalLong at) {
+    Content content = content(shard);
+    long end = content.records.size();
+    if (at.isPresent() && at.getAsLong() != end) {
+      return new AppendOutcome.Conflict(end);
+    }
+    for (KeyedRecord r : records) {
+      content.records.add(new StoredRecord(content.records.size(), r.key(), r.value()));
+    }
+    List<Runnable> woken = List.copyOf(waiters);
+    waiters.clear();
+    woken.forEach(Runnable::run);
+    return new AppendOutcome.Appended(end);
+  }
+
+  /** Reads what is there. */
+  public ReadOutcome read(Shard shard, long from) {
+    Content content = content(shard);
+    if (from < content.first) {
+      return new ReadOutcome.Expired();
+    }
+    int size = content.records.size();
+    List<StoredRecord> found = content.records.subList((int) Math.min(from, size), size);
+    return new ReadOutcome.Batch(size, List.copyOf(found));
+  }
+
+  /** Reads a page of the newest records. */
+  public NewestPage newest(Shard shard, String after, int pageSize) {
+    TreeMap<String, StoredRecord> newest = new TreeMap<>();
+    for (StoredRecord r : content(shard).records) {
+      if (r.isDrop()) {
+        newest.remove(r.key());
+      } else {
+        newest.put(r.key(), r);
+      }
+    }
+    List<StoredRecord> rest = new ArrayList<>(newest.tailMap(after, false).values());
+    boolean more = rest.size() > pageSize;
+    return new NewestPage(
+        List.copyOf(rest.subList(0, Math.min(pageSize, rest.size()))),
+        more,
+        content(shard).records.size());
+  }
+
+  /** Drops the history of a shard; the newest record of each key stays readable as such. */
+  public void expire(Shard shard) {
+    content(shard).first = content(shard).records.size();
+  }
+
+  /** Runs a task at the next append. */
+  void onAppend(Runnable waiter) {
+    waiters.add(waiter);
+  }
+
+  /** Returns all records of a shard, for oracles. */
+  public List<StoredRecord> records(Shard shard) {
+    return List.copyOf(content(shard).records);
+  }
+
+  private Content content(Shard shard) {
+    return shards.computeIfAbsent(shard, s -> new Content());
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/store/StoreLink.java
@@ -0,0 +1,148 @@
+package org.carobhoist.core.store;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.carobhoist.core.testing.EventQueue;
+
+/** One process's way to a shared log: slow, at times refused, lost, or carried out late. */
+public final class StoreLink implements RecordStore {
+
+  private static final Duration TIMEOUT = Duration.ofMillis(700);
+  private static final int PAGE_SIZE = 3;
+  private static final int MAX_DELAY_MILLIS = 12;
+  private static final int MIN_LATE_MILLIS = 1_000;
+  private static final int MAX_LATE_MILLIS = 6_000;
+
+  private final SharedLog log;
+  private final EventQueue queue;
+  private final SplittableRandom random;
+  private double faultShare;
+  private boolean cut;
+  private boolean dead;
+
+  public StoreLink(SharedLog log, EventQueue queue, SplittableRandom random) {
+    this.log = log;
+    this.queue = queue;
+    this.random = random;
+  }
+
+  /** Sets which part of the calls goes wrong. */
+  public void setFaultShare(double share) {
+    faultShare = share;
+  }
+
+  /** Cuts the way to the store, or heals it. */
+  public void setCut(boolean value) {
+    cut = value;
+  }
+
+  /** Ends the process: no answer reaches it any more; what is on its way still arrives. */
+  public void kill() {
+    dead = true;
+  }
+
+  @Override
+  public CompletableFuture<AppendOutcome> append(
+      Shard shard, List<KeyedRecord> records, OptionalLong at) {
+    return call(() -> log.append(shard, records, at), true);
+  }
+
+  @Override
+  public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
+    CompletableFuture<ReadOutcome> out = new CompletableFuture<>();
+    call(() -> log.read(shard, from), false)
+        .whenComplete((outcome, failure) -> afterRead(shard, from, wait, outcome, failure, out));
+    return out;
+  }
+
+  @Override
+  public CompletableFuture<NewestPage> newest(Shard shard, String after) {
+    return call(() -> log.newest(shard, after, PAGE_SIZE), false);
+  }
+
+  private void afterRead(
+      Shard shard,
+      long from,
+      Duration wait,
+      ReadOutcome outcome,
+      Throwable failure,
+      CompletableFuture<ReadOutcome> out) {
+    if (failure != null) {
+      out.completeExceptionally(failure);
+      return;
+    }
+    boolean empty = outcome instanceof ReadOutcome.Batch b && b.records().isEmpty();
+    if (!empty || wait.isZero()) {
+      out.complete(outcome);
+      return;
+    }
+    boolean[] answered = {false};
+    Runnable answer =
+        () -> {
+          if (!answered[0]) {
+            answered[0] = true;
+            settle(out, () -> log.read(shard, from), delay());
+          }
+        };
+    log.onAppend(answer);
+    queue.after(wait, answer);
+  }
+
+  private <T> CompletableFuture<T> call(Supplier<T> effect, boolean writes) {
+    CompletableFuture<T> out = new CompletableFuture<>();
+    if (cut) {
+      fail(out, StoreException.mayHaveRun("cut", null), TIMEOUT);
+      return out;
+    }
+    if (random.nextDouble() >= faultShare) {
+      queue.after(delay(), () -> settle(out, effect, delay()));
+      return out;
+    }
+    switch (random.nextInt(writes ? 4 : 2)) {
+      case 0 -> fail(out, StoreException.notRun("refused"), delay());
+      case 1 -> fail(out, StoreException.mayHaveRun("request lost", null), TIMEOUT);
+      case 2 -> {
+        queue.after(delay(), effect::get);
+        fail(out, StoreException.mayHaveRun("answer lost", null), TIMEOUT);
+      }
+      default -> {
+        int late = random.nextInt(MIN_LATE_MILLIS, MAX_LATE_MILLIS);
+        queue.after(Duration.ofMillis(late), effect::get);
+        fail(out, StoreException.mayHaveRun("carried out late", null), TIMEOUT);
+      }
+    }
+    return out;
+  }
+
+  /** Takes effect now; the answer comes later, unless the way is cut or the process dead then. */
+  private <T> void settle(CompletableFuture<T> out, Supplier<T> effect, Duration later) {
+    T result = effect.get();
+    queue.after(
+        later,
+        () -> {
+          if (!dead && !cut) {
+            out.complete(result);
+          } else if (!dead) {
+            fail(out, StoreException.mayHaveRun("cut", null), TIMEOUT);
+          }
+        });
+  }
+
+  private <T> void fail(CompletableFuture<T> out, StoreException failure, Duration later) {
+    queue.after(
+        later,
+        () -> {
+          if (!dead) {
+            out.completeExceptionally(failure);
+          }
+        });
+  }
+
+  private Duration delay() {
+    return Duration.ofMillis(random.nextInt(1, MAX_DELAY_MILLIS));
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -13,6 +13,7 @@
 import org.carobhoist.core.job.ItemId;
 import org.carobhoist.core.job.ItemResult;
 import org.carobhoist.core.job.Job;
+import org.carobhoist.core.job.JobHead;
 import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.job.JobListener;
 import org.carobhoist.core.job.JobView;
@@ -49,6 +50,7 @@
   private final Clock clock;
   private final ManifestHolder manifests;
   private final RegisteredServers servers;
+  private final JobView view;
   private final PeerMesh mesh;
   private final RunnerDesk runner;
   private final ResultLists lists;
@@ -76,6 +78,7 @@
     this.clock = clock;
     this.manifests = manifests;
     this.servers = servers;
+    this.view = view;
     this.mesh = mesh;
     this.runner = runner;
     this.lists = lists;
@@ -157,10 +160,20 @@
           jobs.onReport(RunMapper.report(frame.getRunReport()));
         }
       }
+      case JOB_NOTICE -> {
+        JobId job = new JobId(frame.getJobNotice().getJob());
+        var message = frame.getJobNotice().getRecord();
+        runEarly(JobRecords.head(job, message), message.getContent().toByteArray());
+      }
       default -> EventLog.info(LogEvent.FRAME_DROPPED, "peer", peer, "kind", frame.getBodyCase());
     }
   }
 
+  private void runEarly(JobHead head, byte[] submitted) {
+    EventLog.info(LogEvent.JOB_RUNS_EARLY, "job", head.id(), "items", head.total());
+    jobs.onProvisional(view.provisional(head, submitted));
+  }
+
   /** Takes a server that is gone. */
   void onServerGone(InstanceId server) {
     weights.onGone(server);
@@ -317,6 +330,11 @@
     runner.onJobEnded(job.id());
   }
 
+  @Override
+  public void onListedAgain(Job job, ItemResult result, long offset) {
+    EventLog.warn(LogEvent.LISTED_AGAIN, "job", job.id(), "item", result.item(), "offset", offset);
+  }
+
   @Override
   public void onUnreadable(String key, long offset, String why) {
     EventLog.warn(LogEvent.RECORD_SKIPPED, "key", key, "offset", offset, "why", why);
@@ -334,6 +352,13 @@
   /** This process's own runner, without a link between. */
   private final class LocalLink implements RunnerDesk.CoordinatorLink {
 
+    @Override
+    public void notice(JobHead head, byte[] submitted) {
+      if (active) {
+        runEarly(head, submitted);
+      }
+    }
+
     @Override
     public void state(long term, List<RunReport> runs, boolean leavesNow) {
       loop.execute(
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -137,9 +137,14 @@
   private GatewayService(BootSettings boot) {
     this.boot = boot;
     this.mesh = new PeerMesh(boot.node(), loop, clock, new MeshListener());
-    StoreCall probe = HttpRecordStore.probe(Topics.LEASE);
+    List<StoreCall> probes =
+        List.of(
+            HttpRecordStore.probe(Topics.LEASE),
+            HttpRecordStore.probe(Topics.NODES),
+            HttpRecordStore.probe(Topics.OPERATORS));
     this.paths =
-        new StorePaths(DirectTransport.to(boot.store(), clients), mesh::storePaths, probe, loop);
+        new StorePaths(
+            DirectTransport.to(boot.store(), clients), mesh::storePaths, probes, loop, clock);
     this.store = HttpRecordStore.over(paths, STORE_TIMEOUT);
     this.servers =
         RegisteredServers.create(
@@ -158,7 +163,7 @@
     this.coordinator =
         new CoordinatorDesk(
             boot.node(), boot.zone(), loop, clock, manifests, servers, view, mesh, runner, lists);
-    this.jobs = new JobDesk(store, view, jobTails, codec, loop, clock);
+    this.jobs = new JobDesk(store, view, jobTails, codec, loop, clock, runner::runEarly);
     view.listen(coordinator);
     view.listen(jobs);
     this.lease =
@@ -169,7 +174,8 @@
             new LeaseRecords(),
             coordinator,
             LeasePolicy.of(boot.bounds().orderGap()),
-            clock);
+            clock,
+            entry -> mesh.hasEnded(entry.holder(), entry.incarnation()));
     KeyedTail leaseTail = tail(Topics.LEASE, lease, LEASE_READ_WAIT);
     lease.follow(leaseTail);
     this.weights =
@@ -430,6 +436,16 @@
       return coordinator.jobs().runsAt(engine);
     }
 
+    @Override
+    public Duration longestRunAt(InstanceId engine) {
+      return coordinator.jobs().longestRunAt(engine);
+    }
+
+    @Override
+    public WeightVersion demanded(String model) {
+      return coordinator.jobs().demanded(model);
+    }
+
     @Override
     public CompletableFuture<Void> readLease() {
       return leaseTail.barrier();
--- a/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Verdict;
@@ -30,7 +31,6 @@
 import org.carobhoist.core.store.KeyedRecord;
 import org.carobhoist.core.store.KeyedTail;
 import org.carobhoist.core.store.RecordStore;
-import org.carobhoist.core.store.StoreException;
 import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.platform.JobJson;
 import org.carobhoist.server.log.EventLog;
@@ -72,21 +72,29 @@
   private final JobRecordCodec codec;
   private final DecisionLoop loop;
   private final Clock clock;
+  private final BiConsumer<JobHead, byte[]> runEarly;
   private final Map<JobId, List<CompletableFuture<Void>>> readers = new HashMap<>();
 
+  /**
+   * Creates the desk.
+   *
+   * @param runEarly lets a job run that the store hasn't taken at the first try
+   */
   JobDesk(
       RecordStore store,
       JobView view,
       List<KeyedTail> tails,
       JobRecordCodec codec,
       DecisionLoop loop,
-      Clock clock) {
+      Clock clock,
+      BiConsumer<JobHead, byte[]> runEarly) {
     this.store = store;
     this.view = view;
     this.tails = tails;
     this.codec = codec;
     this.loop = loop;
     this.clock = clock;
+    this.runEarly = runEarly;
   }
 
   /** Accepts a job. */
@@ -110,7 +118,8 @@
     }
     List<KeyedRecord> records = codec.accepted(head, body);
     Supplier<Boolean> known = () -> view.job(head.id()).isPresent();
-    return persist(head.id(), records, known, patience)
+    Runnable early = () -> runEarly.accept(head, body);
+    return persist(head.id(), records, known, patience, early)
         .thenApply(verdict -> answerSubmit(head, verdict));
   }
 
@@ -162,6 +171,9 @@
     wake(job);
   }
 
+  @Override
+  public void onListedAgain(Job job, ItemResult result, long offset) {}
+
   @Override
   public void onUnreadable(String key, long offset, String why) {}
 
@@ -169,12 +181,7 @@
   public void onReadable(int part, boolean readable, String why) {}
 
   private HttpResponse answerSubmit(JobHead head, Verdict verdict) {
-    int status =
-        switch (verdict) {
-          case COMPLETED -> ACCEPTED;
-          case NOT_RUN -> UNAVAILABLE;
-          case MAY_HAVE_RUN -> TIMEOUT;
-        };
+    int status = verdict == Verdict.COMPLETED ? ACCEPTED : TIMEOUT;
     EventLog.info(
         status == ACCEPTED ? LogEvent.JOB_ACCEPTED : LogEvent.JOB_REFUSED,
         "job",
@@ -189,30 +196,35 @@
   }
 
   private CompletableFuture<HttpResponse> storeEnd(Job job, Duration patience) {
-    return persist(job.id(), List.of(codec.ended(job.id())), job::isEnded, patience)
+    List<KeyedRecord> end = List.of(codec.ended(job.id()));
+    return persist(job.id(), end, job::isEnded, patience, () -> {})
         .thenApply(verdict -> plain(verdict == Verdict.COMPLETED ? OK : TIMEOUT, ""));
   }
 
   private CompletableFuture<HttpResponse> awaitResults(Job job, int from, Duration patience) {
     boolean waits = from >= job.listed() && job.isOpen() && !patience.isZero();
     if (!waits) {
-      return done(page(job, from));
+      return freshPage(job, from);
     }
     CompletableFuture<Void> woken = new CompletableFuture<>();
     readers.computeIfAbsent(job.id(), k -> new ArrayList<>()).add(woken);
     Runnable cancel = loop.after(patience, () -> woken.complete(null));
-    return woken.thenApply(
+    return woken.thenCompose(
         ok -> {
           cancel.run();
-          return page(job, from);
+          return freshPage(job, from);
         });
   }
 
-  private HttpResponse page(Job job, int from) {
-    if (from >= job.listed() && from > 0 && job.isOpen() && isStale(job.id())) {
-      EventLog.info(LogEvent.READ_UNSURE, "job", job.id(), "from", from, "listed", job.listed());
-      return plain(UNAVAILABLE, "");
+  /** Says that there is nothing at a position only after a look at what the store holds now. */
+  private CompletableFuture<HttpResponse> freshPage(Job job, int from) {
+    if (from < job.listed() || !job.isOpen() || !isStale(job.id())) {
+      return done(page(job, from));
     }
+    return tails.get(view.shardOf(job.id())).barrier().thenApply(ok -> page(job, from));
+  }
+
+  private HttpResponse page(Job job, int from) {
     byte[] body = JobJson.page(job.head().total(), from, job.resultsFrom(from), PAGE_BYTES);
     ResponseHeaders headers =
         CallHeaders.own(OK, "", Optional.empty()).toBuilder().contentType(MediaType.JSON).build();
@@ -235,11 +247,15 @@
 
   /** Appends records until the store is known to have them, or time is up. */
   private CompletableFuture<Verdict> persist(
-      JobId id, List<KeyedRecord> records, Supplier<Boolean> known, Duration patience) {
+      JobId id,
+      List<KeyedRecord> records,
+      Supplier<Boolean> known,
+      Duration patience,
+      Runnable onDelay) {
     CompletableFuture<Verdict> done = new CompletableFuture<>();
     Duration latest = patience.minus(ANSWER_TIME);
     Duration until = clock.elapsed().plus(latest.isNegative() ? patience : latest);
-    tryToPersist(id, records, known, until, Verdict.NOT_RUN, done);
+    tryToPersist(id, records, known, until, onDelay, done);
     return done;
   }
 
@@ -248,14 +264,15 @@
       List<KeyedRecord> records,
       Supplier<Boolean> known,
       Duration until,
-      Verdict worst,
+      Runnable onDelay,
       CompletableFuture<Verdict> done) {
     if (known.get()) {
       done.complete(Verdict.COMPLETED);
       return;
     }
     if (clock.elapsed().compareTo(until) >= 0) {
-      done.complete(worst);
+      // Items may run already, and an append may yet take effect: nothing is promised.
+      done.complete(Verdict.MAY_HAVE_RUN);
       return;
     }
     store
@@ -266,19 +283,12 @@
                 done.complete(Verdict.COMPLETED);
                 return;
               }
-              Verdict next = worse(worst, failure);
-              EventLog.info(LogEvent.STORE_TRIED_AGAIN, "job", id, "verdict", next, "why", failure);
-              loop.after(RETRY_PAUSE, () -> tryToPersist(id, records, known, until, next, done));
+              EventLog.info(LogEvent.STORE_TRIED_AGAIN, "job", id, "why", failure);
+              onDelay.run();
+              loop.after(RETRY_PAUSE, () -> tryToPersist(id, records, known, until, onDelay, done));
             });
   }
 
-  private static Verdict worse(Verdict worst, Throwable failure) {
-    Throwable cause = failure.getCause() == null ? failure : failure.getCause();
-    Throwable known = failure instanceof StoreException ? failure : cause;
-    boolean notRun = known instanceof StoreException s && s.verdict() == Verdict.NOT_RUN;
-    return notRun ? worst : Verdict.MAY_HAVE_RUN;
-  }
-
   private void wake(Job job) {
     List<CompletableFuture<Void>> waiting = readers.remove(job.id());
     if (waiting != null) {
--- a/server/src/main/java/org/carobhoist/server/gateway/JobRecords.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobRecords.java
@@ -39,14 +39,11 @@
     for (int i = 0; i < chunks; i++) {
       int from = i * CHUNK_BYTES;
       int length = Math.min(CHUNK_BYTES, submitted.length - from);
-      byte[] value =
-          head(head)
-              .setChunk(i)
-              .setChunks(chunks)
-              .setContent(ByteString.copyFrom(submitted, from, length))
-              .build()
-              .toByteArray();
-      records.add(new KeyedRecord(key(ACCEPTED, head.id(), Integer.toString(i)), value));
+      ByteString part = ByteString.copyFrom(submitted, from, length);
+      records.add(
+          new KeyedRecord(
+              key(ACCEPTED, head.id(), Integer.toString(i)),
+              message(head, i, chunks, part).toByteArray()));
     }
     return records;
   }
@@ -104,7 +101,31 @@
     return new ListedKey(new JobId(parts[1]), new ItemId(parts[2]));
   }
 
-  private static org.carobhoist.server.link.proto.JobRecord.Builder head(JobHead head) {
+  /** Returns a job that isn't stored yet as a message to the coordinator. */
+  static org.carobhoist.server.link.proto.JobRecord notice(JobHead head, byte[] submitted) {
+    return message(head, 0, 1, ByteString.copyFrom(submitted));
+  }
+
+  /** Returns what is fixed of a job, from its message. */
+  static JobHead head(JobId id, org.carobhoist.server.link.proto.JobRecord message) {
+    JobTerms terms =
+        new JobTerms(
+            Duration.ofMillis(message.getDeadlineMillis()),
+            Duration.ofMillis(message.getRetentionMillis()),
+            message.getSingleVersion());
+    return new JobHead(
+        id,
+        new ServiceName(message.getService()),
+        message.getHost(),
+        message.getRoute(),
+        Instant.ofEpochMilli(message.getAcceptedMillis()),
+        terms,
+        message.getMaxAttempts(),
+        message.getTotal());
+  }
+
+  private static org.carobhoist.server.link.proto.JobRecord message(
+      JobHead head, int chunk, int chunks, ByteString content) {
     return org.carobhoist.server.link.proto.JobRecord.newBuilder()
         .setService(head.service().value())
         .setHost(head.host())
@@ -114,7 +135,11 @@
         .setRetentionMillis(head.terms().retention().toMillis())
         .setSingleVersion(head.terms().singleVersion())
         .setMaxAttempts(head.maxAttempts())
-        .setTotal(head.total());
+        .setTotal(head.total())
+        .setChunk(chunk)
+        .setChunks(chunks)
+        .setContent(content)
+        .build();
   }
 
   private static JobRecord decodeAccepted(JobId id, byte[] value)
@@ -123,23 +148,9 @@
     if (message.getChunk() < 0 || message.getChunk() >= message.getChunks()) {
       throw new IllegalArgumentException("chunk is out of range: " + message.getChunk());
     }
-    JobTerms terms =
-        new JobTerms(
-            Duration.ofMillis(message.getDeadlineMillis()),
-            Duration.ofMillis(message.getRetentionMillis()),
-            message.getSingleVersion());
-    JobHead head =
-        new JobHead(
-            id,
-            new ServiceName(message.getService()),
-            message.getHost(),
-            message.getRoute(),
-            Instant.ofEpochMilli(message.getAcceptedMillis()),
-            terms,
-            message.getMaxAttempts(),
-            message.getTotal());
     byte[] content = message.getContent().toByteArray();
-    return new JobRecord.Accepted(head, message.getChunk(), message.getChunks(), content);
+    return new JobRecord.Accepted(
+        head(id, message), message.getChunk(), message.getChunks(), content);
   }
 
   private static ItemResult result(ItemId item, byte[] value)
--- a/server/src/main/java/org/carobhoist/server/gateway/PeerDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/PeerDesk.java
@@ -3,11 +3,13 @@
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.List;
+import org.carobhoist.core.job.JobHead;
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.platform.StoreCall;
 import org.carobhoist.platform.StoreReply;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
+import org.carobhoist.server.link.proto.JobNotice;
 import org.carobhoist.server.link.proto.LinkFrame;
 import org.carobhoist.server.link.proto.Pong;
 import org.carobhoist.server.link.proto.RunnerState;
@@ -111,6 +113,16 @@
   /** The way back to a coordinator elsewhere. */
   private record RemoteCoordinator(Link link) implements RunnerDesk.CoordinatorLink {
 
+    @Override
+    public void notice(JobHead head, byte[] submitted) {
+      JobNotice message =
+          JobNotice.newBuilder()
+              .setJob(head.id().value())
+              .setRecord(JobRecords.notice(head, submitted))
+              .build();
+      link.send(LinkFrame.newBuilder().setJobNotice(message).build());
+    }
+
     @Override
     public void state(long term, List<RunReport> runs, boolean leaving) {
       RunnerState.Builder out = RunnerState.newBuilder().setTerm(term).setLeaving(leaving);
--- a/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
@@ -12,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Zone;
 import org.carobhoist.core.routing.Rendezvous;
@@ -86,6 +87,7 @@
     private boolean connecting;
     private boolean storeReachable;
     private boolean known;
+    private boolean refused;
     private Duration heardAt = Duration.ZERO;
     private Duration pingedAt = Duration.ZERO;
     private Duration triedAt = Duration.ZERO;
@@ -174,6 +176,15 @@
         .min(Comparator.naturalOrder());
   }
 
+  /** Returns whether the run of a process that another record names is known to have ended. */
+  boolean hasEnded(InstanceId id, Incarnation incarnation) {
+    Peer peer = peers.get(id);
+    if (peer == null || peer.node == null) {
+      return false;
+    }
+    return peer.refused || !peer.node.getIncarnation().equals(incarnation.value());
+  }
+
   /** Takes a link that this process opened. */
   void onUp(Link link) {
     Peer peer = peers.get(new InstanceId(link.peer().getInstance()));
@@ -182,6 +193,7 @@
       return;
     }
     peer.connecting = false;
+    peer.refused = false;
     peer.link = link;
     peer.known = true;
     peer.heardAt = clock.elapsed();
@@ -218,6 +230,7 @@
     boolean restarted =
         peer.node != null && !peer.node.getIncarnation().equals(node.getIncarnation());
     peer.node = node;
+    peer.refused &= !restarted;
     if (restarted && peer.link != null) {
       Link old = peer.link;
       peer.link = null;
@@ -305,7 +318,8 @@
     }
     peer.connecting = false;
     // Nobody listens there: the process has ended, and with it all that it ran.
-    if (failure instanceof ConnectException && peer.known) {
+    peer.refused = failure instanceof ConnectException;
+    if (peer.refused && peer.known) {
       lose(peer, "connection refused");
     }
   }
--- a/server/src/main/java/org/carobhoist/server/gateway/ResultLists.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ResultLists.java
@@ -32,7 +32,7 @@
     this.view = view;
     this.codec = codec;
     for (KeyedTail tail : tails) {
-      appenders.add(OrderedAppender.create(store, tail, view::isWanted, scheduler, LINGER));
+      appenders.add(OrderedAppender.create(store, tail, view::want, scheduler, LINGER));
     }
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/RunnerDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/RunnerDesk.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.carobhoist.core.job.JobHead;
 import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.placement.RunOrder;
 import org.carobhoist.core.placement.RunOutcome;
@@ -30,6 +31,7 @@
   private final Upstreams upstreams;
   private final ResultLists lists;
   private final Map<Long, ItemRun> runs = new HashMap<>();
+  private final Map<JobId, Long> noticed = new HashMap<>();
   private Optional<CoordinatorLink> coordinator = Optional.empty();
   private long term = -1;
   private boolean leaving;
@@ -42,6 +44,9 @@
 
     /** Sends a run's progress or end. */
     void report(long term, RunReport report);
+
+    /** Sends a job that can't be stored yet. */
+    void notice(JobHead head, byte[] submitted);
   }
 
   RunnerDesk(DecisionLoop loop, Upstreams upstreams, ResultLists lists) {
@@ -89,8 +94,16 @@
     }
   }
 
+  /** Lets the coordinator run a job that can't be stored yet; each coordinator is told once. */
+  void runEarly(JobHead head, byte[] submitted) {
+    if (coordinator.isPresent() && !Long.valueOf(term).equals(noticed.put(head.id(), term))) {
+      coordinator.get().notice(head, submitted);
+    }
+  }
+
   /** Cancels all runs of a job that has ended. */
   void onJobEnded(JobId job) {
+    noticed.remove(job);
     List.copyOf(runs.values()).stream()
         .filter(r -> r.order().job().equals(job))
         .forEach(ItemRun::cancel);
--- a/server/src/main/java/org/carobhoist/server/gateway/StorePaths.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/StorePaths.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.carobhoist.core.common.Clock;
 import org.carobhoist.platform.StoreCall;
 import org.carobhoist.platform.StoreReply;
 import org.carobhoist.platform.StoreTransport;
@@ -16,8 +17,9 @@
 
 /**
  * Reaches the store directly, or by way of a peer while the store turns this machine away. Every
- * call of this process may be made twice: appends carry a condition or say the same each time. Once
- * a direct call has failed, calls go to peers first until a probe of the direct path succeeds.
+ * call of this process may be made twice: appends carry a condition or say the same each time. A
+ * direct call that fails is made again by way of a peer. If a probe of another shard fails too, the
+ * path itself is given up until a probe succeeds; else only a part of the store is away.
  */
 final class StorePaths implements StoreTransport {
 
@@ -29,26 +31,34 @@
 
   private final StoreTransport direct;
   private final Supplier<List<StoreTransport>> peers;
-  private final StoreCall probe;
+  private final List<StoreCall> probes;
   private final DecisionLoop loop;
+  private final Clock clock;
   private final Set<CompletableFuture<StoreReply>> directCalls = new HashSet<>();
   private boolean suspect;
+  private boolean verifying;
+  private Duration trustedUntil = Duration.ZERO;
 
   /**
    * Creates the paths.
    *
    * @param peers paths by way of peers that reach the store, the best one first
-   * @param probe a call that is cheap and has no effect
+   * @param probes calls that are cheap and have no effect, each to another shard
    */
   StorePaths(
       StoreTransport direct,
       Supplier<List<StoreTransport>> peers,
-      StoreCall probe,
-      DecisionLoop loop) {
+      List<StoreCall> probes,
+      DecisionLoop loop,
+      Clock clock) {
     this.direct = direct;
     this.peers = peers;
-    this.probe = new StoreCall(probe.method(), probe.target(), probe.content(), PROBE_TIMEOUT);
+    this.probes =
+        probes.stream()
+            .map(p -> new StoreCall(p.method(), p.target(), p.content(), PROBE_TIMEOUT))
+            .toList();
     this.loop = loop;
+    this.clock = clock;
   }
 
   /** Returns whether this process reaches the store by itself. */
@@ -103,7 +113,7 @@
     if (failure == null && !reply.isTurnedAway()) {
       return CompletableFuture.completedFuture(reply);
     }
-    suspect(failure == null ? "status " + reply.status() : failure.toString());
+    verify(failure == null ? "status " + reply.status() : failure.toString());
     List<StoreTransport> others = peers.get();
     if (!others.isEmpty()) {
       return others.get(0).call(call);
@@ -113,10 +123,26 @@
         : CompletableFuture.failedFuture(failure);
   }
 
-  private void suspect(String why) {
-    if (suspect) {
+  /** Finds out whether a failure concerns the whole path. */
+  private void verify(String why) {
+    if (suspect || verifying || clock.elapsed().compareTo(trustedUntil) < 0) {
       return;
     }
+    verifying = true;
+    probeAll()
+        .whenCompleteAsync(
+            (reachable, failure) -> {
+              verifying = false;
+              if (reachable) {
+                trustedUntil = clock.elapsed().plus(PROBE_PERIOD);
+              } else {
+                suspect(why);
+              }
+            },
+            loop);
+  }
+
+  private void suspect(String why) {
     suspect = true;
     EventLog.warn(LogEvent.STORE_PATH_LOST, "why", why, "calls", directCalls.size());
     // Calls in flight on the same path would only be noticed at their own time-outs.
@@ -126,11 +152,10 @@
   }
 
   private void probe() {
-    direct
-        .call(probe)
+    probeAll()
         .whenCompleteAsync(
-            (reply, failure) -> {
-              if (failure == null && !reply.isTurnedAway()) {
+            (reachable, failure) -> {
+              if (reachable) {
                 suspect = false;
                 EventLog.info(LogEvent.STORE_PATH_REGAINED);
               } else {
@@ -139,4 +164,26 @@
             },
             loop);
   }
+
+  /** Completes with whether the store answers for any of the shards that are asked for. */
+  private CompletableFuture<Boolean> probeAll() {
+    CompletableFuture<Boolean> any = new CompletableFuture<>();
+    List<CompletableFuture<Void>> all = new ArrayList<>();
+    for (StoreCall probe : probes) {
+      all.add(
+          direct
+              .call(probe)
+              .thenAccept(reply -> completeIfServed(any, reply))
+              .exceptionally(unreachable -> null));
+    }
+    CompletableFuture.allOf(all.toArray(CompletableFuture[]::new))
+        .thenRun(() -> any.complete(false));
+    return any;
+  }
+
+  private static void completeIfServed(CompletableFuture<Boolean> any, StoreReply reply) {
+    if (!reply.isTurnedAway()) {
+      any.complete(true);
+    }
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
@@ -1,8 +1,8 @@
 package org.carobhoist.server.gateway;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +15,7 @@
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.lease.LeaseKeeper;
 import org.carobhoist.core.membership.ServerEntry;
+import org.carobhoist.core.swap.LoadTurns;
 import org.carobhoist.core.swap.SwapCoordinator;
 import org.carobhoist.core.swap.SwapEvent;
 import org.carobhoist.core.swap.SwapPolicy;
@@ -27,14 +28,17 @@
 import org.carobhoist.server.runtime.DecisionLoop;
 
 /**
- * Keeps every engine at the version that its trainer has named, while this process coordinates. An
- * engine loads when few others do and its runs are few.
+ * Keeps every engine at the version that its trainer has named, while this process coordinates;
+ * {@link LoadTurns} says when an engine loads.
  */
 final class WeightDesk {
 
   /** Engines that load at once; more of them make each load longer. */
   private static final int LOADS_AT_ONCE = 2;
 
+  /** A run that ends within the time of a load loses less by waiting than by the pause. */
+  private static final Duration SHORT_RUN = Duration.ofMillis(600);
+
   /** Time between two looks at a load in progress. */
   private static final Duration POLL_PERIOD = Duration.ofMillis(250);
 
@@ -61,6 +65,7 @@
   private final Surroundings surroundings;
   private final Map<InstanceId, EngineSwap> swaps = new HashMap<>();
   private final Map<String, WeightVersion> named = new HashMap<>();
+  private final LoadTurns turns = LoadTurns.create(LOADS_AT_ONCE, SHORT_RUN);
   private long fencedTerm = -1;
 
   /** What the desk asks of the process around it. */
@@ -69,6 +74,12 @@
     /** Returns how many runs an engine has. */
     int runsAt(InstanceId engine);
 
+    /** Returns how long an engine's longest run is expected to go on. */
+    Duration longestRunAt(InstanceId engine);
+
+    /** Returns the newest version of a model that an open job demands. */
+    WeightVersion demanded(String model);
+
     /** Reads the lease's shard to its end. */
     CompletableFuture<Void> readLease();
 
@@ -135,21 +146,20 @@
     return swap == null || swap.coordinator.state() != SwapState.LOADING;
   }
 
-  /** Of the engines that wait, those with the fewest runs go first. */
   private boolean isTurn(EngineSwap swap) {
     if (!lease.mayOrder() || lease.term() == fencedTerm) {
       return false;
     }
-    long loading =
-        swaps.values().stream().filter(s -> s.coordinator.state() == SwapState.LOADING).count();
-    List<InstanceId> next =
-        swaps.values().stream()
-            .filter(s -> s.coordinator.state() == SwapState.AWAITING_TURN)
-            .sorted(Comparator.comparingInt(s -> surroundings.runsAt(s.engine)))
-            .limit(Math.max(0, LOADS_AT_ONCE - loading))
-            .map(s -> s.engine)
-            .toList();
-    return next.contains(swap.engine);
+    int loading = 0;
+    List<LoadTurns.Candidate> candidates = new ArrayList<>();
+    for (EngineSwap s : swaps.values()) {
+      if (s.coordinator.state() == SwapState.LOADING) {
+        loading++;
+      } else if (s.coordinator.state() == SwapState.AWAITING_TURN) {
+        candidates.add(s.candidate());
+      }
+    }
+    return turns.next(candidates, loading).contains(swap.engine);
   }
 
   /** One engine's swaps. */
@@ -192,6 +202,15 @@
       }
     }
 
+    private LoadTurns.Candidate candidate() {
+      return new LoadTurns.Candidate(
+          engine,
+          coordinator.served().orElse(new WeightVersion(0)),
+          surroundings.demanded(model),
+          surroundings.runsAt(engine),
+          surroundings.longestRunAt(engine));
+    }
+
     @Override
     public void prefetch(long call, WeightOrder order) {
       // The engine fetches with the load itself.
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -84,6 +84,10 @@
   READ_UNSURE(7105, "read can't be answered"),
   /** A record of a job is stored again, since it isn't known to be there. */
   STORE_TRIED_AGAIN(7106, "store tried again"),
+  /** A job runs that the store doesn't have yet. */
+  JOB_RUNS_EARLY(7108, "job runs before it is stored"),
+  /** A second record lists an item of a job. */
+  LISTED_AGAIN(7107, "item listed a second time"),
   /** An item has been given to an engine. */
   ITEM_PLACED(7201, "item placed"),
   /** A run ended without a result; its item waits again. */
