--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/job/JobViewTest.java
@@ -0,0 +1,156 @@
+package org.carobhoist.core.job;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.manifest.JobTerms;
+import org.carobhoist.core.store.StoredRecord;
+import org.carobhoist.core.store.TailListener;
+import org.carobhoist.core.store.Want;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+final class JobViewTest {
+
+  private static final JobId JOB = new JobId("j1");
+  private static final JobHead HEAD =
+      new JobHead(
+          JOB,
+          new ServiceName("lm"),
+          "a.example",
+          "jobs",
+          Instant.EPOCH,
+          new JobTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), false),
+          3,
+          4);
+
+  private final JobView view =
+      JobView.create(
+          new PlainRecords(id -> HEAD),
+          bytes -> new JobContent(0, "m", new WeightVersion(1), 0, List.of()),
+          1);
+  private final TailListener shard = view.ofShard(0);
+  private final Events events = new Events();
+
+  private static final class Events implements JobListener {
+    private final List<String> seen = new ArrayList<>();
+
+    @Override
+    public void onAccepted(Job job) {
+      seen.add("accepted");
+    }
+
+    @Override
+    public void onListed(Job job, ItemResult result) {
+      seen.add("listed " + result.item());
+    }
+
+    @Override
+    public void onEnded(Job job) {
+      seen.add("ended");
+    }
+
+    @Override
+    public void onListedAgain(Job job, ItemResult result, long offset) {
+      seen.add("again " + result.item());
+    }
+
+    @Override
+    public void onUnreadable(String key, long offset, String why) {
+      seen.add("unreadable " + key);
+    }
+
+    @Override
+    public void onReadable(int part, boolean readable, String why) {}
+  }
+
+  @BeforeEach
+  void listen() {
+    view.listen(events);
+  }
+
+  private static StoredRecord stored(long offset, String key) {
+    return new StoredRecord(offset, key, new byte[] {1});
+  }
+
+  private List<String> listed() {
+    return view.job(JOB).orElseThrow().resultsFrom(0).stream().map(r -> r.item().value()).toList();
+  }
+
+  @Test
+  void resultsStandInTheOrderOfTheirRecords() {
+    shard.onRecord(stored(0, "job/j1"));
+    shard.onRecord(stored(1, "result/j1/b"));
+    shard.onRecord(stored(2, "result/j1/a"));
+    shard.onRecord(stored(3, "end/j1"));
+    shard.onRecord(stored(4, "end/j1"));
+    assertThat(listed()).containsExactly("b", "a").inOrder();
+    assertThat(events.seen).containsExactly("accepted", "listed b", "listed a", "ended").inOrder();
+  }
+
+  @Test
+  void snapshotGivesTheSameListThoughTheJobWasSubmittedAgain() {
+    shard.onSnapshot(
+        List.of(
+            stored(1, "result/j1/b"),
+            stored(2, "result/j1/a"),
+            stored(5, "job/j1"),
+            stored(6, "end/j1")));
+    assertThat(listed()).containsExactly("b", "a").inOrder();
+    assertThat(view.job(JOB).orElseThrow().isEnded()).isTrue();
+  }
+
+  @Test
+  void snapshotAddsWhatWasMissedBehindWhatIsKnown() {
+    shard.onRecord(stored(0, "job/j1"));
+    shard.onRecord(stored(1, "result/j1/b"));
+    shard.onSnapshot(
+        List.of(
+            stored(0, "job/j1"),
+            stored(1, "result/j1/b"),
+            stored(2, "result/j1/c"),
+            stored(3, "result/j1/a")));
+    assertThat(listed()).containsExactly("b", "c", "a").inOrder();
+    assertThat(events.seen).doesNotContain("again b");
+  }
+
+  @Test
+  void jobThatLeftTheStoreIsForgotten() {
+    shard.onRecord(stored(0, "job/j1"));
+    shard.onSnapshot(List.of());
+    assertThat(view.job(JOB).isPresent()).isFalse();
+    assertThat(events.seen).containsExactly("accepted", "ended").inOrder();
+  }
+
+  @Test
+  void secondRecordOfAnItemIsReported() {
+    shard.onRecord(stored(0, "job/j1"));
+    shard.onRecord(stored(1, "result/j1/b"));
+    shard.onRecord(stored(2, "result/j1/b"));
+    assertThat(listed()).containsExactly("b");
+    assertThat(events.seen).contains("again b");
+  }
+
+  @Test
+  void anUnreadableRecordIsReportedAndSkipped() {
+    shard.onRecord(stored(0, "other/j1"));
+    shard.onRecord(stored(1, "job/j1"));
+    assertThat(events.seen).containsExactly("unreadable other/j1", "accepted").inOrder();
+  }
+
+  @Test
+  void resultIsWantedOnceAndOnlyForAnOpenJob() {
+    assertThat(view.want("result/j1/a")).isEqualTo(Want.LATER);
+    shard.onRecord(stored(0, "job/j1"));
+    assertThat(view.want("result/j1/a")).isEqualTo(Want.NOW);
+    shard.onRecord(stored(1, "result/j1/a"));
+    assertThat(view.want("result/j1/a")).isEqualTo(Want.NEVER);
+    shard.onRecord(stored(2, "end/j1"));
+    assertThat(view.want("result/j1/b")).isEqualTo(Want.NEVER);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/job/PlainRecords.java
@@ -0,0 +1,64 @@
+package org.carobhoist.core.job;
+
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.store.KeyedRecord;
+import org.carobhoist.core.store.StoredRecord;
+
+/** Records of jobs for tests of the view: the key says all that the tests look at. */
+public final class PlainRecords implements JobRecordCodec {
+
+  private final Function<JobId, JobHead> heads;
+
+  /** Creates a codec that knows the heads of all jobs. */
+  public PlainRecords(Function<JobId, JobHead> heads) {
+    this.heads = heads;
+  }
+
+  @Override
+  public List<KeyedRecord> accepted(JobHead any, byte[] submitted) {
+    return List.of(new KeyedRecord("job/" + any.id(), submitted));
+  }
+
+  @Override
+  public KeyedRecord listed(JobId job, ItemResult result) {
+    return new KeyedRecord("result/" + job + "/" + result.item(), result.pageEntry());
+  }
+
+  @Override
+  public KeyedRecord ended(JobId job) {
+    return new KeyedRecord("end/" + job, new byte[] {1});
+  }
+
+  @Override
+  public List<KeyedRecord> forgotten(Job job) {
+    return List.of(KeyedRecord.drop("job/" + job.id()));
+  }
+
+  @Override
+  public JobRecord decode(StoredRecord stored) {
+    String[] parts = stored.key().split("/");
+    JobId job = new JobId(parts[1]);
+    return switch (parts[0]) {
+      case "job" ->
+          stored.isDrop()
+              ? new JobRecord.Forgotten(job)
+              : new JobRecord.Accepted(heads.apply(job), 0, 1, stored.value());
+      case "result" ->
+          new JobRecord.Listed(
+              job,
+              new ItemResult(
+                  new ItemId(parts[2]), false, Set.of(new WeightVersion(1)), stored.value()));
+      case "end" -> new JobRecord.Ended(job);
+      default -> throw new IllegalArgumentException("unknown: " + stored.key());
+    };
+  }
+
+  @Override
+  public ListedKey listedKey(String key) {
+    String[] parts = key.split("/");
+    return new ListedKey(new JobId(parts[1]), new ItemId(parts[2]));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseWorld.java
@@ -0,0 +1,300 @@
+package org.carobhoist.core.lease;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.store.AppendOutcome;
+import org.carobhoist.core.store.KeyedRecord;
+import org.carobhoist.core.store.KeyedTail;
+import org.carobhoist.core.store.NewestPage;
+import org.carobhoist.core.store.ReadOutcome;
+import org.carobhoist.core.store.RecordStore;
+import org.carobhoist.core.store.Shard;
+import org.carobhoist.core.store.SharedLog;
+import org.carobhoist.core.store.StoreLink;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+
+/**
+ * Several candidates for one lease, of which any may be killed, frozen, cut off or asked to stop,
+ * with a store that loses, delays and refuses calls. Never may two of them give orders at a time,
+ * no two ever in the same term; after the troubles one of them gives orders.
+ */
+final class LeaseWorld {
+
+  private static final Shard SHARD = new Shard("lease", 0);
+  private static final Duration WAIT = Duration.ofMillis(400);
+  private static final Duration ORDER_GAP = Duration.ofSeconds(3);
+  private static final Duration LOOK = Duration.ofMillis(50);
+  private static final int PROCESSES = 3;
+  private static final int TROUBLE_MILLIS = 15_000;
+  private static final Duration END = Duration.ofSeconds(30);
+
+  private final SharedLog log = new SharedLog();
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue queue = new EventQueue(clock);
+  private final SplittableRandom random;
+  private final Rules rules;
+  private final List<Candidate> candidates = new ArrayList<>();
+  private final Map<Long, Candidate> ordersByTerm = new HashMap<>();
+  private Optional<String> broken = Optional.empty();
+  private int incarnations;
+
+  /** Rules that a test may take out. */
+  record Rules(boolean conditional, boolean trustEnds, boolean pausesCount, boolean gap) {
+
+    static final Rules ALL = new Rules(true, true, true, true);
+  }
+
+  private final class Candidate implements LeasePort, Clock {
+    private final StoreLink link = new StoreLink(log, queue, random.split());
+    private final Incarnation incarnation = new Incarnation("run-" + incarnations++);
+    private final InstanceId id;
+    private final LeaseKeeper keeper;
+    private boolean alive = true;
+    private Duration frozenUntil = Duration.ZERO;
+    private Duration frozenTotal = Duration.ZERO;
+    private Duration diedAt = Duration.ZERO;
+
+    private Candidate(int index, double faultShare) {
+      id = new InstanceId("entry-" + index);
+      link.setFaultShare(faultShare);
+      link.setDelivery(this::gated);
+      RecordStore store = rules.conditional() ? link : new Unconditional(link);
+      keeper =
+          LeaseKeeper.create(
+              id, incarnation, store, new Codec(), this, policy(), this, LeaseWorld.this::isEnded);
+      KeyedTail tail = KeyedTail.create(store, SHARD, keeper, this, this::later, WAIT);
+      keeper.follow(tail);
+      tail.start();
+      later(LeaseKeeper.TICK, this::tick);
+    }
+
+    private void tick() {
+      keeper.tick();
+      later(LeaseKeeper.TICK, this::tick);
+    }
+
+    private Runnable later(Duration delay, Runnable task) {
+      queue.after(delay, () -> gated(task));
+      return () -> {};
+    }
+
+    /** Runs a task unless the process is dead; while it is frozen the task waits. */
+    private void gated(Runnable task) {
+      if (!alive) {
+        return;
+      }
+      if (isFrozen()) {
+        queue.after(frozenUntil.minus(clock.elapsed()), () -> gated(task));
+      } else {
+        task.run();
+      }
+    }
+
+    private boolean isFrozen() {
+      return frozenUntil.compareTo(clock.elapsed()) > 0;
+    }
+
+    private void freeze(Duration time) {
+      frozenUntil = clock.elapsed().plus(time);
+      frozenTotal = frozenTotal.plus(time);
+    }
+
+    private void kill() {
+      diedAt = alive ? clock.elapsed() : diedAt;
+      alive = false;
+      link.kill();
+    }
+
+    private boolean givesOrders() {
+      return alive && !isFrozen() && keeper.mayOrder();
+    }
+
+    @Override
+    public Instant now() {
+      return clock.now();
+    }
+
+    @Override
+    public Duration elapsed() {
+      return rules.pausesCount() ? clock.elapsed() : clock.elapsed().minus(frozenTotal);
+    }
+
+    @Override
+    public void onAcquired(long term) {}
+
+    @Override
+    public void onLost(long term, String why) {}
+
+    @Override
+    public void onHolder(LeaseEntry entry) {}
+  }
+
+  /** Appends whatever the condition says. */
+  private record Unconditional(RecordStore store) implements RecordStore {
+
+    @Override
+    public CompletableFuture<AppendOutcome> append(
+        Shard shard, List<KeyedRecord> records, OptionalLong at) {
+      return store.append(shard, records, OptionalLong.empty());
+    }
+
+    @Override
+    public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
+      return store.read(shard, from, wait);
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> newest(Shard shard, String after) {
+      return store.newest(shard, after);
+    }
+  }
+
+  /** Lease records as text. */
+  private static final class Codec implements LeaseCodec {
+
+    @Override
+    public byte[] encode(LeaseEntry e) {
+      String heir = e.heir().map(InstanceId::value).orElse("-");
+      return String.join(
+              " ",
+              e.holder().value(),
+              e.incarnation().value(),
+              Long.toString(e.term()),
+              Boolean.toString(e.released()),
+              heir)
+          .getBytes(StandardCharsets.US_ASCII);
+    }
+
+    @Override
+    public LeaseEntry decode(byte[] bytes) {
+      String[] p = new String(bytes, StandardCharsets.US_ASCII).split(" ");
+      return new LeaseEntry(
+          new InstanceId(p[0]),
+          new Incarnation(p[1]),
+          Long.parseLong(p[2]),
+          Boolean.parseBoolean(p[3]),
+          p[4].equals("-") ? Optional.empty() : Optional.of(new InstanceId(p[4])));
+    }
+  }
+
+  private LeaseWorld(SplittableRandom random, Rules rules) {
+    this.random = random;
+    this.rules = rules;
+  }
+
+  /** Runs one schedule; returns what broke, or empty. */
+  static Optional<String> run(SplittableRandom random, Rules rules) {
+    return new LeaseWorld(random, rules).runToEnd();
+  }
+
+  private LeasePolicy policy() {
+    LeasePolicy p = LeasePolicy.of(rules.gap() ? ORDER_GAP : Duration.ZERO);
+    Duration trust = rules.trustEnds() ? p.trust() : END;
+    return new LeasePolicy(p.renewal(), p.silence(), trust, p.heirTime(), p.orderGap());
+  }
+
+  private Optional<String> runToEnd() {
+    double faultShare = random.nextInt(3) == 0 ? 0 : random.nextDouble() * 0.3;
+    for (int i = 0; i < PROCESSES; i++) {
+      candidates.add(new Candidate(i, faultShare));
+    }
+    int troubles = random.nextInt(1, 6);
+    for (int i = 0; i < troubles; i++) {
+      queue.after(Duration.ofMillis(random.nextInt(TROUBLE_MILLIS)), this::trouble);
+    }
+    queue.after(Duration.ofMillis(TROUBLE_MILLIS), this::heal);
+    queue.after(LOOK, this::look);
+    queue.run(END);
+    if (broken.isEmpty() && candidates.stream().noneMatch(Candidate::givesOrders)) {
+      broken = Optional.of("nobody gives orders at the end");
+    }
+    return broken;
+  }
+
+  private void trouble() {
+    int index = random.nextInt(PROCESSES);
+    int holder = holder();
+    if (holder >= 0 && random.nextBoolean()) {
+      index = holder;
+    }
+    Candidate candidate = candidates.get(index);
+    Duration time = Duration.ofMillis(random.nextInt(200, 5_000));
+    switch (random.nextInt(5)) {
+      case 0 -> restart(index, time);
+      case 1 -> candidate.freeze(time);
+      case 2 -> {
+        candidate.link.setCut(true);
+        queue.after(time, () -> candidate.link.setCut(false));
+      }
+      case 3 -> stop(index, time);
+      default -> log.expire(SHARD);
+    }
+  }
+
+  private int holder() {
+    for (int i = 0; i < PROCESSES; i++) {
+      if (candidates.get(i).keeper.isHeld()) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
+  private void restart(int index, Duration after) {
+    candidates.get(index).kill();
+    queue.after(
+        after,
+        () -> {
+          candidates.get(index).kill();
+          candidates.set(index, new Candidate(index, 0));
+        });
+  }
+
+  /** A planned stop names the next process as heir. */
+  private void stop(int index, Duration grace) {
+    InstanceId heir = new InstanceId("entry-" + (index + 1) % PROCESSES);
+    Candidate candidate = candidates.get(index);
+    candidate.gated(() -> candidate.keeper.retire(Optional.of(heir)));
+    queue.after(grace, () -> restart(index, Duration.ofMillis(300)));
+  }
+
+  private void heal() {
+    for (Candidate c : candidates) {
+      c.link.setFaultShare(0);
+    }
+  }
+
+  /** A process that has ended is known to have ended a moment later. */
+  private boolean isEnded(LeaseEntry entry) {
+    return candidates.stream()
+        .filter(c -> c.incarnation.equals(entry.incarnation()))
+        .noneMatch(c -> c.alive || clock.elapsed().minus(c.diedAt).toMillis() < 300);
+  }
+
+  private void look() {
+    List<Candidate> ordering = candidates.stream().filter(Candidate::givesOrders).toList();
+    if (ordering.size() > 1) {
+      broken = Optional.of("two give orders at " + clock.elapsed());
+    }
+    for (Candidate c : ordering) {
+      Candidate known = ordersByTerm.putIfAbsent(c.keeper.term(), c);
+      if (known != null && known != c) {
+        broken = Optional.of("two gave orders in term " + c.keeper.term());
+      }
+    }
+    queue.after(LOOK, this::look);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -0,0 +1,404 @@
+package org.carobhoist.core.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.carobhoist.core.common.EndpointKind;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.job.ItemId;
+import org.carobhoist.core.job.ItemResult;
+import org.carobhoist.core.job.Job;
+import org.carobhoist.core.job.JobContent;
+import org.carobhoist.core.job.JobHead;
+import org.carobhoist.core.job.JobId;
+import org.carobhoist.core.job.JobItem;
+import org.carobhoist.core.job.JobView;
+import org.carobhoist.core.job.PlainRecords;
+import org.carobhoist.core.manifest.EngineSpec;
+import org.carobhoist.core.manifest.JobTerms;
+import org.carobhoist.core.membership.EndpointAnnouncement;
+import org.carobhoist.core.membership.EndpointPhase;
+import org.carobhoist.core.membership.ServerEntry;
+import org.carobhoist.core.store.StoredRecord;
+import org.carobhoist.core.testing.ManualClock;
+import org.junit.jupiter.api.Test;
+
+final class JobCoordinatorTest {
+
+  private static final ServiceName LM = new ServiceName("lm");
+  private static final Zone ZONE = new Zone("a");
+  private static final WeightVersion V6 = new WeightVersion(6);
+  private static final WeightVersion V7 = new WeightVersion(7);
+  private static final InstanceId RUNNER = new InstanceId("entry-1");
+  private static final InstanceId OTHER = new InstanceId("entry-2");
+
+  private final ManualClock clock = new ManualClock();
+  private final FakePort port = new FakePort();
+  private final Map<JobId, JobHead> heads = new HashMap<>();
+  private final JobView view = JobView.create(new PlainRecords(heads::get), this::content, 1);
+  private final JobCoordinator coordinator =
+      JobCoordinator.create(
+          view,
+          port,
+          PlacementPolicy.DEFAULT,
+          clock,
+          service -> Optional.of(new EngineSpec(2, 100_000, 10, List.of("m"))));
+  private List<JobItem> items = List.of();
+  private WeightVersion minVersion = V6;
+
+  private static final class FakePort implements PlacementPort {
+    private final List<ServerEntry> engines = new ArrayList<>();
+    private final Set<InstanceId> loading = new HashSet<>();
+    private final List<RunOrder> started = new ArrayList<>();
+    private final List<Long> cancelled = new ArrayList<>();
+    private final List<String> listed = new ArrayList<>();
+    private final List<Runner> runners = new ArrayList<>(List.of(new Runner(RUNNER, ZONE)));
+
+    @Override
+    public Collection<ServerEntry> engines(ServiceName service) {
+      return engines;
+    }
+
+    @Override
+    public boolean isInRotation(InstanceId engine) {
+      return !loading.contains(engine);
+    }
+
+    @Override
+    public Collection<Runner> runners() {
+      return runners;
+    }
+
+    @Override
+    public void start(InstanceId runner, RunOrder order) {
+      started.add(order);
+    }
+
+    @Override
+    public void cancel(InstanceId runner, long run) {
+      cancelled.add(run);
+    }
+
+    @Override
+    public void list(JobId job, ItemResult result) {
+      listed.add(job + " " + result.item() + (result.dead() ? " dead" : " done"));
+    }
+
+    @Override
+    public ItemResult completed(ItemId item, RunText text) {
+      return new ItemResult(item, false, text.versions(), text.content());
+    }
+
+    @Override
+    public ItemResult dead(ItemId item) {
+      return new ItemResult(item, true, Set.of(), new byte[0]);
+    }
+
+    @Override
+    public void note(Decision decision, JobId job, ItemId item, Object... fields) {}
+
+    private RunOrder last() {
+      return started.get(started.size() - 1);
+    }
+  }
+
+  private JobContent content(byte[] any) {
+    return new JobContent(0, "m", minVersion, 0, items);
+  }
+
+  private static JobItem item(String id, int events) {
+    return new JobItem(new ItemId(id), "g", "/p", List.of(), new byte[0], 10, 0, events * 10);
+  }
+
+  private void addEngine(String id, WeightVersion version) {
+    EndpointAnnouncement announcement =
+        new EndpointAnnouncement(
+            new InstanceId(id),
+            new Incarnation("0"),
+            ZONE,
+            LM,
+            EndpointKind.ENGINE,
+            EndpointPhase.SERVING,
+            0,
+            0,
+            2,
+            version,
+            1);
+    port.engines.add(
+        new ServerEntry(
+            announcement,
+            "10.0.0.1",
+            80,
+            Duration.ZERO,
+            Map.of("m", version),
+            new ServerEntry.Beat(0, 0)));
+  }
+
+  private Job submit(String id, JobItem... wanted) {
+    items = List.of(wanted);
+    JobHead head =
+        new JobHead(
+            new JobId(id),
+            LM,
+            "a.example",
+            "jobs",
+            clock.now(),
+            new JobTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), false),
+            3,
+            wanted.length);
+    heads.put(head.id(), head);
+    view.ofShard(0).onRecord(new StoredRecord(heads.size(), "job/" + id, new byte[] {1}));
+    Job job = view.job(head.id()).orElseThrow();
+    job.content();
+    coordinator.onAccepted(job);
+    return job;
+  }
+
+  private void activate() {
+    coordinator.activate(1);
+    pass(400);
+  }
+
+  private void pass(long millis) {
+    clock.advance(Duration.ofMillis(millis));
+    coordinator.tick(clock.now());
+  }
+
+  private static TextDelta events(int skipped, int count, WeightVersion... versions) {
+    String text = "e" + "\ne".repeat(Math.max(0, count - 1));
+    return new TextDelta(
+        skipped,
+        count,
+        count == 0 ? new byte[0] : text.getBytes(StandardCharsets.UTF_8),
+        Integer.toString(skipped + count),
+        Set.of(versions));
+  }
+
+  private static RunReport report(RunOrder o, TextDelta text, RunOutcome outcome) {
+    return new RunReport(o.run(), o.job(), o.item().id(), o.engine(), text, outcome, V6);
+  }
+
+  @Test
+  void nothingStartsBeforeTheRunnersHaveSaidWhatTheyHold() {
+    addEngine("e1", V6);
+    coordinator.activate(1);
+    submit("j1", item("i1", 5));
+    coordinator.tick(clock.now());
+    assertThat(port.started).isEmpty();
+    RunReport held =
+        new RunReport(
+            77,
+            new JobId("j1"),
+            new ItemId("i1"),
+            new InstanceId("e1"),
+            events(0, 3, V6),
+            RunOutcome.RUNNING,
+            V6);
+    coordinator.onRunnerState(OTHER, List.of(held));
+    pass(400);
+    assertThat(port.started).isEmpty();
+    assertThat(coordinator.running()).isEqualTo(1);
+  }
+
+  @Test
+  void theLongestGoesFirstAndOnlyAsManyAsThereAreSlots() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("short", 2), item("long", 90), item("middle", 20));
+    pass(50);
+    assertThat(port.started.stream().map(o -> o.item().id().value()).toList())
+        .containsExactly("long", "middle")
+        .inOrder();
+  }
+
+  @Test
+  void brokenRunGoesOnElsewhereFromItsText() {
+    addEngine("e1", V6);
+    addEngine("e2", V6);
+    activate();
+    submit("j1", item("i1", 9));
+    pass(50);
+    RunOrder first = port.last();
+    coordinator.onReport(report(first, events(0, 4, V6), RunOutcome.RUNNING));
+    coordinator.onReport(report(first, events(4, 1, V6), RunOutcome.BROKEN));
+    pass(50);
+    RunOrder second = port.last();
+    assertThat(second.run()).isNotEqualTo(first.run());
+    assertThat(second.engine()).isNotEqualTo(first.engine());
+    assertThat(second.prefix().events()).isEqualTo(5);
+    assertThat(second.prefix().lastId()).isEqualTo("5");
+  }
+
+  @Test
+  void lostRunnersItemsGoOnFromWhatTheCoordinatorHas() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 9));
+    pass(50);
+    coordinator.onReport(report(port.last(), events(0, 4, V6), RunOutcome.RUNNING));
+    coordinator.onRunnerLost(RUNNER);
+    pass(50);
+    assertThat(port.started).hasSize(2);
+    assertThat(port.last().prefix().events()).isEqualTo(4);
+  }
+
+  @Test
+  void silentRunIsCancelledBeforeItGoesOnElsewhere() {
+    addEngine("e1", V6);
+    addEngine("e2", V6);
+    activate();
+    submit("j1", item("i1", 9));
+    pass(50);
+    final RunOrder first = port.last();
+    pass(1_600);
+    assertThat(port.cancelled).containsExactly(first.run());
+    assertThat(port.started).hasSize(1);
+    coordinator.onReport(report(first, TextDelta.NONE, RunOutcome.CANCELLED));
+    pass(50);
+    assertThat(port.started).hasSize(2);
+    assertThat(port.last().engine()).isNotEqualTo(first.engine());
+  }
+
+  @Test
+  void anEngineOfTheWrongVersionOrThatLoadsGetsNothing() {
+    addEngine("old", new WeightVersion(5));
+    addEngine("busy", V6);
+    port.loading.add(new InstanceId("busy"));
+    activate();
+    submit("j1", item("i1", 9));
+    pass(50);
+    assertThat(port.started).isEmpty();
+    coordinator.onEngineVersion(new InstanceId("old"), V6);
+    pass(50);
+    assertThat(port.last().engine().value()).isEqualTo("old");
+  }
+
+  @Test
+  void anItemIsGivenUpAfterItsAttemptsOrItsTime() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 9), item("i2", 9));
+    pass(50);
+    for (int i = 0; i < 3; i++) {
+      RunOrder order =
+          port.started.stream()
+              .filter(o -> o.item().id().value().equals("i1"))
+              .reduce((a, b) -> b)
+              .orElseThrow();
+      coordinator.onReport(report(order, TextDelta.NONE, RunOutcome.FAILED));
+      pass(300);
+    }
+    assertThat(port.listed).containsExactly("j1 i1 dead");
+    pass(41_000);
+    assertThat(port.listed).containsExactly("j1 i1 dead", "j1 i2 dead").inOrder();
+  }
+
+  @Test
+  void anItemThatCanNeverBeDoneIsGivenUpAtOnce() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 9));
+    pass(50);
+    coordinator.onReport(report(port.last(), TextDelta.NONE, RunOutcome.IMPOSSIBLE));
+    assertThat(port.listed).containsExactly("j1 i1 dead");
+  }
+
+  @Test
+  void endedJobsRunsAreCancelledAndTheirTextsKept() {
+    addEngine("e1", V6);
+    activate();
+    Job job = submit("j1", item("i1", 9));
+    pass(50);
+    RunOrder first = port.last();
+    coordinator.onReport(report(first, events(0, 4, V6), RunOutcome.RUNNING));
+    coordinator.onEnded(job);
+    assertThat(port.cancelled).containsExactly(first.run());
+    submit("j2", item("i1", 9));
+    pass(50);
+    assertThat(port.last().job().value()).isEqualTo("j2");
+    assertThat(port.last().prefix().events()).isEqualTo(4);
+  }
+
+  @Test
+  void keptTextThatIsTooOldIsNotUsed() {
+    addEngine("e1", V7);
+    activate();
+    Job job = submit("j1", item("i1", 9));
+    pass(50);
+    coordinator.onReport(report(port.last(), events(0, 4, V6), RunOutcome.RUNNING));
+    coordinator.onEnded(job);
+    minVersion = V7;
+    submit("j2", item("i1", 9));
+    pass(50);
+    assertThat(port.last().prefix().events()).isEqualTo(0);
+  }
+
+  @Test
+  void finishedItemIsListedByTheCoordinatorIfItsRunnerDoesNot() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 2));
+    pass(50);
+    coordinator.onReport(report(port.last(), events(0, 2, V6), RunOutcome.FINISHED));
+    pass(1_000);
+    assertThat(port.listed).isEmpty();
+    pass(2_000);
+    assertThat(port.listed).containsExactly("j1 i1 done");
+    assertThat(port.started).hasSize(1);
+  }
+
+  @Test
+  void runLeavesTheSlowEngineWhenOneWithRoomIsFaster() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 100), item("i2", 100));
+    pass(50);
+    for (int i = 0; i < 5; i++) {
+      pass(300);
+      for (RunOrder o : List.copyOf(port.started)) {
+        coordinator.onReport(report(o, events(i * 2, 2, V6), RunOutcome.RUNNING));
+      }
+    }
+    assertThat(port.cancelled).isEmpty();
+    addEngine("e2", V6);
+    pass(50);
+    assertThat(port.cancelled).hasSize(1);
+  }
+
+  @Test
+  void jobThatNeverReachesTheStoreIsDropped() {
+    addEngine("e1", V6);
+    activate();
+    items = List.of(item("i1", 9));
+    JobHead head =
+        new JobHead(
+            new JobId("j1"),
+            LM,
+            "a.example",
+            "jobs",
+            Instant.EPOCH.plus(Duration.between(Instant.EPOCH, clock.now())),
+            new JobTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), false),
+            3,
+            1);
+    coordinator.onProvisional(view.provisional(head, new byte[0]));
+    pass(50);
+    assertThat(coordinator.running()).isEqualTo(1);
+    pass(16_000);
+    assertThat(coordinator.running()).isEqualTo(0);
+    assertThat(port.listed).isEmpty();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/placement/RunTextTest.java
@@ -0,0 +1,77 @@
+package org.carobhoist.core.placement;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import org.carobhoist.core.common.WeightVersion;
+import org.junit.jupiter.api.Test;
+
+final class RunTextTest {
+
+  private static final WeightVersion V6 = new WeightVersion(6);
+  private static final WeightVersion V7 = new WeightVersion(7);
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  private static String content(RunText text) {
+    return new String(text.content(), StandardCharsets.UTF_8);
+  }
+
+  @Test
+  void deltasCarryTextsWithoutLossOrRepeat() {
+    RunText runner = RunText.empty();
+    RunText coordinator = RunText.empty();
+    RunText.Mark reported = runner.mark();
+    for (int i = 1; i <= 5; i++) {
+      runner.add(Integer.toString(i), bytes("e" + i), i < 4 ? V6 : V7);
+      if (i % 2 == 0) {
+        TextDelta delta = runner.since(reported);
+        reported = runner.mark();
+        assertThat(coordinator.append(delta)).isTrue();
+        assertThat(coordinator.append(delta)).isTrue();
+      }
+    }
+    assertThat(coordinator.append(runner.since(reported))).isTrue();
+    assertThat(content(coordinator)).isEqualTo("e1\ne2\ne3\ne4\ne5");
+    assertThat(coordinator.lastId()).isEqualTo("5");
+    assertThat(coordinator.versions()).isEqualTo(Set.of(V6, V7));
+    assertThat(content(RunText.of(coordinator.whole()))).isEqualTo(content(runner));
+  }
+
+  @Test
+  void gapIsNotTaken() {
+    RunText runner = RunText.empty();
+    runner.add("1", bytes("a"), V6);
+    RunText.Mark after = runner.mark();
+    runner.add("2", bytes("b"), V6);
+    RunText coordinator = RunText.empty();
+    assertThat(coordinator.append(runner.since(after))).isFalse();
+    assertThat(coordinator.events()).isEqualTo(0);
+  }
+
+  @Test
+  void emptyEventsCount() {
+    RunText runner = RunText.empty();
+    runner.add("1", bytes(""), V6);
+    runner.add("2", bytes(""), V6);
+    RunText copy = RunText.of(runner.whole());
+    copy.add("3", bytes("x"), V6);
+    assertThat(content(copy)).isEqualTo("\n\nx");
+    assertThat(copy.events()).isEqualTo(3);
+  }
+
+  @Test
+  void fitsOnlyWhereEveryVersionIsAllowed() {
+    RunText text = RunText.empty();
+    assertThat(text.fits(V7, true)).isTrue();
+    text.add("1", bytes("a"), V6);
+    assertThat(text.fits(V6, true)).isTrue();
+    assertThat(text.fits(V7, false)).isFalse();
+    text.add("2", bytes("b"), V7);
+    assertThat(text.fits(V6, false)).isTrue();
+    assertThat(text.fits(V6, true)).isFalse();
+  }
+}
--- a/core/src/test/java/org/carobhoist/core/store/ListingWorld.java
+++ b/core/src/test/java/org/carobhoist/core/store/ListingWorld.java
@@ -116,10 +116,10 @@
 
   /** Runs one schedule; returns what broke, or empty. */
   static Optional<String> run(SplittableRandom random, Rules rules) {
-    return new ListingWorld(random, rules).run();
+    return new ListingWorld(random, rules).runToEnd();
   }
 
-  private Optional<String> run() {
+  private Optional<String> runToEnd() {
     double faultShare = random.nextDouble() * 0.4;
     for (int i = 0; i < PROCESSES; i++) {
       processes.add(new Process(faultShare));
--- a/core/src/test/java/org/carobhoist/core/store/StoreLink.java
+++ b/core/src/test/java/org/carobhoist/core/store/StoreLink.java
@@ -5,6 +5,7 @@
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.carobhoist.core.testing.EventQueue;
 
@@ -23,7 +24,9 @@
   private double faultShare;
   private boolean cut;
   private boolean dead;
+  private Consumer<Runnable> delivery = Runnable::run;
 
+  /** Creates a way without faults. */
   public StoreLink(SharedLog log, EventQueue queue, SplittableRandom random) {
     this.log = log;
     this.queue = queue;
@@ -40,6 +43,11 @@
     cut = value;
   }
 
+  /** Sets how answers reach the process, which may be frozen when they arrive. */
+  public void setDelivery(Consumer<Runnable> value) {
+    delivery = value;
+  }
+
   /** Ends the process: no answer reaches it any more; what is on its way still arrives. */
   public void kill() {
     dead = true;
@@ -125,7 +133,7 @@
         later,
         () -> {
           if (!dead && !cut) {
-            out.complete(result);
+            delivery.accept(() -> out.complete(result));
           } else if (!dead) {
             fail(out, StoreException.mayHaveRun("cut", null), TIMEOUT);
           }
@@ -137,7 +145,7 @@
         later,
         () -> {
           if (!dead) {
-            out.completeExceptionally(failure);
+            delivery.accept(() -> out.completeExceptionally(failure));
           }
         });
   }
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/swap/LoadTurnsTest.java
@@ -0,0 +1,47 @@
+package org.carobhoist.core.swap;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.WeightVersion;
+import org.junit.jupiter.api.Test;
+
+final class LoadTurnsTest {
+
+  private final LoadTurns turns = LoadTurns.create(2, Duration.ofMillis(600));
+
+  private static LoadTurns.Candidate engine(String id, long version, int runs, long leftMillis) {
+    return new LoadTurns.Candidate(
+        new InstanceId(id),
+        new WeightVersion(version),
+        new WeightVersion(6),
+        runs,
+        Duration.ofMillis(leftMillis));
+  }
+
+  private List<String> next(int loading, LoadTurns.Candidate... candidates) {
+    return turns.next(List.of(candidates), loading).stream().map(InstanceId::value).toList();
+  }
+
+  @Test
+  void enginesThatAreTooOldGoFirst() {
+    assertThat(next(0, engine("idle", 6, 0, 0), engine("old", 5, 9, 5_000), engine("b", 6, 0, 0)))
+        .containsExactly("old", "b")
+        .inOrder();
+  }
+
+  @Test
+  void anEngineWithLongRunsIsLeftAloneWhileItsWeightsWillDo() {
+    assertThat(next(0, engine("long", 6, 1, 2_000), engine("short", 6, 3, 500)))
+        .containsExactly("short");
+  }
+
+  @Test
+  void noMoreLoadAtOnceThanAllowed() {
+    assertThat(next(1, engine("a", 5, 0, 0), engine("b", 5, 0, 0))).containsExactly("a");
+    assertThat(next(2, engine("a", 5, 0, 0))).isEmpty();
+    assertThat(next(3, engine("a", 5, 0, 0))).isEmpty();
+  }
+}
--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -0,0 +1,248 @@
+package org.carobhoist.it;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpMethod;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.standin.PlatformServerStandIn;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Two entries before stand-ins of the users' platform, with the platform's troubles. */
+final class GatewayTest {
+
+  private static final String JOBS = "jobs.example";
+  private static final String BOOK = "book.example";
+
+  @TempDir private Path folder;
+
+  private GatewayCluster cluster() throws IOException {
+    GatewayCluster cluster = GatewayCluster.start(folder);
+    cluster.startEntry("entry-1");
+    cluster.startEntry("entry-2");
+    return cluster;
+  }
+
+  private static String results(GatewayCluster cluster, String entry, String job) {
+    return cluster.get(entry, JOBS, "/-/lots/" + job + "?after=0").contentUtf8();
+  }
+
+  private static void awaitListed(GatewayCluster cluster, String entry, String job, int count) {
+    cluster.await(
+        count + " results of " + job + " at " + entry,
+        () -> results(cluster, entry, job).contains("\"next\":" + count + ","));
+  }
+
+  @Test
+  void requestsAreServedOnceAndWhole() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn one = cluster.addServer("s-1", "app", false);
+      PlatformServerStandIn two = cluster.addServer("s-2", "app", false);
+      cluster.awaitReady("entry-1");
+      for (int i = 0; i < 20; i++) {
+        AggregatedHttpResponse answer =
+            cluster.post("entry-1", BOOK, "/seat/" + i, "body " + i, "r" + i);
+        assertThat(answer.status().code()).isEqualTo(200);
+        assertThat(answer.contentUtf8()).isEqualTo("body " + i);
+        assertThat(answer.headers().contains("carobhoist-server-stamp")).isTrue();
+        assertThat(answer.headers().get("carobhoist-request-id")).isEqualTo("r" + i);
+      }
+      assertThat(one.runs().size() + two.runs().size()).isEqualTo(20);
+      assertThat(cluster.get("entry-1", "other.example", "/seat").status().code()).isEqualTo(404);
+    }
+  }
+
+  @Test
+  void refusalsThatPromiseAreTrue() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.publish(2, "non_idempotent");
+      PlatformServerStandIn one = cluster.addServer("s-1", "app", false);
+      final PlatformServerStandIn two = cluster.addServer("s-2", "app", false);
+      cluster.awaitReady("entry-1");
+      one.answerWith(503);
+      assertThat(cluster.post("entry-1", BOOK, "/seat", "a", "r1").status().code()).isEqualTo(200);
+      two.answerWith(503);
+      AggregatedHttpResponse full = cluster.post("entry-1", BOOK, "/seat", "b", "r2");
+      assertThat(full.status().code()).isAnyOf(429, 503);
+      assertThat(full.headers().contains("retry-after")).isTrue();
+      assertThat(one.runs()).isEmpty();
+      assertThat(two.runs()).containsExactly("r1 from 1");
+    }
+  }
+
+  @Test
+  void jobsRunAndReadTheSameEverywhere() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addServer("e-1", "lm", true);
+      cluster.addServer("e-2", "lm", true);
+      cluster.awaitReady("entry-1");
+      cluster.awaitReady("entry-2");
+      String job = GatewayCluster.job(1, "a", "b", "c", "d");
+      CompletableFuture<AggregatedHttpResponse> other =
+          cluster.sendAsync("entry-2", HttpMethod.POST, JOBS, "/j", job, "j1");
+      assertThat(cluster.post("entry-1", JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
+      assertThat(other.join().status().code()).isEqualTo(202);
+      awaitListed(cluster, "entry-1", "j1", 4);
+      awaitListed(cluster, "entry-2", "j1", 4);
+      assertThat(results(cluster, "entry-1", "j1")).isEqualTo(results(cluster, "entry-2", "j1"));
+      assertThat(results(cluster, "entry-1", "j1")).contains("a-1\\na-2\\na-3\\na-4");
+      assertThat(cluster.get("entry-2", JOBS, "/-/items/j1?id=a").status().code()).isEqualTo(200);
+      assertThat(cluster.get("entry-2", JOBS, "/-/lots/unknown").status().code()).isEqualTo(404);
+      assertThat(cluster.delete("entry-2", JOBS, "/-/lots/j1").status().code()).isEqualTo(200);
+      assertThat(cluster.delete("entry-1", JOBS, "/-/lots/j1").status().code()).isEqualTo(200);
+      cluster.await(
+          "the body is gone with the job",
+          () -> cluster.get("entry-1", JOBS, "/-/items/j1?id=a").status().code() == 404);
+      assertThat(results(cluster, "entry-1", "j1")).contains("\"next\":4,");
+    }
+  }
+
+  @Test
+  void brokenStreamsGoOnFromTheirLastEvent() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      engine.setEvents(6, 20);
+      engine.breakNextAfter(3);
+      cluster.awaitReady("entry-1");
+      cluster.post("entry-1", JOBS, "/j", GatewayCluster.job(1, "a"), "j1");
+      awaitListed(cluster, "entry-1", "j1", 1);
+      assertThat(engine.runs()).containsExactly("a from 1", "a from 4").inOrder();
+      assertThat(results(cluster, "entry-1", "j1")).contains("a-1\\na-2\\na-3\\na-4\\na-5\\na-6");
+    }
+  }
+
+  @Test
+  void jobsSurviveTheLossOfEveryProcess() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      engine.setEvents(10, 50);
+      cluster.awaitReady("entry-1");
+      String job = GatewayCluster.job(1, "a", "b", "c");
+      assertThat(cluster.post("entry-1", JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
+      cluster.process("entry-1").kill();
+      cluster.process("entry-2").kill();
+      cluster.process("entry-1").restart();
+      cluster.process("entry-2").restart();
+      cluster.awaitReady("entry-2");
+      awaitListed(cluster, "entry-2", "j1", 3);
+      final String before = results(cluster, "entry-2", "j1");
+      cluster.process("entry-1").kill();
+      cluster.process("entry-2").kill();
+      cluster.process("entry-1").restart();
+      cluster.awaitReady("entry-1");
+      assertThat(results(cluster, "entry-1", "j1")).isEqualTo(before);
+    }
+  }
+
+  @Test
+  void killedCoordinatorsRunsGoOn() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      engine.setEvents(40, 50);
+      cluster.awaitReady("entry-1");
+      cluster.awaitReady("entry-2");
+      cluster.await("a coordinator", () -> !coordinator(cluster).isEmpty());
+      final String first = coordinator(cluster);
+      final String second = first.equals("entry-1") ? "entry-2" : "entry-1";
+      cluster.await("a link to the runner", () -> logOf(cluster, first).contains("peer=" + second));
+      String job = GatewayCluster.job(1, "a", "b", "c", "d", "e", "f");
+      assertThat(cluster.post(second, JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
+      cluster.await("every item runs", () -> engine.runs().size() == 6);
+      final long atRunner =
+          logOf(cluster, first).lines().filter(l -> l.contains("runner=" + second)).count();
+      cluster.process(first).kill();
+      awaitListed(cluster, second, "j1", 6);
+      List<String> again = new ArrayList<>(engine.runs().subList(6, engine.runs().size()));
+      assertThat(again).hasSize((int) (6 - atRunner));
+    }
+  }
+
+  @Test
+  void namedVersionsAreLoadedAndAttributed() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      final PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      cluster.post("entry-1", JOBS, "/j", GatewayCluster.job(2, "a"), "j1");
+      cluster.store().put("keyed.op", "version/m0", "{\"model\":\"m0\",\"version\":2}");
+      awaitListed(cluster, "entry-1", "j1", 1);
+      assertThat(engine.version()).isEqualTo(2);
+      assertThat(results(cluster, "entry-1", "j1")).contains("\"versions\":[2]");
+    }
+  }
+
+  @Test
+  void lostAnswersOfTheStoreDoubleNothing() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      cluster.awaitReady("entry-2");
+      cluster.store().loseAnswers(5);
+      String job = GatewayCluster.job(1, "a", "b", "c");
+      assertThat(cluster.post("entry-1", JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
+      awaitListed(cluster, "entry-2", "j1", 3);
+      long records = 0;
+      for (int part = 0; part < 4; part++) {
+        records += cluster.store().count("keyed.jobs", part, "result/j1/");
+      }
+      assertThat(records).isEqualTo(3);
+    }
+  }
+
+  @Test
+  void jobsRunWhileTheStoreIsAwayAndAreListedAfterwards() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      final PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      cluster.awaitReady("entry-2");
+      cluster.await("a coordinator", () -> !coordinator(cluster).isEmpty());
+      cluster.store().turnAway(target -> true);
+      CompletableFuture<AggregatedHttpResponse> accepted =
+          cluster.sendAsync(
+              coordinator(cluster), HttpMethod.POST, JOBS, "/j", GatewayCluster.job(1, "a"), "j1");
+      cluster.await("the item runs", () -> engine.runs().contains("a from 1"));
+      assertThat(accepted.isDone()).isFalse();
+      assertThat(cluster.get("entry-1", JOBS, "/-/lots/other").status().code()).isEqualTo(503);
+      cluster.store().turnAway(target -> false);
+      assertThat(accepted.join().status().code()).isEqualTo(202);
+      awaitListed(cluster, "entry-1", "j1", 1);
+      assertThat(engine.runs()).containsExactly("a from 1");
+    }
+  }
+
+  @Test
+  void malformedJobsAndEntriesAreRefusedAndHarmNothing() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.store().put("keyed.servers", "ghost", "{\"service\":7}");
+      cluster.store().put("keyed.op", "version/m0", "what");
+      cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      assertThat(cluster.post("entry-1", JOBS, "/j", "{\"items\":[]}", "j0").status().code())
+          .isEqualTo(400);
+      cluster.store().put("keyed.op", "config", "{\"version\":9}");
+      cluster.post("entry-1", JOBS, "/j", GatewayCluster.job(1, "a"), "j1");
+      awaitListed(cluster, "entry-1", "j1", 1);
+      assertThat(cluster.log("entry-1")).contains("event=5004");
+    }
+  }
+
+  private static String coordinator(GatewayCluster cluster) {
+    try {
+      return cluster.coordinator();
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static String logOf(GatewayCluster cluster, String entry) {
+    try {
+      return cluster.log(entry);
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/app/GatewayCommand.java
+++ b/server/src/main/java/org/carobhoist/server/app/GatewayCommand.java
@@ -14,7 +14,7 @@
 final class GatewayCommand implements Callable<Integer> {
 
   @Option(
-      names = {"-b", "--boot"},
+      names = {"-b", "--boot", "-s", "--settings"},
       paramLabel = "FILE",
       description =
           "The platform's boot file; by default the one that the environment variable "
--- /dev/null
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
@@ -0,0 +1,222 @@
+package org.carobhoist.standin;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.RequestHeaders;
+import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.common.ResponseHeadersBuilder;
+import com.linecorp.armeria.server.ServerBuilder;
+import com.linecorp.armeria.server.ServiceRequestContext;
+import java.io.IOException;
+import java.net.URI;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Stands in for a server of the users' platform: a plain service that echoes bodies, or an engine
+ * that streams events, resumes them, and takes orders to load weights.
+ */
+public final class PlatformServerStandIn {
+
+  private static final String REQUEST_ID = "carobhoist-request-id";
+  private static final String EXPECT = "carobhoist-expect-instance";
+  private static final String VERSIONS = "carobhoist-weight-versions";
+
+  private final String instance;
+  private final boolean engine;
+  private final StandInServer server = new StandInServer(this::routes);
+  private final List<String> runs = new ArrayList<>();
+  private long eventMillis = 5;
+  private int events = 4;
+  private long version = 1;
+  private long orders;
+  private long highestFence;
+  private int breakAfter = -1;
+  private int answerWith;
+
+  /**
+   * Creates a server.
+   *
+   * @param engine whether it streams events
+   */
+  public PlatformServerStandIn(String instance, boolean engine) {
+    this.instance = instance;
+    this.engine = engine;
+  }
+
+  /** Starts the stand-in. */
+  public void start() {
+    server.start();
+  }
+
+  /** Stops the stand-in. */
+  public void stop() {
+    server.stop();
+  }
+
+  /** Returns what the server writes of itself to the store. */
+  public String entry(String service, String zone, String state, long sequence) {
+    URI uri = server.uri();
+    String models = engine ? ",\"models\":[{\"name\":\"m0\",\"version\":" + version() + "}]" : "";
+    return "{\"service\":\""
+        + service
+        + "\",\"address\":\""
+        + uri.getAuthority()
+        + "\",\"zone\":\""
+        + zone
+        + "\",\"slots\":8,\"born\":1,\"state\":\""
+        + state
+        + "\",\"sequence\":"
+        + sequence
+        + models
+        + "}";
+  }
+
+  /** Sets how many events an item has, and the time between two of them. */
+  public synchronized void setEvents(int count, long millis) {
+    events = count;
+    eventMillis = millis;
+  }
+
+  /** Breaks the next stream off after some events. */
+  public synchronized void breakNextAfter(int count) {
+    breakAfter = count;
+  }
+
+  /** Answers every request with a status instead of running it; 0 runs them again. */
+  public synchronized void answerWith(int status) {
+    answerWith = status;
+  }
+
+  /** Returns the requests that ran, as id and first event, in their order. */
+  public synchronized List<String> runs() {
+    return List.copyOf(runs);
+  }
+
+  /** Returns the weight version served. */
+  public synchronized long version() {
+    return version;
+  }
+
+  private void routes(ServerBuilder sb) {
+    sb.service("/-/report", (ctx, req) -> report());
+    sb.service("/-/order", (ctx, req) -> HttpResponse.of(req.aggregate().thenApply(this::order)));
+    sb.serviceUnder(
+        "/", (ctx, req) -> HttpResponse.of(req.aggregate().thenApply(http -> run(ctx, http))));
+  }
+
+  private synchronized HttpResponse report() {
+    return HttpResponse.of(
+        HttpStatus.OK,
+        MediaType.JSON,
+        "{\"models\":[{\"name\":\"m0\",\"version\":"
+            + version
+            + "}],\"busy\":false,\"sequence\":"
+            + orders
+            + "}");
+  }
+
+  private synchronized HttpResponse order(AggregatedHttpRequest http) {
+    JsonNode order;
+    try {
+      order = StandInServer.JSON.readTree(http.content().array());
+    } catch (IOException e) {
+      return HttpResponse.of(HttpStatus.BAD_REQUEST);
+    }
+    long fence = order.path("fence").asLong(-1);
+    if (fence < highestFence) {
+      return HttpResponse.of(HttpStatus.PRECONDITION_FAILED);
+    }
+    if (order.path("expected").asLong() != orders) {
+      return HttpResponse.of(HttpStatus.CONFLICT);
+    }
+    highestFence = fence;
+    orders++;
+    version = order.path("version").asLong();
+    return HttpResponse.of(HttpStatus.ACCEPTED);
+  }
+
+  private HttpResponse run(ServiceRequestContext ctx, AggregatedHttpRequest http) {
+    RequestHeaders headers = http.headers();
+    String id = headers.get(REQUEST_ID, "");
+    if (!instance.equals(headers.get(EXPECT, instance))) {
+      return HttpResponse.of(head(421, id).build());
+    }
+    int refusal = refusal();
+    if (refusal > 0) {
+      ResponseHeadersBuilder out = head(refusal, id);
+      if (refusal == 503) {
+        out.add("carobhoist-not-run", "1");
+      }
+      return HttpResponse.of(out.build());
+    }
+    int from = Integer.parseInt(headers.get("last-event-id", "0")) + 1;
+    note(id + " from " + from);
+    return engine ? stream(ctx, id, from) : HttpResponse.of(head(200, id).build(), http.content());
+  }
+
+  private HttpResponse stream(ServiceRequestContext ctx, String id, int from) {
+    HttpResponseWriter out = HttpResponse.streaming();
+    ResponseHeaders head =
+        head(200, id)
+            .add(VERSIONS, Long.toString(version()))
+            .contentType(MediaType.EVENT_STREAM)
+            .build();
+    out.write(head);
+    next(ctx, out, id, from, takeBreak());
+    return out;
+  }
+
+  private void next(
+      ServiceRequestContext ctx, HttpResponseWriter out, String id, int number, int eventsLeft) {
+    if (!out.isOpen()) {
+      return;
+    }
+    if (eventsLeft == 0) {
+      out.close(new IllegalStateException("broken off"));
+      return;
+    }
+    if (number > count()) {
+      out.close();
+      return;
+    }
+    out.write(HttpData.ofUtf8("id: " + number + "\ndata: " + id + "-" + number + "\n\n"));
+    ctx.eventLoop()
+        .schedule(
+            () -> next(ctx, out, id, number + 1, eventsLeft - 1), pause(), TimeUnit.MILLISECONDS);
+  }
+
+  private ResponseHeadersBuilder head(int status, String id) {
+    return ResponseHeaders.builder(status)
+        .add(REQUEST_ID, id)
+        .add("carobhoist-server-stamp", "stamp-of-" + instance);
+  }
+
+  private synchronized void note(String run) {
+    runs.add(run);
+  }
+
+  private synchronized int refusal() {
+    return answerWith;
+  }
+
+  private synchronized int count() {
+    return events;
+  }
+
+  private synchronized long pause() {
+    return eventMillis;
+  }
+
+  private synchronized int takeBreak() {
+    int taken = breakAfter;
+    breakAfter = -1;
+    return taken;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
@@ -0,0 +1,261 @@
+package org.carobhoist.standin;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatus;
+import com.linecorp.armeria.common.MediaType;
+import com.linecorp.armeria.common.QueryParams;
+import com.linecorp.armeria.server.ServerBuilder;
+import java.io.ByteArrayOutputStream;
+import java.net.URI;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
+
+/**
+ * Stands in for the platform's store: topics with partitions of records, conditional appends,
+ * waiting reads, and the newest record of each key. Switches turn callers away, lose answers, or
+ * carry appends out late.
+ */
+public final class StoreStandIn {
+
+  private static final byte[] NO_CONTENT = {};
+  private static final int PAGE_SIZE = 100;
+  private static final int PRECONDITION_FAILED = 412;
+
+  private final StandInServer server = new StandInServer(this::routes);
+  private final Map<String, List<byte[]>> shards = new HashMap<>();
+  private final Map<String, CompletableFuture<Void>> appended = new HashMap<>();
+  private Predicate<String> turnsAway = target -> false;
+  private int answersToLose;
+  private long lateMillis;
+
+  /** A record in a page of the newest. */
+  public record Newest(String key, String value, long offset) {}
+
+  /** A page of the newest records. */
+  public record NewestMessage(
+      List<Newest> items, @JsonProperty("more_pages") boolean more, long end) {}
+
+  /** Starts the stand-in. */
+  public void start() {
+    server.start();
+  }
+
+  /** Stops the stand-in; its content is kept for the next start. */
+  public void stop() {
+    server.stop();
+  }
+
+  /** Returns the store's address. */
+  public URI uri() {
+    return server.uri();
+  }
+
+  /** Sets which calls are turned away, by path and query. */
+  public synchronized void turnAway(Predicate<String> calls) {
+    turnsAway = calls;
+  }
+
+  /** Carries out the next appends without answering them. */
+  public synchronized void loseAnswers(int count) {
+    answersToLose = count;
+  }
+
+  /** Carries appends out after a delay and answers none of them until it is set back to 0. */
+  public synchronized void setLate(long millis) {
+    lateMillis = millis;
+  }
+
+  /** Writes a record, as an operator, a trainer or a server does. */
+  public void put(String topic, String key, String value) {
+    append(topic + "/0", List.of(record(key, value.getBytes(StandardCharsets.UTF_8))));
+  }
+
+  /** Returns the newest value of each key of a partition, in the order of the keys. */
+  public synchronized Map<String, byte[]> newest(String topic, int part) {
+    Map<String, byte[]> out = new TreeMap<>();
+    for (byte[] r : shard(topic + "/" + part)) {
+      byte[] value = value(r);
+      if (value.length == 0) {
+        out.remove(key(r));
+      } else {
+        out.put(key(r), value);
+      }
+    }
+    return out;
+  }
+
+  /** Returns how many records of a partition have a key that begins so. */
+  public synchronized long count(String topic, int part, String prefix) {
+    return shard(topic + "/" + part).stream().filter(r -> key(r).startsWith(prefix)).count();
+  }
+
+  private void routes(ServerBuilder sb) {
+    sb.service(
+        "/-/log-append",
+        (ctx, req) ->
+            HttpResponse.of(
+                req.aggregate().thenCompose(http -> append(ctx.path(), ctx.query(), http))));
+    sb.service("/-/log-read", (ctx, req) -> read(ctx.path(), ctx.query()));
+    sb.service("/-/log-newest", (ctx, req) -> newestPage(ctx.path(), ctx.query()));
+  }
+
+  private CompletableFuture<HttpResponse> append(
+      String path, String query, AggregatedHttpRequest http) {
+    if (isTurnedAway(path, query)) {
+      return CompletableFuture.completedFuture(unavailable());
+    }
+    QueryParams params = QueryParams.fromQueryString(query);
+    List<byte[]> records = split(http.content().array());
+    String at = params.get("at");
+    long late = late();
+    if (late > 0) {
+      CompletableFuture.delayedExecutor(late, TimeUnit.MILLISECONDS)
+          .execute(() -> append(shardName(params), at, records));
+      return new CompletableFuture<>();
+    }
+    HttpResponse answer = append(shardName(params), at, records);
+    return loses() ? new CompletableFuture<>() : CompletableFuture.completedFuture(answer);
+  }
+
+  private synchronized HttpResponse append(String shard, String at, List<byte[]> records) {
+    long end = shard(shard).size();
+    if (at != null && Long.parseLong(at) != end) {
+      return HttpResponse.of(
+          HttpStatus.valueOf(PRECONDITION_FAILED), MediaType.JSON, "{\"end\":" + end + "}");
+    }
+    append(shard, records);
+    return HttpResponse.of(
+        HttpStatus.OK,
+        MediaType.JSON,
+        "{\"offset\":" + end + ",\"end\":" + (end + records.size()) + "}");
+  }
+
+  private synchronized void append(String shard, List<byte[]> records) {
+    shard(shard).addAll(records);
+    CompletableFuture<Void> waiting = appended.remove(shard);
+    if (waiting != null) {
+      waiting.complete(null);
+    }
+  }
+
+  private HttpResponse read(String path, String query) {
+    if (isTurnedAway(path, query)) {
+      return unavailable();
+    }
+    QueryParams params = QueryParams.fromQueryString(query);
+    String shard = shardName(params);
+    int from = Integer.parseInt(params.get("from"));
+    long wait = Long.parseLong(params.get("wait_ms", "0"));
+    CompletableFuture<Void> news;
+    synchronized (this) {
+      if (shard(shard).size() > from || wait == 0) {
+        return records(shard, from);
+      }
+      news = appended.computeIfAbsent(shard, key -> new CompletableFuture<>());
+    }
+    return HttpResponse.of(
+        news.copy()
+            .completeOnTimeout(null, wait, TimeUnit.MILLISECONDS)
+            .thenApply(ok -> records(shard, from)));
+  }
+
+  private synchronized HttpResponse records(String shard, int from) {
+    List<byte[]> all = shard(shard);
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    out.writeBytes(ByteBuffer.allocate(16).putLong(all.size()).putLong(0).array());
+    for (byte[] r : all.subList(Math.min(from, all.size()), all.size())) {
+      out.writeBytes(ByteBuffer.allocate(4).putInt(r.length).array());
+      out.writeBytes(r);
+    }
+    return HttpResponse.of(HttpStatus.OK, MediaType.OCTET_STREAM, HttpData.wrap(out.toByteArray()));
+  }
+
+  private synchronized HttpResponse newestPage(String path, String query) {
+    if (isTurnedAway(path, query)) {
+      return unavailable();
+    }
+    QueryParams params = QueryParams.fromQueryString(query);
+    List<byte[]> all = shard(shardName(params));
+    TreeMap<String, Newest> newest = new TreeMap<>();
+    for (int i = 0; i < all.size(); i++) {
+      byte[] value = value(all.get(i));
+      String key = key(all.get(i));
+      if (value.length == 0) {
+        newest.remove(key);
+      } else {
+        newest.put(key, new Newest(key, Base64.getEncoder().encodeToString(value), i));
+      }
+    }
+    List<Newest> rest = new ArrayList<>(newest.tailMap(params.get("after", ""), false).values());
+    List<Newest> page = rest.subList(0, Math.min(PAGE_SIZE, rest.size()));
+    return StandInServer.json(new NewestMessage(page, rest.size() > page.size(), all.size()));
+  }
+
+  private synchronized boolean isTurnedAway(String path, String query) {
+    return turnsAway.test(path + "?" + query);
+  }
+
+  private synchronized long late() {
+    return lateMillis;
+  }
+
+  private synchronized boolean loses() {
+    if (answersToLose == 0) {
+      return false;
+    }
+    answersToLose--;
+    return true;
+  }
+
+  private List<byte[]> shard(String name) {
+    return shards.computeIfAbsent(name, key -> new ArrayList<>());
+  }
+
+  private static String shardName(QueryParams params) {
+    return params.get("topic") + "/" + params.get("part");
+  }
+
+  private static HttpResponse unavailable() {
+    return HttpResponse.of(HttpStatus.SERVICE_UNAVAILABLE);
+  }
+
+  private static List<byte[]> split(byte[] content) {
+    List<byte[]> records = new ArrayList<>();
+    ByteBuffer in = ByteBuffer.wrap(content);
+    while (in.hasRemaining()) {
+      byte[] r = new byte[in.getInt()];
+      in.get(r);
+      records.add(r);
+    }
+    return records;
+  }
+
+  private static byte[] record(String key, byte[] value) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    out.write(key.length());
+    out.writeBytes(key.getBytes(StandardCharsets.US_ASCII));
+    out.writeBytes(value.length == 0 ? NO_CONTENT : value);
+    return out.toByteArray();
+  }
+
+  private static String key(byte[] content) {
+    return new String(content, 1, content[0], StandardCharsets.US_ASCII);
+  }
+
+  private static byte[] value(byte[] content) {
+    return Arrays.copyOfRange(content, 1 + content[0], content.length);
+  }
+}
