Load engines by halves; write the log from a queue; drop jobs past their time

The log was written by the deciding thread, which a reader that stops would have blocked.

Jobs are dropped from the store when their results needn't be readable any more.

--- a/core/src/main/java/org/carobhoist/core/swap/LoadTurns.java
+++ b/core/src/main/java/org/carobhoist/core/swap/LoadTurns.java
@@ -10,8 +10,10 @@
 /**
  * Which of the engines that wait for new weights load next. A step allows the version before the
  * trainer's, so an engine needn't load the moment a version is named: first come engines that are
- * too old for the jobs that are open, then those whose runs lose little by the pause. An engine
- * with long runs stays as it is until its weights are too old for the next step.
+ * too old for the jobs that are open. Of the others only as many load as bring half of the engines
+ * to the newest version, and only where the runs lose little by the pause. So the engines take
+ * turns by halves: when a step comes, one half still fits it while the other one loads, and an
+ * engine loads every second version.
  */
 public final class LoadTurns {
 
@@ -58,11 +60,14 @@
    * Returns the engines that may load now.
    *
    * @param loading how many engines load already
+   * @param engines how many engines there are, the candidates and those that load included
    */
-  public List<InstanceId> next(Collection<Candidate> candidates, int loading) {
+  public List<InstanceId> next(Collection<Candidate> candidates, int loading, int engines) {
+    int newest = engines - candidates.size();
+    boolean halfIsNewest = 2 * newest >= engines;
     Comparator<Candidate> tooOldFirst = Comparator.comparing(c -> !c.isTooOld());
     return candidates.stream()
-        .filter(c -> c.isTooOld() || c.longestRun().compareTo(shortRun) <= 0)
+        .filter(c -> c.isTooOld() || (!halfIsNewest && c.longestRun().compareTo(shortRun) <= 0))
         .sorted(tooOldFirst.thenComparingInt(Candidate::runs).thenComparing(Candidate::engine))
         .limit(Math.max(0, atOnce - loading))
         .map(Candidate::engine)
--- a/core/src/test/java/org/carobhoist/core/swap/LoadTurnsTest.java
+++ b/core/src/test/java/org/carobhoist/core/swap/LoadTurnsTest.java
@@ -22,7 +22,13 @@
   }
 
   private List<String> next(int loading, LoadTurns.Candidate... candidates) {
-    return turns.next(List.of(candidates), loading).stream().map(InstanceId::value).toList();
+    return nextOf(candidates.length + loading, loading, candidates);
+  }
+
+  private List<String> nextOf(int engines, int loading, LoadTurns.Candidate... candidates) {
+    return turns.next(List.of(candidates), loading, engines).stream()
+        .map(InstanceId::value)
+        .toList();
   }
 
   @Test
@@ -38,6 +44,14 @@
         .containsExactly("short");
   }
 
+  @Test
+  void enginesThatWillDoStayOnceHalfHaveTheNewestVersion() {
+    assertThat(nextOf(4, 0, engine("a", 6, 0, 0), engine("b", 6, 0, 0))).isEmpty();
+    assertThat(nextOf(4, 0, engine("a", 5, 0, 0), engine("b", 6, 0, 0))).containsExactly("a");
+    assertThat(nextOf(5, 0, engine("a", 6, 0, 0), engine("b", 6, 0, 0), engine("c", 6, 0, 0)))
+        .containsExactly("a", "b");
+  }
+
   @Test
   void noMoreLoadAtOnceThanAllowed() {
     assertThat(next(1, engine("a", 5, 0, 0), engine("b", 5, 0, 0))).containsExactly("a");
--- a/server/src/main/java/org/carobhoist/server/app/GatewayCommand.java
+++ b/server/src/main/java/org/carobhoist/server/app/GatewayCommand.java
@@ -5,6 +5,7 @@
 import org.carobhoist.core.settings.SettingsException;
 import org.carobhoist.platform.BootFile;
 import org.carobhoist.server.gateway.GatewayService;
+import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.runtime.Service;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -24,6 +25,7 @@
 
   @Override
   public Integer call() {
+    EventLog.writeToStandardOutput();
     return RoleRunner.run(this::service);
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -1,5 +1,7 @@
 package org.carobhoist.server.gateway;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashSet;
@@ -54,12 +56,14 @@
   private final PeerMesh mesh;
   private final RunnerDesk runner;
   private final ResultLists lists;
+  private final Duration keepTime;
   private final JobCoordinator jobs;
   private final Set<InstanceId> leaving = new HashSet<>();
   private WeightDesk weights;
   private LeaseKeeper lease;
   private boolean active;
   private boolean stopping;
+  private boolean forgetting;
 
   CoordinatorDesk(
       InstanceId self,
@@ -71,7 +75,8 @@
       JobView view,
       PeerMesh mesh,
       RunnerDesk runner,
-      ResultLists lists) {
+      ResultLists lists,
+      Duration keepTime) {
     this.self = self;
     this.zone = zone;
     this.loop = loop;
@@ -82,6 +87,7 @@
     this.mesh = mesh;
     this.runner = runner;
     this.lists = lists;
+    this.keepTime = keepTime;
     this.jobs = JobCoordinator.create(view, this, PlacementPolicy.DEFAULT, clock, this::spec);
   }
 
@@ -209,6 +215,23 @@
                     .forEach(s -> s.engine().ifPresent(e -> offerEngines(s.name(), e))));
     weights.tick();
     jobs.tick(clock.now());
+    forgetOne(clock.now());
+  }
+
+  /** Drops the oldest job whose results nobody may read any more from the store. */
+  private void forgetOne(Instant now) {
+    if (forgetting) {
+      return;
+    }
+    Optional<Job> past =
+        view.jobs().stream()
+            .filter(j -> now.isAfter(j.head().acceptedAt().plus(keepTime)))
+            .filter(j -> j.isEnded() || j.head().isExpired(now))
+            .findFirst();
+    if (past.isPresent()) {
+      forgetting = true;
+      lists.forget(past.get()).whenComplete((ok, failure) -> forgetting = false);
+    }
   }
 
   private void offerEngines(ServiceName service, EngineSpec spec) {
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -45,6 +45,7 @@
 import org.carobhoist.server.link.proto.NodeRecord;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
+import org.carobhoist.server.log.QueueWriter;
 import org.carobhoist.server.metrics.Metric;
 import org.carobhoist.server.metrics.ProcessMetrics;
 import org.carobhoist.server.metrics.RequestMetrics;
@@ -162,7 +163,17 @@
     this.runner = new RunnerDesk(loop, upstreams, lists);
     this.coordinator =
         new CoordinatorDesk(
-            boot.node(), boot.zone(), loop, clock, manifests, servers, view, mesh, runner, lists);
+            boot.node(),
+            boot.zone(),
+            loop,
+            clock,
+            manifests,
+            servers,
+            view,
+            mesh,
+            runner,
+            lists,
+            boot.bounds().resultTime());
     this.jobs = new JobDesk(store, view, jobTails, codec, loop, clock, runner::runEarly);
     view.listen(coordinator);
     view.listen(jobs);
@@ -374,6 +385,7 @@
     metrics.gauge(Metric.SAMPLES_IN_FLIGHT, runner::size);
     metrics.gauge(Metric.REVISION, () -> manifests.current().map(m -> m.version()).orElse(0L));
     metrics.gauge(Metric.COORDINATES, () -> coordinator.isActive() ? 1 : 0);
+    metrics.gauge(Metric.LOG_DROPPED, QueueWriter::dropped);
     metrics.gauge(Metric.ITEMS_WAITING, () -> coordinator.jobs().waiting());
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/ResultLists.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ResultLists.java
@@ -3,12 +3,15 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.Scheduler;
 import org.carobhoist.core.job.ItemResult;
+import org.carobhoist.core.job.Job;
 import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.job.JobRecordCodec;
 import org.carobhoist.core.job.JobView;
+import org.carobhoist.core.store.AppendOutcome;
 import org.carobhoist.core.store.KeyedTail;
 import org.carobhoist.core.store.OrderedAppender;
 import org.carobhoist.core.store.RecordStore;
@@ -19,6 +22,8 @@
   /** Time that results wait for others, so that an append carries several. */
   private static final Duration LINGER = Duration.ofMillis(15);
 
+  private final RecordStore store;
+  private final List<KeyedTail> tails;
   private final JobView view;
   private final JobRecordCodec codec;
   private final List<OrderedAppender> appenders = new ArrayList<>();
@@ -29,6 +34,8 @@
       JobView view,
       JobRecordCodec codec,
       Scheduler scheduler) {
+    this.store = store;
+    this.tails = tails;
     this.view = view;
     this.codec = codec;
     for (KeyedTail tail : tails) {
@@ -41,6 +48,12 @@
     return appenders.get(view.shardOf(job)).append(codec.listed(job, result));
   }
 
+  /** Drops every record of a job; the job is gone from the view once the store has done so. */
+  CompletableFuture<AppendOutcome> forget(Job job) {
+    KeyedTail tail = tails.get(view.shardOf(job.id()));
+    return store.append(tail.shard(), codec.forgotten(job), OptionalLong.empty());
+  }
+
   /** Returns the number of results that wait for the store. */
   int waiting() {
     return appenders.stream().mapToInt(OrderedAppender::size).sum();
--- a/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
@@ -159,7 +159,7 @@
         candidates.add(s.candidate());
       }
     }
-    return turns.next(candidates, loading).contains(swap.engine);
+    return turns.next(candidates, loading, swaps.size()).contains(swap.engine);
   }
 
   /** One engine's swaps. */
--- a/server/src/main/java/org/carobhoist/server/log/EventLog.java
+++ b/server/src/main/java/org/carobhoist/server/log/EventLog.java
@@ -1,5 +1,6 @@
 package org.carobhoist.server.log;
 
+import java.util.Arrays;
 import java.util.concurrent.atomic.AtomicLongArray;
 import org.carobhoist.server.settings.LogLevel;
 import org.tinylog.Logger;
@@ -10,6 +11,11 @@
 
   private static final AtomicLongArray COUNTS = new AtomicLongArray(LogEvent.values().length);
 
+  /** Lines of one event in a second; a step of some hundred items takes that many at its start. */
+  private static final int LINES_PER_SECOND = 400;
+
+  private static final LineBudget BUDGET = new LineBudget(LINES_PER_SECOND, System::nanoTime);
+
   private EventLog() {}
 
   /** Returns how often an event has been written, or left out for its level. */
@@ -25,13 +31,24 @@
     Configuration.set("level", level.name());
   }
 
+  /**
+   * Writes to standard output, by a thread of its own. Only works before the first event, since the
+   * log reads its configuration once.
+   */
+  public static void writeToStandardOutput() {
+    Configuration.set("writer", "queue");
+  }
+
   /**
    * Writes an event.
    *
    * @param fields keys and values by turns
    */
   public static void info(LogEvent event, Object... fields) {
-    Logger.info("{}", counted(event, fields));
+    int before = counted(event);
+    if (before >= 0) {
+      Logger.info("{}", line(event, withDropped(before, fields)));
+    }
   }
 
   /**
@@ -40,17 +57,33 @@
    * @param fields keys and values by turns
    */
   public static void warn(LogEvent event, Object... fields) {
-    Logger.warn("{}", counted(event, fields));
+    int before = counted(event);
+    if (before >= 0) {
+      Logger.warn("{}", line(event, withDropped(before, fields)));
+    }
   }
 
   /** Writes an event with the failure behind it. */
   public static void error(LogEvent event, Throwable failure, Object... fields) {
-    Logger.error(failure, "{}", counted(event, fields));
+    int before = counted(event);
+    if (before >= 0) {
+      Logger.error(failure, "{}", line(event, withDropped(before, fields)));
+    }
   }
 
-  private static String counted(LogEvent event, Object... fields) {
+  private static int counted(LogEvent event) {
     COUNTS.incrementAndGet(event.ordinal());
-    return line(event, fields);
+    return BUDGET.take(event);
+  }
+
+  private static Object[] withDropped(int dropped, Object... fields) {
+    if (dropped == 0) {
+      return fields;
+    }
+    Object[] all = Arrays.copyOf(fields, fields.length + 2);
+    all[fields.length] = "dropped";
+    all[fields.length + 1] = dropped;
+    return all;
   }
 
   static String line(LogEvent event, Object... fields) {
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/log/QueueWriter.java
@@ -0,0 +1,97 @@
+package org.carobhoist.server.log;
+
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.atomic.AtomicLong;
+import org.tinylog.core.LogEntry;
+import org.tinylog.core.LogEntryValue;
+import org.tinylog.writers.AbstractFormatPatternWriter;
+
+/**
+ * Writes lines to standard output from a thread of its own, so that whoever logs never waits for
+ * the reader of the output. What doesn't fit into the queue is left out and counted. The library's
+ * own writing thread wakes a hundred times a second, which costs an idle process more than its
+ * work.
+ */
+public final class QueueWriter extends AbstractFormatPatternWriter {
+
+  /** Lines that wait at most; some seconds of the busiest process. */
+  private static final int CAPACITY = 4_096;
+
+  /** Time that the last lines get when the process ends, in milliseconds. */
+  private static final long CLOSE_MILLIS = 300;
+
+  private static final AtomicLong DROPPED = new AtomicLong();
+
+  private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(CAPACITY);
+  private final OutputStream out = new FileOutputStream(FileDescriptor.out);
+  private final Thread thread = new Thread(this::write, "log");
+
+  /** Creates the writer from the log's configuration. */
+  public QueueWriter(Map<String, String> properties) {
+    super(properties);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Returns how many lines were left out since the queue was full. */
+  public static long dropped() {
+    return DROPPED.get();
+  }
+
+  @Override
+  public Collection<LogEntryValue> getRequiredLogEntryValues() {
+    Collection<LogEntryValue> values = super.getRequiredLogEntryValues();
+    return values.isEmpty() ? EnumSet.of(LogEntryValue.LEVEL) : values;
+  }
+
+  @Override
+  public void write(LogEntry entry) {
+    if (!queue.offer(render(entry))) {
+      DROPPED.incrementAndGet();
+    }
+  }
+
+  @Override
+  public void flush() {}
+
+  @Override
+  public void close() throws Exception {
+    thread.interrupt();
+    thread.join(CLOSE_MILLIS);
+  }
+
+  private void write() {
+    List<String> lines = new ArrayList<>();
+    try {
+      while (true) {
+        lines.add(queue.take());
+        queue.drainTo(lines);
+        writeAll(lines);
+      }
+    } catch (InterruptedException e) {
+      queue.drainTo(lines);
+      writeAll(lines);
+    }
+  }
+
+  private void writeAll(List<String> lines) {
+    try {
+      out.write(String.join("", lines).getBytes(StandardCharsets.UTF_8));
+    } catch (IOException e) {
+      // Nobody reads the output; the counter is all that is left to tell it by.
+      DROPPED.addAndGet(lines.size());
+    }
+    lines.clear();
+  }
+}
