--- a/it/src/test/java/org/carobhoist/it/GatewayCluster.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayCluster.java
@@ -80,6 +80,11 @@
 
   /** Starts an entry. */
   void startEntry(String name) throws IOException {
+    startEntry(name, store.uri().getAuthority());
+  }
+
+  /** Starts an entry that reaches the store at the given address. */
+  void startEntry(String name, String storeAddress) throws IOException {
     int first = LoopbackPorts.next();
     int front = LoopbackPorts.next();
     int peers = pairOfPorts();
@@ -99,7 +104,7 @@
             "bounds.status_ttl_s=120",
             "bounds.settle_ms=1000",
             "bounds.cancel_ms=3000",
-            "platform.address=" + store.uri().getAuthority(),
+            "platform.address=" + storeAddress,
             "");
     processes.put(name, RoleProcess.start("gateway", folder, name, boot));
   }
--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.carobhoist.standin.FaultProxy;
 import org.carobhoist.standin.PlatformServerStandIn;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -162,6 +163,92 @@
     }
   }
 
+  @Test
+  void killedRunnersItemsGoOnFromTheirText() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      engine.setEvents(60, 50);
+      cluster.awaitReady("entry-1");
+      cluster.awaitReady("entry-2");
+      cluster.await("a coordinator", () -> !coordinator(cluster).isEmpty());
+      final String first = coordinator(cluster);
+      final String second = first.equals("entry-1") ? "entry-2" : "entry-1";
+      cluster.await("a link to the runner", () -> logOf(cluster, first).contains("peer=" + second));
+      cluster.post(first, JOBS, "/j", GatewayCluster.job(1, "a", "b", "c", "d"), "j1");
+      cluster.await("every item runs", () -> engine.runs().size() == 4);
+      cluster.await(
+          "progress is known",
+          () -> engine.sent("a") > 20 && engine.sent("b") > 20 && engine.sent("d") > 20);
+      final long atRunner =
+          logOf(cluster, first).lines().filter(l -> l.contains("runner=" + second)).count();
+      cluster.process(second).kill();
+      awaitListed(cluster, first, "j1", 4);
+      List<String> again = engine.runs().subList(4, engine.runs().size());
+      assertThat(again).hasSize((int) atRunner);
+      assertThat(again.stream().filter(r -> r.endsWith(" from 1")).toList()).isEmpty();
+      assertThat(results(cluster, first, "j1")).contains("\"versions\":[1]");
+    }
+  }
+
+  @Test
+  void entryThatTheStoreTurnsAwayGoesByWayOfPeers() throws IOException {
+    try (GatewayCluster cluster = GatewayCluster.start(folder)) {
+      FaultProxy proxy = FaultProxy.before("127.0.0.1", cluster.store().uri().getPort());
+      proxy.start();
+      cluster.startEntry("entry-1");
+      cluster.startEntry("entry-2", "127.0.0.1:" + proxy.port());
+      cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      cluster.awaitReady("entry-2");
+      cluster.await("a peer", () -> logOf(cluster, "entry-2").contains("peer=entry-1"));
+      proxy.setRefusing(true);
+      String job = GatewayCluster.job(1, "a", "b");
+      assertThat(cluster.post("entry-2", JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
+      awaitListed(cluster, "entry-2", "j1", 2);
+      awaitListed(cluster, "entry-1", "j1", 2);
+      proxy.stop();
+    }
+  }
+
+  @Test
+  void endsSurviveTheLossOfEveryProcess() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      engine.setEvents(200, 50);
+      cluster.awaitReady("entry-1");
+      cluster.post("entry-1", JOBS, "/j", GatewayCluster.job(1, "a"), "j1");
+      cluster.await("the item runs", () -> engine.runs().size() == 1);
+      assertThat(cluster.delete("entry-1", JOBS, "/-/lots/j1").status().code()).isEqualTo(200);
+      cluster.process("entry-1").kill();
+      cluster.process("entry-2").kill();
+      cluster.process("entry-1").restart();
+      cluster.awaitReady("entry-1");
+      cluster.await("a coordinator", () -> logOf(cluster, "entry-1").contains("event=7401"));
+      assertThat(cluster.get("entry-1", JOBS, "/-/items/j1?id=a").status().code()).isEqualTo(404);
+      assertThat(cluster.delete("entry-1", JOBS, "/-/lots/j1").status().code()).isEqualTo(200);
+      assertThat(engine.runs()).hasSize(1);
+    }
+  }
+
+  @Test
+  void writesThatTheStoreCarriesOutLateDoubleNothing() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      cluster.awaitReady("entry-2");
+      cluster.store().setLate(1_000);
+      String job = GatewayCluster.job(1, "a", "b", "c");
+      final CompletableFuture<AggregatedHttpResponse> accepted =
+          cluster.sendAsync("entry-1", HttpMethod.POST, JOBS, "/j", job, "j1");
+      cluster.await(
+          "a late append", () -> cluster.store().count("keyed.jobs", shardOf("j1"), "job/j1/") > 0);
+      cluster.store().setLate(0);
+      assertThat(accepted.join().status().code()).isEqualTo(202);
+      awaitListed(cluster, "entry-2", "j1", 3);
+      assertThat(cluster.store().count("keyed.jobs", shardOf("j1"), "result/j1/")).isEqualTo(3);
+    }
+  }
+
   @Test
   void namedVersionsAreLoadedAndAttributed() throws IOException {
     try (GatewayCluster cluster = cluster()) {
@@ -185,11 +272,7 @@
       String job = GatewayCluster.job(1, "a", "b", "c");
       assertThat(cluster.post("entry-1", JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
       awaitListed(cluster, "entry-2", "j1", 3);
-      long records = 0;
-      for (int part = 0; part < 4; part++) {
-        records += cluster.store().count("keyed.jobs", part, "result/j1/");
-      }
-      assertThat(records).isEqualTo(3);
+      assertThat(cluster.store().count("keyed.jobs", shardOf("j1"), "result/j1/")).isEqualTo(3);
     }
   }
 
@@ -230,6 +313,10 @@
     }
   }
 
+  private static int shardOf(String job) {
+    return Math.floorMod(job.hashCode(), 4);
+  }
+
   private static String coordinator(GatewayCluster cluster) {
     try {
       return cluster.coordinator();
--- a/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
@@ -15,7 +15,9 @@
 import java.io.IOException;
 import java.net.URI;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -32,6 +34,7 @@
   private final boolean engine;
   private final StandInServer server = new StandInServer(this::routes);
   private final List<String> runs = new ArrayList<>();
+  private final Map<String, Integer> lastSent = new HashMap<>();
   private long eventMillis = 5;
   private int events = 4;
   private long version = 1;
@@ -99,6 +102,11 @@
     return List.copyOf(runs);
   }
 
+  /** Returns the number of the last event that was sent of an item. */
+  public synchronized int sent(String id) {
+    return lastSent.getOrDefault(id, 0);
+  }
+
   /** Returns the weight version served. */
   public synchronized long version() {
     return version;
@@ -186,6 +194,7 @@
       out.close();
       return;
     }
+    noteSent(id, number);
     out.write(HttpData.ofUtf8("id: " + number + "\ndata: " + id + "-" + number + "\n\n"));
     ctx.eventLoop()
         .schedule(
@@ -198,6 +207,10 @@
         .add("carobhoist-server-stamp", "stamp-of-" + instance);
   }
 
+  private synchronized void noteSent(String id, int number) {
+    lastSent.put(id, number);
+  }
+
   private synchronized void note(String run) {
     runs.add(run);
   }
