--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -8,7 +8,9 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import org.carobhoist.standin.FaultProxy;
 import org.carobhoist.standin.PlatformServerStandIn;
 import org.junit.jupiter.api.Test;
@@ -249,6 +251,64 @@
     }
   }
 
+  @Test
+  void plannedStopHandsItsRunsOverAndSaysHowItEnded() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      engine.setEvents(400, 50);
+      cluster.awaitReady("entry-1");
+      cluster.awaitReady("entry-2");
+      cluster.await("a coordinator", () -> !coordinator(cluster).isEmpty());
+      final String first = coordinator(cluster);
+      final String second = first.equals("entry-1") ? "entry-2" : "entry-1";
+      cluster.await("a link to the runner", () -> logOf(cluster, first).contains("peer=" + second));
+      cluster.post(second, JOBS, "/j", GatewayCluster.job(1, "a", "b", "c"), "j1");
+      cluster.await("every item runs", () -> engine.runs().size() == 3);
+      assertThat(cluster.process(first).terminate()).isEqualTo(0);
+      assertThat(cluster.log(first)).contains("event=1003");
+      cluster.await("the other one coordinates", () -> coordinator(cluster).equals(second));
+      engine.setEvents(5, 5);
+      awaitListed(cluster, second, "j1", 3);
+      assertThat(engine.runs().stream().filter(r -> r.endsWith(" from 1")).count()).isEqualTo(3);
+    }
+  }
+
+  @Test
+  void plannedStopCutsNoRequestThatRuns() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn server = cluster.addServer("s-1", "app", false);
+      cluster.awaitReady("entry-1");
+      Set<String> failed = ConcurrentHashMap.newKeySet();
+      List<CompletableFuture<Void>> callers = new ArrayList<>();
+      for (int i = 0; i < 8; i++) {
+        callers.add(callUntilItFails(cluster, "caller-" + i, 0, failed));
+      }
+      cluster.await("the callers are served", () -> server.runs().size() > 100);
+      assertThat(cluster.process("entry-1").terminate()).isEqualTo(0);
+      callers.forEach(CompletableFuture::join);
+      assertThat(failed).hasSize(8);
+      List<String> ran = server.runs().stream().map(r -> r.split(" ")[0]).toList();
+      assertThat(ran).containsNoneIn(failed);
+    }
+  }
+
+  /** Sends one request after the other until one isn't served; notes its id. */
+  private static CompletableFuture<Void> callUntilItFails(
+      GatewayCluster cluster, String caller, int number, Set<String> failed) {
+    String id = caller + "-" + number;
+    return cluster
+        .sendAsync("entry-1", HttpMethod.POST, BOOK, "/seat", "x", id)
+        .handle((answer, failure) -> failure == null && answer.status().code() == 200)
+        .thenComposeAsync(
+            served -> {
+              if (served) {
+                return callUntilItFails(cluster, caller, number + 1, failed);
+              }
+              failed.add(id);
+              return CompletableFuture.completedFuture(null);
+            });
+  }
+
   @Test
   void namedVersionsAreLoadedAndAttributed() throws IOException {
     try (GatewayCluster cluster = cluster()) {
--- a/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
+++ b/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
@@ -66,6 +66,7 @@
       EventLog.error(LogEvent.STOP_FAILED, e.getCause());
       code = ExitCodes.FAILED;
     }
+    EventLog.close();
     System.err.flush();
     Runtime.getRuntime().halt(code);
   }
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -3,7 +3,6 @@
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.common.util.EventLoopGroups;
 import com.linecorp.armeria.server.Server;
-import com.linecorp.armeria.server.ServiceRequestContext;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -91,8 +90,11 @@
 
   private static final Duration QUIET_TIME = Duration.ofMillis(200);
 
+  /** Time that requests passed on get at the very end. */
+  private static final Duration LAST_ANSWERS_TIME = Duration.ofMillis(900);
+
   /** Time before the end by force in which the last things are put in order. */
-  private static final Duration RESERVE = Duration.ofMillis(1_200);
+  private static final Duration RESERVE = Duration.ofMillis(1_600);
 
   private static final Duration MEMBER_RETRY_PAUSE = Duration.ofMillis(300);
 
@@ -106,6 +108,7 @@
   private final EndpointDirectory directory = EndpointDirectory.create();
   private final JobRecordCodec codec = new JobRecords();
   private final ProcessMetrics metrics = ProcessMetrics.create(loop);
+  private final Traffic traffic = new Traffic(() -> this.draining);
   private final Upstreams upstreams = new Upstreams(clients);
   private final List<KeyedTail> tails = new ArrayList<>();
   private final PeerMesh mesh;
@@ -229,41 +232,46 @@
 
   /**
    * Drains: gives the coordination up, is no longer ready, lets runs and requests end while there
-   * is time, hands back what still runs, then leaves.
+   * is time, hands back what still runs, then leaves. The last requests are refused, not passed on:
+   * one that crosses the end of the process has then not run. The servers aren't stopped, since the
+   * library would cut what is in flight when its own quiet time is over; they end with the process.
    */
   @Override
   public CompletableFuture<Void> stop() {
     EventLog.info(LogEvent.STOPPING, "instance", boot.node());
     draining = true;
     Duration end = boot.bounds().grace().minus(RESERVE);
-    CompletableFuture<Void> noticed = new CompletableFuture<>();
     CompletableFuture<Void> over = new CompletableFuture<>();
     loop.execute(
         () -> {
           coordinator.stop();
           runner.leave();
-          leave();
-          loop.after(NOTICE_TIME, () -> noticed.complete(null));
-          loop.after(end, this::endRuns);
-          awaitRuns(clock.elapsed().plus(end), over);
+          Duration until = clock.elapsed().plus(end);
+          loop.after(NOTICE_TIME, () -> awaitWork(until, over));
         });
-    return noticed
-        .thenCompose(ok -> http.stop())
-        .thenCompose(ok -> over)
-        .thenCompose(ok -> admin.stop())
-        .thenCompose(ok -> network.stop());
+    return over.thenCompose(ok -> network.stop());
   }
 
-  private void endRuns() {
+  /** Waits until no run and no request is left, or the time is up. */
+  private void awaitWork(Duration until, CompletableFuture<Void> over) {
+    boolean idle = runner.size() == 0 && traffic.inFlight() == 0;
+    if (!idle && clock.elapsed().compareTo(until) < 0) {
+      loop.after(QUIET_TIME, () -> awaitWork(until, over));
+      return;
+    }
+    traffic.refuse();
     runner.stop();
+    awaitAnswers(clock.elapsed().plus(LAST_ANSWERS_TIME), over);
   }
 
-  /** Waits until no run is left, or the time is up. */
-  private void awaitRuns(Duration until, CompletableFuture<Void> over) {
-    if (runner.size() == 0 || clock.elapsed().compareTo(until) >= 0) {
-      loop.after(QUIET_TIME, () -> over.complete(null));
+  /** Waits for the answers to requests that were passed on before the others were refused. */
+  private void awaitAnswers(Duration until, CompletableFuture<Void> over) {
+    if (traffic.inFlight() > 0 && clock.elapsed().compareTo(until) < 0) {
+      loop.after(QUIET_TIME, () -> awaitAnswers(until, over));
     } else {
-      loop.after(QUIET_TIME, () -> awaitRuns(until, over));
+      // Until now the next coordinator has had to find this process, to take its runs over.
+      leave();
+      loop.after(QUIET_TIME, () -> over.complete(null));
     }
   }
 
@@ -308,13 +316,7 @@
         .idleTimeout(CLIENT_IDLE_TIME)
         .disableServerHeader()
         .disableDateHeader()
-        .gracefulShutdownTimeout(
-            QUIET_TIME, boot.bounds().grace().minus(NOTICE_TIME).minus(RESERVE))
-        .decorator(
-            (next, ctx, req) -> {
-              closeWhileDraining(ctx);
-              return next.serve(ctx, req);
-            })
+        .decorator(traffic::serve)
         .serviceUnder("/", routes)
         .build();
   }
@@ -326,12 +328,6 @@
     return builder.disableServerHeader().build();
   }
 
-  private void closeWhileDraining(ServiceRequestContext ctx) {
-    if (draining) {
-      ctx.initiateConnectionShutdown();
-    }
-  }
-
   private boolean isReady() {
     return !draining && manifests.current().isPresent() && servers.size() > 0;
   }
--- a/server/src/main/java/org/carobhoist/server/log/EventLog.java
+++ b/server/src/main/java/org/carobhoist/server/log/EventLog.java
@@ -5,6 +5,7 @@
 import org.carobhoist.server.settings.LogLevel;
 import org.tinylog.Logger;
 import org.tinylog.configuration.Configuration;
+import org.tinylog.provider.ProviderRegistry;
 
 /** Writes numbered events with their fields as {@code key=value} pairs. */
 public final class EventLog {
@@ -37,6 +38,17 @@
    */
   public static void writeToStandardOutput() {
     Configuration.set("writer", "queue");
+    // Else the log is closed as soon as the process is asked to end, before it says how it ended.
+    Configuration.set("autoshutdown", "false");
+  }
+
+  /** Writes out what waits; nothing can be logged afterwards. */
+  public static void close() {
+    try {
+      ProviderRegistry.getLoggingProvider().shutdown();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
   }
 
   /**
