--- a/server/src/main/java/org/carobhoist/server/log/QueueWriter.java
+++ b/server/src/main/java/org/carobhoist/server/log/QueueWriter.java
@@ -35,7 +35,7 @@
 
   private final BlockingQueue<String> queue = new ArrayBlockingQueue<>(CAPACITY);
   private final OutputStream out = new FileOutputStream(FileDescriptor.out);
-  private final Thread thread = new Thread(this::write, "log");
+  private final Thread thread = new Thread(this::writeLines, "log");
 
   /** Creates the writer from the log's configuration. */
   public QueueWriter(Map<String, String> properties) {
@@ -71,7 +71,7 @@
     thread.join(CLOSE_MILLIS);
   }
 
-  private void write() {
+  private void writeLines() {
     List<String> lines = new ArrayList<>();
     try {
       while (true) {
