--- a/core/src/main/java/org/carobhoist/core/job/ItemId.java
+++ b/core/src/main/java/org/carobhoist/core/job/ItemId.java
@@ -1,7 +1,5 @@
 package org.carobhoist.core.job;
 
-import java.util.regex.Pattern;
-
 /**
  * Identity of an item of a job, chosen by its submitter; the same item may come again in a later
  * job.
@@ -10,17 +8,13 @@
  */
 public record ItemId(String value) implements Comparable<ItemId> {
 
-  private static final Pattern WELL_FORMED = Pattern.compile("[!-.0-~]{1,100}");
-
   /**
    * Checks the id.
    *
    * @throws IllegalArgumentException if the value is not a well-formed id
    */
   public ItemId {
-    if (value == null || !WELL_FORMED.matcher(value).matches()) {
-      throw new IllegalArgumentException("ItemId is malformed: " + value);
-    }
+    PathIds.check("ItemId", value);
   }
 
   @Override
--- a/core/src/main/java/org/carobhoist/core/job/JobHead.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobHead.java
@@ -1,6 +1,5 @@
 package org.carobhoist.core.job;
 
-import java.time.Duration;
 import java.time.Instant;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.manifest.JobTerms;
@@ -31,9 +30,4 @@
   public boolean isExpired(Instant now) {
     return now.isAfter(acceptedAt.plus(terms.retention()));
   }
-
-  /** Returns whether the results are no longer wanted. */
-  public boolean isOverdue(Instant now, Duration slack) {
-    return now.isAfter(acceptedAt.plus(terms.deadline()).plus(slack));
-  }
 }
--- a/core/src/main/java/org/carobhoist/core/job/JobId.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobId.java
@@ -1,7 +1,5 @@
 package org.carobhoist.core.job;
 
-import java.util.regex.Pattern;
-
 /**
  * Identity of a batch job, chosen by its submitter.
  *
@@ -9,17 +7,13 @@
  */
 public record JobId(String value) implements Comparable<JobId> {
 
-  private static final Pattern WELL_FORMED = Pattern.compile("[!-.0-~]{1,100}");
-
   /**
    * Checks the id.
    *
    * @throws IllegalArgumentException if the value is not a well-formed id
    */
   public JobId {
-    if (value == null || !WELL_FORMED.matcher(value).matches()) {
-      throw new IllegalArgumentException("JobId is malformed: " + value);
-    }
+    PathIds.check("JobId", value);
   }
 
   @Override
--- a/core/src/main/java/org/carobhoist/core/job/JobView.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobView.java
@@ -82,14 +82,17 @@
     return new ShardListener(part);
   }
 
-  private void apply(StoredRecord stored) {
-    JobRecord decoded;
+  /** Decodes a record; one that can't be read is told to the listeners and left out. */
+  private Optional<JobRecord> decode(StoredRecord stored) {
     try {
-      decoded = codec.decode(stored);
+      return Optional.of(codec.decode(stored));
     } catch (IllegalArgumentException e) {
       listeners.forEach(l -> l.onUnreadable(stored.key(), stored.offset(), e.getMessage()));
-      return;
+      return Optional.empty();
     }
+  }
+
+  private void apply(JobRecord decoded, long offset) {
     if (decoded instanceof JobRecord.Accepted a) {
       accept(a);
       return;
@@ -99,7 +102,7 @@
       return;
     }
     if (decoded instanceof JobRecord.Listed l) {
-      list(job, l.result(), stored.offset());
+      list(job, l.result(), offset);
     } else if (decoded instanceof JobRecord.Ended) {
       end(job);
     } else if (decoded instanceof JobRecord.Forgotten) {
@@ -144,12 +147,18 @@
     @Override
     public void onSnapshot(List<StoredRecord> records) {
       Set<JobId> present = new HashSet<>();
-      // A job that was submitted twice may have its newest record behind those of its results.
-      records.stream().filter(this::isAccepted).forEach(JobView.this::apply);
-      for (StoredRecord r : records) {
-        apply(r);
-        jobOf(r).ifPresent(present::add);
+      Map<Long, JobRecord> others = new LinkedHashMap<>();
+      for (StoredRecord stored : records) {
+        Optional<JobRecord> decoded = decode(stored);
+        decoded.map(JobRecord::job).ifPresent(present::add);
+        // A job that was submitted twice may have its newest record behind those of its results.
+        if (decoded.isPresent() && decoded.get() instanceof JobRecord.Accepted a) {
+          accept(a);
+        } else {
+          decoded.ifPresent(r -> others.put(stored.offset(), r));
+        }
       }
+      others.forEach((offset, record) -> apply(record, offset));
       List.copyOf(jobs.values()).stream()
           .filter(j -> shardOf(j.id()) == part && !present.contains(j.id()))
           .forEach(JobView.this::forget);
@@ -157,7 +166,7 @@
 
     @Override
     public void onRecord(StoredRecord stored) {
-      apply(stored);
+      decode(stored).ifPresent(r -> apply(r, stored.offset()));
     }
 
     @Override
@@ -169,22 +178,5 @@
     public void onRegained() {
       listeners.forEach(l -> l.onReadable(part, true, ""));
     }
-
-    private boolean isAccepted(StoredRecord stored) {
-      return decode(stored).filter(r -> r instanceof JobRecord.Accepted).isPresent();
-    }
-
-    private Optional<JobId> jobOf(StoredRecord stored) {
-      return decode(stored).map(JobRecord::job);
-    }
-
-    /** An unreadable record is reported where it is applied. */
-    private Optional<JobRecord> decode(StoredRecord stored) {
-      try {
-        return Optional.of(codec.decode(stored));
-      } catch (IllegalArgumentException e) {
-        return Optional.empty();
-      }
-    }
   }
 }
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/job/PathIds.java
@@ -0,0 +1,18 @@
+package org.carobhoist.core.job;
+
+import java.util.regex.Pattern;
+
+/** Checks ids that clients choose and that stand in paths as one segment. */
+final class PathIds {
+
+  private static final Pattern WELL_FORMED = Pattern.compile("[!-.0-~]{1,100}");
+
+  private PathIds() {}
+
+  /** Throws {@link IllegalArgumentException} with the type's name if the value is malformed. */
+  static void check(String type, String value) {
+    if (value == null || !WELL_FORMED.matcher(value).matches()) {
+      throw new IllegalArgumentException(type + " is malformed: " + value);
+    }
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseKeeper.java
@@ -156,11 +156,6 @@
     return lastTerm;
   }
 
-  /** Returns the newest record of the lease, whoever holds it. */
-  public Optional<LeaseEntry> entry() {
-    return last;
-  }
-
   /** Ends this process's part: gives the lease up if it is held, and takes it no more. */
   public void retire(Optional<InstanceId> heir) {
     retired = true;
--- a/core/src/main/java/org/carobhoist/core/manifest/Manifest.java
+++ b/core/src/main/java/org/carobhoist/core/manifest/Manifest.java
@@ -15,7 +15,6 @@
       Comparator.comparingInt((Route r) -> r.pathPrefix().length()).reversed();
 
   private final long version;
-  private final List<Route> routes;
   private final Map<ServiceName, ServiceSpec> services;
   private final Limits limits;
   private final Map<String, List<Route>> byHost = new HashMap<>();
@@ -23,7 +22,6 @@
   private Manifest(
       long version, List<Route> routes, Map<ServiceName, ServiceSpec> services, Limits limits) {
     this.version = version;
-    this.routes = routes;
     this.services = services;
     this.limits = limits;
     routes.stream()
@@ -38,7 +36,7 @@
    */
   public static Manifest of(
       long version, List<Route> routes, Map<ServiceName, ServiceSpec> services, Limits limits) {
-    return new Manifest(version, List.copyOf(routes), Map.copyOf(services), limits);
+    return new Manifest(version, routes, Map.copyOf(services), limits);
   }
 
   /** Returns the version. */
@@ -65,9 +63,4 @@
         .filter(r -> path.startsWith(r.pathPrefix()))
         .findFirst();
   }
-
-  /** Returns the route of a name. */
-  public Optional<Route> route(String name) {
-    return routes.stream().filter(r -> r.name().equals(name)).findFirst();
-  }
 }
--- a/core/src/main/java/org/carobhoist/core/membership/ServerEntry.java
+++ b/core/src/main/java/org/carobhoist/core/membership/ServerEntry.java
@@ -1,6 +1,5 @@
 package org.carobhoist.core.membership;
 
-import java.time.Duration;
 import java.util.Map;
 import org.carobhoist.core.common.WeightVersion;
 
@@ -10,7 +9,6 @@
  * @param announcement who it is and whether it takes work
  * @param host its address
  * @param port its port
- * @param cold how much longer it is slow after its start
  * @param versions the weight versions of its models; empty for a plain service
  * @param beat which of its writings this is
  */
@@ -18,7 +16,6 @@
     EndpointAnnouncement announcement,
     String host,
     int port,
-    Duration cold,
     Map<String, WeightVersion> versions,
     Beat beat) {
 
--- a/core/src/main/java/org/carobhoist/core/placement/RunText.java
+++ b/core/src/main/java/org/carobhoist/core/placement/RunText.java
@@ -1,6 +1,5 @@
 package org.carobhoist.core.placement;
 
-import java.io.ByteArrayOutputStream;
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.Set;
@@ -11,7 +10,11 @@
 
   private static final byte SEPARATOR = '\n';
 
-  private final ByteArrayOutputStream content = new ByteArrayOutputStream();
+  /** Bytes for which there is room at first; it doubles as the text grows. */
+  private static final int FIRST_BYTES = 512;
+
+  private byte[] content = new byte[FIRST_BYTES];
+  private int size;
   private final Set<WeightVersion> versions = new HashSet<>();
   private int events;
   private String lastId = "";
@@ -32,10 +35,7 @@
 
   /** Adds an event. */
   public void add(String id, byte[] data, WeightVersion version) {
-    if (events > 0) {
-      content.write(SEPARATOR);
-    }
-    content.writeBytes(data);
+    write(data);
     events++;
     lastId = id;
     versions.add(version);
@@ -50,10 +50,7 @@
       return delta.total() <= events;
     }
     if (delta.events() > 0) {
-      if (events > 0) {
-        content.write(SEPARATOR);
-      }
-      content.writeBytes(delta.content());
+      write(delta.content());
       events += delta.events();
       lastId = delta.lastId();
     }
@@ -63,12 +60,11 @@
 
   /** Returns where the events after the first ones begin in the content. */
   public TextDelta since(Mark mark) {
-    byte[] all = content.toByteArray();
     int from = mark.events() > 0 && events > mark.events() ? mark.bytes() + 1 : mark.bytes();
     return new TextDelta(
         mark.events(),
         events - mark.events(),
-        Arrays.copyOfRange(all, from, all.length),
+        Arrays.copyOfRange(content, from, size),
         lastId,
         versions);
   }
@@ -80,7 +76,7 @@
 
   /** Returns the present end. */
   public Mark mark() {
-    return new Mark(events, content.size());
+    return new Mark(events, size);
   }
 
   /** Returns the number of events. */
@@ -100,7 +96,7 @@
 
   /** Returns the data of all events, with a line feed between two of them. */
   public byte[] content() {
-    return content.toByteArray();
+    return Arrays.copyOf(content, size);
   }
 
   /** Returns whether the text may be continued for a job with the given bounds. */
@@ -109,6 +105,19 @@
         && (!singleVersion || versions.size() <= 1);
   }
 
+  private void write(byte[] data) {
+    int separator = events > 0 ? 1 : 0;
+    int end = size + separator + data.length;
+    if (end > content.length) {
+      content = Arrays.copyOf(content, Math.max(end, 2 * content.length));
+    }
+    if (separator > 0) {
+      content[size] = SEPARATOR;
+    }
+    System.arraycopy(data, 0, content, size + separator, data.length);
+    size = end;
+  }
+
   /**
    * A position in a text.
    *
--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -35,7 +35,6 @@
   private Duration freshAsOf = Duration.ZERO;
   private boolean loaded;
   private boolean lost;
-  private boolean stopped;
   private CompletableFuture<Void> reload;
 
   private KeyedTail(
@@ -75,11 +74,6 @@
     step();
   }
 
-  /** Ends following; a read in flight is ignored. */
-  public void stop() {
-    stopped = true;
-  }
-
   /** Returns the shard. */
   public Shard shard() {
     return shard;
@@ -133,9 +127,6 @@
   }
 
   private void step() {
-    if (stopped) {
-      return;
-    }
     if (!loaded) {
       reload().whenComplete((ok, failure) -> afterStep(failure));
       return;
--- a/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
+++ b/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
@@ -81,7 +81,7 @@
             stored.offset());
     ServerEntry.Beat beat =
         new ServerEntry.Beat(Long.parseLong(parts[1]), Long.parseLong(parts[2]));
-    return new ServerEntry(announcement, "10.0.0.1", 80, Duration.ZERO, Map.of(), beat);
+    return new ServerEntry(announcement, "10.0.0.1", 80, Map.of(), beat);
   }
 
   private static StoredRecord stored(long offset, String key, String value) {
--- a/it/src/test/java/org/carobhoist/it/GatewayCluster.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayCluster.java
@@ -1,11 +1,7 @@
 package org.carobhoist.it;
 
-import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
-import com.linecorp.armeria.common.HttpData;
 import com.linecorp.armeria.common.HttpMethod;
-import com.linecorp.armeria.common.HttpRequest;
-import com.linecorp.armeria.common.RequestHeaders;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -17,6 +13,8 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 import org.carobhoist.standin.LoopbackPorts;
+import org.carobhoist.standin.PlatformCaller;
+import org.carobhoist.standin.PlatformDocuments;
 import org.carobhoist.standin.PlatformServerStandIn;
 import org.carobhoist.standin.StoreStandIn;
 
@@ -26,24 +24,11 @@
   /** Longest time for an answer; far above what it takes. */
   private static final Duration LIMIT = Duration.ofSeconds(60);
 
-  private static final String MANIFEST =
-      "{\"version\":VERSION,\"routes\":["
-          + "{\"name\":\"jobs\",\"host\":\"jobs.example\",\"path_prefix\":\"/\","
-          + "\"kind\":\"rollout\","
-          + "\"timeout_ms\":10000,\"service\":\"lm\",\"max_attempts\":2,\"retention_s\":40,"
-          + "\"deadline_ms\":7500},"
-          + "{\"name\":\"book\",\"host\":\"book.example\",\"path_prefix\":\"/\",\"kind\":\"KIND\","
-          + "\"timeout_ms\":3000,\"service\":\"app\",\"max_attempts\":2}],"
-          + "\"services\":[{\"name\":\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":8,"
-          + "\"kv_cache_tokens\":100000,\"stride\":1,\"models\":[{\"name\":\"m0\"}]}}],"
-          + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":33554432,"
-          + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
-
   private final Path folder;
   private final StoreStandIn store = new StoreStandIn();
   private final List<PlatformServerStandIn> servers = new ArrayList<>();
   private final Map<String, RoleProcess> processes = new HashMap<>();
-  private final Map<String, Integer> ports = new HashMap<>();
+  private final Map<String, PlatformCaller> callers = new HashMap<>();
 
   private GatewayCluster(Path folder) {
     this.folder = folder;
@@ -63,10 +48,7 @@
 
   /** Writes a manifest whose booking route has the given kind. */
   void publish(long version, String kind) {
-    store.put(
-        "keyed.op",
-        "config",
-        MANIFEST.replace("VERSION", Long.toString(version)).replace("KIND", kind));
+    store.publish(version, kind);
   }
 
   /** Starts a server and lets it register. */
@@ -74,7 +56,7 @@
     PlatformServerStandIn server = new PlatformServerStandIn(instance, engine);
     server.start();
     servers.add(server);
-    store.put("keyed.servers", instance, server.entry(service, "a", "ready", 1));
+    store.register(service, server);
     return server;
   }
 
@@ -85,27 +67,11 @@
 
   /** Starts an entry that reaches the store at the given address. */
   void startEntry(String name, String storeAddress) throws IOException {
-    int first = LoopbackPorts.next();
+    int ready = LoopbackPorts.next();
     int front = LoopbackPorts.next();
-    int peers = pairOfPorts();
-    ports.put(name, front);
-    String boot =
-        String.join(
-            "\n",
-            "node=" + name,
-            "zone=a",
-            "ip=127.0.0.1",
-            "listen.front=127.0.0.1:" + front,
-            "listen.ready=127.0.0.1:" + first,
-            "internal_ports=" + peers + "," + (peers + 1),
-            "bounds.drain_ms=2000",
-            "bounds.grace_s=8",
-            "bounds.lease_ms=3000",
-            "bounds.status_ttl_s=120",
-            "bounds.settle_ms=1000",
-            "bounds.cancel_ms=3000",
-            "platform.address=" + storeAddress,
-            "");
+    int peers = LoopbackPorts.nextPair();
+    callers.put(name, PlatformCaller.of(front, LIMIT));
+    String boot = PlatformDocuments.bootFile(name, front, ready, peers, storeAddress);
     processes.put(name, RoleProcess.start("gateway", folder, name, boot));
   }
 
@@ -153,37 +119,7 @@
 
   CompletableFuture<AggregatedHttpResponse> sendAsync(
       String entry, HttpMethod method, String host, String path, String body, String id) {
-    RequestHeaders headers =
-        RequestHeaders.builder(method, path)
-            .authority(host)
-            .add("carobhoist-request-id", id)
-            .add("carobhoist-deadline-ms", "10000")
-            .add("carobhoist-wait-ms", "500")
-            .build();
-    return WebClient.builder("h1c://127.0.0.1:" + ports.get(entry))
-        .responseTimeout(LIMIT)
-        .build()
-        .execute(HttpRequest.of(headers, HttpData.ofUtf8(body)))
-        .aggregate();
-  }
-
-  /** Returns a job of items with the given ids. */
-  static String job(int minVersion, String... items) {
-    List<String> out = new ArrayList<>();
-    for (String id : items) {
-      out.add(
-          "{\"id\":\""
-              + id
-              + "\",\"path\":\"/run/"
-              + id
-              + "\",\"headers\":{\"Carobhoist-Model\":\"m0\"},\"body\":\"q83v\",\"tokens\":40,"
-              + "\"group\":\"g\"}");
-    }
-    return "{\"step\":0,\"model\":\"m0\",\"min_version\":"
-        + minVersion
-        + ",\"desired_count\":1,\"items\":["
-        + String.join(",", out)
-        + "]}";
+    return callers.get(entry).send(method, host, path, body, id);
   }
 
   /** Waits for a condition that processes bring about by themselves. */
@@ -199,16 +135,6 @@
     }
   }
 
-  private static int pairOfPorts() {
-    int port = LoopbackPorts.next();
-    int next = LoopbackPorts.next();
-    while (next != port + 1) {
-      port = next;
-      next = LoopbackPorts.next();
-    }
-    return port;
-  }
-
   @Override
   public void close() {
     processes.values().forEach(RoleProcess::kill);
--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.carobhoist.standin.FaultProxy;
+import org.carobhoist.standin.PlatformDocuments;
 import org.carobhoist.standin.PlatformServerStandIn;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -19,8 +20,8 @@
 /** Two entries before stand-ins of the users' platform, with the platform's troubles. */
 final class GatewayTest {
 
-  private static final String JOBS = "jobs.example";
-  private static final String BOOK = "book.example";
+  private static final String JOBS = PlatformDocuments.JOBS_HOST;
+  private static final String BOOK = PlatformDocuments.BOOK_HOST;
 
   @TempDir private Path folder;
 
@@ -85,7 +86,7 @@
       cluster.addServer("e-2", "lm", true);
       cluster.awaitReady("entry-1");
       cluster.awaitReady("entry-2");
-      String job = GatewayCluster.job(1, "a", "b", "c", "d");
+      String job = PlatformDocuments.job(1, "a", "b", "c", "d");
       CompletableFuture<AggregatedHttpResponse> other =
           cluster.sendAsync("entry-2", HttpMethod.POST, JOBS, "/j", job, "j1");
       assertThat(cluster.post("entry-1", JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
@@ -112,7 +113,7 @@
       engine.setEvents(6, 20);
       engine.breakNextAfter(3);
       cluster.awaitReady("entry-1");
-      cluster.post("entry-1", JOBS, "/j", GatewayCluster.job(1, "a"), "j1");
+      cluster.post("entry-1", JOBS, "/j", PlatformDocuments.job(1, "a"), "j1");
       awaitListed(cluster, "entry-1", "j1", 1);
       assertThat(engine.runs()).containsExactly("a from 1", "a from 4").inOrder();
       assertThat(results(cluster, "entry-1", "j1")).contains("a-1\\na-2\\na-3\\na-4\\na-5\\na-6");
@@ -125,7 +126,7 @@
       PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
       engine.setEvents(10, 50);
       cluster.awaitReady("entry-1");
-      String job = GatewayCluster.job(1, "a", "b", "c");
+      String job = PlatformDocuments.job(1, "a", "b", "c");
       assertThat(cluster.post("entry-1", JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
       cluster.process("entry-1").kill();
       cluster.process("entry-2").kill();
@@ -149,11 +150,9 @@
       engine.setEvents(40, 50);
       cluster.awaitReady("entry-1");
       cluster.awaitReady("entry-2");
-      cluster.await("a coordinator", () -> !coordinator(cluster).isEmpty());
-      final String first = coordinator(cluster);
-      final String second = first.equals("entry-1") ? "entry-2" : "entry-1";
-      cluster.await("a link to the runner", () -> logOf(cluster, first).contains("peer=" + second));
-      String job = GatewayCluster.job(1, "a", "b", "c", "d", "e", "f");
+      final String first = awaitCoordinatorAndItsLink(cluster);
+      final String second = otherThan(first);
+      String job = PlatformDocuments.job(1, "a", "b", "c", "d", "e", "f");
       assertThat(cluster.post(second, JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
       cluster.await("every item runs", () -> engine.runs().size() == 6);
       final long atRunner =
@@ -172,11 +171,9 @@
       engine.setEvents(60, 50);
       cluster.awaitReady("entry-1");
       cluster.awaitReady("entry-2");
-      cluster.await("a coordinator", () -> !coordinator(cluster).isEmpty());
-      final String first = coordinator(cluster);
-      final String second = first.equals("entry-1") ? "entry-2" : "entry-1";
-      cluster.await("a link to the runner", () -> logOf(cluster, first).contains("peer=" + second));
-      cluster.post(first, JOBS, "/j", GatewayCluster.job(1, "a", "b", "c", "d"), "j1");
+      final String first = awaitCoordinatorAndItsLink(cluster);
+      final String second = otherThan(first);
+      cluster.post(first, JOBS, "/j", PlatformDocuments.job(1, "a", "b", "c", "d"), "j1");
       cluster.await("every item runs", () -> engine.runs().size() == 4);
       cluster.await(
           "progress is known",
@@ -204,7 +201,7 @@
       cluster.awaitReady("entry-2");
       cluster.await("a peer", () -> logOf(cluster, "entry-2").contains("peer=entry-1"));
       proxy.setRefusing(true);
-      String job = GatewayCluster.job(1, "a", "b");
+      String job = PlatformDocuments.job(1, "a", "b");
       assertThat(cluster.post("entry-2", JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
       awaitListed(cluster, "entry-2", "j1", 2);
       awaitListed(cluster, "entry-1", "j1", 2);
@@ -218,7 +215,7 @@
       PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
       engine.setEvents(200, 50);
       cluster.awaitReady("entry-1");
-      cluster.post("entry-1", JOBS, "/j", GatewayCluster.job(1, "a"), "j1");
+      cluster.post("entry-1", JOBS, "/j", PlatformDocuments.job(1, "a"), "j1");
       cluster.await("the item runs", () -> engine.runs().size() == 1);
       assertThat(cluster.delete("entry-1", JOBS, "/-/lots/j1").status().code()).isEqualTo(200);
       cluster.process("entry-1").kill();
@@ -239,7 +236,7 @@
       cluster.awaitReady("entry-1");
       cluster.awaitReady("entry-2");
       cluster.store().setLate(1_000);
-      String job = GatewayCluster.job(1, "a", "b", "c");
+      String job = PlatformDocuments.job(1, "a", "b", "c");
       final CompletableFuture<AggregatedHttpResponse> accepted =
           cluster.sendAsync("entry-1", HttpMethod.POST, JOBS, "/j", job, "j1");
       cluster.await(
@@ -258,11 +255,9 @@
       engine.setEvents(400, 50);
       cluster.awaitReady("entry-1");
       cluster.awaitReady("entry-2");
-      cluster.await("a coordinator", () -> !coordinator(cluster).isEmpty());
-      final String first = coordinator(cluster);
-      final String second = first.equals("entry-1") ? "entry-2" : "entry-1";
-      cluster.await("a link to the runner", () -> logOf(cluster, first).contains("peer=" + second));
-      cluster.post(second, JOBS, "/j", GatewayCluster.job(1, "a", "b", "c"), "j1");
+      final String first = awaitCoordinatorAndItsLink(cluster);
+      final String second = otherThan(first);
+      cluster.post(second, JOBS, "/j", PlatformDocuments.job(1, "a", "b", "c"), "j1");
       cluster.await("every item runs", () -> engine.runs().size() == 3);
       assertThat(cluster.process(first).terminate()).isEqualTo(0);
       assertThat(cluster.log(first)).contains("event=1003");
@@ -314,8 +309,8 @@
     try (GatewayCluster cluster = cluster()) {
       final PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
       cluster.awaitReady("entry-1");
-      cluster.post("entry-1", JOBS, "/j", GatewayCluster.job(2, "a"), "j1");
-      cluster.store().put("keyed.op", "version/m0", "{\"model\":\"m0\",\"version\":2}");
+      cluster.post("entry-1", JOBS, "/j", PlatformDocuments.job(2, "a"), "j1");
+      cluster.store().nameVersion(2);
       awaitListed(cluster, "entry-1", "j1", 1);
       assertThat(engine.version()).isEqualTo(2);
       assertThat(results(cluster, "entry-1", "j1")).contains("\"versions\":[2]");
@@ -329,7 +324,7 @@
       cluster.awaitReady("entry-1");
       cluster.awaitReady("entry-2");
       cluster.store().loseAnswers(5);
-      String job = GatewayCluster.job(1, "a", "b", "c");
+      String job = PlatformDocuments.job(1, "a", "b", "c");
       assertThat(cluster.post("entry-1", JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
       awaitListed(cluster, "entry-2", "j1", 3);
       assertThat(cluster.store().count("keyed.jobs", shardOf("j1"), "result/j1/")).isEqualTo(3);
@@ -346,7 +341,12 @@
       cluster.store().turnAway(target -> true);
       CompletableFuture<AggregatedHttpResponse> accepted =
           cluster.sendAsync(
-              coordinator(cluster), HttpMethod.POST, JOBS, "/j", GatewayCluster.job(1, "a"), "j1");
+              coordinator(cluster),
+              HttpMethod.POST,
+              JOBS,
+              "/j",
+              PlatformDocuments.job(1, "a"),
+              "j1");
       cluster.await("the item runs", () -> engine.runs().contains("a from 1"));
       assertThat(accepted.isDone()).isFalse();
       assertThat(cluster.get("entry-1", JOBS, "/-/lots/other").status().code()).isEqualTo(503);
@@ -367,7 +367,7 @@
       assertThat(cluster.post("entry-1", JOBS, "/j", "{\"items\":[]}", "j0").status().code())
           .isEqualTo(400);
       cluster.store().put("keyed.op", "config", "{\"version\":9}");
-      cluster.post("entry-1", JOBS, "/j", GatewayCluster.job(1, "a"), "j1");
+      cluster.post("entry-1", JOBS, "/j", PlatformDocuments.job(1, "a"), "j1");
       awaitListed(cluster, "entry-1", "j1", 1);
       assertThat(cluster.log("entry-1")).contains("event=5004");
     }
@@ -385,6 +385,19 @@
     }
   }
 
+  /** Waits until one entry coordinates and knows the other as a runner; returns its name. */
+  private static String awaitCoordinatorAndItsLink(GatewayCluster cluster) {
+    cluster.await("a coordinator", () -> !coordinator(cluster).isEmpty());
+    String first = coordinator(cluster);
+    String link = "peer=" + otherThan(first);
+    cluster.await("a link to the runner", () -> logOf(cluster, first).contains(link));
+    return first;
+  }
+
+  private static String otherThan(String entry) {
+    return entry.equals("entry-1") ? "entry-2" : "entry-1";
+  }
+
   private static String logOf(GatewayCluster cluster, String entry) {
     try {
       return cluster.log(entry);
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -1,11 +1,8 @@
 package org.carobhoist.server.entry;
 
-import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
-import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.Server;
 import com.linecorp.armeria.server.ServerBuilder;
-import com.linecorp.armeria.server.ServiceRequestContext;
 import java.net.InetSocketAddress;
 import java.security.SecureRandom;
 import java.time.Duration;
@@ -16,6 +13,9 @@
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.Refusal;
+import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.core.common.RequestId;
 import org.carobhoist.core.profile.SpreadPolicy;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
@@ -37,6 +37,7 @@
 import org.carobhoist.server.runtime.DecisionLoop;
 import org.carobhoist.server.runtime.Service;
 import org.carobhoist.server.runtime.SystemClock;
+import org.carobhoist.server.runtime.Traffic;
 import org.carobhoist.server.settings.EntrySettings;
 import org.carobhoist.server.settings.InstanceSettings;
 import org.carobhoist.server.state.AdminRoutes;
@@ -50,9 +51,11 @@
   private static final double RETRIES_PER_REQUEST = 0.1;
   private static final double RETRY_BURST = 20;
   private static final Duration NOTICE_TIME = Duration.ofSeconds(2);
-  private static final Duration QUIET_TIME = Duration.ofMillis(250);
   private static final Duration DRAIN_LIMIT = Duration.ofMinutes(2);
 
+  /** Time for the answers to what was passed on before the last requests were refused. */
+  private static final Duration LAST_ANSWERS_TIME = Duration.ofSeconds(5);
+
   private final InstanceSettings settings;
   private final Incarnation incarnation = new Incarnation(UUID.randomUUID().toString());
   private final DecisionLoop loop = DecisionLoop.create("entry");
@@ -62,6 +65,7 @@
   private final StepTable steps;
   private final WeightRoutes weights;
   private final ProcessMetrics metrics = ProcessMetrics.create(loop);
+  private final Traffic traffic = Traffic.create(() -> this.draining, r -> refuse());
   private volatile boolean draining;
   private Server http;
 
@@ -125,8 +129,8 @@
 
   /**
    * Drains: is no longer ready, waits until the balancer has noticed, finishes the requests in
-   * flight, then leaves. Every request that still comes is served, and its connection closed after
-   * the answer, so that none is cut.
+   * flight, then leaves. A request that still comes is served, and its connection closed after the
+   * answer; the last ones are refused, since the end of the server would cut them.
    */
   @Override
   public CompletableFuture<Void> stop() {
@@ -135,6 +139,9 @@
     CompletableFuture<Void> noticed = new CompletableFuture<>();
     loop.after(NOTICE_TIME, () -> noticed.complete(null));
     return noticed
+        .thenCompose(ok -> traffic.awaitIdle(loop, context.clock(), DRAIN_LIMIT, () -> true))
+        .thenRun(traffic::refuse)
+        .thenCompose(ok -> traffic.awaitIdle(loop, context.clock(), LAST_ANSWERS_TIME, () -> true))
         .thenCompose(ok -> http.stop())
         .thenCompose(ok -> network.stop())
         .thenCompose(ok -> loop.stop());
@@ -153,8 +160,7 @@
     ServerBuilder sb = Server.builder();
     sb.http(new InetSocketAddress(settings.http().host(), settings.http().port()));
     sb.requestTimeoutMillis(0);
-    sb.gracefulShutdownTimeout(QUIET_TIME, DRAIN_LIMIT);
-    sb.decorator(this::closeWhileDraining);
+    sb.decorator(traffic::serve);
     StateDump dump =
         StateDump.of(
             loop,
@@ -171,12 +177,10 @@
     return sb.build();
   }
 
-  private HttpResponse closeWhileDraining(
-      HttpService next, ServiceRequestContext ctx, HttpRequest req) throws Exception {
-    if (draining) {
-      ctx.initiateConnectionShutdown();
-    }
-    return next.serve(ctx, req);
+  private static HttpResponse refuse() {
+    RequestId id = new RequestId(UUID.randomUUID().toString());
+    return Problems.response(
+        id, Refusal.notRun(RefusalReason.DRAINING, "the entry stops; another one serves"));
   }
 
   private boolean isReady() {
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -1,6 +1,8 @@
 package org.carobhoist.server.gateway;
 
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.util.EventLoopGroups;
 import com.linecorp.armeria.server.Server;
 import io.netty.channel.EventLoopGroup;
@@ -8,6 +10,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.UUID;
@@ -33,6 +36,7 @@
 import org.carobhoist.core.store.Shard;
 import org.carobhoist.core.store.TailListener;
 import org.carobhoist.platform.BootSettings;
+import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.platform.DirectTransport;
 import org.carobhoist.platform.HttpRecordStore;
 import org.carobhoist.platform.JobJson;
@@ -51,6 +55,7 @@
 import org.carobhoist.server.runtime.DecisionLoop;
 import org.carobhoist.server.runtime.Service;
 import org.carobhoist.server.runtime.SuspendAwareClock;
+import org.carobhoist.server.runtime.Traffic;
 import org.carobhoist.server.state.AdminRoutes;
 import org.carobhoist.server.state.StateDump;
 import org.carobhoist.server.state.StateSource;
@@ -88,8 +93,16 @@
   /** Time in which the platform notices that this process is no longer ready. */
   private static final Duration NOTICE_TIME = Duration.ofMillis(2_300);
 
+  /** Time in which the store takes this process's record away. */
   private static final Duration QUIET_TIME = Duration.ofMillis(200);
 
+  private static final int UNAVAILABLE = 503;
+
+  /**
+   * When a request that was refused at the very end comes back; other processes take it at once.
+   */
+  private static final Duration RETRY_AFTER = Duration.ofMillis(50);
+
   /** Time that requests passed on get at the very end. */
   private static final Duration LAST_ANSWERS_TIME = Duration.ofMillis(900);
 
@@ -108,7 +121,7 @@
   private final EndpointDirectory directory = EndpointDirectory.create();
   private final JobRecordCodec codec = new JobRecords();
   private final ProcessMetrics metrics = ProcessMetrics.create(loop);
-  private final Traffic traffic = new Traffic(() -> this.draining);
+  private final Traffic traffic = Traffic.create(() -> this.draining, GatewayService::refuse);
   private final Upstreams upstreams = new Upstreams(clients);
   private final List<KeyedTail> tails = new ArrayList<>();
   private final PeerMesh mesh;
@@ -240,39 +253,34 @@
   public CompletableFuture<Void> stop() {
     EventLog.info(LogEvent.STOPPING, "instance", boot.node());
     draining = true;
-    Duration end = boot.bounds().grace().minus(RESERVE);
-    CompletableFuture<Void> over = new CompletableFuture<>();
+    Duration time = boot.bounds().grace().minus(RESERVE).minus(NOTICE_TIME);
+    CompletableFuture<Void> noticed = new CompletableFuture<>();
     loop.execute(
         () -> {
           coordinator.stop();
           runner.leave();
-          Duration until = clock.elapsed().plus(end);
-          loop.after(NOTICE_TIME, () -> awaitWork(until, over));
+          loop.after(NOTICE_TIME, () -> noticed.complete(null));
         });
-    return over.thenCompose(ok -> network.stop());
+    return noticed
+        .thenCompose(ok -> traffic.awaitIdle(loop, clock, time, () -> runner.size() == 0))
+        .thenCompose(ok -> endLastRequests())
+        .thenCompose(ok -> leaveAtLast())
+        .thenCompose(ok -> network.stop());
   }
 
-  /** Waits until no run and no request is left, or the time is up. */
-  private void awaitWork(Duration until, CompletableFuture<Void> over) {
-    boolean idle = runner.size() == 0 && traffic.inFlight() == 0;
-    if (!idle && clock.elapsed().compareTo(until) < 0) {
-      loop.after(QUIET_TIME, () -> awaitWork(until, over));
-      return;
-    }
+  /** Waits for the answers to requests that were passed on before the others were refused. */
+  private CompletableFuture<Void> endLastRequests() {
     traffic.refuse();
     runner.stop();
-    awaitAnswers(clock.elapsed().plus(LAST_ANSWERS_TIME), over);
+    return traffic.awaitIdle(loop, clock, LAST_ANSWERS_TIME, () -> true);
   }
 
-  /** Waits for the answers to requests that were passed on before the others were refused. */
-  private void awaitAnswers(Duration until, CompletableFuture<Void> over) {
-    if (traffic.inFlight() > 0 && clock.elapsed().compareTo(until) < 0) {
-      loop.after(QUIET_TIME, () -> awaitAnswers(until, over));
-    } else {
-      // Until now the next coordinator has had to find this process, to take its runs over.
-      leave();
-      loop.after(QUIET_TIME, () -> over.complete(null));
-    }
+  /** Until now the next coordinator has had to find this process, to take its runs over. */
+  private CompletableFuture<Void> leaveAtLast() {
+    CompletableFuture<Void> left = new CompletableFuture<>();
+    leave();
+    loop.after(QUIET_TIME, () -> left.complete(null));
+    return left;
   }
 
   private KeyedTail tail(Shard shard, TailListener listener, Duration wait) {
@@ -372,6 +380,11 @@
         .build();
   }
 
+  private static HttpResponse refuse(HttpRequest request) {
+    String id = CallHeaders.requestId(request.headers());
+    return HttpResponse.of(CallHeaders.own(UNAVAILABLE, id, Optional.of(RETRY_AFTER)));
+  }
+
   private static SocketAddressText text(InetSocketAddress address) {
     return new SocketAddressText(address.getHostString(), address.getPort());
   }
--- a/server/src/main/java/org/carobhoist/server/gateway/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/IngressRoutes.java
@@ -1,6 +1,7 @@
 package org.carobhoist.server.gateway;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpResponseWriter;
@@ -107,23 +108,21 @@
     }
   }
 
-  private void answer(CompletableFuture<HttpResponse> response, HttpResponseWriter out) {
-    response
-        .thenCompose(HttpResponse::aggregate)
-        .whenCompleteAsync(
-            (http, failure) -> {
-              if (failure != null) {
-                EventLog.error(LogEvent.DECISION_FAILED, failure);
-                out.close(failure);
-                return;
-              }
-              out.write(http.headers());
-              if (!http.content().isEmpty()) {
-                out.write(http.content());
-              }
-              out.close();
-            },
-            context.loop());
+  private void answer(CompletableFuture<AggregatedHttpResponse> response, HttpResponseWriter out) {
+    response.whenCompleteAsync(
+        (http, failure) -> {
+          if (failure != null) {
+            EventLog.error(LogEvent.DECISION_FAILED, failure);
+            out.close(failure);
+            return;
+          }
+          out.write(http.headers());
+          if (!http.content().isEmpty()) {
+            out.write(http.content());
+          }
+          out.close();
+        },
+        context.loop());
   }
 
   private static Duration patience(RequestHeaders headers) {
--- a/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
@@ -1,7 +1,7 @@
 package org.carobhoist.server.gateway;
 
+import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
-import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.MediaType;
 import com.linecorp.armeria.common.ResponseHeaders;
 import java.time.Duration;
@@ -98,7 +98,8 @@
   }
 
   /** Accepts a job. */
-  CompletableFuture<HttpResponse> submit(Route route, String id, byte[] body, Duration patience) {
+  CompletableFuture<AggregatedHttpResponse> submit(
+      Route route, String id, byte[] body, Duration patience) {
     JobHead head;
     try {
       JobContent content = JobJson.decode(body);
@@ -124,7 +125,7 @@
   }
 
   /** Reads results. */
-  CompletableFuture<HttpResponse> results(JobId id, int from, Duration patience) {
+  CompletableFuture<AggregatedHttpResponse> results(JobId id, int from, Duration patience) {
     return find(id)
         .thenCompose(
             found ->
@@ -135,21 +136,21 @@
   }
 
   /** Reads the body of an item. */
-  CompletableFuture<HttpResponse> item(JobId id, ItemId item) {
+  CompletableFuture<AggregatedHttpResponse> item(JobId id, ItemId item) {
     return find(id)
         .thenApply(
             found -> {
               Optional<JobItem> known = found.filter(j -> !j.isEnded()).flatMap(j -> j.item(item));
               return known.isEmpty()
                   ? plain(NOT_FOUND, "")
-                  : HttpResponse.of(
+                  : AggregatedHttpResponse.of(
                       CallHeaders.own(OK, "", Optional.empty()), HttpData.wrap(known.get().body()));
             })
         .exceptionally(failure -> unsure(id, failure));
   }
 
   /** Ends a job. */
-  CompletableFuture<HttpResponse> end(JobId id, Duration patience) {
+  CompletableFuture<AggregatedHttpResponse> end(JobId id, Duration patience) {
     return find(id)
         .thenCompose(
             found -> found.isEmpty() ? done(plain(NOT_FOUND, "")) : storeEnd(found.get(), patience))
@@ -180,7 +181,7 @@
   @Override
   public void onReadable(int part, boolean readable, String why) {}
 
-  private HttpResponse answerSubmit(JobHead head, Verdict verdict) {
+  private AggregatedHttpResponse answerSubmit(JobHead head, Verdict verdict) {
     int status = verdict == Verdict.COMPLETED ? ACCEPTED : TIMEOUT;
     EventLog.info(
         status == ACCEPTED ? LogEvent.JOB_ACCEPTED : LogEvent.JOB_REFUSED,
@@ -195,13 +196,14 @@
     return plain(status, head.id().value());
   }
 
-  private CompletableFuture<HttpResponse> storeEnd(Job job, Duration patience) {
+  private CompletableFuture<AggregatedHttpResponse> storeEnd(Job job, Duration patience) {
     List<KeyedRecord> end = List.of(codec.ended(job.id()));
     return persist(job.id(), end, job::isEnded, patience, () -> {})
         .thenApply(verdict -> plain(verdict == Verdict.COMPLETED ? OK : TIMEOUT, ""));
   }
 
-  private CompletableFuture<HttpResponse> awaitResults(Job job, int from, Duration patience) {
+  private CompletableFuture<AggregatedHttpResponse> awaitResults(
+      Job job, int from, Duration patience) {
     boolean waits = from >= job.listed() && job.isOpen() && !patience.isZero();
     if (!waits) {
       return freshPage(job, from);
@@ -217,18 +219,18 @@
   }
 
   /** Says that there is nothing at a position only after a look at what the store holds now. */
-  private CompletableFuture<HttpResponse> freshPage(Job job, int from) {
+  private CompletableFuture<AggregatedHttpResponse> freshPage(Job job, int from) {
     if (from < job.listed() || !job.isOpen() || !isStale(job.id())) {
       return done(page(job, from));
     }
     return tails.get(view.shardOf(job.id())).barrier().thenApply(ok -> page(job, from));
   }
 
-  private HttpResponse page(Job job, int from) {
+  private AggregatedHttpResponse page(Job job, int from) {
     byte[] body = JobJson.page(job.head().total(), from, job.resultsFrom(from), PAGE_BYTES);
     ResponseHeaders headers =
         CallHeaders.own(OK, "", Optional.empty()).toBuilder().contentType(MediaType.JSON).build();
-    return HttpResponse.of(headers, HttpData.wrap(body));
+    return AggregatedHttpResponse.of(headers, HttpData.wrap(body));
   }
 
   private boolean isStale(JobId id) {
@@ -296,17 +298,17 @@
     }
   }
 
-  private static HttpResponse unsure(JobId id, Throwable failure) {
+  private static AggregatedHttpResponse unsure(JobId id, Throwable failure) {
     EventLog.info(LogEvent.READ_UNSURE, "job", id, "why", failure);
     return plain(UNAVAILABLE, "");
   }
 
-  private static HttpResponse plain(int status, String requestId) {
+  private static AggregatedHttpResponse plain(int status, String requestId) {
     Optional<Duration> after = status == UNAVAILABLE ? Optional.of(RETRY_AFTER) : Optional.empty();
-    return HttpResponse.of(CallHeaders.own(status, requestId, after));
+    return AggregatedHttpResponse.of(CallHeaders.own(status, requestId, after));
   }
 
-  private static CompletableFuture<HttpResponse> done(HttpResponse response) {
+  private static CompletableFuture<AggregatedHttpResponse> done(AggregatedHttpResponse response) {
     return CompletableFuture.completedFuture(response);
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/Upstreams.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/Upstreams.java
@@ -8,14 +8,29 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.SessionProtocol;
 import java.time.Duration;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 
-/** Clients of the servers, one for each address; their connections are kept and used again. */
+/**
+ * Clients of the servers, one for each address; their connections belong to the factory, are kept
+ * and used again. Clients of addresses that were unused the longest are dropped.
+ */
 final class Upstreams {
 
+  /** Clients kept; a client is small, and an installation has some hundreds of servers. */
+  private static final int MOST_CLIENTS = 1_024;
+
+  private static final int INITIAL_CAPACITY = 64;
+  private static final float LOAD_FACTOR = 0.75f;
+
   private final ClientFactory factory;
-  private final Map<String, WebClient> clients = new HashMap<>();
+  private final Map<String, WebClient> clients =
+      new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, WebClient> eldest) {
+          return size() > MOST_CLIENTS;
+        }
+      };
 
   Upstreams(ClientFactory factory) {
     this.factory = factory;
@@ -32,11 +47,6 @@
     return client.execute(request, options);
   }
 
-  /** Forgets the client of an address that is no longer used. */
-  void forget(String address) {
-    clients.remove(address);
-  }
-
   private WebClient client(String address) {
     return WebClient.builder(SessionProtocol.H1C, Endpoint.parse(address))
         .factory(factory)
--- a/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
@@ -187,11 +187,9 @@
     /** Begins with an order only where the registry doesn't show the version already. */
     private void start(WeightVersion registered) {
       WeightVersion target = named.get(model);
+      coordinator.start();
       if (target != null && !target.equals(registered)) {
-        coordinator.start();
         order();
-      } else {
-        coordinator.start();
       }
     }
 
@@ -265,7 +263,7 @@
         fencedTerm = fence;
       }
       if (answer == EngineOrders.Answer.TAKEN) {
-        loop.after(LEAST_LOAD_TIME, () -> poll(call, order));
+        loop.after(LEAST_LOAD_TIME, () -> poll(call));
       } else {
         coordinator.onCall(
             call, answer == EngineOrders.Answer.FENCED ? SwapEvent.REFUSED : SwapEvent.FAILED);
@@ -273,7 +271,7 @@
     }
 
     /** Looks until the load has ended; the coordinator gives up by itself after its time. */
-    private void poll(long call, WeightOrder order) {
+    private void poll(long call) {
       if (coordinator.state() != SwapState.LOADING || swaps.get(engine) != this) {
         return;
       }
@@ -283,7 +281,7 @@
             if (done) {
               coordinator.onCall(call, SwapEvent.DONE);
             } else {
-              loop.after(POLL_PERIOD, () -> poll(call, order));
+              loop.after(POLL_PERIOD, () -> poll(call));
             }
           });
     }
--- a/standin/src/main/java/org/carobhoist/standin/LoopbackPorts.java
+++ b/standin/src/main/java/org/carobhoist/standin/LoopbackPorts.java
@@ -33,6 +33,17 @@
     throw new IllegalStateException("no free port");
   }
 
+  /** Returns the first of two free ports that follow each other. */
+  public static int nextPair() {
+    int port = next();
+    int following = next();
+    while (following != port + 1) {
+      port = following;
+      following = next();
+    }
+    return port;
+  }
+
   private static boolean isFree(int port) {
     try (ServerSocket socket = new ServerSocket()) {
       socket.setReuseAddress(true);
--- /dev/null
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformCaller.java
@@ -0,0 +1,87 @@
+package org.carobhoist.standin;
+
+import com.linecorp.armeria.client.WebClient;
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicInteger;
+
+/** A client and a trainer of the users' platform, at one entry on this machine. */
+public final class PlatformCaller {
+
+  private static final String DEADLINE_MILLIS = "10000";
+  private static final String WAIT_MILLIS = "500";
+
+  private final WebClient client;
+  private final AtomicInteger calls = new AtomicInteger();
+
+  private PlatformCaller(WebClient client) {
+    this.client = client;
+  }
+
+  /**
+   * Returns a caller of the entry at a port.
+   *
+   * @param limit longest time for an answer
+   */
+  public static PlatformCaller of(int port, Duration limit) {
+    return new PlatformCaller(
+        WebClient.builder("h1c://127.0.0.1:" + port).responseTimeout(limit).build());
+  }
+
+  /** Sends a request with the given id. */
+  public CompletableFuture<AggregatedHttpResponse> send(
+      HttpMethod method, String host, String path, String body, String id) {
+    RequestHeaders headers =
+        RequestHeaders.builder(method, path)
+            .authority(host)
+            .add("carobhoist-request-id", id)
+            .add("carobhoist-deadline-ms", DEADLINE_MILLIS)
+            .add("carobhoist-wait-ms", WAIT_MILLIS)
+            .build();
+    return client.execute(HttpRequest.of(headers, HttpData.ofUtf8(body))).aggregate();
+  }
+
+  /** Asks whether the entry is ready. */
+  public AggregatedHttpResponse ready() {
+    return get("/-/ready");
+  }
+
+  /** Books. */
+  public AggregatedHttpResponse book(String what) {
+    return send(HttpMethod.POST, PlatformDocuments.BOOK_HOST, "/seat", what, nextId()).join();
+  }
+
+  /** Submits a job. */
+  public AggregatedHttpResponse submit(String job, String content) {
+    return send(HttpMethod.POST, PlatformDocuments.JOBS_HOST, "/j", content, job).join();
+  }
+
+  /** Reads all results of a job that there are. */
+  public AggregatedHttpResponse results(String job) {
+    return get("/-/lots/" + job + "?after=0");
+  }
+
+  /** Reads the body of an item. */
+  public AggregatedHttpResponse item(String job, String item) {
+    return get("/-/items/" + job + "?id=" + item);
+  }
+
+  /** Ends a job. */
+  public AggregatedHttpResponse end(String job) {
+    return send(HttpMethod.DELETE, PlatformDocuments.JOBS_HOST, "/-/lots/" + job, "", nextId())
+        .join();
+  }
+
+  private AggregatedHttpResponse get(String path) {
+    return send(HttpMethod.GET, PlatformDocuments.JOBS_HOST, path, "", nextId()).join();
+  }
+
+  private String nextId() {
+    return "caller-" + calls.incrementAndGet();
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
@@ -0,0 +1,83 @@
+package org.carobhoist.standin;
+
+import java.util.Arrays;
+import java.util.stream.Collectors;
+
+/** The documents that a small installation of the users' platform holds. */
+public final class PlatformDocuments {
+
+  /** Host of the route that takes jobs. */
+  public static final String JOBS_HOST = "jobs.example";
+
+  /** Host of the route that takes bookings. */
+  public static final String BOOK_HOST = "book.example";
+
+  private static final String MANIFEST =
+      "{\"version\":VERSION,\"routes\":["
+          + "{\"name\":\"jobs\",\"host\":\"jobs.example\",\"path_prefix\":\"/\","
+          + "\"kind\":\"rollout\","
+          + "\"timeout_ms\":10000,\"service\":\"lm\",\"max_attempts\":2,\"retention_s\":40,"
+          + "\"deadline_ms\":7500},"
+          + "{\"name\":\"book\",\"host\":\"book.example\",\"path_prefix\":\"/\",\"kind\":\"KIND\","
+          + "\"timeout_ms\":3000,\"service\":\"app\",\"max_attempts\":2}],"
+          + "\"services\":[{\"name\":\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":8,"
+          + "\"kv_cache_tokens\":100000,\"stride\":1,\"models\":[{\"name\":\"m0\"}]}}],"
+          + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":33554432,"
+          + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
+
+  private PlatformDocuments() {}
+
+  /**
+   * Returns a manifest with a route for jobs to the engines "lm" and one for bookings to "app".
+   *
+   * @param kind the kind of the bookings' route
+   */
+  public static String manifest(long version, String kind) {
+    return MANIFEST.replace("VERSION", Long.toString(version)).replace("KIND", kind);
+  }
+
+  /** Returns a job of items with the given ids. */
+  public static String job(int minVersion, String... items) {
+    return "{\"step\":0,\"model\":\"m0\",\"min_version\":"
+        + minVersion
+        + ",\"desired_count\":1,\"items\":["
+        + Arrays.stream(items).map(PlatformDocuments::item).collect(Collectors.joining(","))
+        + "]}";
+  }
+
+  /**
+   * Returns the boot file of an entry on this machine.
+   *
+   * @param front port for clients
+   * @param ready port for the question whether the entry is ready
+   * @param peers first of two ports for the entry's own use
+   * @param store address of the store
+   */
+  public static String bootFile(String node, int front, int ready, int peers, String store) {
+    return String.join(
+        "\n",
+        "node=" + node,
+        "zone=a",
+        "ip=127.0.0.1",
+        "listen.front=127.0.0.1:" + front,
+        "listen.ready=127.0.0.1:" + ready,
+        "internal_ports=" + peers + "," + (peers + 1),
+        "bounds.drain_ms=2000",
+        "bounds.grace_s=8",
+        "bounds.lease_ms=3000",
+        "bounds.status_ttl_s=120",
+        "bounds.settle_ms=1000",
+        "bounds.cancel_ms=3000",
+        "platform.address=" + store,
+        "");
+  }
+
+  private static String item(String id) {
+    return "{\"id\":\""
+        + id
+        + "\",\"path\":\"/run/"
+        + id
+        + "\",\"headers\":{\"Carobhoist-Model\":\"m0\"},\"body\":\"q83v\",\"tokens\":40,"
+        + "\"group\":\"g\"}";
+  }
+}
--- a/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
@@ -63,6 +63,11 @@
     server.stop();
   }
 
+  /** Returns the instance's name. */
+  public String instance() {
+    return instance;
+  }
+
   /** Returns what the server writes of itself to the store. */
   public String entry(String service, String zone, String state, long sequence) {
     URI uri = server.uri();
--- a/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
@@ -83,6 +83,21 @@
     append(topic + "/0", List.of(record(key, value.getBytes(StandardCharsets.UTF_8))));
   }
 
+  /** Publishes a manifest, as the operator does; see {@link PlatformDocuments#manifest}. */
+  public void publish(long version, String kind) {
+    put("keyed.op", "config", PlatformDocuments.manifest(version, kind));
+  }
+
+  /** Names a version of the engines' model, as its trainer does. */
+  public void nameVersion(long version) {
+    put("keyed.op", "version/m0", "{\"model\":\"m0\",\"version\":" + version + "}");
+  }
+
+  /** Registers a server that takes work, as it does itself. */
+  public void register(String service, PlatformServerStandIn server) {
+    put("keyed.servers", server.instance(), server.entry(service, "a", "ready", 1));
+  }
+
   /** Returns the newest value of each key of a partition, in the order of the keys. */
   public synchronized Map<String, byte[]> newest(String topic, int part) {
     Map<String, byte[]> out = new TreeMap<>();
