--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/demo/PlatformTrial.java
@@ -0,0 +1,109 @@
+package org.carobhoist.server.demo;
+
+import com.linecorp.armeria.common.HttpStatus;
+import java.time.Duration;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.locks.LockSupport;
+import java.util.function.BooleanSupplier;
+import org.carobhoist.core.settings.SettingsException;
+import org.carobhoist.platform.BootFile;
+import org.carobhoist.server.gateway.GatewayService;
+import org.carobhoist.standin.LoopbackPorts;
+import org.carobhoist.standin.PlatformCaller;
+import org.carobhoist.standin.PlatformDocuments;
+import org.carobhoist.standin.PlatformServerStandIn;
+import org.carobhoist.standin.StoreStandIn;
+
+/**
+ * A gateway before stand-ins of the users' platform, in this process: it becomes ready, serves
+ * bookings, loads a version that is named, and runs a job to its end.
+ */
+public final class PlatformTrial {
+
+  private static final Duration LIMIT = Duration.ofSeconds(20);
+  private static final Duration POLL = Duration.ofMillis(50);
+  private static final int BOOKINGS = 20;
+  private static final int VERSION = 2;
+  private static final String JOB = "job-1";
+
+  private final StoreStandIn store = new StoreStandIn();
+  private final PlatformServerStandIn app = new PlatformServerStandIn("app-1", false);
+  private final PlatformServerStandIn engine = new PlatformServerStandIn("lm-1", true);
+  private final int front = LoopbackPorts.next();
+  private final PlatformCaller caller = PlatformCaller.of(front, LIMIT);
+
+  private PlatformTrial() {}
+
+  /**
+   * Runs the trial.
+   *
+   * @return whether everything was answered
+   */
+  public static boolean run() throws SettingsException {
+    return new PlatformTrial().serve();
+  }
+
+  private boolean serve() throws SettingsException {
+    store.start();
+    app.start();
+    engine.start();
+    store.publish(1, "idempotent");
+    store.register("app", app);
+    store.register("lm", engine);
+    String boot =
+        PlatformDocuments.bootFile(
+            "trial",
+            front,
+            LoopbackPorts.next(),
+            LoopbackPorts.nextPair(),
+            store.uri().getAuthority());
+    GatewayService gateway = GatewayService.create(BootFile.parse(boot));
+    gateway.start().join();
+    boolean served = isServed();
+    gateway.stop().join();
+    app.stop();
+    engine.stop();
+    store.stop();
+    return served;
+  }
+
+  private boolean isServed() {
+    return await(() -> caller.ready().status().equals(HttpStatus.OK)) && book() && runJob();
+  }
+
+  private boolean book() {
+    boolean all = true;
+    for (int i = 0; i < BOOKINGS; i++) {
+      all &= caller.book("seat " + i).status().equals(HttpStatus.OK);
+    }
+    return all;
+  }
+
+  private boolean runJob() {
+    store.nameVersion(VERSION);
+    String job = PlatformDocuments.job(VERSION, "a", "b", "c");
+    return caller.submit(JOB, job).status().equals(HttpStatus.ACCEPTED)
+        && await(() -> caller.results(JOB).contentUtf8().contains("next\":3"))
+        && caller.item(JOB, "a").status().equals(HttpStatus.OK)
+        && caller.end(JOB).status().equals(HttpStatus.OK);
+  }
+
+  private static boolean await(BooleanSupplier condition) {
+    long until = System.nanoTime() + LIMIT.toNanos();
+    while (System.nanoTime() < until) {
+      if (holds(condition)) {
+        return true;
+      }
+      LockSupport.parkNanos(POLL.toNanos());
+    }
+    return false;
+  }
+
+  private static boolean holds(BooleanSupplier condition) {
+    try {
+      return condition.getAsBoolean();
+    } catch (CompletionException e) {
+      return false;
+    }
+  }
+}
