--- a/server/src/main/java/org/carobhoist/server/demo/PlatformTrial.java
+++ b/server/src/main/java/org/carobhoist/server/demo/PlatformTrial.java
@@ -59,7 +59,7 @@
             store.uri().getAuthority());
     GatewayService gateway = GatewayService.create(BootFile.parse(boot));
     gateway.start().join();
-    boolean served = isServed();
+    final boolean served = isServed();
     gateway.stop().join();
     app.stop();
     engine.stop();
