Tell from the logs where the time of steps went

Ruled out: a chart library; the smallest one in the registries needs fonts that a JRE without a display doesn't have.

--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/report/StepLog.java
@@ -0,0 +1,206 @@
+package org.carobhoist.core.report;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+import org.carobhoist.core.report.StepLoss.Cause;
+
+/**
+ * Collects the lines of all processes of a day and tells where each step's time went. A step lasts
+ * from the acceptance of its job to the end that its trainer asks for. Its losses are those of the
+ * item that ended last before that: the trainer waited for it.
+ *
+ * <p>The clocks of the processes are taken to agree; a time that comes out negative counts as none.
+ */
+public final class StepLog {
+
+  private static final int JOB_ACCEPTED = 7101;
+  private static final int JOB_ENDED = 7104;
+  private static final int ITEM_PLACED = 7201;
+  private static final int RUN_ENDED = 7206;
+  private static final int ENGINE_ORDERED = 7301;
+
+  private static final String ACCEPTED = "202";
+
+  /** Events from which on a run tells its engine's speed. */
+  private static final int ENOUGH_EVENTS = 8;
+
+  /** Part of all runs that may be faster than what counts as the fastest engine's speed. */
+  private static final double FASTEST_SHARE = 0.05;
+
+  private final Map<String, Trace> jobs = new LinkedHashMap<>();
+  private final Map<String, List<Instant>> loads = new HashMap<>();
+
+  /** What is known of a job. */
+  private static final class Trace {
+    private Instant acceptedAt;
+    private Instant endedAt;
+    private final Map<String, Map<String, RunSpan>> runs = new LinkedHashMap<>();
+  }
+
+  private StepLog() {}
+
+  /** Returns a collector without lines. */
+  public static StepLog create() {
+    return new StepLog();
+  }
+
+  /** Takes a line; those of other events are ignored. The lines may come in any order. */
+  public void add(LogLine line) {
+    String job = line.text("job");
+    switch (line.event()) {
+      case JOB_ACCEPTED -> {
+        if (line.text("status").equals(ACCEPTED)) {
+          Trace trace = trace(job);
+          trace.acceptedAt = earlier(trace.acceptedAt, submittedAt(line));
+        }
+      }
+      case JOB_ENDED -> trace(job).endedAt = earlier(trace(job).endedAt, line.at());
+      case ITEM_PLACED -> runs(line).merge(line.text("run"), begun(line), StepLog::joined);
+      case RUN_ENDED -> runs(line).merge(line.text("run"), ended(line), StepLog::joined);
+      case ENGINE_ORDERED ->
+          loads.computeIfAbsent(line.text("engine"), k -> new ArrayList<>()).add(line.at());
+      default -> {}
+    }
+  }
+
+  /** Returns the losses of all steps that were ended and of which an item finished. */
+  public List<StepLoss> losses() {
+    double gap = fastestGap();
+    List<StepLoss> out = new ArrayList<>();
+    jobs.forEach((job, trace) -> loss(job, trace, gap).ifPresent(out::add));
+    return out;
+  }
+
+  /** Returns the number of steps of which the acceptance was seen. */
+  public int accepted() {
+    return (int) jobs.values().stream().filter(t -> t.acceptedAt != null).count();
+  }
+
+  private Optional<StepLoss> loss(String job, Trace trace, double gap) {
+    if (trace.acceptedAt == null || trace.endedAt == null) {
+      return Optional.empty();
+    }
+    List<List<RunSpan>> finished =
+        trace.runs.values().stream()
+            .map(runs -> inOrder(runs.values()))
+            .filter(runs -> isFinished(runs, trace.endedAt))
+            .toList();
+    Optional<List<RunSpan>> last = finished.stream().max(Comparator.comparing(StepLog::end));
+    if (last.isEmpty()) {
+      return Optional.empty();
+    }
+    int longest = finished.stream().mapToInt(StepLog::events).max().orElse(0);
+    Duration took = Duration.between(trace.acceptedAt, trace.endedAt);
+    return Optional.of(
+        new StepLoss(
+            job,
+            finished.size(),
+            Duration.ofNanos((long) (longest * gap)),
+            took,
+            byCause(last.get(), trace, gap)));
+  }
+
+  private Map<Cause, Duration> byCause(List<RunSpan> runs, Trace trace, double gap) {
+    Map<Cause, Duration> out = new EnumMap<>(Cause.class);
+    addLoss(out, Cause.WAITING, Duration.between(trace.acceptedAt, runs.get(0).placedAt()));
+    addLoss(out, Cause.READING, Duration.between(end(runs), trace.endedAt));
+    RunSpan before = null;
+    for (RunSpan run : runs) {
+      Duration least = Duration.ofNanos((long) (run.made() * gap));
+      addLoss(out, isLoadedIn(run) ? Cause.LOADING : Cause.SLOW, run.length().minus(least));
+      if (before != null) {
+        addLoss(out, Cause.RESUMED, Duration.between(before.endedAt(), run.placedAt()));
+        int lost = Math.max(0, before.events() - run.firstEvent());
+        addLoss(out, Cause.RESUMED, Duration.ofNanos((long) (lost * gap)));
+      }
+      before = run;
+    }
+    return out;
+  }
+
+  private boolean isLoadedIn(RunSpan run) {
+    return loads.getOrDefault(run.engine(), List.of()).stream()
+        .anyMatch(at -> at.isAfter(run.placedAt()) && at.isBefore(run.endedAt()));
+  }
+
+  /** Returns the time between two events at the fastest engines, in nanoseconds. */
+  private double fastestGap() {
+    List<Double> gaps =
+        jobs.values().stream()
+            .flatMap(t -> t.runs.values().stream())
+            .flatMap(r -> r.values().stream())
+            .filter(r -> r.made() >= ENOUGH_EVENTS)
+            .map(r -> (double) r.length().toNanos() / r.made())
+            .sorted()
+            .toList();
+    return gaps.isEmpty() ? 0 : gaps.get((int) (gaps.size() * FASTEST_SHARE));
+  }
+
+  private Trace trace(String job) {
+    return jobs.computeIfAbsent(job, k -> new Trace());
+  }
+
+  private Map<String, RunSpan> runs(LogLine line) {
+    return trace(line.text("job"))
+        .runs
+        .computeIfAbsent(line.text("item"), k -> new LinkedHashMap<>());
+  }
+
+  /** The line is written when the store has answered; the submission came the named time before. */
+  private static Instant submittedAt(LogLine line) {
+    return line.at().minusMillis(line.number("ms"));
+  }
+
+  private static RunSpan begun(LogLine line) {
+    return RunSpan.begun(line.text("engine"), line.at(), line.number("done"));
+  }
+
+  private static RunSpan ended(LogLine line) {
+    boolean finished = line.text("outcome").equals("FINISHED");
+    return RunSpan.begun(line.text("engine"), line.at(), line.number("events"))
+        .ended(line.at(), line.number("events"), finished);
+  }
+
+  /** Joins the two lines of a run, whichever came first. */
+  private static RunSpan joined(RunSpan a, RunSpan b) {
+    RunSpan first = a.placedAt().isAfter(b.placedAt()) ? b : a;
+    RunSpan second = first == a ? b : a;
+    return first.ended(second.endedAt(), second.events(), a.finished() || b.finished());
+  }
+
+  private static List<RunSpan> inOrder(Collection<RunSpan> runs) {
+    return runs.stream().sorted(Comparator.comparing(RunSpan::placedAt)).toList();
+  }
+
+  private static boolean isFinished(List<RunSpan> runs, Instant end) {
+    return runs.stream().anyMatch(r -> r.finished() && !r.endedAt().isAfter(end));
+  }
+
+  private static Instant end(List<RunSpan> runs) {
+    return runs.get(runs.size() - 1).endedAt();
+  }
+
+  private static int events(List<RunSpan> runs) {
+    return runs.get(runs.size() - 1).events();
+  }
+
+  private static Instant earlier(Instant a, Instant b) {
+    return Stream.ofNullable(a).filter(x -> x.isBefore(b)).findFirst().orElse(b);
+  }
+
+  private static void addLoss(Map<Cause, Duration> out, Cause cause, Duration loss) {
+    if (!loss.isNegative()) {
+      out.merge(cause, loss, Duration::plus);
+    }
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -27,6 +27,7 @@
       StateCommand.class,
       CheckCommand.class,
       DemoCommand.class,
+      StepsCommand.class,
       WarmUpCommand.class,
       ProfileCommand.class,
       HelpCommand.class,
