Let an answer that was reset on the way fail

Cause: an answer without a length ends with its connection, and the HTTP codec takes a reset for that end: half a body was passed on as a whole one, and a text that was cut between two events counted as finished.

Change: a handler before the codec takes it out of the connection when that ends with an error, so the client library fails the answer. OddServerStandIn writes second answers and answers without a length.

Ruled out: second answers on kept connections; they reached nobody before the change either (40 requests).

--- a/it/src/test/java/org/carobhoist/it/GatewayCluster.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayCluster.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
 import org.carobhoist.standin.LoopbackPorts;
+import org.carobhoist.standin.OddServerStandIn;
 import org.carobhoist.standin.PlatformCaller;
 import org.carobhoist.standin.PlatformDocuments;
 import org.carobhoist.standin.PlatformServerStandIn;
@@ -27,6 +28,7 @@
   private final Path folder;
   private final StoreStandIn store = new StoreStandIn();
   private final List<PlatformServerStandIn> servers = new ArrayList<>();
+  private final List<OddServerStandIn> oddServers = new ArrayList<>();
   private final Map<String, RoleProcess> processes = new HashMap<>();
   private final Map<String, PlatformCaller> callers = new HashMap<>();
 
@@ -60,6 +62,15 @@
     return server;
   }
 
+  /** Starts a plain server with odd answers and registers it. */
+  OddServerStandIn addOddServer(String instance, String service, OddServerStandIn.Oddity oddity)
+      throws IOException {
+    OddServerStandIn server = OddServerStandIn.start(instance, oddity);
+    oddServers.add(server);
+    store.register(service, instance, server);
+    return server;
+  }
+
   /** Starts an entry. */
   void startEntry(String name) throws IOException {
     startEntry(name, store.uri().getAuthority());
@@ -139,6 +150,7 @@
   public void close() {
     processes.values().forEach(RoleProcess::kill);
     servers.forEach(PlatformServerStandIn::stop);
+    oddServers.forEach(OddServerStandIn::stop);
     store.stop();
   }
 }
--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -12,6 +12,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import org.carobhoist.standin.FaultProxy;
+import org.carobhoist.standin.OddServerStandIn;
+import org.carobhoist.standin.OddServerStandIn.Oddity;
 import org.carobhoist.standin.PlatformDocuments;
 import org.carobhoist.standin.PlatformServerStandIn;
 import org.junit.jupiter.api.Test;
@@ -79,6 +81,52 @@
     }
   }
 
+  @Test
+  void secondAnswersReachNoOtherRequest() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      final OddServerStandIn odd = cluster.addOddServer("s-1", "app", Oddity.SECOND_ANSWER);
+      cluster.awaitReady("entry-1");
+      List<String> others = new ArrayList<>();
+      for (int i = 0; i < 40; i++) {
+        AggregatedHttpResponse answer =
+            cluster.post("entry-1", BOOK, "/seat", "body " + i, "r" + i);
+        boolean own = answer.contentUtf8().equals("body " + i);
+        if (answer.status().code() == 200 && !own) {
+          others.add("r" + i + ": " + answer.contentUtf8());
+        }
+      }
+      assertThat(others).isEmpty();
+      assertThat(odd.runs()).contains("r39");
+    }
+  }
+
+  @Test
+  void answersWithoutLengthArePassedOnWhole() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addOddServer("s-1", "app", Oddity.NO_LENGTH);
+      cluster.awaitReady("entry-1");
+      for (int i = 0; i < 10; i++) {
+        AggregatedHttpResponse answer = cluster.post("entry-1", BOOK, "/seat", "body", "r" + i);
+        assertThat(answer.status().code()).isEqualTo(200);
+        assertThat(answer.contentUtf8()).isEqualTo("body");
+      }
+    }
+  }
+
+  @Test
+  void answersThatAreResetAreNotPassedOn() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      OddServerStandIn odd = cluster.addOddServer("s-1", "app", Oddity.NO_LENGTH_AND_RESET);
+      cluster.awaitReady("entry-1");
+      for (int i = 0; i < 10; i++) {
+        AggregatedHttpResponse answer =
+            cluster.post("entry-1", BOOK, "/seat", "a body of some length", "r" + i);
+        assertThat(answer.status().code()).isAtLeast(500);
+      }
+      assertThat(odd.runs()).contains("r9");
+    }
+  }
+
   @Test
   void jobsRunAndReadTheSameEverywhere() throws IOException {
     try (GatewayCluster cluster = cluster()) {
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -1,6 +1,7 @@
 package org.carobhoist.server.gateway;
 
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.util.EventLoopGroups;
@@ -295,6 +296,7 @@
         .connectTimeout(CONNECT_TIMEOUT)
         .idleTimeout(SERVER_IDLE_TIME)
         .useHttp1Pipelining(false)
+        .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, ResetGuard::addTo)
         .preferHttp1(true)
         .build();
   }
--- a/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
@@ -72,6 +72,27 @@
         "");
   }
 
+  /**
+   * Returns what a server writes of itself to the store.
+   *
+   * @param models further fields; empty for a plain service
+   */
+  static String serverEntry(
+      String service, String address, String zone, String state, long sequence, String models) {
+    return "{\"service\":\""
+        + service
+        + "\",\"address\":\""
+        + address
+        + "\",\"zone\":\""
+        + zone
+        + "\",\"slots\":8,\"born\":1,\"state\":\""
+        + state
+        + "\",\"sequence\":"
+        + sequence
+        + models
+        + "}";
+  }
+
   private static String item(String id) {
     return "{\"id\":\""
         + id
--- a/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
@@ -13,7 +13,6 @@
 import com.linecorp.armeria.server.ServerBuilder;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.io.IOException;
-import java.net.URI;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -70,20 +69,9 @@
 
   /** Returns what the server writes of itself to the store. */
   public String entry(String service, String zone, String state, long sequence) {
-    URI uri = server.uri();
     String models = engine ? ",\"models\":[{\"name\":\"m0\",\"version\":" + version() + "}]" : "";
-    return "{\"service\":\""
-        + service
-        + "\",\"address\":\""
-        + uri.getAuthority()
-        + "\",\"zone\":\""
-        + zone
-        + "\",\"slots\":8,\"born\":1,\"state\":\""
-        + state
-        + "\",\"sequence\":"
-        + sequence
-        + models
-        + "}";
+    String address = server.uri().getAuthority();
+    return PlatformDocuments.serverEntry(service, address, zone, state, sequence, models);
   }
 
   /** Sets how many events an item has, and the time between two of them. */
--- a/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
@@ -98,6 +98,12 @@
     put("keyed.servers", server.instance(), server.entry(service, "a", "ready", 1));
   }
 
+  /** Registers a plain server that takes work. */
+  public void register(String service, String instance, OddServerStandIn server) {
+    String entry = PlatformDocuments.serverEntry(service, server.address(), "a", "ready", 1, "");
+    put("keyed.servers", instance, entry);
+  }
+
   /** Returns the newest value of each key of a partition, in the order of the keys. */
   public synchronized Map<String, byte[]> newest(String topic, int part) {
     Map<String, byte[]> out = new TreeMap<>();
