Follow every model, live through SIGHUP, keep the manifest's size limits

Cause 1: a gateway ordered an engine to load its first model only, and took the version that a run of one model named for all others. Change: an engine's swaps and versions are kept for each model. The engines of a service are divided evenly among its models (ModelShares), so that each loads one; with fewer than three for each model, all follow all. More engines load at once where there are more. Ruled out: every engine following every model; four trainers name a version each few seconds, and a load takes 0.9 s.

Change: the signal is taken, the file read again and the outcome logged.

Cause 3: the limits of the manifest were read and not kept, and heads between 8 and 16 KB that a manifest allows were refused by the library. Change: 431 and 413 beyond the limits, everything up to them is taken.

Tests that failed before: GatewayTest.everyModelIsFollowed (no result), settingsAreReadAgainWithoutAnEndOfTheProcess (process gone), headsAndBodiesAreTakenUpToTheManifestsLimits.

--- a/core/src/main/java/org/carobhoist/core/placement/EngineLoad.java
+++ b/core/src/main/java/org/carobhoist/core/placement/EngineLoad.java
@@ -1,7 +1,9 @@
 package org.carobhoist.core.placement;
 
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.manifest.EngineSpec;
@@ -16,11 +18,13 @@
   /** Time after which a measurement no longer counts, so that a recovered engine is used again. */
   private static final Duration MEMORY = Duration.ofSeconds(6);
 
+  private static final WeightVersion NONE = new WeightVersion(0);
+
   private final Duration initialGap;
   private final Set<ItemState> items = new HashSet<>();
   private ServerEntry entry;
   private EngineSpec spec;
-  private WeightVersion version = new WeightVersion(0);
+  private final Map<String, WeightVersion> versions = new HashMap<>();
   private double gapNanos;
   private Duration measuredAt = Duration.ZERO;
   private Duration pausedUntil = Duration.ZERO;
@@ -42,17 +46,16 @@
     return entry;
   }
 
-  /** Returns the newest weight version that the engine is known to have had. */
+  /** Returns the newest version of a model that the engine is known to have had. */
   WeightVersion version(String model) {
-    WeightVersion registered = entry.versions().getOrDefault(model, new WeightVersion(0));
-    return registered.compareTo(version) > 0 ? registered : version;
+    WeightVersion registered = entry.versions().getOrDefault(model, NONE);
+    WeightVersion named = versions.getOrDefault(model, NONE);
+    return registered.compareTo(named) > 0 ? registered : named;
   }
 
-  /** Takes the version that the engine named in a stream or a report. */
-  void onVersion(WeightVersion named) {
-    if (named.compareTo(version) > 0) {
-      version = named;
-    }
+  /** Takes the version of a model that the engine named in a stream or a report. */
+  void onVersion(String model, WeightVersion named) {
+    versions.merge(model, named, (a, b) -> a.compareTo(b) > 0 ? a : b);
   }
 
   void add(ItemState item) {
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -141,11 +141,11 @@
         .orElse(Duration.ZERO);
   }
 
-  /** Takes the version that an engine says it serves. */
-  public void onEngineVersion(InstanceId engine, WeightVersion version) {
+  /** Takes the version of a model that an engine says it serves. */
+  public void onEngineVersion(InstanceId engine, String model, WeightVersion version) {
     EngineLoad load = engines.get(engine);
     if (load != null) {
-      load.onVersion(version);
+      load.onVersion(model, version);
     }
   }
 
@@ -296,7 +296,7 @@
 
   private void takeProgress(ItemState state, RunReport report, Duration now) {
     int before = state.text().events();
-    state.engine().onVersion(report.engineVersion());
+    state.engine().onVersion(state.job().content().model(), report.engineVersion());
     if (!state.text().append(report.text())) {
       return;
     }
@@ -448,6 +448,9 @@
       Duration now,
       Instant wall) {
     Collection<EngineLoad> pool = engines(service);
+    if (pool.stream().allMatch(e -> e.freeSlots() <= 0)) {
+      return;
+    }
     int eventTokens = pool.stream().mapToInt(EngineLoad::eventTokens).findFirst().orElse(1);
     for (ItemState state : placer.order(waiting, eventTokens)) {
       placer
--- a/core/src/main/java/org/carobhoist/core/placement/Placer.java
+++ b/core/src/main/java/org/carobhoist/core/placement/Placer.java
@@ -41,7 +41,7 @@
     EngineLoad best = null;
     for (EngineLoad e : engines) {
       long tokens = item.expectedTokens(e.eventTokens());
-      if (!usable.test(e) || !e.hasRoom(tokens, policy.memoryShare(), now)) {
+      if (e.freeSlots() <= 0 || !usable.test(e) || !e.hasRoom(tokens, policy.memoryShare(), now)) {
         continue;
       }
       if (best == null || isBetter(e, best, now)) {
--- a/core/src/main/java/org/carobhoist/core/swap/LoadTurns.java
+++ b/core/src/main/java/org/carobhoist/core/swap/LoadTurns.java
@@ -17,22 +17,25 @@
  */
 public final class LoadTurns {
 
-  private final int atOnce;
+  private final int leastAtOnce;
+  private final double shareAtOnce;
   private final Duration shortRun;
 
-  private LoadTurns(int atOnce, Duration shortRun) {
-    this.atOnce = atOnce;
+  private LoadTurns(int leastAtOnce, double shareAtOnce, Duration shortRun) {
+    this.leastAtOnce = leastAtOnce;
+    this.shareAtOnce = shareAtOnce;
     this.shortRun = shortRun;
   }
 
   /**
    * Returns the rule.
    *
-   * @param atOnce engines that load at once, at least 1
+   * @param leastAtOnce engines that may always load at once, at least 1
+   * @param shareAtOnce part of all engines that may load at once where that is more
    * @param shortRun a run that ends within this time is no reason not to load
    */
-  public static LoadTurns create(int atOnce, Duration shortRun) {
-    return new LoadTurns(atOnce, shortRun);
+  public static LoadTurns create(int leastAtOnce, double shareAtOnce, Duration shortRun) {
+    return new LoadTurns(leastAtOnce, shareAtOnce, shortRun);
   }
 
   /**
@@ -57,14 +60,18 @@
   }
 
   /**
-   * Returns the engines that may load now.
+   * Returns the engines that may load a model now.
    *
-   * @param loading how many engines load already
-   * @param engines how many engines there are, the candidates and those that load included
+   * @param candidates those that wait to load it
+   * @param loading how many engines load already, whatever model
+   * @param followers how many engines follow the model, the candidates and those that load included
+   * @param engines how many engines there are
    */
-  public List<InstanceId> next(Collection<Candidate> candidates, int loading, int engines) {
-    int newest = engines - candidates.size();
-    boolean halfIsNewest = 2 * newest >= engines;
+  public List<InstanceId> next(
+      Collection<Candidate> candidates, int loading, int followers, int engines) {
+    int newest = followers - candidates.size();
+    boolean halfIsNewest = 2 * newest >= followers;
+    int atOnce = Math.max(leastAtOnce, (int) (shareAtOnce * engines));
     Comparator<Candidate> tooOldFirst = Comparator.comparing(c -> !c.isTooOld());
     return candidates.stream()
         .filter(c -> c.isTooOld() || (!halfIsNewest && c.longestRun().compareTo(shortRun) <= 0))
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -277,7 +277,7 @@
     submit("j1", item("i1", 9));
     pass(50);
     assertThat(port.started).isEmpty();
-    coordinator.onEngineVersion(new InstanceId("old"), V6);
+    coordinator.onEngineVersion(new InstanceId("old"), "m", V6);
     pass(50);
     assertThat(port.last().engine().value()).isEqualTo("old");
   }
--- a/core/src/test/java/org/carobhoist/core/swap/LoadTurnsTest.java
+++ b/core/src/test/java/org/carobhoist/core/swap/LoadTurnsTest.java
@@ -10,7 +10,7 @@
 
 final class LoadTurnsTest {
 
-  private final LoadTurns turns = LoadTurns.create(2, Duration.ofMillis(600));
+  private final LoadTurns turns = LoadTurns.create(2, 0.25, Duration.ofMillis(600));
 
   private static LoadTurns.Candidate engine(String id, long version, int runs, long leftMillis) {
     return new LoadTurns.Candidate(
@@ -26,7 +26,7 @@
   }
 
   private List<String> nextOf(int engines, int loading, LoadTurns.Candidate... candidates) {
-    return turns.next(List.of(candidates), loading, engines).stream()
+    return turns.next(List.of(candidates), loading, engines, engines).stream()
         .map(InstanceId::value)
         .toList();
   }
@@ -52,6 +52,15 @@
         .containsExactly("a", "b");
   }
 
+  @Test
+  void largerInstallationsLoadMoreAtOnce() {
+    List<LoadTurns.Candidate> waiting =
+        List.of(engine("a", 5, 0, 0), engine("b", 5, 0, 0), engine("c", 5, 0, 0));
+    assertThat(turns.next(waiting, 0, 5, 8)).hasSize(2);
+    assertThat(turns.next(waiting, 0, 5, 12)).hasSize(3);
+    assertThat(turns.next(waiting, 2, 5, 12)).hasSize(1);
+  }
+
   @Test
   void noMoreLoadAtOnceThanAllowed() {
     assertThat(next(1, engine("a", 5, 0, 0), engine("b", 5, 0, 0))).containsExactly("a");
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/swap/ModelSharesTest.java
@@ -0,0 +1,88 @@
+package org.carobhoist.core.swap;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.WeightVersion;
+import org.junit.jupiter.api.Test;
+
+final class ModelSharesTest {
+
+  private static final List<String> MODELS = List.of("m0", "m1", "m2");
+
+  private final ModelShares shares = ModelShares.create();
+
+  private static ModelShares.Holder engine(int number, long... versions) {
+    Map<String, WeightVersion> all = new HashMap<>();
+    for (int i = 0; i < versions.length; i++) {
+      all.put("m" + i, new WeightVersion(versions[i]));
+    }
+    return new ModelShares.Holder(new InstanceId("e-" + (10 + number)), all);
+  }
+
+  private static List<ModelShares.Holder> engines(int count) {
+    List<ModelShares.Holder> out = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      out.add(engine(i, 1, 1, 1));
+    }
+    return out;
+  }
+
+  private static long count(Map<InstanceId, Set<String>> divided, String model) {
+    return divided.values().stream().filter(s -> s.contains(model)).count();
+  }
+
+  @Test
+  void enginesAreDividedEvenly() {
+    Map<InstanceId, Set<String>> divided = shares.divide(engines(11), MODELS, Map.of());
+    assertThat(divided).hasSize(11);
+    divided.values().forEach(s -> assertThat(s).hasSize(1));
+    MODELS.forEach(m -> assertThat(count(divided, m)).isAtLeast(3));
+  }
+
+  @Test
+  void fewEnginesFollowEveryModel() {
+    Map<InstanceId, Set<String>> divided = shares.divide(engines(8), MODELS, Map.of());
+    divided.values().forEach(s -> assertThat(s).containsExactlyElementsIn(MODELS));
+  }
+
+  @Test
+  void theOnlyModelIsFollowedByAll() {
+    Map<InstanceId, Set<String>> divided = shares.divide(engines(20), List.of("m0"), Map.of());
+    assertThat(count(divided, "m0")).isEqualTo(20);
+  }
+
+  @Test
+  void lossMovesNoMoreEnginesThanItMust() {
+    List<ModelShares.Holder> all = engines(12);
+    Map<InstanceId, Set<String>> before = shares.divide(all, MODELS, Map.of());
+    List<ModelShares.Holder> rest = new ArrayList<>(all);
+    rest.removeIf(h -> before.get(h.engine()).contains("m1"));
+    rest.add(all.stream().filter(h -> before.get(h.engine()).contains("m1")).findAny().get());
+    Map<InstanceId, Set<String>> after = shares.divide(rest, MODELS, Map.of());
+    long moved =
+        rest.stream().filter(h -> !before.get(h.engine()).equals(after.get(h.engine()))).count();
+    assertThat(moved).isEqualTo(2);
+    MODELS.forEach(m -> assertThat(count(after, m)).isEqualTo(3));
+  }
+
+  @Test
+  void newCoordinatorLeavesEnginesWithTheModelThatTheyHave() {
+    Map<String, WeightVersion> newest =
+        Map.of("m0", new WeightVersion(9), "m1", new WeightVersion(7), "m2", new WeightVersion(8));
+    List<ModelShares.Holder> holders = new ArrayList<>();
+    for (int i = 0; i < 9; i++) {
+      int model = i % 3;
+      holders.add(engine(i, model == 0 ? 9 : 1, model == 1 ? 6 : 2, model == 2 ? 8 : 1));
+    }
+    Map<InstanceId, Set<String>> divided = shares.divide(holders, MODELS, newest);
+    for (int i = 0; i < 9; i++) {
+      assertThat(divided.get(holders.get(i).engine())).containsExactly("m" + i % 3);
+    }
+  }
+}
--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -63,6 +63,23 @@
     }
   }
 
+  @Test
+  void headsAndBodiesAreTakenUpToTheManifestsLimits() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addServer("s-1", "app", false);
+      cluster.awaitReady("entry-1");
+      String longest = "/seat?x=" + "y".repeat(15_000);
+      String tooLong = "/seat?x=" + "y".repeat(17_000);
+      String large = "z".repeat(PlatformDocuments.MAX_BODY_BYTES);
+      assertThat(cluster.post("entry-1", BOOK, longest, "a", "r1").status().code()).isEqualTo(200);
+      assertThat(cluster.post("entry-1", BOOK, tooLong, "a", "r2").status().code()).isEqualTo(431);
+      assertThat(cluster.post("entry-1", BOOK, "/seat", large, "r3").contentUtf8())
+          .isEqualTo(large);
+      assertThat(cluster.post("entry-1", BOOK, "/seat", large + "z", "r4").status().code())
+          .isEqualTo(413);
+    }
+  }
+
   @Test
   void refusalsThatPromiseAreTrue() throws IOException {
     try (GatewayCluster cluster = cluster()) {
@@ -352,16 +369,43 @@
             });
   }
 
+  @Test
+  void settingsAreReadAgainWithoutAnEndOfTheProcess() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addServer("s-1", "app", false);
+      cluster.awaitReady("entry-1");
+      cluster.process("entry-1").hangUp();
+      cluster.await(
+          "the settings are read again", () -> logOf(cluster, "entry-1").contains("event=1005"));
+      assertThat(cluster.post("entry-1", BOOK, "/seat", "a", "r1").status().code()).isEqualTo(200);
+      assertThat(cluster.process("entry-1").isAlive()).isTrue();
+    }
+  }
+
   @Test
   void namedVersionsAreLoadedAndAttributed() throws IOException {
     try (GatewayCluster cluster = cluster()) {
       final PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
       cluster.awaitReady("entry-1");
       cluster.post("entry-1", JOBS, "/j", PlatformDocuments.job(2, "a"), "j1");
-      cluster.store().nameVersion(2);
+      cluster.store().nameVersion("m0", 2);
+      awaitListed(cluster, "entry-1", "j1", 1);
+      assertThat(engine.version("m0")).isEqualTo(2);
+      assertThat(results(cluster, "entry-1", "j1")).contains("\"versions\":[2]");
+    }
+  }
+
+  @Test
+  void everyModelIsFollowed() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      final PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      cluster.post("entry-1", JOBS, "/j", PlatformDocuments.jobOf("m1", 2, "a"), "j1");
+      cluster.store().nameVersion("m0", 3);
+      cluster.store().nameVersion("m1", 2);
       awaitListed(cluster, "entry-1", "j1", 1);
-      assertThat(engine.version()).isEqualTo(2);
       assertThat(results(cluster, "entry-1", "j1")).contains("\"versions\":[2]");
+      cluster.await("the other model is loaded too", () -> engine.version("m0") == 3);
     }
   }
 
--- a/it/src/test/java/org/carobhoist/it/RoleProcess.java
+++ b/it/src/test/java/org/carobhoist/it/RoleProcess.java
@@ -49,6 +49,11 @@
     return process.onExit().orTimeout(STOP_SECONDS, TimeUnit.SECONDS).join().exitValue();
   }
 
+  /** Tells the process that its settings file has changed; returns once the signal is sent. */
+  void hangUp() throws IOException {
+    new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().onExit().join();
+  }
+
   /** Ends the process at once, as a crash does. */
   void kill() {
     process.destroyForcibly().onExit().join();
--- a/server/src/main/java/org/carobhoist/server/app/GatewayCommand.java
+++ b/server/src/main/java/org/carobhoist/server/app/GatewayCommand.java
@@ -2,11 +2,9 @@
 
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
-import org.carobhoist.core.settings.SettingsException;
 import org.carobhoist.platform.BootFile;
 import org.carobhoist.server.gateway.GatewayService;
 import org.carobhoist.server.log.EventLog;
-import org.carobhoist.server.runtime.Service;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 
@@ -26,12 +24,12 @@
   @Override
   public Integer call() {
     EventLog.writeToStandardOutput();
-    return RoleRunner.run(this::service);
+    Path file = file();
+    return RoleRunner.run(() -> GatewayService.create(BootFile.read(file)), file);
   }
 
-  private Service service() throws SettingsException {
+  private Path file() {
     String named = System.getenv(BootFile.VARIABLE);
-    Path file = boot != null ? boot : Path.of(named == null ? "boot.conf" : named);
-    return GatewayService.create(BootFile.read(file));
+    return boot != null ? boot : Path.of(named == null ? "boot.conf" : named);
   }
 }
--- a/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
+++ b/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
@@ -1,6 +1,7 @@
 package org.carobhoist.server.app;
 
 import com.linecorp.armeria.client.ClientFactory;
+import java.nio.file.Path;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.CountDownLatch;
 import org.carobhoist.core.settings.SettingsException;
@@ -20,8 +21,12 @@
 
   private RoleRunner() {}
 
-  /** Runs the role; returns the process's exit code. */
-  static int run(Maker maker) {
+  /**
+   * Runs the role; returns the process's exit code.
+   *
+   * @param settings the file that they come from
+   */
+  static int run(Maker maker, Path settings) {
     Service service;
     try {
       service = maker.make();
@@ -38,6 +43,7 @@
       EventLog.error(LogEvent.START_FAILED, e.getCause());
       return ExitCodes.FAILED;
     }
+    HangUpSignal.listenFor(settings);
     awaitEnd(service);
     return ExitCodes.DONE;
   }
--- a/server/src/main/java/org/carobhoist/server/app/SidecarCommand.java
+++ b/server/src/main/java/org/carobhoist/server/app/SidecarCommand.java
@@ -24,7 +24,7 @@
 
   @Override
   public Integer call() {
-    return RoleRunner.run(this::service);
+    return RoleRunner.run(this::service, settings);
   }
 
   private Service service() throws SettingsException {
--- a/server/src/main/java/org/carobhoist/server/demo/PlatformTrial.java
+++ b/server/src/main/java/org/carobhoist/server/demo/PlatformTrial.java
@@ -80,7 +80,7 @@
   }
 
   private boolean runJob() {
-    store.nameVersion(VERSION);
+    store.nameVersion("m0", VERSION);
     String job = PlatformDocuments.job(VERSION, "a", "b", "c");
     return caller.submit(JOB, job).status().equals(HttpStatus.ACCEPTED)
         && await(() -> caller.results(JOB).contentUtf8().contains("next\":3"))
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -236,7 +236,7 @@
 
   private void offerEngines(ServiceName service, EngineSpec spec) {
     Collection<ServerEntry> engines = engines(service);
-    spec.models().forEach(model -> weights.onEngines(service, model, engines));
+    weights.onEngines(service, spec.models(), engines);
   }
 
   private Optional<EngineSpec> spec(ServiceName service) {
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -88,6 +88,9 @@
   /** How long unused connections of clients are kept, longer than any manifest asks for. */
   private static final Duration CLIENT_IDLE_TIME = Duration.ofMinutes(10);
 
+  /** Most bytes of a request's head, more than any manifest allows; the routes check its limit. */
+  private static final int MAX_HEAD_BYTES = 65_536;
+
   /** Part of the drain time for which a server is used whose entry has merely vanished. */
   private static final double LAPSE_SHARE = 0.6;
 
@@ -323,6 +326,8 @@
         .workerGroup(thread, false)
         .requestTimeoutMillis(0)
         .maxRequestLength(0)
+        .http1MaxHeaderSize(MAX_HEAD_BYTES)
+        .http1MaxInitialLineLength(MAX_HEAD_BYTES)
         .idleTimeout(CLIENT_IDLE_TIME)
         .disableServerHeader()
         .disableDateHeader()
@@ -475,8 +480,8 @@
     }
 
     @Override
-    public void onServed(InstanceId engine, WeightVersion version) {
-      coordinator.jobs().onEngineVersion(engine, version);
+    public void onServed(InstanceId engine, String model, WeightVersion version) {
+      coordinator.jobs().onEngineVersion(engine, model, version);
     }
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/IngressRoutes.java
@@ -2,16 +2,20 @@
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.ContentTooLargeException;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.server.HttpService;
 import com.linecorp.armeria.server.ServiceRequestContext;
+import io.netty.util.AsciiString;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.carobhoist.core.manifest.Limits;
 import org.carobhoist.core.manifest.Manifest;
 import org.carobhoist.core.manifest.ManifestHolder;
 import org.carobhoist.core.manifest.Route;
@@ -27,8 +31,15 @@
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
+  private static final int BODY_TOO_LARGE = 413;
+  private static final int HEAD_TOO_LARGE = 431;
   private static final int UNAVAILABLE = 503;
 
+  private static final String TOO_LARGE = "larger than the manifest's limit";
+
+  /** Colon, blank and line end of a header on the wire. */
+  private static final int HEADER_FRAMING_BYTES = 4;
+
   /** How long a submitter or the end of a job waits where the client doesn't say. */
   private static final Duration DEFAULT_PATIENCE = Duration.ofSeconds(5);
 
@@ -57,20 +68,41 @@
       EventLog.info(LogEvent.CALL_REFUSED, "path", ctx.path(), "status", NOT_FOUND, "why", m.why());
       return own(NOT_FOUND, "");
     }
+    Optional<Limits> limits = manifests.current().map(Manifest::limits);
+    if (limits.isPresent() && bytes(req.headers()) > limits.get().headerBytes()) {
+      return tooLarge(req.headers(), HEAD_TOO_LARGE);
+    }
+    limits.ifPresent(l -> ctx.setMaxRequestLength(l.bodyBytes()));
     HttpResponseWriter out = HttpResponse.streaming();
     req.aggregate()
         .whenCompleteAsync(
             (http, failure) -> {
-              if (failure != null) {
-                out.close(failure);
-              } else {
+              if (failure == null) {
                 dispatch(call, ctx, http, out);
+              } else if (failure instanceof ContentTooLargeException) {
+                refuse(out, CallHeaders.requestId(req.headers()), BODY_TOO_LARGE, TOO_LARGE);
+              } else {
+                out.close(failure);
               }
             },
             context.loop());
     return out;
   }
 
+  private static HttpResponse tooLarge(RequestHeaders headers, int status) {
+    String id = CallHeaders.requestId(headers);
+    EventLog.info(LogEvent.CALL_REFUSED, "request", id, "status", status, "why", TOO_LARGE);
+    return own(status, id);
+  }
+
+  private static long bytes(RequestHeaders headers) {
+    long sum = 0;
+    for (Map.Entry<AsciiString, String> h : headers) {
+      sum += h.getKey().length() + h.getValue().length() + HEADER_FRAMING_BYTES;
+    }
+    return sum;
+  }
+
   private void dispatch(
       IngressCall call,
       ServiceRequestContext ctx,
--- a/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
@@ -4,11 +4,15 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
@@ -16,6 +20,7 @@
 import org.carobhoist.core.lease.LeaseKeeper;
 import org.carobhoist.core.membership.ServerEntry;
 import org.carobhoist.core.swap.LoadTurns;
+import org.carobhoist.core.swap.ModelShares;
 import org.carobhoist.core.swap.SwapCoordinator;
 import org.carobhoist.core.swap.SwapEvent;
 import org.carobhoist.core.swap.SwapPolicy;
@@ -36,6 +41,9 @@
   /** Engines that load at once; more of them make each load longer. */
   private static final int LOADS_AT_ONCE = 2;
 
+  /** Part of the engines that load at once where that is more; the users' sheets name 10 of 35. */
+  private static final double LOADS_SHARE = 0.27;
+
   /** A run that ends within the time of a load loses less by waiting than by the pause. */
   private static final Duration SHORT_RUN = Duration.ofMillis(600);
 
@@ -63,11 +71,15 @@
   private final Upstreams upstreams;
   private final LeaseKeeper lease;
   private final Surroundings surroundings;
-  private final Map<InstanceId, EngineSwap> swaps = new HashMap<>();
+  private final Map<Followed, EngineSwap> swaps = new LinkedHashMap<>();
+  private final Map<ServiceName, ModelShares> shares = new HashMap<>();
   private final Map<String, WeightVersion> named = new HashMap<>();
-  private final LoadTurns turns = LoadTurns.create(LOADS_AT_ONCE, SHORT_RUN);
+  private final LoadTurns turns = LoadTurns.create(LOADS_AT_ONCE, LOADS_SHARE, SHORT_RUN);
   private long fencedTerm = -1;
 
+  /** A model that an engine follows. */
+  private record Followed(InstanceId engine, String model) {}
+
   /** What the desk asks of the process around it. */
   interface Surroundings {
 
@@ -83,8 +95,8 @@
     /** Reads the lease's shard to its end. */
     CompletableFuture<Void> readLease();
 
-    /** Takes the version that an engine says it serves. */
-    void onServed(InstanceId engine, WeightVersion version);
+    /** Takes the version of a model that an engine says it serves. */
+    void onServed(InstanceId engine, String model, WeightVersion version);
   }
 
   WeightDesk(
@@ -111,28 +123,48 @@
     }
   }
 
-  /** Takes the engines of a model that take work now. */
-  void onEngines(ServiceName service, String model, Collection<ServerEntry> engines) {
+  /** Takes the engines of a service that take work now, and the models that they serve. */
+  void onEngines(ServiceName service, List<String> models, Collection<ServerEntry> engines) {
+    if (models.isEmpty()) {
+      return;
+    }
+    List<ModelShares.Holder> holders =
+        engines.stream()
+            .map(e -> new ModelShares.Holder(e.announcement().instance(), e.versions()))
+            .toList();
+    Map<InstanceId, Set<String>> divided =
+        shares.computeIfAbsent(service, k -> ModelShares.create()).divide(holders, models, named);
+    swaps
+        .values()
+        .removeIf(
+            s ->
+                s.service.equals(service)
+                    && !divided.getOrDefault(s.engine, Set.of()).contains(s.model));
     for (ServerEntry e : engines) {
-      InstanceId id = e.announcement().instance();
-      EngineSwap known = swaps.get(id);
-      if (known != null && known.address.equals(e.address()) && known.born == e.beat().born()) {
-        continue;
-      }
-      EngineSwap swap = new EngineSwap(id, service, model, e.address(), e.beat().born());
-      swaps.put(id, swap);
-      swap.start(e.versions().get(model));
+      divided.get(e.announcement().instance()).forEach(model -> follow(service, model, e));
+    }
+  }
+
+  private void follow(ServiceName service, String model, ServerEntry e) {
+    Followed key = new Followed(e.announcement().instance(), model);
+    EngineSwap known = swaps.get(key);
+    if (known != null && known.address.equals(e.address()) && known.born == e.beat().born()) {
+      return;
     }
+    EngineSwap swap = new EngineSwap(key.engine(), service, model, e.address(), e.beat().born());
+    swaps.put(key, swap);
+    swap.start(e.versions().get(model));
   }
 
   /** Takes an engine that is gone or leaves. */
   void onGone(InstanceId engine) {
-    swaps.remove(engine);
+    swaps.keySet().removeIf(k -> k.engine().equals(engine));
   }
 
   /** Forgets everything; another process coordinates. */
   void clear() {
     swaps.clear();
+    shares.clear();
   }
 
   /** Lets time pass; to be called several times a second while this process coordinates. */
@@ -142,24 +174,29 @@
 
   /** Returns whether an engine may be given runs. */
   boolean isInRotation(InstanceId engine) {
-    EngineSwap swap = swaps.get(engine);
-    return swap == null || swap.coordinator.state() != SwapState.LOADING;
+    return swaps.values().stream()
+        .noneMatch(s -> s.engine.equals(engine) && s.coordinator.state() == SwapState.LOADING);
   }
 
   private boolean isTurn(EngineSwap swap) {
-    if (!lease.mayOrder() || lease.term() == fencedTerm) {
+    if (!lease.mayOrder() || lease.term() == fencedTerm || !isInRotation(swap.engine)) {
       return false;
     }
     int loading = 0;
+    int followers = 0;
+    Set<InstanceId> engines = new HashSet<>();
     List<LoadTurns.Candidate> candidates = new ArrayList<>();
     for (EngineSwap s : swaps.values()) {
+      engines.add(s.engine);
+      boolean same = s.service.equals(swap.service) && s.model.equals(swap.model);
+      followers += same ? 1 : 0;
       if (s.coordinator.state() == SwapState.LOADING) {
         loading++;
-      } else if (s.coordinator.state() == SwapState.AWAITING_TURN) {
+      } else if (same && s.coordinator.state() == SwapState.AWAITING_TURN) {
         candidates.add(s.candidate());
       }
     }
-    return turns.next(candidates, loading, swaps.size()).contains(swap.engine);
+    return turns.next(candidates, loading, followers, engines.size()).contains(swap.engine);
   }
 
   /** One engine's swaps. */
@@ -272,7 +309,8 @@
 
     /** Looks until the load has ended; the coordinator gives up by itself after its time. */
     private void poll(long call) {
-      if (coordinator.state() != SwapState.LOADING || swaps.get(engine) != this) {
+      if (coordinator.state() != SwapState.LOADING
+          || swaps.get(new Followed(engine, model)) != this) {
         return;
       }
       report(
@@ -294,7 +332,7 @@
               coordinator.onCall(call, SwapEvent.FAILED);
               return;
             }
-            report.get().version().ifPresent(v -> surroundings.onServed(engine, v));
+            report.get().version().ifPresent(v -> surroundings.onServed(engine, model, v));
             coordinator.onServed(call, report.get().version());
           });
     }
@@ -325,7 +363,7 @@
 
     @Override
     public Collection<InstanceId> peers() {
-      return swaps.keySet();
+      return swaps.keySet().stream().map(Followed::engine).collect(Collectors.toSet());
     }
 
     @Override
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -10,6 +10,8 @@
   STOPPED(1003, "process stopped"),
   /** A task of the decision loop threw. */
   DECISION_FAILED(1004, "decision task failed"),
+  /** The settings file was read again. */
+  SETTINGS_READ(1005, "settings read again"),
   /** A process couldn't start. */
   START_FAILED(1100, "process start failed"),
   /** A planned stop didn't run to its end. */
--- a/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
@@ -12,6 +12,9 @@
   /** Host of the route that takes bookings. */
   public static final String BOOK_HOST = "book.example";
 
+  /** Most bytes of a request's body that the manifest allows. */
+  public static final int MAX_BODY_BYTES = 2_000_000;
+
   private static final String MANIFEST =
       "{\"version\":VERSION,\"routes\":["
           + "{\"name\":\"jobs\",\"host\":\"jobs.example\",\"path_prefix\":\"/\","
@@ -21,8 +24,11 @@
           + "{\"name\":\"book\",\"host\":\"book.example\",\"path_prefix\":\"/\",\"kind\":\"KIND\","
           + "\"timeout_ms\":3000,\"service\":\"app\",\"max_attempts\":2}],"
           + "\"services\":[{\"name\":\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":8,"
-          + "\"kv_cache_tokens\":100000,\"stride\":1,\"models\":[{\"name\":\"m0\"}]}}],"
-          + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":33554432,"
+          + "\"kv_cache_tokens\":100000,\"stride\":1,"
+          + "\"models\":[{\"name\":\"m0\"},{\"name\":\"m1\"}]}}],"
+          + "\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":"
+          + MAX_BODY_BYTES
+          + ","
           + "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}";
 
   private PlatformDocuments() {}
@@ -36,12 +42,19 @@
     return MANIFEST.replace("VERSION", Long.toString(version)).replace("KIND", kind);
   }
 
-  /** Returns a job of items with the given ids. */
+  /** Returns a job of items with the given ids for the model "m0". */
   public static String job(int minVersion, String... items) {
-    return "{\"step\":0,\"model\":\"m0\",\"min_version\":"
+    return jobOf("m0", minVersion, items);
+  }
+
+  /** Returns a job of items with the given ids for a model, "m0" or "m1". */
+  public static String jobOf(String model, int minVersion, String... items) {
+    return "{\"step\":0,\"model\":\""
+        + model
+        + "\",\"min_version\":"
         + minVersion
         + ",\"desired_count\":1,\"items\":["
-        + Arrays.stream(items).map(PlatformDocuments::item).collect(Collectors.joining(","))
+        + Arrays.stream(items).map(id -> item(model, id)).collect(Collectors.joining(","))
         + "]}";
   }
 
@@ -93,12 +106,14 @@
         + "}";
   }
 
-  private static String item(String id) {
+  private static String item(String model, String id) {
     return "{\"id\":\""
         + id
         + "\",\"path\":\"/run/"
         + id
-        + "\",\"headers\":{\"Carobhoist-Model\":\"m0\"},\"body\":\"q83v\",\"tokens\":40,"
+        + "\",\"headers\":{\"Carobhoist-Model\":\""
+        + model
+        + "\"},\"body\":\"q83v\",\"tokens\":40,"
         + "\"group\":\"g\"}";
   }
 }
--- a/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
@@ -17,7 +17,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 
 /**
  * Stands in for a server of the users' platform: a plain service that echoes bodies, or an engine
@@ -27,6 +29,7 @@
 
   private static final String REQUEST_ID = "carobhoist-request-id";
   private static final String EXPECT = "carobhoist-expect-instance";
+  private static final String MODEL = "carobhoist-model";
   private static final String VERSIONS = "carobhoist-weight-versions";
 
   private final String instance;
@@ -36,7 +39,7 @@
   private final Map<String, Integer> lastSent = new HashMap<>();
   private long eventMillis = 5;
   private int events = 4;
-  private long version = 1;
+  private final Map<String, Long> versions = new TreeMap<>(Map.of("m0", 1L, "m1", 1L));
   private long orders;
   private long highestFence;
   private int breakAfter = -1;
@@ -69,7 +72,7 @@
 
   /** Returns what the server writes of itself to the store. */
   public String entry(String service, String zone, String state, long sequence) {
-    String models = engine ? ",\"models\":[{\"name\":\"m0\",\"version\":" + version() + "}]" : "";
+    String models = engine ? ",\"models\":" + models() : "";
     String address = server.uri().getAuthority();
     return PlatformDocuments.serverEntry(service, address, zone, state, sequence, models);
   }
@@ -100,9 +103,15 @@
     return lastSent.getOrDefault(id, 0);
   }
 
-  /** Returns the weight version served. */
-  public synchronized long version() {
-    return version;
+  /** Returns the weight version of a model that is served. */
+  public synchronized long version(String model) {
+    return versions.getOrDefault(model, 0L);
+  }
+
+  private synchronized String models() {
+    return versions.entrySet().stream()
+        .map(v -> "{\"name\":\"" + v.getKey() + "\",\"version\":" + v.getValue() + "}")
+        .collect(Collectors.joining(",", "[", "]"));
   }
 
   private void routes(ServerBuilder sb) {
@@ -116,11 +125,7 @@
     return HttpResponse.of(
         HttpStatus.OK,
         MediaType.JSON,
-        "{\"models\":[{\"name\":\"m0\",\"version\":"
-            + version
-            + "}],\"busy\":false,\"sequence\":"
-            + orders
-            + "}");
+        "{\"models\":" + models() + ",\"busy\":false,\"sequence\":" + orders + "}");
   }
 
   private synchronized HttpResponse order(AggregatedHttpRequest http) {
@@ -139,7 +144,7 @@
     }
     highestFence = fence;
     orders++;
-    version = order.path("version").asLong();
+    versions.put(order.path("model").asText(), order.path("version").asLong());
     return HttpResponse.of(HttpStatus.ACCEPTED);
   }
 
@@ -159,14 +164,17 @@
     }
     int from = Integer.parseInt(headers.get("last-event-id", "0")) + 1;
     note(id + " from " + from);
-    return engine ? stream(ctx, id, from) : HttpResponse.of(head(200, id).build(), http.content());
+    return engine
+        ? stream(ctx, headers, from)
+        : HttpResponse.of(head(200, id).build(), http.content());
   }
 
-  private HttpResponse stream(ServiceRequestContext ctx, String id, int from) {
+  private HttpResponse stream(ServiceRequestContext ctx, RequestHeaders asked, int from) {
     HttpResponseWriter out = HttpResponse.streaming();
+    String id = asked.get(REQUEST_ID, "");
     ResponseHeaders head =
         head(200, id)
-            .add(VERSIONS, Long.toString(version()))
+            .add(VERSIONS, Long.toString(version(asked.get(MODEL, ""))))
             .contentType(MediaType.EVENT_STREAM)
             .build();
     out.write(head);
--- a/standin/src/main/java/org/carobhoist/standin/StandInServer.java
+++ b/standin/src/main/java/org/carobhoist/standin/StandInServer.java
@@ -14,6 +14,8 @@
 /** An HTTP server on a loopback port, with start and stop, for the stand-ins to build on. */
 final class StandInServer {
 
+  private static final int MAX_HEAD_BYTES = 65_536;
+
   static final ObjectMapper JSON = new ObjectMapper();
 
   private final Consumer<ServerBuilder> routes;
@@ -30,6 +32,8 @@
     sb.http(new InetSocketAddress("127.0.0.1", port));
     sb.requestTimeoutMillis(0);
     sb.maxRequestLength(0);
+    sb.http1MaxInitialLineLength(MAX_HEAD_BYTES);
+    sb.http1MaxHeaderSize(MAX_HEAD_BYTES);
     sb.gracefulShutdownTimeoutMillis(0, 0);
     routes.accept(sb);
     server = sb.build();
--- a/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
@@ -88,9 +88,10 @@
     put("keyed.op", "config", PlatformDocuments.manifest(version, kind));
   }
 
-  /** Names a version of the engines' model, as its trainer does. */
-  public void nameVersion(long version) {
-    put("keyed.op", "version/m0", "{\"model\":\"m0\",\"version\":" + version + "}");
+  /** Names a version of a model, as its trainer does. */
+  public void nameVersion(String model, long version) {
+    String content = "{\"model\":\"" + model + "\",\"version\":" + version + "}";
+    put("keyed.op", "version/" + model, content);
   }
 
   /** Registers a server that takes work, as it does itself. */
