--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -140,12 +140,7 @@
             1);
     port.engines.add(
         new ServerEntry(
-            announcement,
-            "10.0.0.1",
-            80,
-            Duration.ZERO,
-            Map.of("m", version),
-            new ServerEntry.Beat(0, 0)));
+            announcement, "10.0.0.1", 80, Map.of("m", version), new ServerEntry.Beat(0, 0)));
   }
 
   private Job submit(String id, JobItem... wanted) {
@@ -282,7 +277,7 @@
     submit("j1", item("i1", 9));
     pass(50);
     assertThat(port.started).isEmpty();
-    coordinator.onEngineVersion(new InstanceId("old"), V6);
+    coordinator.onEngineVersion(new InstanceId("old"), "m", V6);
     pass(50);
     assertThat(port.last().engine().value()).isEqualTo("old");
   }
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -27,6 +27,8 @@
       StateCommand.class,
       CheckCommand.class,
       DemoCommand.class,
+      StepsCommand.class,
+      WarmUpCommand.class,
       ProfileCommand.class,
       HelpCommand.class,
       AutoComplete.GenerateCompletion.class
