Decode a job's content only where it is needed; run the gateway's tests side by side

The tests with real processes spend their time on starts, one after the other.

Change: only the coordinator names step and version of a job that it has read; the others don't decode it.

Ruled out: leaving the line away; it says when a process knew the job.

--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -18,8 +18,14 @@
 import org.carobhoist.standin.PlatformServerStandIn;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-
-/** Two entries before stand-ins of the users' platform, with the platform's troubles. */
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+
+/**
+ * Two entries before stand-ins of the users' platform, with the platform's troubles. Each test has
+ * processes and stand-ins of its own, and most of its time is theirs to start.
+ */
+@Execution(ExecutionMode.CONCURRENT)
 final class GatewayTest {
 
   private static final String JOBS = PlatformDocuments.JOBS_HOST;
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -328,6 +328,7 @@
 
   @Override
   public void onAccepted(Job job) {
+    // Only the coordinator needs the content, which is large; the others don't decode it.
     EventLog.info(
         LogEvent.JOB_KNOWN,
         "job",
@@ -335,9 +336,9 @@
         "items",
         job.head().total(),
         "step",
-        job.content().step(),
+        active ? job.content().step() : "",
         "min",
-        job.content().minVersion());
+        active ? job.content().minVersion() : "");
     jobs.onAccepted(job);
   }
 
