Wake for placing and reports only where there is something to do

Cause: a gateway without traffic woke 55 times a second; 20 of these were the coordinator's tick in processes that don't coordinate, 7 the reports of runners without runs.

Change: both come again only while the process coordinates or has runs.

Ruled out: longer waiting reads; a silent channel would then be noticed later than a manifest must be in force.

--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -62,6 +62,7 @@
   private WeightDesk weights;
   private LeaseKeeper lease;
   private boolean active;
+  private boolean ticking;
   private boolean stopping;
   private boolean forgetting;
 
@@ -95,7 +96,6 @@
     lease = keeper;
     weights = weightDesk;
     loop.every(LeaseKeeper.TICK, lease::tick);
-    loop.every(JobCoordinator.TICK, this::tick);
   }
 
   /** Gives the coordination up before this process stops. */
@@ -120,6 +120,10 @@
     jobs.activate(term);
     runner.onAttach(term, new LocalLink());
     mesh.linked().keySet().forEach(this::attach);
+    if (!ticking) {
+      ticking = true;
+      loop.after(JobCoordinator.TICK, this::tick);
+    }
   }
 
   @Override
@@ -202,10 +206,13 @@
     mesh.send(peer, LinkFrame.newBuilder().setRunnerAttach(message).build());
   }
 
+  /** Comes again while this process coordinates; the others needn't wake for it. */
   private void tick() {
+    ticking = active;
     if (!active) {
       return;
     }
+    loop.after(JobCoordinator.TICK, this::tick);
     manifests
         .current()
         .ifPresent(
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -239,7 +239,6 @@
 
   private void begin() {
     mesh.start(network);
-    runner.start();
     tails.forEach(KeyedTail::start);
     coordinator.begin(lease, weights);
     announce();
--- a/server/src/main/java/org/carobhoist/server/gateway/RunnerDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/RunnerDesk.java
@@ -35,6 +35,7 @@
   private Optional<CoordinatorLink> coordinator = Optional.empty();
   private long term = -1;
   private boolean leaving;
+  private boolean reporting;
 
   /** The way back to the coordinator. */
   interface CoordinatorLink {
@@ -55,10 +56,6 @@
     this.lists = lists;
   }
 
-  void start() {
-    loop.every(REPORT_PERIOD, this::reportProgress);
-  }
-
   /** Returns the number of runs. */
   int size() {
     return runs.size();
@@ -84,6 +81,10 @@
     ItemRun run = new ItemRun(order, this::onEnded);
     runs.put(order.run(), run);
     run.start(upstreams);
+    if (!reporting) {
+      reporting = true;
+      loop.after(REPORT_PERIOD, this::reportProgress);
+    }
   }
 
   /** Cancels a run for the coordinator of a term. */
@@ -129,7 +130,12 @@
     link.state(term, all, leaving);
   }
 
+  /** Comes again while there are runs. */
   private void reportProgress() {
+    reporting = !runs.isEmpty();
+    if (reporting) {
+      loop.after(REPORT_PERIOD, this::reportProgress);
+    }
     for (ItemRun run : runs.values()) {
       if (run.text().events() > run.reported().events()) {
         report(run);
