--- a/core/src/test/java/org/carobhoist/core/lease/LeaseWorld.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseWorld.java
@@ -8,21 +8,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
-import org.carobhoist.core.store.AppendOutcome;
-import org.carobhoist.core.store.KeyedRecord;
 import org.carobhoist.core.store.KeyedTail;
-import org.carobhoist.core.store.NewestPage;
-import org.carobhoist.core.store.ReadOutcome;
 import org.carobhoist.core.store.RecordStore;
 import org.carobhoist.core.store.Shard;
 import org.carobhoist.core.store.SharedLog;
 import org.carobhoist.core.store.StoreLink;
+import org.carobhoist.core.store.UnconditionalStore;
 import org.carobhoist.core.testing.EventQueue;
 import org.carobhoist.core.testing.ManualClock;
 
@@ -71,7 +66,7 @@
       id = new InstanceId("entry-" + index);
       link.setFaultShare(faultShare);
       link.setDelivery(this::gated);
-      RecordStore store = rules.conditional() ? link : new Unconditional(link);
+      RecordStore store = rules.conditional() ? link : new UnconditionalStore(link);
       keeper =
           LeaseKeeper.create(
               id, incarnation, store, new Codec(), this, policy(), this, LeaseWorld.this::isEnded);
@@ -142,26 +137,6 @@
     public void onHolder(LeaseEntry entry) {}
   }
 
-  /** Appends whatever the condition says. */
-  private record Unconditional(RecordStore store) implements RecordStore {
-
-    @Override
-    public CompletableFuture<AppendOutcome> append(
-        Shard shard, List<KeyedRecord> records, OptionalLong at) {
-      return store.append(shard, records, OptionalLong.empty());
-    }
-
-    @Override
-    public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
-      return store.read(shard, from, wait);
-    }
-
-    @Override
-    public CompletableFuture<NewestPage> newest(Shard shard, String after) {
-      return store.newest(shard, after);
-    }
-  }
-
   /** Lease records as text. */
   private static final class Codec implements LeaseCodec {
 
--- a/core/src/test/java/org/carobhoist/core/store/ListingWorld.java
+++ b/core/src/test/java/org/carobhoist/core/store/ListingWorld.java
@@ -5,10 +5,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
-import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 import org.carobhoist.core.testing.EventQueue;
 import org.carobhoist.core.testing.ManualClock;
@@ -51,7 +49,7 @@
 
     private Process(double faultShare) {
       link.setFaultShare(faultShare);
-      RecordStore store = rules.conditional() ? link : new Unconditional(link);
+      RecordStore store = rules.conditional() ? link : new UnconditionalStore(link);
       tail = KeyedTail.create(store, SHARD, this, clock, this::later, WAIT);
       Function<String, Want> wanted =
           key -> rules.checksWanted() && listed.contains(key) ? Want.NEVER : Want.NOW;
@@ -89,26 +87,6 @@
     }
   }
 
-  /** Appends whatever the condition says. */
-  private record Unconditional(RecordStore store) implements RecordStore {
-
-    @Override
-    public CompletableFuture<AppendOutcome> append(
-        Shard shard, List<KeyedRecord> records, OptionalLong at) {
-      return store.append(shard, records, OptionalLong.empty());
-    }
-
-    @Override
-    public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
-      return store.read(shard, from, wait);
-    }
-
-    @Override
-    public CompletableFuture<NewestPage> newest(Shard shard, String after) {
-      return store.newest(shard, after);
-    }
-  }
-
   private ListingWorld(SplittableRandom random, Rules rules) {
     this.random = random;
     this.rules = rules;
