--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -429,6 +429,29 @@
     }
   }
 
+  @Test
+  void staleReadsOfTheStoreDoubleNothing() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      engine.setEvents(40, 50);
+      cluster.awaitReady("entry-1");
+      cluster.awaitReady("entry-2");
+      awaitCoordinatorAndItsLink(cluster);
+      cluster.post(
+          "entry-1", JOBS, "/j", PlatformDocuments.job(1, "a", "b", "c", "d", "e", "f"), "j1");
+      cluster.await("every item runs", () -> engine.runs().size() == 6);
+      cluster.store().setStaleReads(true);
+      cluster.await(
+          "a result is listed behind the stale end",
+          () -> cluster.store().count("keyed.jobs", shardOf("j1"), "result/j1/") > 0);
+      cluster.store().setStaleReads(false);
+      awaitListed(cluster, "entry-1", "j1", 6);
+      awaitListed(cluster, "entry-2", "j1", 6);
+      assertThat(cluster.store().count("keyed.jobs", shardOf("j1"), "result/j1/")).isEqualTo(6);
+      assertThat(results(cluster, "entry-1", "j1")).isEqualTo(results(cluster, "entry-2", "j1"));
+    }
+  }
+
   @Test
   void jobsRunWhileTheStoreIsAwayAndAreListedAfterwards() throws IOException {
     try (GatewayCluster cluster = cluster()) {
--- a/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
@@ -40,6 +40,7 @@
   private Predicate<String> turnsAway = target -> false;
   private int answersToLose;
   private long lateMillis;
+  private Map<String, Integer> staleEnds;
 
   /** A record in a page of the newest. */
   public record Newest(String key, String value, long offset) {}
@@ -78,6 +79,14 @@
     lateMillis = millis;
   }
 
+  /** Lets all reads show the shards as they are now until it is set back; appends go on. */
+  public synchronized void setStaleReads(boolean stale) {
+    staleEnds = stale ? new HashMap<>() : null;
+    if (stale) {
+      shards.forEach((name, records) -> staleEnds.put(name, records.size()));
+    }
+  }
+
   /** Writes a record, as an operator, a trainer or a server does. */
   public void put(String topic, String key, String value) {
     append(topic + "/0", List.of(record(key, value.getBytes(StandardCharsets.UTF_8))));
@@ -183,7 +192,7 @@
     long wait = Long.parseLong(params.get("wait_ms", "0"));
     CompletableFuture<Void> news;
     synchronized (this) {
-      if (shard(shard).size() > from || wait == 0) {
+      if (visible(shard).size() > from || wait == 0) {
         return records(shard, from);
       }
       news = appended.computeIfAbsent(shard, key -> new CompletableFuture<>());
@@ -195,7 +204,7 @@
   }
 
   private synchronized HttpResponse records(String shard, int from) {
-    List<byte[]> all = shard(shard);
+    List<byte[]> all = visible(shard);
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     out.writeBytes(ByteBuffer.allocate(16).putLong(all.size()).putLong(0).array());
     for (byte[] r : all.subList(Math.min(from, all.size()), all.size())) {
@@ -210,7 +219,7 @@
       return unavailable();
     }
     QueryParams params = QueryParams.fromQueryString(query);
-    List<byte[]> all = shard(shardName(params));
+    List<byte[]> all = visible(shardName(params));
     TreeMap<String, Newest> newest = new TreeMap<>();
     for (int i = 0; i < all.size(); i++) {
       byte[] value = value(all.get(i));
@@ -242,6 +251,14 @@
     return true;
   }
 
+  /** Returns what reads show of a shard. */
+  private List<byte[]> visible(String name) {
+    List<byte[]> all = shard(name);
+    return staleEnds == null
+        ? all
+        : all.subList(0, Math.min(staleEnds.getOrDefault(name, 0), all.size()));
+  }
+
   private List<byte[]> shard(String name) {
     return shards.computeIfAbsent(name, key -> new ArrayList<>());
   }
