Take SIGHUP before the first line

Cause: the handler was set after the role had started; a signal between the first line and that ended the process.

Change: the handler is set before the role starts. The test sends the signal at the first line.

Ruled out: a slow read of the file; the process was gone.

Before the handler is set, in the first tenths of a second of the JVM, the signal still ends the process.

--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -379,8 +379,9 @@
   void settingsAreReadAgainWithoutAnEndOfTheProcess() throws IOException {
     try (GatewayCluster cluster = cluster()) {
       cluster.addServer("s-1", "app", false);
-      cluster.awaitReady("entry-1");
+      cluster.await("the first line", () -> logOf(cluster, "entry-1").contains("event=1001"));
       cluster.process("entry-1").hangUp();
+      cluster.awaitReady("entry-1");
       cluster.await(
           "the settings are read again", () -> logOf(cluster, "entry-1").contains("event=1005"));
       assertThat(cluster.post("entry-1", BOOK, "/seat", "a", "r1").status().code()).isEqualTo(200);
--- a/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
+++ b/server/src/main/java/org/carobhoist/server/app/RoleRunner.java
@@ -37,13 +37,13 @@
     // Otherwise the client library cuts its connections as soon as the process is asked to end,
     // while the requests in flight still need them.
     ClientFactory.disableShutdownHook();
+    HangUpSignal.listenFor(settings);
     try {
       service.start().join();
     } catch (CompletionException e) {
       EventLog.error(LogEvent.START_FAILED, e.getCause());
       return ExitCodes.FAILED;
     }
-    HangUpSignal.listenFor(settings);
     awaitEnd(service);
     return ExitCodes.DONE;
   }
