List no text of which a part is missing

Cause: a runner that is attached again sends its runs' whole texts, and its next reports begin after them. RunText refused a whole text that was longer than the known beginning, so the coordinator's text stayed short, every later report left a gap, and a report of the end still counted the item as done. When the runner couldn't list the result for 2.5 s, since the store was away, the coordinator listed the short text.

Change: a whole text takes the place of a shorter one. An item whose run finished with a part missing waits again; its runner lists it.

Text resumed at a wrong event: runs are asked with the last id of the very text that they go on from.

RunTextTest.wholeTextTakesThePlaceOfItsBeginning and two tests of JobCoordinatorTest fail without the change and pass with it.

--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -226,8 +226,12 @@
       return;
     }
     Duration now = clock.elapsed();
-    takeProgress(state, report, now);
-    if (report.outcome() != RunOutcome.RUNNING) {
+    boolean hasAll = takeProgress(state, report, now);
+    if (report.outcome() == RunOutcome.FINISHED && !hasAll) {
+      // Its runner lists it. Should the runner be lost before, the item has to go on from here.
+      noteEnd(state, "finished, but a part of its text is missing here");
+      release(state, Phase.WAITING);
+    } else if (report.outcome() != RunOutcome.RUNNING) {
       onRunEnded(state, report.outcome(), now);
     }
   }
@@ -294,17 +298,19 @@
     runs.put(report.run(), state);
   }
 
-  private void takeProgress(ItemState state, RunReport report, Duration now) {
+  /** Returns whether the item's text is known up to the report's end. */
+  private boolean takeProgress(ItemState state, RunReport report, Duration now) {
     int before = state.text().events();
     state.engine().onVersion(state.job().content().model(), report.engineVersion());
     if (!state.text().append(report.text())) {
-      return;
+      return false;
     }
     int events = state.text().events() - before;
     if (events > 0) {
       state.engine().onProgress(events, now.minus(state.changedAt()), now);
       state.onChange(now);
     }
+    return true;
   }
 
   private void onRunEnded(ItemState state, RunOutcome outcome, Duration now) {
--- a/core/src/main/java/org/carobhoist/core/placement/RunText.java
+++ b/core/src/main/java/org/carobhoist/core/placement/RunText.java
@@ -41,8 +41,14 @@
     versions.add(version);
   }
 
-  /** Adds the events that are not known yet; returns whether the delta leaves no gap. */
+  /**
+   * Adds the events that are not known yet; returns whether the delta leaves no gap. A whole text
+   * takes the place of a shorter one, as a runner sends it to a coordinator that takes it over.
+   */
   public boolean append(TextDelta delta) {
+    if (delta.skipped() == 0 && delta.total() > events) {
+      clear();
+    }
     if (delta.skipped() > events) {
       return false;
     }
@@ -105,6 +111,13 @@
         && (!singleVersion || versions.size() <= 1);
   }
 
+  private void clear() {
+    size = 0;
+    events = 0;
+    lastId = "";
+    versions.clear();
+  }
+
   private void write(byte[] data) {
     int separator = events > 0 ? 1 : 0;
     int end = size + separator + data.length;
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -66,6 +66,7 @@
     private final List<RunOrder> started = new ArrayList<>();
     private final List<Long> cancelled = new ArrayList<>();
     private final List<String> listed = new ArrayList<>();
+    private final List<ItemResult> results = new ArrayList<>();
     private final List<Runner> runners = new ArrayList<>(List.of(new Runner(RUNNER, ZONE)));
 
     @Override
@@ -96,6 +97,7 @@
     @Override
     public void list(JobId job, ItemResult result) {
       listed.add(job + " " + result.item() + (result.dead() ? " dead" : " done"));
+      results.add(result);
     }
 
     @Override
@@ -251,6 +253,35 @@
     assertThat(port.last().prefix().events()).isEqualTo(4);
   }
 
+  @Test
+  void textThatRunnerSendsAgainIsKnownWhole() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 9));
+    pass(50);
+    coordinator.onReport(report(port.last(), events(0, 4, V6), RunOutcome.RUNNING));
+    RunReport again = report(port.last(), events(0, 7, V6), RunOutcome.RUNNING);
+    coordinator.onRunnerState(RUNNER, List.of(again));
+    coordinator.onReport(report(port.last(), events(7, 2, V6), RunOutcome.FINISHED));
+    pass(2_600);
+    assertThat(port.listed).containsExactly("j1 i1 done");
+    assertThat(port.results.get(0).pageEntry()).isEqualTo(events(0, 9, V6).content());
+  }
+
+  @Test
+  void textWithGapIsNotListedButGoesOnFromItsBeginning() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 9));
+    pass(50);
+    coordinator.onReport(report(port.last(), events(0, 4, V6), RunOutcome.RUNNING));
+    coordinator.onReport(report(port.last(), events(6, 3, V6), RunOutcome.FINISHED));
+    pass(2_600);
+    assertThat(port.listed).isEmpty();
+    assertThat(port.started).hasSize(2);
+    assertThat(port.last().prefix().events()).isEqualTo(4);
+  }
+
   @Test
   void silentRunIsCancelledBeforeItGoesOnElsewhere() {
     addEngine("e1", V6);
--- a/core/src/test/java/org/carobhoist/core/placement/RunTextTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/RunTextTest.java
@@ -52,6 +52,19 @@
     assertThat(coordinator.events()).isEqualTo(0);
   }
 
+  @Test
+  void wholeTextTakesThePlaceOfItsBeginning() {
+    RunText runner = RunText.empty();
+    runner.add("1", bytes("a"), V6);
+    RunText coordinator = RunText.of(runner.whole());
+    runner.add("2", bytes("b"), V6);
+    runner.add("3", bytes("c"), V7);
+    assertThat(coordinator.append(runner.whole())).isTrue();
+    assertThat(content(coordinator)).isEqualTo("a\nb\nc");
+    assertThat(coordinator.lastId()).isEqualTo("3");
+    assertThat(coordinator.versions()).isEqualTo(Set.of(V6, V7));
+  }
+
   @Test
   void emptyEventsCount() {
     RunText runner = RunText.empty();
