Start the tests' processes with SIGHUP as it is by default

Change: RoleProcess starts processes with the signal's default.

Ruled out: the load of the machine; the test waits 60 s.

--- a/it/src/test/java/org/carobhoist/it/RoleProcess.java
+++ b/it/src/test/java/org/carobhoist/it/RoleProcess.java
@@ -13,6 +13,9 @@
   private static final Path BINARY = Path.of("..", "server", "target", "carobhoist");
   private static final long STOP_SECONDS = 30;
 
+  /** Whoever runs the tests may ignore SIGHUP; a JVM that inherits that never gets the signal. */
+  private static final String DEFAULT_SIGNALS = "--default-signal=HUP";
+
   private final String role;
   private final Path settings;
   private final Path log;
@@ -37,7 +40,8 @@
     String mark = Instant.now() + " TEST event=0 text=start\n";
     Files.writeString(log, mark, StandardOpenOption.CREATE, StandardOpenOption.APPEND);
     process =
-        new ProcessBuilder(BINARY.toString(), role, "--settings", settings.toString())
+        new ProcessBuilder(
+                "env", DEFAULT_SIGNALS, BINARY.toString(), role, "--settings", settings.toString())
             .redirectErrorStream(true)
             .redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()))
             .start();
