--- a/core/src/main/java/org/carobhoist/core/job/Job.java
+++ b/core/src/main/java/org/carobhoist/core/job/Job.java
@@ -99,7 +99,8 @@
     return !known && isWhole();
   }
 
-  boolean isWhole() {
+  /** Returns whether all parts of its content are known. */
+  public boolean isWhole() {
     return Arrays.stream(chunks).allMatch(c -> c != null);
   }
 
--- a/core/src/main/java/org/carobhoist/core/job/JobItem.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobItem.java
@@ -1,6 +1,7 @@
 package org.carobhoist.core.job;
 
 import java.util.List;
+import java.util.Optional;
 
 /**
  * One item of a job: a request for tokens.
@@ -13,6 +14,7 @@
  * @param promptTokens tokens of its prompt, as far as the submitter says
  * @param maxTokens most tokens to generate; 0 if unknown
  * @param expectedTokens the submitter's estimate of the tokens generated; 0 if there is none
+ * @param reward the request that scores the text; empty where results have no score
  */
 public record JobItem(
     ItemId id,
@@ -22,7 +24,8 @@
     byte[] body,
     int promptTokens,
     int maxTokens,
-    int expectedTokens) {
+    int expectedTokens,
+    Optional<RewardRequest> reward) {
 
   /**
    * A header.
@@ -36,4 +39,31 @@
   public JobItem {
     headers = List.copyOf(headers);
   }
+
+  /** Creates an item whose result has no score. */
+  public JobItem(
+      ItemId id,
+      String group,
+      String path,
+      List<Header> headers,
+      byte[] body,
+      int promptTokens,
+      int maxTokens,
+      int expectedTokens) {
+    this(id, group, path, headers, body, promptTokens, maxTokens, expectedTokens, Optional.empty());
+  }
+
+  /** Returns this item with the request that scores its text. */
+  public JobItem withReward(RewardRequest request) {
+    return new JobItem(
+        id,
+        group,
+        path,
+        headers,
+        body,
+        promptTokens,
+        maxTokens,
+        expectedTokens,
+        Optional.of(request));
+  }
 }
--- a/core/src/main/java/org/carobhoist/core/job/JobListener.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobListener.java
@@ -4,7 +4,7 @@
 public interface JobListener {
 
   /** A job was accepted. */
-  void onAccepted(Job job);
+  default void onAccepted(Job job) {}
 
   /** A result was listed. */
   void onListed(Job job, ItemResult result);
@@ -13,11 +13,11 @@
   void onEnded(Job job);
 
   /** A second record lists an item; the first one counts. */
-  void onListedAgain(Job job, ItemResult result, long offset);
+  default void onListedAgain(Job job, ItemResult result, long offset) {}
 
   /** A record of the shard can't be read. */
-  void onUnreadable(String key, long offset, String why);
+  default void onUnreadable(String key, long offset, String why) {}
 
   /** A shard of jobs can't be read, or can be read again. */
-  void onReadable(int part, boolean readable, String why);
+  default void onReadable(int part, boolean readable, String why) {}
 }
--- a/core/src/main/java/org/carobhoist/core/membership/EndpointAnnouncement.java
+++ b/core/src/main/java/org/carobhoist/core/membership/EndpointAnnouncement.java
@@ -33,4 +33,21 @@
     int queued,
     int limit,
     WeightVersion version,
-    long sequence) {}
+    long sequence) {
+
+  /** Returns this announcement with another phase. */
+  public EndpointAnnouncement withPhase(EndpointPhase other) {
+    return new EndpointAnnouncement(
+        instance,
+        incarnation,
+        zone,
+        service,
+        kind,
+        other,
+        inFlight,
+        queued,
+        limit,
+        version,
+        sequence);
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/membership/RegisteredServers.java
+++ b/core/src/main/java/org/carobhoist/core/membership/RegisteredServers.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -17,10 +18,14 @@
 /**
  * The servers that the platform's registry names, fed into the endpoint directory. A server that
  * announces its leaving is out at once. One whose entry merely vanishes stays for a moment: entries
- * also lapse while the registry is down, and come back when it is there again.
+ * also lapse while the registry is down, and come back when it is there again. A server that has
+ * said in an answer that it leaves stays out until it has started again, whatever is read of it.
  */
 public final class RegisteredServers implements TailListener {
 
+  /** Servers remembered that said they leave; a release replaces some hundred at most. */
+  private static final int MOST_LEAVERS = 4_096;
+
   private final EndpointDirectory directory;
   private final ServerEntryDecoder decoder;
   private final ServerListener listener;
@@ -28,6 +33,7 @@
   private final Duration lapseTime;
   private final Map<InstanceId, ServerEntry> entries = new HashMap<>();
   private final Map<InstanceId, Runnable> lapsing = new HashMap<>();
+  private final Map<InstanceId, Long> leavers = new LinkedHashMap<>();
 
   private RegisteredServers(
       EndpointDirectory directory,
@@ -96,6 +102,21 @@
     return Optional.ofNullable(entries.get(instance));
   }
 
+  /** Takes a server's own word that it leaves; it counts for the server's present life. */
+  public void onSaidLeaving(InstanceId instance) {
+    ServerEntry known = entries.get(instance);
+    if (known == null || Long.valueOf(known.beat().born()).equals(leavers.get(instance))) {
+      return;
+    }
+    leavers.remove(instance);
+    leavers.put(instance, known.beat().born());
+    if (leavers.size() > MOST_LEAVERS) {
+      leavers.remove(leavers.keySet().iterator().next());
+    }
+    listener.onSaidLeaving(instance, known.beat().born());
+    put(known);
+  }
+
   /** Returns all entries of a service's servers, leaving ones too. */
   public Collection<ServerEntry> entriesOf(ServiceName service) {
     return entries.values().stream()
@@ -118,9 +139,18 @@
     if (lapse != null) {
       lapse.run();
     }
-    entries.put(instance, entry);
-    directory.onAnnouncement(entry.announcement());
-    listener.onEntry(entry);
+    put(entry);
+  }
+
+  private void put(ServerEntry entry) {
+    InstanceId instance = entry.announcement().instance();
+    Long leaverBorn = leavers.get(instance);
+    boolean leaves = leaverBorn != null && entry.beat().born() <= leaverBorn;
+    ServerEntry believed = leaves ? entry.leaving() : entry;
+    entries.put(instance, believed);
+    directory.onListed(instance, leaves);
+    directory.onAnnouncement(believed.announcement());
+    listener.onEntry(believed);
   }
 
   private void lapse(InstanceId instance) {
--- a/core/src/main/java/org/carobhoist/core/membership/ServerEntry.java
+++ b/core/src/main/java/org/carobhoist/core/membership/ServerEntry.java
@@ -38,6 +38,12 @@
     versions = Map.copyOf(versions);
   }
 
+  /** Returns this entry as one of a server that leaves. */
+  public ServerEntry leaving() {
+    return new ServerEntry(
+        announcement.withPhase(EndpointPhase.DRAINING), host, port, versions, beat);
+  }
+
   /** Returns host and port. */
   public String address() {
     return host + ":" + port;
--- a/core/src/main/java/org/carobhoist/core/placement/ItemState.java
+++ b/core/src/main/java/org/carobhoist/core/placement/ItemState.java
@@ -27,6 +27,7 @@
   private EngineLoad engine;
   private Duration changedAt = Duration.ZERO;
   private boolean cancelling;
+  private InstanceId lister;
 
   /** Where an item stands. */
   enum Phase {
@@ -125,6 +126,18 @@
     changedAt = now;
   }
 
+  /** Takes the whole text, whose result a runner is about to list. */
+  void onFinished(InstanceId byRunner, Duration now) {
+    phase = Phase.DONE;
+    lister = byRunner;
+    changedAt = now;
+  }
+
+  /** Returns whether the text is whole and its result is expected from a runner. */
+  boolean isListedBy(InstanceId someRunner) {
+    return phase == Phase.DONE && text.isComplete() && someRunner.equals(lister);
+  }
+
   /** Returns how many more events are expected. */
   int eventsLeft(int eventTokens) {
     int expected = expectedEvents(eventTokens);
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -61,7 +61,7 @@
   private final Map<ItemKey, ItemState> items = new LinkedHashMap<>();
   private final Map<Long, ItemState> runs = new HashMap<>();
   private final Map<InstanceId, EngineLoad> engines = new HashMap<>();
-  private final KeptTexts kept = new KeptTexts();
+  private final FormerTexts former;
   private boolean active;
   private long nextRun;
   private Duration placesFrom = Duration.ZERO;
@@ -80,6 +80,7 @@
     this.placer = new Placer(policy);
     this.clock = clock;
     this.specs = specs;
+    this.former = new FormerTexts(view, port::textOf);
   }
 
   /**
@@ -198,7 +199,7 @@
     for (ItemState state : List.copyOf(items.values())) {
       if (state.job().id().equals(job.id())) {
         items.remove(new ItemKey(job.id(), state.item().id()));
-        kept.put(state.item().id(), state.text());
+        former.keep(state.item().id(), state.text());
         endRun(state, Phase.DONE);
       }
     }
@@ -217,10 +218,14 @@
         release(state, Phase.WAITING);
       }
     }
+    items.values().stream().filter(s -> s.isListedBy(runner)).forEach(this::finish);
   }
 
   /** Takes a report of a run. */
   public void onReport(RunReport report) {
+    if (report.engineLeaves()) {
+      port.onEngineLeaves(report.engine());
+    }
     ItemState state = runs.get(report.run());
     if (state == null) {
       return;
@@ -256,24 +261,19 @@
     if (items.putIfAbsent(key, state) != null) {
       return;
     }
-    WeightVersion min = job.content().minVersion();
-    boolean single = job.head().terms().singleVersion();
-    Optional<ItemResult> former = formerResult(job, item.id()).filter(r -> r.fits(min, single));
-    if (former.isPresent()) {
-      port.note(Decision.REUSED, job.id(), item.id(), "versions", former.get().versions());
+    Optional<ItemResult> same = former.result(job, item);
+    if (same.isPresent()) {
+      port.note(Decision.REUSED, job.id(), item.id(), "versions", same.get().versions());
       state.onEnd(Phase.DONE, clock.elapsed());
-      port.list(job.id(), former.get());
+      port.list(job.id(), same.get());
       return;
     }
-    kept.take(item.id()).filter(t -> t.fits(min, single)).ifPresent(state::replaceText);
-  }
-
-  private Optional<ItemResult> formerResult(Job job, ItemId item) {
-    return view.jobs().stream()
-        .filter(j -> j != job && j.head().service().equals(job.head().service()))
-        .flatMap(j -> j.result(item).stream())
-        .filter(r -> !r.dead())
-        .findFirst();
+    former.text(job, item).ifPresent(state::replaceText);
+    if (state.text().isComplete()) {
+      port.note(Decision.REUSED, job.id(), item.id(), "versions", state.text().versions());
+      state.onEnd(Phase.DONE, clock.elapsed());
+      port.finish(job, item, state.text());
+    }
   }
 
   private void adopt(InstanceId runner, RunReport report) {
@@ -284,6 +284,12 @@
       onReport(report);
       return;
     }
+    if (wanted && report.outcome() == RunOutcome.FINISHED && report.text().skipped() == 0) {
+      state.replaceText(RunText.of(report.text()));
+      state.text().markComplete();
+      state.onFinished(runner, clock.elapsed());
+      return;
+    }
     if (!wanted || report.outcome() != RunOutcome.RUNNING) {
       port.cancel(runner, report.run());
       return;
@@ -317,7 +323,10 @@
     EngineLoad engine = state.engine();
     switch (outcome) {
       case FINISHED -> {
+        InstanceId runner = state.runner();
+        state.text().markComplete();
         release(state, Phase.DONE);
+        state.onFinished(runner, now);
         return;
       }
       case IMPOSSIBLE -> {
@@ -422,17 +431,23 @@
     port.cancel(state.runner(), state.run());
   }
 
-  /** Lists results whose runner hasn't listed them in time. */
+  /** Finishes what its runner hasn't listed in time. */
   private void listOverdue(Duration now) {
     for (ItemState state : items.values()) {
-      boolean whole = state.phase() == Phase.DONE && state.text().events() > 0;
-      if (whole && now.minus(state.changedAt()).compareTo(policy.listTime()) > 0) {
-        state.onChange(now);
-        port.list(state.job().id(), port.completed(state.item().id(), state.text()));
+      boolean scored = state.item().reward().isPresent();
+      Duration limit = scored ? policy.scoreTime() : policy.listTime();
+      boolean whole = state.phase() == Phase.DONE && state.text().isComplete();
+      if (whole && now.minus(state.changedAt()).compareTo(limit) > 0) {
+        finish(state);
       }
     }
   }
 
+  private void finish(ItemState state) {
+    state.onChange(clock.elapsed());
+    port.finish(state.job(), state.item(), state.text());
+  }
+
   private void place(Duration now, Instant wall) {
     List<Runner> runners = new ArrayList<>(port.runners());
     if (runners.isEmpty()) {
--- a/core/src/main/java/org/carobhoist/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/carobhoist/core/placement/PlacementPolicy.java
@@ -14,6 +14,7 @@
  * @param fullPause time without new runs for an engine that had no room
  * @param brokenPause time without new runs for an engine that broke a run off
  * @param listTime time after which the coordinator lists a result whose runner hasn't
+ * @param scoreTime the same for a result that needs a reward call first; calls are repeated
  */
 public record PlacementPolicy(
     Duration settleTime,
@@ -24,7 +25,8 @@
     Duration loadSilence,
     Duration fullPause,
     Duration brokenPause,
-    Duration listTime) {
+    Duration listTime,
+    Duration scoreTime) {
 
   /** The policy of every coordinator. */
   public static final PlacementPolicy DEFAULT =
@@ -37,5 +39,6 @@
           Duration.ofMillis(4_000),
           Duration.ofMillis(200),
           Duration.ofMillis(800),
-          Duration.ofMillis(2_500));
+          Duration.ofMillis(2_500),
+          Duration.ofMillis(5_000));
 }
--- a/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
+++ b/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
@@ -6,7 +6,9 @@
 import org.carobhoist.core.common.Zone;
 import org.carobhoist.core.job.ItemId;
 import org.carobhoist.core.job.ItemResult;
+import org.carobhoist.core.job.Job;
 import org.carobhoist.core.job.JobId;
+import org.carobhoist.core.job.JobItem;
 import org.carobhoist.core.membership.ServerEntry;
 
 /** What a {@link JobCoordinator} asks of its surroundings. Messages to runners may be lost. */
@@ -38,12 +40,21 @@
   /** Lists a result, unless its item is listed already. */
   void list(JobId job, ItemResult result);
 
-  /** Returns the result of a text that is complete. */
-  ItemResult completed(ItemId item, RunText text);
+  /**
+   * Lists the result of a text that is complete, after its reward call where the item has one; does
+   * nothing if this process is about to do so already.
+   */
+  void finish(Job job, JobItem item, RunText text);
+
+  /** Returns the text of a result that is not dead. */
+  RunText textOf(ItemResult result);
 
   /** Returns the result of an item that is given up. */
   ItemResult dead(ItemId item);
 
+  /** Takes an engine's own word, brought by a runner, that it leaves. */
+  void onEngineLeaves(InstanceId engine);
+
   /** Notes a decision on an item. */
   void note(Decision decision, JobId job, ItemId item, Object... fields);
 
--- a/core/src/main/java/org/carobhoist/core/placement/RunReport.java
+++ b/core/src/main/java/org/carobhoist/core/placement/RunReport.java
@@ -15,6 +15,7 @@
  * @param text the events since the last report
  * @param outcome whether it goes on, or how it ended
  * @param engineVersion the weight version that the engine named last; 0 if none
+ * @param engineLeaves whether the engine said that it leaves
  */
 public record RunReport(
     long run,
@@ -23,4 +24,18 @@
     InstanceId engine,
     TextDelta text,
     RunOutcome outcome,
-    WeightVersion engineVersion) {}
+    WeightVersion engineVersion,
+    boolean engineLeaves) {
+
+  /** Creates a report of a run at an engine that stays. */
+  public RunReport(
+      long run,
+      JobId job,
+      ItemId item,
+      InstanceId engine,
+      TextDelta text,
+      RunOutcome outcome,
+      WeightVersion engineVersion) {
+    this(run, job, item, engine, text, outcome, engineVersion, false);
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/placement/RunText.java
+++ b/core/src/main/java/org/carobhoist/core/placement/RunText.java
@@ -18,6 +18,7 @@
   private final Set<WeightVersion> versions = new HashSet<>();
   private int events;
   private String lastId = "";
+  private boolean complete;
 
   private RunText() {}
 
@@ -64,6 +65,16 @@
     return true;
   }
 
+  /** Notes that the engine has ended its stream: there are no more events. */
+  public void markComplete() {
+    complete = true;
+  }
+
+  /** Returns whether the text is an item's whole output. */
+  public boolean isComplete() {
+    return complete;
+  }
+
   /** Returns where the events after the first ones begin in the content. */
   public TextDelta since(Mark mark) {
     int from = mark.events() > 0 && events > mark.events() ? mark.bytes() + 1 : mark.bytes();
@@ -90,6 +101,11 @@
     return events;
   }
 
+  /** Returns the number of bytes. */
+  public int size() {
+    return size;
+  }
+
   /** Returns the id of the last event; empty if there is none. */
   public String lastId() {
     return lastId;
--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/reward/RewardCall.java
@@ -0,0 +1,179 @@
+package org.carobhoist.core.reward;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.carobhoist.core.chart.ChartReader;
+import org.carobhoist.core.chart.ChartRun;
+import org.carobhoist.core.chart.StateChart;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.JitteredBackoff;
+import org.carobhoist.core.job.RewardRequest;
+
+/** One reward call and what became of its tries. */
+final class RewardCall {
+
+  private static final StateChart<RewardState, RewardEvent, RewardAction> CHART =
+      ChartReader.readResource("reward", RewardState.class, RewardEvent.class, RewardAction.class);
+
+  /** By how much the time for an answer grows with each failure. */
+  private static final double TRY_GROWTH = 1.5;
+
+  private final RewardKey key;
+  private final RewardRequest request;
+  private final Duration begunAt;
+  private final JitteredBackoff pauses;
+  private final Consumer<Optional<String>> result;
+  private final ChartRun<RewardState, RewardEvent, RewardAction> run;
+  private final Set<InstanceId> failedAt = new HashSet<>();
+  private Duration awaitedSince;
+  private int errors;
+  private int failures;
+  private long number;
+  private InstanceId endpoint;
+  private String score = "";
+  private boolean wayMissing;
+  private Runnable cancelExpiry = () -> {};
+
+  /**
+   * Creates a call that awaits a place.
+   *
+   * @param result takes the score, or nothing if there will be none
+   * @param handler carries the chart's actions out for a call
+   */
+  RewardCall(
+      RewardKey key,
+      RewardRequest request,
+      Duration now,
+      JitteredBackoff pauses,
+      Consumer<Optional<String>> result,
+      ActionHandler handler) {
+    this.key = key;
+    this.request = request;
+    this.begunAt = now;
+    this.awaitedSince = now;
+    this.pauses = pauses;
+    this.result = result;
+    this.run = ChartRun.start(CHART, action -> handler.act(this, action));
+  }
+
+  /** Carries an action out. */
+  @FunctionalInterface
+  interface ActionHandler {
+    void act(RewardCall call, RewardAction action);
+  }
+
+  static StateChart<RewardState, RewardEvent, RewardAction> chart() {
+    return CHART;
+  }
+
+  void fire(RewardEvent event) {
+    run.fire(event);
+  }
+
+  RewardState state() {
+    return run.state();
+  }
+
+  boolean isDone() {
+    return run.isDone();
+  }
+
+  /** Takes the handle that cancels the end of the item's time. */
+  void expireWith(Runnable handle) {
+    cancelExpiry = handle;
+  }
+
+  void cancelExpiry() {
+    cancelExpiry.run();
+  }
+
+  RewardKey key() {
+    return key;
+  }
+
+  RewardRequest request() {
+    return request;
+  }
+
+  Duration begunAt() {
+    return begunAt;
+  }
+
+  Duration awaitedSince() {
+    return awaitedSince;
+  }
+
+  void onAwaited(Duration now) {
+    awaitedSince = now;
+  }
+
+  void onPlaced(long newNumber, InstanceId newEndpoint) {
+    number = newNumber;
+    endpoint = newEndpoint;
+    wayMissing = false;
+  }
+
+  /** Returns the number of the last try; 0 before the first. */
+  long number() {
+    return number;
+  }
+
+  InstanceId endpoint() {
+    return endpoint;
+  }
+
+  /** Returns the endpoints of the last failures. */
+  Set<InstanceId> failedAt() {
+    return failedAt;
+  }
+
+  int failures() {
+    return failures;
+  }
+
+  /** Counts a failed try. */
+  void countFailure() {
+    failures++;
+    failedAt.add(endpoint);
+  }
+
+  /** Counts an error of an endpoint's own; returns how many there were. */
+  int countError() {
+    return ++errors;
+  }
+
+  /** Notes that no way leads to an endpoint; returns whether that is new. */
+  boolean noteNoWay() {
+    boolean known = wayMissing;
+    wayMissing = true;
+    return !known;
+  }
+
+  boolean isWithoutWay() {
+    return wayMissing;
+  }
+
+  Duration nextPause() {
+    return pauses.next();
+  }
+
+  Duration tryTime(RewardPolicy policy) {
+    double millis = policy.firstTry().toMillis() * Math.pow(TRY_GROWTH, failures);
+    return Duration.ofMillis((long) Math.min(policy.longestTry().toMillis(), millis));
+  }
+
+  void onScore(String value) {
+    score = value;
+  }
+
+  void handOn() {
+    result.accept(Optional.of(score));
+  }
+
+  void giveUp() {
+    result.accept(Optional.empty());
+  }
+}
--- a/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
+++ b/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
@@ -37,6 +37,11 @@
     @Override
     public void onEntry(ServerEntry entry) {}
 
+    @Override
+    public void onSaidLeaving(InstanceId instance, long born) {
+      events.add("leaving " + instance);
+    }
+
     @Override
     public void onGone(InstanceId instance) {
       events.add("gone " + instance);
@@ -105,6 +110,31 @@
     assertThat(usable()).containsExactly("s2");
   }
 
+  @Test
+  void serversThatSayTheyLeaveStayOutWhateverTheRegistrySays() {
+    servers.onRecord(stored(0, "s1", "SERVING 5 1"));
+    servers.onRecord(stored(1, "s2", "SERVING 5 1"));
+    servers.onSaidLeaving(new InstanceId("s1"));
+    servers.onSaidLeaving(new InstanceId("s1"));
+    assertThat(usable()).containsExactly("s2");
+    servers.onRecord(stored(2, "s1", "SERVING 5 2"));
+    servers.onSnapshot(List.of(stored(3, "s1", "SERVING 5 3"), stored(4, "s2", "SERVING 5 2")));
+    assertThat(usable()).containsExactly("s2");
+    assertThat(events).containsExactly("leaving s1");
+  }
+
+  @Test
+  void serverThatSaidItLeavesIsUsedAgainOnceItHasStartedAnew() {
+    servers.onRecord(stored(0, "s1", "SERVING 5 1"));
+    servers.onSaidLeaving(new InstanceId("s1"));
+    servers.onRecord(stored(1, "s1", ""));
+    queue.run(Duration.ofSeconds(5));
+    servers.onRecord(stored(2, "s1", "SERVING 5 2"));
+    assertThat(usable()).isEmpty();
+    servers.onRecord(stored(3, "s1", "SERVING 6 1"));
+    assertThat(usable()).containsExactly("s1");
+  }
+
   @Test
   void vanishedEntriesAreUsedForSomeTimeAndMayComeBack() {
     servers.onRecord(stored(0, "s1", "SERVING 1 1"));
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -16,6 +16,7 @@
 import org.carobhoist.core.common.EndpointKind;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.RequestId;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.common.Zone;
@@ -28,6 +29,7 @@
 import org.carobhoist.core.job.JobItem;
 import org.carobhoist.core.job.JobView;
 import org.carobhoist.core.job.PlainRecords;
+import org.carobhoist.core.job.RewardRequest;
 import org.carobhoist.core.manifest.EngineSpec;
 import org.carobhoist.core.manifest.JobTerms;
 import org.carobhoist.core.membership.EndpointAnnouncement;
@@ -67,6 +69,8 @@
     private final List<Long> cancelled = new ArrayList<>();
     private final List<String> listed = new ArrayList<>();
     private final List<ItemResult> results = new ArrayList<>();
+    private final List<String> scored = new ArrayList<>();
+    private final List<InstanceId> leaving = new ArrayList<>();
     private final List<Runner> runners = new ArrayList<>(List.of(new Runner(RUNNER, ZONE)));
 
     @Override
@@ -101,8 +105,22 @@
     }
 
     @Override
-    public ItemResult completed(ItemId item, RunText text) {
-      return new ItemResult(item, false, text.versions(), text.content());
+    public void finish(Job job, JobItem item, RunText text) {
+      if (item.reward().isPresent()) {
+        scored.add(job.id() + " " + item.reward().get().id());
+        return;
+      }
+      list(job.id(), new ItemResult(item.id(), false, text.versions(), text.content()));
+    }
+
+    @Override
+    public RunText textOf(ItemResult result) {
+      return RunText.of(new TextDelta(0, 1, result.pageEntry(), "", result.versions()));
+    }
+
+    @Override
+    public void onEngineLeaves(InstanceId engine) {
+      leaving.add(engine);
     }
 
     @Override
@@ -387,6 +405,93 @@
     assertThat(port.started).hasSize(1);
   }
 
+  private static JobItem scored(String id, String scorer) {
+    return item(id, 9)
+        .withReward(new RewardRequest(new RequestId(scorer), "b.example", "/score", new byte[0]));
+  }
+
+  @Test
+  void lostRunnersWholeTextsAreFinishedHereAndNotRunAgain() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", scored("i1", "s1"));
+    pass(50);
+    coordinator.onReport(report(port.last(), events(0, 2, V6), RunOutcome.FINISHED));
+    coordinator.onRunnerLost(RUNNER);
+    assertThat(port.scored).containsExactly("j1 s1");
+    pass(1_000);
+    assertThat(port.started).hasSize(1);
+  }
+
+  @Test
+  void wholeTextsThatRunnersStillHoldAreNotRunAgainByTheNextCoordinator() {
+    addEngine("e1", V6);
+    coordinator.activate(1);
+    submit("j1", scored("i1", "s1"));
+    RunReport held =
+        new RunReport(
+            77,
+            new JobId("j1"),
+            new ItemId("i1"),
+            new InstanceId("e1"),
+            events(0, 3, V6),
+            RunOutcome.FINISHED,
+            V6);
+    coordinator.onRunnerState(OTHER, List.of(held));
+    pass(400);
+    assertThat(port.started).isEmpty();
+    assertThat(port.cancelled).isEmpty();
+    coordinator.onRunnerLost(OTHER);
+    assertThat(port.scored).containsExactly("j1 s1");
+  }
+
+  @Test
+  void textThatIsWholeWhenItsJobEndsNeedsOnlyTheNextJobsScore() {
+    addEngine("e1", V6);
+    activate();
+    Job job = submit("j1", scored("i1", "s1"));
+    pass(50);
+    coordinator.onReport(report(port.last(), events(0, 2, V6), RunOutcome.FINISHED));
+    coordinator.onEnded(job);
+    submit("j2", scored("i1", "s2"));
+    pass(400);
+    assertThat(port.started).hasSize(1);
+    assertThat(port.scored).containsExactly("j2 s2");
+  }
+
+  @Test
+  void formerResultIsScoredAnewForAnotherScorer() {
+    minVersion = new WeightVersion(1);
+    addEngine("e1", V6);
+    activate();
+    submit("j1", scored("i1", "s1"));
+    view.ofShard(0).onRecord(new StoredRecord(9, "result/j1/i1", new byte[] {'x'}));
+    submit("j2", scored("i1", "s2"));
+    assertThat(port.scored).containsExactly("j2 s2");
+    submit("j3", scored("i1", "s1"));
+    assertThat(port.listed).containsExactly("j3 i1 done");
+  }
+
+  @Test
+  void runnersWordThatAnEngineLeavesIsHandedOn() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 9));
+    pass(50);
+    RunOrder o = port.last();
+    coordinator.onReport(
+        new RunReport(
+            o.run(),
+            o.job(),
+            o.item().id(),
+            o.engine(),
+            TextDelta.NONE,
+            RunOutcome.NOT_RUN,
+            V6,
+            true));
+    assertThat(port.leaving).containsExactly(new InstanceId("e1"));
+  }
+
   @Test
   void runLeavesTheSlowEngineWhenOneWithRoomIsFaster() {
     addEngine("e1", V6);
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/reward/FakeRewardPort.java
@@ -0,0 +1,88 @@
+package org.carobhoist.core.reward;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import org.carobhoist.core.common.EndpointKind;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.job.RewardRequest;
+import org.carobhoist.core.routing.EndpointView;
+
+/** Endpoints with loads that tests set; the least loaded one is chosen. */
+final class FakeRewardPort implements RewardPort {
+
+  static final ServiceName APP = new ServiceName("app");
+
+  final List<EndpointView> endpoints = new ArrayList<>();
+  final List<Sent> sent = new ArrayList<>();
+  final List<Long> cancelled = new ArrayList<>();
+  final List<Decision> notes = new ArrayList<>();
+  Optional<Way> way = Optional.of(new Way(APP, 3));
+
+  /** A try that was sent. */
+  record Sent(long number, InstanceId endpoint, RewardRequest request, Duration timeout) {}
+
+  static EndpointView endpoint(String id, int taken, int slots) {
+    return new EndpointView(
+        new InstanceId(id),
+        APP,
+        EndpointKind.PLAIN,
+        new Zone("a"),
+        true,
+        0,
+        taken,
+        slots,
+        new WeightVersion(0));
+  }
+
+  Sent last() {
+    return sent.get(sent.size() - 1);
+  }
+
+  @Override
+  public Optional<Way> way(RewardRequest request) {
+    return way;
+  }
+
+  @Override
+  public Collection<EndpointView> endpoints(ServiceName service) {
+    return endpoints;
+  }
+
+  @Override
+  public Optional<InstanceId> choose(
+      ServiceName service, Collection<EndpointView> among, Set<InstanceId> excluded) {
+    return among.stream()
+        .min(
+            Comparator.comparing((EndpointView e) -> excluded.contains(e.instance()))
+                .thenComparing(EndpointView::load))
+        .map(EndpointView::instance);
+  }
+
+  @Override
+  public void send(
+      long number,
+      ServiceName service,
+      InstanceId endpoint,
+      RewardRequest request,
+      Duration timeout) {
+    sent.add(new Sent(number, endpoint, request, timeout));
+  }
+
+  @Override
+  public void cancel(long number) {
+    cancelled.add(number);
+  }
+
+  @Override
+  public void note(Decision decision, RewardKey key, Object... fields) {
+    notes.add(decision);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/reward/RewardLoad.java
@@ -0,0 +1,219 @@
+package org.carobhoist.core.reward;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.carobhoist.core.common.EndpointKind;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.RequestId;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.job.ItemId;
+import org.carobhoist.core.job.JobId;
+import org.carobhoist.core.job.RewardRequest;
+import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+
+/**
+ * Endpoints that answer people's lookups and reward calls in the order of arrival, processes that
+ * call them, and a step whose texts end at once. Each answer tells the endpoint's load to the
+ * process that got it.
+ */
+final class RewardLoad {
+
+  private static final ServiceName APP = new ServiceName("app");
+  private static final int ENDPOINTS = 4;
+  private static final int SLOTS = 6;
+  private static final Duration WORK = Duration.ofMillis(43);
+  private static final Duration LOOKUP_GAP = Duration.ofMillis(40);
+  private static final Duration LENGTH = Duration.ofSeconds(4);
+
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue queue = new EventQueue(clock);
+  private final SplittableRandom random;
+  private final List<Endpoint> endpoints = new ArrayList<>();
+  private final List<Duration> lookups = new ArrayList<>();
+  private final List<Duration> scores = new ArrayList<>();
+
+  private RewardLoad(long seed) {
+    this.random = new SplittableRandom(seed);
+    for (int i = 0; i < ENDPOINTS; i++) {
+      endpoints.add(new Endpoint(new InstanceId("e" + i)));
+    }
+  }
+
+  /** How long lookups and scores took, in their order of length. */
+  record Result(List<Duration> lookups, List<Duration> scores) {
+
+    Duration slowestLookup() {
+      return lookups.get(lookups.size() - 1);
+    }
+
+    Duration slowestScore() {
+      return scores.get(scores.size() - 1);
+    }
+  }
+
+  /**
+   * Plays lookups throughout, and a burst of texts that end within 100 ms.
+   *
+   * @param processes processes among which the texts are spread evenly
+   * @param texts number of texts
+   */
+  static Result play(long seed, RewardPolicy policy, int processes, int texts) {
+    RewardLoad load = new RewardLoad(seed);
+    load.begin(policy, processes, texts);
+    load.queue.run(LENGTH.multipliedBy(10));
+    Collections.sort(load.lookups);
+    Collections.sort(load.scores);
+    return new Result(List.copyOf(load.lookups), List.copyOf(load.scores));
+  }
+
+  private void begin(RewardPolicy policy, int processes, int texts) {
+    for (long ms = 0; ms < LENGTH.toMillis(); ms += LOOKUP_GAP.toMillis()) {
+      queue.after(Duration.ofMillis(ms), this::lookUp);
+    }
+    for (int p = 0; p < processes; p++) {
+      Process process = new Process();
+      process.calls = RewardCalls.create(process, policy, clock, this::after, random.split());
+      for (int i = p; i < texts; i += processes) {
+        String name = "i" + i;
+        queue.after(
+            Duration.ofMillis(1_000 + random.nextInt(100)), () -> process.onTextWhole(name));
+      }
+    }
+  }
+
+  private Runnable after(Duration delay, Runnable task) {
+    boolean[] cancelled = {false};
+    queue.after(
+        delay,
+        () -> {
+          if (!cancelled[0]) {
+            task.run();
+          }
+        });
+    return () -> cancelled[0] = true;
+  }
+
+  /** A lookup goes to the emptier one of two endpoints, as the router's choice does. */
+  private void lookUp() {
+    Endpoint a = endpoints.get(random.nextInt(ENDPOINTS));
+    Endpoint b = endpoints.get(random.nextInt(ENDPOINTS));
+    Duration begun = clock.elapsed();
+    Endpoint chosen = a.taken() <= b.taken() ? a : b;
+    chosen.arrive(() -> lookups.add(clock.elapsed().minus(begun)));
+  }
+
+  /** A server with slots and a queue. */
+  private final class Endpoint {
+
+    private final InstanceId id;
+    private final Deque<Runnable> waiting = new ArrayDeque<>();
+    private int running;
+
+    private Endpoint(InstanceId id) {
+      this.id = id;
+    }
+
+    private int taken() {
+      return running + waiting.size();
+    }
+
+    private void arrive(Runnable answered) {
+      if (running >= SLOTS) {
+        waiting.add(answered);
+        return;
+      }
+      running++;
+      queue.after(WORK, () -> end(answered));
+    }
+
+    private void end(Runnable answered) {
+      running--;
+      answered.run();
+      if (!waiting.isEmpty()) {
+        arrive(waiting.poll());
+      }
+    }
+  }
+
+  /** A process that makes reward calls; it knows the loads that answers told it. */
+  private final class Process implements RewardPort {
+
+    private final int[] known = new int[ENDPOINTS];
+    private RewardCalls calls;
+
+    private void onTextWhole(String item) {
+      Duration begun = clock.elapsed();
+      calls.begin(
+          new RewardKey(new JobId("j"), new ItemId(item)),
+          new RewardRequest(new RequestId(item), "b.example", "/score", new byte[0]),
+          Duration.ofSeconds(30),
+          score -> scores.add(clock.elapsed().minus(begun)));
+    }
+
+    @Override
+    public Optional<Way> way(RewardRequest request) {
+      return Optional.of(new Way(APP, 3));
+    }
+
+    @Override
+    public Collection<EndpointView> endpoints(ServiceName service) {
+      List<EndpointView> views = new ArrayList<>();
+      for (int i = 0; i < ENDPOINTS; i++) {
+        views.add(
+            new EndpointView(
+                endpoints.get(i).id,
+                APP,
+                EndpointKind.PLAIN,
+                new Zone("a"),
+                true,
+                0,
+                known[i],
+                SLOTS,
+                new WeightVersion(0)));
+      }
+      return views;
+    }
+
+    @Override
+    public Optional<InstanceId> choose(
+        ServiceName service, Collection<EndpointView> among, Set<InstanceId> excluded) {
+      return among.isEmpty()
+          ? Optional.empty()
+          : among.stream().skip(random.nextInt(among.size())).findFirst().map(e -> e.instance());
+    }
+
+    @Override
+    public void send(
+        long number,
+        ServiceName service,
+        InstanceId endpoint,
+        RewardRequest request,
+        Duration timeout) {
+      int index = Integer.parseInt(endpoint.value().substring(1));
+      Endpoint to = endpoints.get(index);
+      to.arrive(
+          () -> {
+            known[index] = to.taken();
+            calls.onAnswer(number, new RewardAnswer.Score("good"));
+          });
+    }
+
+    @Override
+    public void cancel(long number) {}
+
+    @Override
+    public void note(Decision decision, RewardKey key, Object... fields) {}
+  }
+}
--- a/it/src/test/java/org/carobhoist/it/GatewayCluster.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayCluster.java
@@ -65,12 +65,39 @@
   /** Starts a plain server with odd answers and registers it. */
   OddServerStandIn addOddServer(String instance, String service, OddServerStandIn.Oddity oddity)
       throws IOException {
+    return addOddServer(instance, service, oddity, false);
+  }
+
+  /** Starts a server with odd answers and registers it, as an engine or not. */
+  OddServerStandIn addOddServer(
+      String instance, String service, OddServerStandIn.Oddity oddity, boolean engine)
+      throws IOException {
     OddServerStandIn server = OddServerStandIn.start(instance, oddity);
     oddServers.add(server);
-    store.register(service, instance, server);
+    store.register(service, instance, server, engine);
     return server;
   }
 
+  /** Returns the cluster with two entries, which are being started. */
+  static GatewayCluster withTwoEntries(Path folder) throws IOException {
+    GatewayCluster cluster = start(folder);
+    cluster.startEntry("entry-1");
+    cluster.startEntry("entry-2");
+    return cluster;
+  }
+
+  /** Waits until an entry lists a number of a job's results. */
+  void awaitListed(String entry, String job, int count) {
+    await(
+        count + " results of " + job + " at " + entry,
+        () -> results(entry, job).contains("\"next\":" + count + ","));
+  }
+
+  /** Returns the page of a job's results. */
+  String results(String entry, String job) {
+    return get(entry, PlatformDocuments.JOBS_HOST, "/-/lots/" + job + "?after=0").contentUtf8();
+  }
+
   /** Starts an entry. */
   void startEntry(String name) throws IOException {
     startEntry(name, store.uri().getAuthority());
@@ -116,6 +143,38 @@
     return found;
   }
 
+  /** Returns the same for conditions that are awaited. */
+  String coordinatorNow() {
+    try {
+      return coordinator();
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Returns an entry's log for conditions that are awaited. */
+  String logOf(String entry) {
+    try {
+      return log(entry);
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  /** Waits until one of two entries coordinates and knows the other; returns its name. */
+  String awaitCoordinatorAndItsLink() {
+    await("a coordinator", () -> !coordinatorNow().isEmpty());
+    String first = coordinatorNow();
+    String link = "peer=" + otherThan(first);
+    await("a link to the runner", () -> logOf(first).contains(link));
+    return first;
+  }
+
+  /** Returns the other one of two entries. */
+  static String otherThan(String entry) {
+    return entry.equals("entry-1") ? "entry-2" : "entry-1";
+  }
+
   AggregatedHttpResponse get(String entry, String host, String path) {
     return sendAsync(entry, HttpMethod.GET, host, path, "", "r-" + System.nanoTime()).join();
   }
--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
@@ -0,0 +1,151 @@
+package org.carobhoist.it;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import org.carobhoist.standin.OddServerStandIn;
+import org.carobhoist.standin.OddServerStandIn.Oddity;
+import org.carobhoist.standin.PlatformDocuments;
+import org.carobhoist.standin.PlatformServerStandIn;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Servers that leave, and servers whose answers are no answers, before real processes. */
+@Execution(ExecutionMode.CONCURRENT)
+final class GatewayOddServersTest {
+
+  private static final String JOBS = PlatformDocuments.JOBS_HOST;
+  private static final String BOOK = PlatformDocuments.BOOK_HOST;
+
+  @TempDir private Path folder;
+
+  private GatewayCluster cluster() throws IOException {
+    GatewayCluster cluster = GatewayCluster.start(folder);
+    cluster.startEntry("entry-1");
+    return cluster;
+  }
+
+  @Test
+  void serverThatSaysItLeavesGetsNothingMoreWhateverTheRegistrySays() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn leaver = cluster.addServer("s-1", "app", false);
+      cluster.awaitReady("entry-1");
+      leaver.setLeaving(true);
+      assertThat(cluster.post("entry-1", BOOK, "/seat", "x", "r1").status().code()).isEqualTo(200);
+      final PlatformServerStandIn other = cluster.addServer("s-2", "app", false);
+      cluster.await(
+          "the other one is used",
+          () -> cluster.post("entry-1", BOOK, "/seat", "x", "r2").status().code() == 200);
+      cluster.store().register("app", leaver);
+      for (int i = 0; i < 20; i++) {
+        assertThat(cluster.post("entry-1", BOOK, "/seat", "x", "q" + i).status().code())
+            .isEqualTo(200);
+      }
+      assertThat(leaver.runs()).containsExactly("r1 from 1");
+      assertThat(other.runs()).hasSize(21);
+    }
+  }
+
+  @Test
+  void engineThatSaysItLeavesGetsNoMoreItems() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn leaver = cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      leaver.setLeaving(true);
+      cluster.post("entry-1", JOBS, "/j", PlatformDocuments.job(1, "a"), "j1");
+      cluster.awaitListed("entry-1", "j1", 1);
+      final PlatformServerStandIn other = cluster.addServer("e-2", "lm", true);
+      cluster.store().register("lm", leaver);
+      cluster.post("entry-1", JOBS, "/j", PlatformDocuments.job(1, "b", "c", "d"), "j2");
+      cluster.awaitListed("entry-1", "j2", 3);
+      assertThat(leaver.runs()).containsExactly("a from 1");
+      assertThat(other.runs()).hasSize(3);
+    }
+  }
+
+  @Test
+  void lateSecondAnswersReachNoOtherRequest() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      OddServerStandIn odd = cluster.addOddServer("s-1", "app", Oddity.LATE_SECOND_ANSWER);
+      cluster.awaitReady("entry-1");
+      int wholeOnes = 0;
+      for (int i = 0; i < 40; i++) {
+        AggregatedHttpResponse answer =
+            cluster.post("entry-1", BOOK, "/seat", "body " + i, "r" + i);
+        if (answer.status().code() == 200) {
+          assertThat(answer.contentUtf8()).isEqualTo("body " + i);
+          wholeOnes++;
+        }
+      }
+      assertThat(wholeOnes).isGreaterThan(0);
+      assertThat(odd.runs()).contains("r39");
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      names = {
+        "ENDLESS_HEAD",
+        "ENDLESS_BLANKS",
+        "ENDLESS_BODY",
+        "ENDLESS_CHUNK_EXTENSION",
+        "ENDLESS_TRAILER",
+        "TRICKLE"
+      })
+  void answersThatNeverEndAreCutAndTheRequestGoesOnElsewhere(Oddity oddity) throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      OddServerStandIn odd = cluster.addOddServer("s-1", "app", oddity);
+      cluster.awaitReady("entry-1");
+      AggregatedHttpResponse alone = cluster.post("entry-1", BOOK, "/seat", "x", "r0");
+      assertThat(alone.status().code()).isAtLeast(500);
+      cluster.addServer("s-2", "app", false);
+      cluster.await(
+          "the other one is known",
+          () -> cluster.post("entry-1", BOOK, "/seat", "x", "r1").status().code() == 200);
+      for (int i = 0; i < 12; i++) {
+        AggregatedHttpResponse answer = cluster.post("entry-1", BOOK, "/seat", "x" + i, "q" + i);
+        assertThat(answer.contentUtf8()).isEqualTo("x" + i);
+      }
+      assertThat(odd.runs()).isNotEmpty();
+      cluster.await("the server's connections are closed", () -> odd.isIdle());
+      assertThat(cluster.process("entry-1").isAlive()).isTrue();
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(
+      names = {
+        "ENDLESS_HEAD",
+        "ENDLESS_BLANKS",
+        "ENDLESS_BODY",
+        "ENDLESS_CHUNK_EXTENSION",
+        "TRICKLE"
+      })
+  void rewardCallsAndItemsOutliveEndlessAnswers(Oddity oddity) throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addOddServer("s-1", "app", oddity);
+      cluster.addServer("s-2", "app", false);
+      cluster.addOddServer("e-1", "lm", oddity, true);
+      cluster.addServer("e-2", "lm", true);
+      cluster.awaitReady("entry-1");
+      String job = PlatformDocuments.scoredJob(1, "a", "b", "c", "d", "e", "f");
+      cluster.post("entry-1", JOBS, "/j", job, "j1");
+      cluster.awaitListed("entry-1", "j1", 6);
+      String results = cluster.results("entry-1", "j1");
+      for (String item : List.of("a", "b", "c", "d", "e", "f")) {
+        assertWithMessage(item)
+            .that(results)
+            .contains("\"id\":\"" + item + "\",\"state\":\"completed\"");
+      }
+      assertThat(cluster.process("entry-1").isAlive()).isTrue();
+    }
+  }
+}
--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -34,20 +34,15 @@
   @TempDir private Path folder;
 
   private GatewayCluster cluster() throws IOException {
-    GatewayCluster cluster = GatewayCluster.start(folder);
-    cluster.startEntry("entry-1");
-    cluster.startEntry("entry-2");
-    return cluster;
+    return GatewayCluster.withTwoEntries(folder);
   }
 
   private static String results(GatewayCluster cluster, String entry, String job) {
-    return cluster.get(entry, JOBS, "/-/lots/" + job + "?after=0").contentUtf8();
+    return cluster.results(entry, job);
   }
 
   private static void awaitListed(GatewayCluster cluster, String entry, String job, int count) {
-    cluster.await(
-        count + " results of " + job + " at " + entry,
-        () -> results(cluster, entry, job).contains("\"next\":" + count + ","));
+    cluster.awaitListed(entry, job, count);
   }
 
   @Test
@@ -500,31 +495,18 @@
   }
 
   private static String coordinator(GatewayCluster cluster) {
-    try {
-      return cluster.coordinator();
-    } catch (IOException e) {
-      throw new AssertionError(e);
-    }
+    return cluster.coordinatorNow();
   }
 
-  /** Waits until one entry coordinates and knows the other as a runner; returns its name. */
   private static String awaitCoordinatorAndItsLink(GatewayCluster cluster) {
-    cluster.await("a coordinator", () -> !coordinator(cluster).isEmpty());
-    String first = coordinator(cluster);
-    String link = "peer=" + otherThan(first);
-    cluster.await("a link to the runner", () -> logOf(cluster, first).contains(link));
-    return first;
+    return cluster.awaitCoordinatorAndItsLink();
   }
 
   private static String otherThan(String entry) {
-    return entry.equals("entry-1") ? "entry-2" : "entry-1";
+    return GatewayCluster.otherThan(entry);
   }
 
   private static String logOf(GatewayCluster cluster, String entry) {
-    try {
-      return cluster.log(entry);
-    } catch (IOException e) {
-      throw new AssertionError(e);
-    }
+    return cluster.logOf(entry);
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -17,6 +17,7 @@
 import org.carobhoist.core.job.Job;
 import org.carobhoist.core.job.JobHead;
 import org.carobhoist.core.job.JobId;
+import org.carobhoist.core.job.JobItem;
 import org.carobhoist.core.job.JobListener;
 import org.carobhoist.core.job.JobView;
 import org.carobhoist.core.lease.LeaseEntry;
@@ -34,6 +35,7 @@
 import org.carobhoist.core.placement.RunOrder;
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.core.placement.RunText;
+import org.carobhoist.core.placement.TextDelta;
 import org.carobhoist.platform.JobJson;
 import org.carobhoist.server.link.proto.LinkFrame;
 import org.carobhoist.server.link.proto.RunCancel;
@@ -56,6 +58,7 @@
   private final PeerMesh mesh;
   private final RunnerDesk runner;
   private final ResultLists lists;
+  private final FinishedTexts finished;
   private final Duration keepTime;
   private final JobCoordinator jobs;
   private final Set<InstanceId> leaving = new HashSet<>();
@@ -77,6 +80,7 @@
       PeerMesh mesh,
       RunnerDesk runner,
       ResultLists lists,
+      FinishedTexts finished,
       Duration keepTime) {
     this.self = self;
     this.zone = zone;
@@ -88,6 +92,7 @@
     this.mesh = mesh;
     this.runner = runner;
     this.lists = lists;
+    this.finished = finished;
     this.keepTime = keepTime;
     this.jobs = JobCoordinator.create(view, this, PlacementPolicy.DEFAULT, clock, this::spec);
   }
@@ -309,8 +314,20 @@
   }
 
   @Override
-  public ItemResult completed(ItemId item, RunText text) {
-    return JobJson.completed(item, text.content(), text.versions());
+  public void finish(Job job, JobItem item, RunText text) {
+    Instant end = job.head().acceptedAt().plus(job.head().terms().retention());
+    finished.finish(job.id(), item, text, Duration.between(clock.now(), end), () -> {});
+  }
+
+  @Override
+  public RunText textOf(ItemResult result) {
+    byte[] text = JobJson.textOf(result);
+    return RunText.of(new TextDelta(0, 1, text, "", result.versions()));
+  }
+
+  @Override
+  public void onEngineLeaves(InstanceId engine) {
+    servers.onSaidLeaving(engine);
   }
 
   @Override
--- a/server/src/main/java/org/carobhoist/server/gateway/ForwardContext.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ForwardContext.java
@@ -1,12 +1,15 @@
 package org.carobhoist.server.gateway;
 
+import com.linecorp.armeria.common.ResponseHeaders;
 import java.util.random.RandomGenerator;
 import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Zone;
 import org.carobhoist.core.membership.EndpointDirectory;
 import org.carobhoist.core.membership.RegisteredServers;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
+import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.server.metrics.RequestMetrics;
 import org.carobhoist.server.runtime.DecisionLoop;
 
@@ -21,4 +24,13 @@
     RegisteredServers servers,
     RetryBudget budget,
     Upstreams upstreams,
-    RequestMetrics metrics) {}
+    RequestMetrics metrics) {
+
+  /** Takes what the head of an answer says of the server that sent it. */
+  void noteHead(InstanceId endpoint, ResponseHeaders head) {
+    CallHeaders.load(head).ifPresent(n -> directory.onLoad(endpoint, n));
+    if (CallHeaders.isLeaving(head)) {
+      servers.onSaidLeaving(endpoint);
+    }
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/gateway/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ForwardedCall.java
@@ -226,6 +226,7 @@
     private final Duration sentAt = context.clock().elapsed();
     private final List<HttpData> body = new ArrayList<>();
     private HttpResponse response;
+    private Subscription subscription;
     private ResponseHeaders head;
     private Runnable cancelTimeout = () -> {};
     private boolean over;
@@ -240,7 +241,10 @@
       HttpRequest toServer =
           HttpRequest.of(
               CallHeaders.forward(request.headers(), endpoint, left, ""), request.content());
-      response = context.upstreams().send(server.address(), toServer, Duration.ZERO);
+      response =
+          isStreaming()
+              ? context.upstreams().send(server.address(), toServer, Duration.ZERO)
+              : context.upstreams().call(server.address(), toServer, Duration.ZERO);
       response.subscribe(this);
       boolean again = route.isIdempotent() && attempt < route.retry().maxAttempts();
       if (again && !isStreaming()) {
@@ -289,8 +293,9 @@
     }
 
     @Override
-    public void onSubscribe(Subscription subscription) {
-      subscription.request(Long.MAX_VALUE);
+    public void onSubscribe(Subscription newSubscription) {
+      subscription = newSubscription;
+      subscription.request(isStreaming() ? 1 : Long.MAX_VALUE);
     }
 
     @Override
@@ -298,6 +303,14 @@
       if (over) {
         return;
       }
+      onPart(part);
+      if (isStreaming() && !over) {
+        // Parts that the client hasn't read yet are all that is kept of a stream.
+        out.whenConsumed().thenRun(() -> subscription.request(1));
+      }
+    }
+
+    private void onPart(HttpObject part) {
       if (part instanceof ResponseHeaders headers) {
         if (!headers.status().isInformational()) {
           onHead(headers);
@@ -312,10 +325,12 @@
     }
 
     private void onHead(ResponseHeaders headers) {
-      CallHeaders.load(headers).ifPresent(n -> context.directory().onLoad(endpoint, n));
       if (!CallHeaders.answers(headers, id)) {
         fail("the answer is not to this request");
-      } else if (CallHeaders.isNotRun(headers)) {
+        return;
+      }
+      context.noteHead(endpoint, headers);
+      if (CallHeaders.isNotRun(headers)) {
         refuse(headers);
       } else if (!CallHeaders.isStamped(headers)) {
         fail("no server stands behind the answer");
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -28,6 +28,8 @@
 import org.carobhoist.core.membership.EndpointDirectory;
 import org.carobhoist.core.membership.RegisteredServers;
 import org.carobhoist.core.request.RetryBudget;
+import org.carobhoist.core.reward.RewardCalls;
+import org.carobhoist.core.reward.RewardPolicy;
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.core.routing.RouterPolicy;
 import org.carobhoist.core.settings.SocketAddressText;
@@ -133,6 +135,8 @@
   private final RecordStore store;
   private final RegisteredServers servers;
   private final JobView view;
+  private final ForwardContext context;
+  private final RewardCalls rewards;
   private final RunnerDesk runner;
   private final CoordinatorDesk coordinator;
   private final JobDesk jobs;
@@ -179,8 +183,14 @@
     for (Shard shard : Topics.jobs()) {
       jobTails.add(tail(shard, view.ofShard(shard.part()), READ_WAIT));
     }
-    ResultLists lists = new ResultLists(store, jobTails, view, codec, loop);
-    this.runner = new RunnerDesk(loop, upstreams, lists);
+    final ResultLists lists = new ResultLists(store, jobTails, view, codec, loop);
+    this.context = forwardContext();
+    RewardDesk rewardDesk = new RewardDesk(context, manifests);
+    this.rewards =
+        RewardCalls.create(rewardDesk, RewardPolicy.DEFAULT, clock, loop, new SplittableRandom());
+    rewardDesk.serve(rewards);
+    FinishedTexts finished = new FinishedTexts(rewards, lists);
+    this.runner = new RunnerDesk(loop, clock, upstreams, servers, finished);
     this.coordinator =
         new CoordinatorDesk(
             boot.node(),
@@ -193,10 +203,12 @@
             mesh,
             runner,
             lists,
+            finished,
             boot.bounds().resultTime());
     this.jobs = new JobDesk(store, view, jobTails, codec, loop, clock, runner::runEarly);
     view.listen(coordinator);
     view.listen(jobs);
+    view.listen(finished);
     this.lease =
         LeaseKeeper.create(
             boot.node(),
@@ -265,7 +277,7 @@
           loop.after(NOTICE_TIME, () -> noticed.complete(null));
         });
     return noticed
-        .thenCompose(ok -> traffic.awaitIdle(loop, clock, time, () -> runner.size() == 0))
+        .thenCompose(ok -> traffic.awaitIdle(loop, clock, time, () -> !runner.isBusy()))
         .thenCompose(ok -> endLastRequests())
         .thenCompose(ok -> leaveAtLast())
         .thenCompose(ok -> network.stop());
@@ -303,19 +315,21 @@
         .build();
   }
 
+  private ForwardContext forwardContext() {
+    return new ForwardContext(
+        loop,
+        clock,
+        boot.zone(),
+        new SplittableRandom(),
+        Router.create(new SplittableRandom(), clock, RouterPolicy.DEFAULT),
+        directory,
+        servers,
+        RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST),
+        upstreams,
+        RequestMetrics.create(metrics, s -> !directory.viewsOf(s).isEmpty()));
+  }
+
   private Server httpServer() {
-    ForwardContext context =
-        new ForwardContext(
-            loop,
-            clock,
-            boot.zone(),
-            new SplittableRandom(),
-            Router.create(new SplittableRandom(), clock, RouterPolicy.DEFAULT),
-            directory,
-            servers,
-            RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST),
-            upstreams,
-            RequestMetrics.create(metrics, s -> !directory.viewsOf(s).isEmpty()));
     IngressRoutes routes = new IngressRoutes(manifests, context, jobs, this::isReady);
     var builder = Server.builder().http(boot.front());
     if (!boot.ready().equals(boot.front())) {
@@ -402,6 +416,7 @@
     metrics.gauge(Metric.COORDINATES, () -> coordinator.isActive() ? 1 : 0);
     metrics.gauge(Metric.LOG_DROPPED, QueueWriter::dropped);
     metrics.gauge(Metric.ITEMS_WAITING, () -> coordinator.jobs().waiting());
+    metrics.gauge(Metric.REWARD_CALLS, rewards::size);
   }
 
   private final class GatewayState implements StateSource {
--- a/server/src/main/java/org/carobhoist/server/gateway/ItemRun.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ItemRun.java
@@ -7,7 +7,6 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.ResponseHeaders;
 import java.time.Duration;
-import java.util.function.Consumer;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.placement.RunOrder;
 import org.carobhoist.core.placement.RunOutcome;
@@ -25,22 +24,43 @@
   private static final int UNPROCESSABLE = 422;
   private static final int SERVER_ERROR = 500;
 
+  /** Most bytes of a text; a result has to fit into one record of the store, of 256 KiB. */
+  private static final int MAX_TEXT_BYTES = 200 * 1024;
+
   private final RunOrder order;
   private final RunText text;
-  private final Consumer<ItemRun> ended;
+  private final Listener listener;
+  private final Duration startedAt;
   private final EngineEventParser parser = new EngineEventParser();
   private RunText.Mark reported;
   private HttpResponse response;
   private WeightVersion version = new WeightVersion(0);
   private boolean streaming;
+  private boolean engineLeaves;
   private RunOutcome outcome = RunOutcome.RUNNING;
   private String detail = "";
 
-  ItemRun(RunOrder order, Consumer<ItemRun> ended) {
+  /** Takes what becomes of a run. */
+  interface Listener {
+
+    /** The run has ended. */
+    void onEnded(ItemRun run);
+
+    /** The engine has said that it leaves. */
+    void onEngineLeaves(ItemRun run);
+  }
+
+  /**
+   * Creates a run whose stream isn't open.
+   *
+   * @param now when the order came
+   */
+  ItemRun(RunOrder order, Duration now, Listener listener) {
     this.order = order;
     this.text = RunText.of(order.prefix());
     this.reported = text.mark();
-    this.ended = ended;
+    this.startedAt = now;
+    this.listener = listener;
   }
 
   /** Opens the stream. */
@@ -59,6 +79,11 @@
     end(RunOutcome.CANCELLED, "cancelled");
   }
 
+  /** Returns the time left until the item may be given up. */
+  Duration timeLeft(Duration now) {
+    return order.timeLeft().minus(now.minus(startedAt));
+  }
+
   RunOrder order() {
     return order;
   }
@@ -80,6 +105,17 @@
     return version;
   }
 
+  /** Returns whether the engine said that it leaves. */
+  boolean engineLeaves() {
+    return engineLeaves;
+  }
+
+  /** Ends a run that isn't sent, since its engine is known to leave. */
+  void skip() {
+    engineLeaves = true;
+    end(RunOutcome.NOT_RUN, "the engine leaves");
+  }
+
   /** Returns where the events begin that haven't been reported. */
   RunText.Mark reported() {
     return reported;
@@ -105,6 +141,9 @@
       }
     } else if (part instanceof HttpData data && streaming && !data.isEmpty()) {
       parser.feed(data.array()).forEach(this::onEvent);
+      if (parser.pendingBytes() > MAX_TEXT_BYTES) {
+        end(RunOutcome.BROKEN, "an event is longer than a result may be");
+      }
     }
   }
 
@@ -131,7 +170,13 @@
     int status = headers.status().code();
     if (!CallHeaders.answers(headers, order.item().id().value())) {
       end(RunOutcome.BROKEN, "the answer is not to this request");
-    } else if (CallHeaders.isMisdirected(headers)) {
+      return;
+    }
+    if (CallHeaders.isLeaving(headers)) {
+      engineLeaves = true;
+      listener.onEngineLeaves(this);
+    }
+    if (CallHeaders.isMisdirected(headers)) {
       end(RunOutcome.MISPLACED, "another instance or version");
     } else if (CallHeaders.isNotRun(headers)) {
       end(RunOutcome.NOT_RUN, "status " + status);
@@ -159,6 +204,9 @@
     if (checkVersion()) {
       text.add(event.id(), event.data(), version);
     }
+    if (text.size() > MAX_TEXT_BYTES) {
+      end(RunOutcome.BROKEN, "the text is longer than a result may be");
+    }
   }
 
   private boolean checkVersion() {
@@ -178,9 +226,9 @@
     }
     outcome = how;
     detail = why;
-    if (how != RunOutcome.FINISHED) {
+    if (how != RunOutcome.FINISHED && response != null) {
       response.abort();
     }
-    ended.accept(this);
+    listener.onEnded(this);
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
@@ -172,15 +172,6 @@
     wake(job);
   }
 
-  @Override
-  public void onListedAgain(Job job, ItemResult result, long offset) {}
-
-  @Override
-  public void onUnreadable(String key, long offset, String why) {}
-
-  @Override
-  public void onReadable(int part, boolean readable, String why) {}
-
   private AggregatedHttpResponse answerSubmit(JobHead head, Verdict verdict) {
     int status = verdict == Verdict.COMPLETED ? ACCEPTED : TIMEOUT;
     EventLog.info(
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/gateway/RewardDesk.java
@@ -0,0 +1,181 @@
+package org.carobhoist.server.gateway;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpData;
+import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.HttpStatusClass;
+import com.linecorp.armeria.common.RequestHeaders;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.job.RewardRequest;
+import org.carobhoist.core.manifest.Manifest;
+import org.carobhoist.core.manifest.ManifestHolder;
+import org.carobhoist.core.manifest.Route;
+import org.carobhoist.core.manifest.RouteKind;
+import org.carobhoist.core.membership.ServerEntry;
+import org.carobhoist.core.reward.RewardAnswer;
+import org.carobhoist.core.reward.RewardCalls;
+import org.carobhoist.core.reward.RewardKey;
+import org.carobhoist.core.reward.RewardPort;
+import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.core.routing.RouteQuery;
+import org.carobhoist.platform.CallHeaders;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+
+/** Sends this process's reward calls to plain services, beside the requests of its callers. */
+final class RewardDesk implements RewardPort {
+
+  private static final int SERVER_ERROR = 500;
+
+  private final ForwardContext context;
+  private final ManifestHolder manifests;
+  private final Map<Long, Try> tries = new HashMap<>();
+  private RewardCalls calls;
+
+  /** A call on its way. */
+  private record Try(
+      ServiceName service, InstanceId endpoint, Duration sentAt, HttpResponse response) {}
+
+  RewardDesk(ForwardContext context, ManifestHolder manifests) {
+    this.context = context;
+    this.manifests = manifests;
+  }
+
+  /** Takes the calls to which answers go. */
+  void serve(RewardCalls someCalls) {
+    calls = someCalls;
+  }
+
+  @Override
+  public Optional<Way> way(RewardRequest request) {
+    return route(request).map(r -> new Way(r.draw(context.random()), r.retry().maxAttempts()));
+  }
+
+  private Optional<Route> route(RewardRequest request) {
+    Optional<Manifest> manifest = manifests.current();
+    int query = request.path().indexOf('?');
+    String path = query < 0 ? request.path() : request.path().substring(0, query);
+    return manifest
+        .flatMap(m -> m.find(request.host(), path))
+        .filter(r -> r.kind() == RouteKind.IDEMPOTENT || r.kind() == RouteKind.NON_IDEMPOTENT);
+  }
+
+  @Override
+  public Collection<EndpointView> endpoints(ServiceName service) {
+    return context.directory().viewsOf(service);
+  }
+
+  @Override
+  public Optional<InstanceId> choose(
+      ServiceName service, Collection<EndpointView> among, Set<InstanceId> excluded) {
+    RouteQuery query = new RouteQuery(service, context.zone(), excluded, 0);
+    RouteQuery any = new RouteQuery(service, context.zone(), Set.of(), 0);
+    return context
+        .router()
+        .choose(query, among)
+        .or(() -> context.router().choose(any, among))
+        .map(EndpointView::instance);
+  }
+
+  @Override
+  public void send(
+      long number,
+      ServiceName service,
+      InstanceId endpoint,
+      RewardRequest request,
+      Duration timeout) {
+    Optional<ServerEntry> server = context.servers().entry(endpoint);
+    if (server.isEmpty()) {
+      String gone = "the endpoint is gone";
+      context.loop().execute(() -> calls.onAnswer(number, new RewardAnswer.Failure(gone)));
+      return;
+    }
+    RequestHeaders headers = CallHeaders.ofReward(request, endpoint, timeout);
+    HttpResponse response =
+        context
+            .upstreams()
+            .call(
+                server.get().address(),
+                HttpRequest.of(headers, HttpData.wrap(request.body())),
+                timeout);
+    tries.put(number, new Try(service, endpoint, context.clock().elapsed(), response));
+    context.directory().onBegin(endpoint);
+    response
+        .aggregate()
+        .whenCompleteAsync(
+            (answer, failure) -> onAnswer(number, request, answer, failure), context.loop());
+  }
+
+  @Override
+  public void cancel(long number) {
+    Try sent = settle(number);
+    if (sent != null) {
+      sent.response().abort();
+    }
+  }
+
+  @Override
+  public void note(Decision decision, RewardKey key, Object... fields) {
+    LogEvent event =
+        switch (decision) {
+          case SCORED -> LogEvent.REWARD_SCORED;
+          case FAILED -> LogEvent.REWARD_TRY_FAILED;
+          case GIVEN_UP -> LogEvent.REWARD_GIVEN_UP;
+        };
+    List<Object> all = new ArrayList<>(List.of("job", key.job(), "item", key.item()));
+    all.addAll(List.of(fields));
+    EventLog.info(event, all.toArray());
+  }
+
+  private void onAnswer(
+      long number, RewardRequest request, AggregatedHttpResponse answer, Throwable failure) {
+    Try sent = settle(number);
+    if (sent == null) {
+      return;
+    }
+    RewardAnswer read =
+        failure == null
+            ? read(request, sent, answer)
+            : new RewardAnswer.Failure(String.valueOf(failure));
+    Duration took = context.clock().elapsed().minus(sent.sentAt());
+    boolean answered = !(read instanceof RewardAnswer.Failure);
+    if (answered) {
+      context.router().onSuccess(sent.service(), sent.endpoint(), took);
+    } else if (failure != null || !CallHeaders.isNotRun(answer.headers())) {
+      context.router().onFailure(sent.service(), sent.endpoint());
+    }
+    calls.onAnswer(number, read);
+  }
+
+  private RewardAnswer read(RewardRequest request, Try sent, AggregatedHttpResponse answer) {
+    if (!CallHeaders.answers(answer.headers(), request.id().value())) {
+      return new RewardAnswer.Failure("the answer is not to this request");
+    }
+    context.noteHead(sent.endpoint(), answer.headers());
+    Optional<String> stamp = CallHeaders.stamp(answer.headers());
+    int status = answer.status().code();
+    if (stamp.isPresent() && answer.status().codeClass() == HttpStatusClass.SUCCESS) {
+      return new RewardAnswer.Score(stamp.get());
+    }
+    boolean ownError = stamp.isPresent() && status == SERVER_ERROR;
+    return ownError ? new RewardAnswer.OwnError() : new RewardAnswer.Failure("status " + status);
+  }
+
+  private Try settle(long number) {
+    Try sent = tries.remove(number);
+    if (sent != null) {
+      context.directory().onEnd(sent.endpoint());
+    }
+    return sent;
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/gateway/RunMapper.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/RunMapper.java
@@ -6,15 +6,18 @@
 import java.util.Optional;
 import java.util.stream.Collectors;
 import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.RequestId;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.job.ItemId;
 import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.job.JobItem;
+import org.carobhoist.core.job.RewardRequest;
 import org.carobhoist.core.placement.RunOrder;
 import org.carobhoist.core.placement.RunOutcome;
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.core.placement.TextDelta;
 import org.carobhoist.server.link.proto.Header;
+import org.carobhoist.server.link.proto.RewardCall;
 import org.carobhoist.server.link.proto.RunStart;
 import org.carobhoist.server.link.proto.RunText;
 
@@ -39,6 +42,7 @@
             .setPath(order.item().path())
             .setContent(ByteString.copyFrom(order.item().body()))
             .setRemainingMillis(order.timeLeft().toMillis());
+    order.item().reward().ifPresent(r -> out.setReward(rewardMessage(r)));
     for (JobItem.Header h : order.item().headers()) {
       out.addHeaders(Header.newBuilder().setName(h.name()).setValue(h.value()));
     }
@@ -63,7 +67,7 @@
     return new RunOrder(
         message.getRun(),
         new JobId(message.getJob()),
-        item,
+        message.hasReward() ? item.withReward(reward(message.getReward())) : item,
         message.getHost(),
         new InstanceId(message.getEngine()),
         message.getAddress(),
@@ -83,6 +87,7 @@
         .setText(textMessage(report.text()))
         .setOutcomeValue(report.outcome().ordinal())
         .setEngineVersion(report.engineVersion().number())
+        .setEngineLeaves(report.engineLeaves())
         .build();
   }
 
@@ -96,7 +101,25 @@
         new InstanceId(message.getEngine()),
         delta(message.getText()),
         outcome >= 0 && outcome < outcomes.length ? outcomes[outcome] : RunOutcome.BROKEN,
-        new WeightVersion(message.getEngineVersion()));
+        new WeightVersion(message.getEngineVersion()),
+        message.getEngineLeaves());
+  }
+
+  private static RewardCall rewardMessage(RewardRequest request) {
+    return RewardCall.newBuilder()
+        .setId(request.id().value())
+        .setHost(request.host())
+        .setPath(request.path())
+        .setContent(ByteString.copyFrom(request.body()))
+        .build();
+  }
+
+  private static RewardRequest reward(RewardCall message) {
+    return new RewardRequest(
+        new RequestId(message.getId()),
+        message.getHost(),
+        message.getPath(),
+        message.getContent().toByteArray());
   }
 
   private static RunText textMessage(TextDelta delta) {
--- a/server/src/main/java/org/carobhoist/server/gateway/RunnerDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/RunnerDesk.java
@@ -6,14 +6,16 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.job.JobHead;
 import org.carobhoist.core.job.JobId;
+import org.carobhoist.core.membership.EndpointPhase;
+import org.carobhoist.core.membership.RegisteredServers;
 import org.carobhoist.core.placement.RunOrder;
 import org.carobhoist.core.placement.RunOutcome;
 import org.carobhoist.core.placement.RunReport;
-import org.carobhoist.core.placement.RunText;
 import org.carobhoist.core.placement.TextDelta;
-import org.carobhoist.platform.JobJson;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 import org.carobhoist.server.runtime.DecisionLoop;
@@ -22,15 +24,18 @@
  * The runs whose streams this process holds. It obeys the coordinator of the highest term that it
  * has seen, goes on by itself while there is none, and lists the results of its runs itself.
  */
-final class RunnerDesk {
+final class RunnerDesk implements ItemRun.Listener {
 
   /** Time between two reports of a run's progress. */
   private static final Duration REPORT_PERIOD = Duration.ofMillis(150);
 
   private final DecisionLoop loop;
+  private final Clock clock;
   private final Upstreams upstreams;
-  private final ResultLists lists;
+  private final RegisteredServers servers;
+  private final FinishedTexts finished;
   private final Map<Long, ItemRun> runs = new HashMap<>();
+  private final Map<Long, ItemRun> unlisted = new HashMap<>();
   private final Map<JobId, Long> noticed = new HashMap<>();
   private Optional<CoordinatorLink> coordinator = Optional.empty();
   private long term = -1;
@@ -50,10 +55,17 @@
     void notice(JobHead head, byte[] submitted);
   }
 
-  RunnerDesk(DecisionLoop loop, Upstreams upstreams, ResultLists lists) {
+  RunnerDesk(
+      DecisionLoop loop,
+      Clock clock,
+      Upstreams upstreams,
+      RegisteredServers servers,
+      FinishedTexts finished) {
     this.loop = loop;
+    this.clock = clock;
     this.upstreams = upstreams;
-    this.lists = lists;
+    this.servers = servers;
+    this.finished = finished;
   }
 
   /** Returns the number of runs. */
@@ -61,6 +73,11 @@
     return runs.size();
   }
 
+  /** Returns whether runs go on or whole texts aren't listed yet. */
+  boolean isBusy() {
+    return !runs.isEmpty() || !unlisted.isEmpty();
+  }
+
   /** Takes a coordinator that takes this runner over; one of a lower term is ignored. */
   void onAttach(long ofTerm, CoordinatorLink link) {
     if (ofTerm < term) {
@@ -78,8 +95,12 @@
       EventLog.info(LogEvent.OLD_TERM_IGNORED, "term", ofTerm, "known", term);
       return;
     }
-    ItemRun run = new ItemRun(order, this::onEnded);
+    ItemRun run = new ItemRun(order, clock.elapsed(), this);
     runs.put(order.run(), run);
+    if (isLeaving(order.engine())) {
+      run.skip();
+      return;
+    }
     run.start(upstreams);
     if (!reporting) {
       reporting = true;
@@ -87,6 +108,13 @@
     }
   }
 
+  private boolean isLeaving(InstanceId engine) {
+    return servers
+        .entry(engine)
+        .filter(e -> e.announcement().phase() != EndpointPhase.SERVING)
+        .isPresent();
+  }
+
   /** Cancels a run for the coordinator of a term. */
   void onCancel(long ofTerm, long number) {
     ItemRun run = runs.get(number);
@@ -127,6 +155,7 @@
       all.add(report(run, run.text().whole()));
       run.onReported();
     }
+    unlisted.values().forEach(run -> all.add(report(run, run.text().whole())));
     link.state(term, all, leaving);
   }
 
@@ -143,10 +172,17 @@
     }
   }
 
-  private void onEnded(ItemRun run) {
+  @Override
+  public void onEngineLeaves(ItemRun run) {
+    servers.onSaidLeaving(run.order().engine());
+    report(run);
+  }
+
+  @Override
+  public void onEnded(ItemRun run) {
     runs.remove(run.order().run());
     if (run.outcome() == RunOutcome.FINISHED) {
-      list(run);
+      finish(run);
     }
     EventLog.info(
         LogEvent.RUN_ENDED,
@@ -167,11 +203,12 @@
     report(run);
   }
 
-  private void list(ItemRun run) {
-    RunText text = run.text();
-    lists.list(
-        run.order().job(),
-        JobJson.completed(run.order().item().id(), text.content(), text.versions()));
+  private void finish(ItemRun run) {
+    RunOrder order = run.order();
+    unlisted.put(order.run(), run);
+    Duration left = run.timeLeft(clock.elapsed());
+    finished.finish(
+        order.job(), order.item(), run.text(), left, () -> unlisted.remove(order.run()));
   }
 
   private void report(ItemRun run) {
@@ -189,6 +226,7 @@
         order.engine(),
         delta,
         run.outcome(),
-        run.version());
+        run.version(),
+        run.engineLeaves());
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/ServerFeed.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ServerFeed.java
@@ -30,6 +30,11 @@
     }
   }
 
+  @Override
+  public void onSaidLeaving(InstanceId instance, long born) {
+    EventLog.info(LogEvent.ENDPOINT_SAID_LEAVING, "endpoint", instance, "born", born);
+  }
+
   @Override
   public void onGone(InstanceId instance) {
     EventLog.info(LogEvent.ENDPOINT_GONE, "endpoint", instance);
--- a/server/src/main/java/org/carobhoist/server/gateway/Upstreams.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/Upstreams.java
@@ -20,6 +20,9 @@
   /** Clients kept; a client is small, and an installation has some hundreds of servers. */
   private static final int MOST_CLIENTS = 1_024;
 
+  /** Most bytes of an answer that is kept whole; a page of results has at most a megabyte. */
+  private static final long MAX_ANSWER_BYTES = 1 << 20;
+
   private static final int INITIAL_CAPACITY = 64;
   private static final float LOAD_FACTOR = 0.75f;
 
@@ -37,7 +40,21 @@
   }
 
   /**
-   * Sends a request.
+   * Sends a request whose whole answer is kept until it has ended.
+   *
+   * @param timeout time until the whole answer has to be there; zero for none
+   */
+  HttpResponse call(String address, HttpRequest request, Duration timeout) {
+    RequestOptions options =
+        RequestOptions.builder()
+            .responseTimeout(timeout)
+            .maxResponseLength(MAX_ANSWER_BYTES)
+            .build();
+    return clients.computeIfAbsent(address, this::client).execute(request, options);
+  }
+
+  /**
+   * Sends a request whose answer is read as it comes; its reader bounds what it keeps.
    *
    * @param timeout time until the whole answer has to be there; zero for none
    */
--- a/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
@@ -272,7 +272,7 @@
           "runs",
           surroundings.runsAt(engine));
       upstreams
-          .send(
+          .call(
               address,
               EngineOrders.loadRequest(
                   engine,
@@ -339,7 +339,7 @@
 
     private void report(Consumer<Optional<EngineOrders.Report>> next) {
       upstreams
-          .send(address, EngineOrders.reportRequest(engine), CALL_TIMEOUT)
+          .call(address, EngineOrders.reportRequest(engine), CALL_TIMEOUT)
           .aggregate()
           .thenApply(reply -> EngineOrders.report(reply.content().array(), model))
           .whenCompleteAsync(
--- a/server/src/main/java/org/carobhoist/server/link/proto/RunReport.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/RunReport.java
@@ -372,6 +372,55 @@
     engineVersion_ = 0L;
   }
 
+  public static final int ENGINE_LEAVES_FIELD_NUMBER = 9;
+  private boolean engineLeaves_;
+
+  /**
+   *
+   *
+   * <pre>
+   * The engine said that it leaves.
+   * </pre>
+   *
+   * <code>bool engine_leaves = 9;</code>
+   *
+   * @return The engineLeaves.
+   */
+  @java.lang.Override
+  public boolean getEngineLeaves() {
+    return engineLeaves_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The engine said that it leaves.
+   * </pre>
+   *
+   * <code>bool engine_leaves = 9;</code>
+   *
+   * @param value The engineLeaves to set.
+   */
+  private void setEngineLeaves(boolean value) {
+
+    engineLeaves_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * The engine said that it leaves.
+   * </pre>
+   *
+   * <code>bool engine_leaves = 9;</code>
+   */
+  private void clearEngineLeaves() {
+
+    engineLeaves_ = false;
+  }
+
   public static org.carobhoist.server.link.proto.RunReport parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -843,6 +892,57 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * The engine said that it leaves.
+     * </pre>
+     *
+     * <code>bool engine_leaves = 9;</code>
+     *
+     * @return The engineLeaves.
+     */
+    @java.lang.Override
+    public boolean getEngineLeaves() {
+      return instance.getEngineLeaves();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The engine said that it leaves.
+     * </pre>
+     *
+     * <code>bool engine_leaves = 9;</code>
+     *
+     * @param value The engineLeaves to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEngineLeaves(boolean value) {
+      copyOnWrite();
+      instance.setEngineLeaves(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * The engine said that it leaves.
+     * </pre>
+     *
+     * <code>bool engine_leaves = 9;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearEngineLeaves() {
+      copyOnWrite();
+      instance.clearEngineLeaves();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.RunReport)
   }
 
@@ -874,10 +974,11 @@
                 "text_",
                 "outcome_",
                 "engineVersion_",
+                "engineLeaves_",
               };
           java.lang.String info =
-              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0000\u0000\u0001\u0002\u0002\u0002\u0003\u0208"
-                  + "\u0004\u0208\u0005\u0208\u0006\u1009\u0000\u0007\f\b\u0002";
+              "\u0000\t\u0000\u0001\u0001\t\t\u0000\u0000\u0000\u0001\u0002\u0002\u0002\u0003\u0208"
+                  + "\u0004\u0208\u0005\u0208\u0006\u1009\u0000\u0007\f\b\u0002\t\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/RunReportOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/RunReportOrBuilder.java
@@ -107,4 +107,17 @@
    * @return The engineVersion.
    */
   long getEngineVersion();
+
+  /**
+   *
+   *
+   * <pre>
+   * The engine said that it leaves.
+   * </pre>
+   *
+   * <code>bool engine_leaves = 9;</code>
+   *
+   * @return The engineLeaves.
+   */
+  boolean getEngineLeaves();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/RunStart.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/RunStart.java
@@ -687,6 +687,93 @@
     remainingMillis_ = 0L;
   }
 
+  public static final int REWARD_FIELD_NUMBER = 15;
+  private org.carobhoist.server.link.proto.RewardCall reward_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Absent where the result has no score.
+   * </pre>
+   *
+   * <code>.carobhoist.link.RewardCall reward = 15;</code>
+   */
+  @java.lang.Override
+  public boolean hasReward() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Absent where the result has no score.
+   * </pre>
+   *
+   * <code>.carobhoist.link.RewardCall reward = 15;</code>
+   */
+  @java.lang.Override
+  public org.carobhoist.server.link.proto.RewardCall getReward() {
+    return reward_ == null
+        ? org.carobhoist.server.link.proto.RewardCall.getDefaultInstance()
+        : reward_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Absent where the result has no score.
+   * </pre>
+   *
+   * <code>.carobhoist.link.RewardCall reward = 15;</code>
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setReward(org.carobhoist.server.link.proto.RewardCall value) {
+    value.getClass(); // minimal bytecode null check
+    reward_ = value;
+    bitField0_ |= 0x00000002;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Absent where the result has no score.
+   * </pre>
+   *
+   * <code>.carobhoist.link.RewardCall reward = 15;</code>
+   */
+  @java.lang.SuppressWarnings({"ReferenceEquality", "ReturnValueIgnored"})
+  private void mergeReward(org.carobhoist.server.link.proto.RewardCall value) {
+    value.getClass(); // minimal bytecode null check
+    if (reward_ != null
+        && reward_ != org.carobhoist.server.link.proto.RewardCall.getDefaultInstance()) {
+      reward_ =
+          org.carobhoist.server.link.proto.RewardCall.newBuilder(reward_)
+              .mergeFrom(value)
+              .buildPartial();
+    } else {
+      reward_ = value;
+    }
+    bitField0_ |= 0x00000002;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Absent where the result has no score.
+   * </pre>
+   *
+   * <code>.carobhoist.link.RewardCall reward = 15;</code>
+   */
+  private void clearReward() {
+    reward_ = null;
+    bitField0_ = (bitField0_ & ~0x00000002);
+  }
+
   public static org.carobhoist.server.link.proto.RunStart parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -1481,6 +1568,94 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Absent where the result has no score.
+     * </pre>
+     *
+     * <code>.carobhoist.link.RewardCall reward = 15;</code>
+     */
+    @java.lang.Override
+    public boolean hasReward() {
+      return instance.hasReward();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Absent where the result has no score.
+     * </pre>
+     *
+     * <code>.carobhoist.link.RewardCall reward = 15;</code>
+     */
+    @java.lang.Override
+    public org.carobhoist.server.link.proto.RewardCall getReward() {
+      return instance.getReward();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Absent where the result has no score.
+     * </pre>
+     *
+     * <code>.carobhoist.link.RewardCall reward = 15;</code>
+     */
+    public Builder setReward(org.carobhoist.server.link.proto.RewardCall value) {
+      copyOnWrite();
+      instance.setReward(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Absent where the result has no score.
+     * </pre>
+     *
+     * <code>.carobhoist.link.RewardCall reward = 15;</code>
+     */
+    public Builder setReward(org.carobhoist.server.link.proto.RewardCall.Builder builderForValue) {
+      copyOnWrite();
+      instance.setReward(builderForValue.build());
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Absent where the result has no score.
+     * </pre>
+     *
+     * <code>.carobhoist.link.RewardCall reward = 15;</code>
+     */
+    public Builder mergeReward(org.carobhoist.server.link.proto.RewardCall value) {
+      copyOnWrite();
+      instance.mergeReward(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Absent where the result has no score.
+     * </pre>
+     *
+     * <code>.carobhoist.link.RewardCall reward = 15;</code>
+     */
+    public Builder clearReward() {
+      copyOnWrite();
+      instance.clearReward();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.RunStart)
   }
 
@@ -1519,11 +1694,12 @@
                 org.carobhoist.server.link.proto.Header.class,
                 "content_",
                 "remainingMillis_",
+                "reward_",
               };
           java.lang.String info =
-              "\u0000\u000e\u0000\u0001\u0001\u000e\u000e\u0000\u0001\u0000\u0001\u0002\u0002\u0002"
+              "\u0000\u000f\u0000\u0001\u0001\u000f\u000f\u0000\u0001\u0000\u0001\u0002\u0002\u0002"
                   + "\u0003\u0208\u0004\u0208\u0005\u0208\u0006\u0208\u0007\u1009\u0000\b\u0002\t\u0002"
-                  + "\n\u0208\u000b\u0208\f\u001b\r\n\u000e\u0002";
+                  + "\n\u0208\u000b\u0208\f\u001b\r\n\u000e\u0002\u000f\u1009\u0001";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/RunStartOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/RunStartOrBuilder.java
@@ -177,4 +177,30 @@
    * @return The remainingMillis.
    */
   long getRemainingMillis();
+
+  /**
+   *
+   *
+   * <pre>
+   * Absent where the result has no score.
+   * </pre>
+   *
+   * <code>.carobhoist.link.RewardCall reward = 15;</code>
+   *
+   * @return Whether the reward field is set.
+   */
+  boolean hasReward();
+
+  /**
+   *
+   *
+   * <pre>
+   * Absent where the result has no score.
+   * </pre>
+   *
+   * <code>.carobhoist.link.RewardCall reward = 15;</code>
+   *
+   * @return The reward.
+   */
+  org.carobhoist.server.link.proto.RewardCall getReward();
 }
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -133,7 +133,15 @@
   /** The store can be reached directly again. */
   STORE_PATH_REGAINED(7505, "direct path to the store regained"),
   /** A server is gone from the registry. */
-  ENDPOINT_GONE(7506, "endpoint gone");
+  ENDPOINT_GONE(7506, "endpoint gone"),
+  /** A server said in an answer that it leaves. */
+  ENDPOINT_SAID_LEAVING(7507, "endpoint says that it leaves"),
+  /** A reward call brought a score. */
+  REWARD_SCORED(7601, "reward call answered"),
+  /** A try of a reward call failed. */
+  REWARD_TRY_FAILED(7602, "reward call failed"),
+  /** No score will come for a text. */
+  REWARD_GIVEN_UP(7603, "reward call given up");
 
   private final int number;
   private final String text;
--- a/server/src/main/java/org/carobhoist/server/metrics/Metric.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/Metric.java
@@ -34,6 +34,8 @@
   COORDINATES("carobhoist.coordinates", "", "1 while this process coordinates, else 0"),
   /** Items of jobs that wait for an engine. */
   ITEMS_WAITING("carobhoist.items.waiting", "", "items of jobs that wait for an engine"),
+  /** Reward calls that have not ended. */
+  REWARD_CALLS("carobhoist.reward.calls", "", "reward calls that have not ended"),
   /** Lines of the log that were left out since nobody read them in time. */
   LOG_DROPPED("carobhoist.log.dropped", "", "lines of the log left out, the queue being full"),
   /** Log events, by number. */
--- a/standin/src/main/java/org/carobhoist/standin/OddServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/OddServerStandIn.java
@@ -13,7 +13,9 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Queue;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * Stands in for a plain server of the users' platform whose answers are odd on the wire in ways
@@ -28,15 +30,34 @@
     /** The answer has no length and ends with its connection. */
     NO_LENGTH,
     /** As without a length, but the connection is reset in the middle of the body. */
-    NO_LENGTH_AND_RESET
+    NO_LENGTH_AND_RESET,
+    /** A second answer to the last request comes when the next one has been read. */
+    LATE_SECOND_ANSWER,
+    /** The head never ends. */
+    ENDLESS_HEAD,
+    /** Blank lines come before the head and never end. */
+    ENDLESS_BLANKS,
+    /** The body has no length and never ends. */
+    ENDLESS_BODY,
+    /** The extension of a chunk never ends. */
+    ENDLESS_CHUNK_EXTENSION,
+    /** The trailer never ends. */
+    ENDLESS_TRAILER,
+    /** The head comes, then a byte of the body now and then. */
+    TRICKLE
   }
 
+  private static final int FILLERS_AT_ONCE = 256;
+  private static final long TRICKLE_MILLIS = 100;
+
   private static final String REQUEST_ID = "carobhoist-request-id";
 
   private final String instance;
   private final Oddity oddity;
   private final ServerSocket socket;
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
+  private final AtomicInteger open = new AtomicInteger();
+  private final Map<Socket, byte[]> late = new ConcurrentHashMap<>();
 
   private OddServerStandIn(String instance, Oddity oddity, ServerSocket socket) {
     this.instance = instance;
@@ -71,6 +92,11 @@
     return runs;
   }
 
+  /** Returns whether no connection is open. */
+  public boolean isIdle() {
+    return open.get() == 0;
+  }
+
   private void accept() {
     while (!socket.isClosed()) {
       try {
@@ -83,6 +109,7 @@
   }
 
   private void serve(Socket connection) {
+    open.incrementAndGet();
     try (connection) {
       InputStream in = new BufferedInputStream(connection.getInputStream());
       while (answer(in, connection)) {
@@ -90,6 +117,8 @@
       }
     } catch (IOException e) {
       // The caller has closed the connection; another one brings its next request.
+    } finally {
+      open.decrementAndGet();
     }
   }
 
@@ -100,27 +129,71 @@
     String id = headers.getOrDefault(REQUEST_ID, "");
     runs.add(id);
     OutputStream out = connection.getOutputStream();
-    switch (oddity) {
+    return switch (oddity) {
       case SECOND_ANSWER -> {
         out.write(framed(id, body));
         out.write(framed(id, body));
-        return true;
+        yield true;
+      }
+      case LATE_SECOND_ANSWER -> {
+        out.write(late.getOrDefault(connection, new byte[0]));
+        late.put(connection, framed(id, body));
+        out.write(framed(id, body));
+        yield true;
       }
+      case ENDLESS_HEAD -> endless(out, "HTTP/1.1 200 OK\r\n", "x-filler: more\r\n");
+      case ENDLESS_BLANKS -> endless(out, "", "\r\n\r\n\r\n\r\n");
+      case ENDLESS_BODY -> endless(out, text(head(id, "")), "more and more ");
+      case ENDLESS_CHUNK_EXTENSION ->
+          endless(out, text(head(id, "transfer-encoding: chunked\r\n")) + "4;", "x=yyyyyyyy;");
+      case ENDLESS_TRAILER ->
+          endless(
+              out,
+              text(head(id, "transfer-encoding: chunked\r\n")) + "4\r\nabcd\r\n0\r\n",
+              "x-filler: more\r\n");
+      case TRICKLE -> trickle(out, head(id, "content-length: 1000000\r\n"));
       case NO_LENGTH -> {
         out.write(head(id, ""));
         out.write(body);
-        return false;
+        yield false;
       }
-      default -> {
+      case NO_LENGTH_AND_RESET -> {
         out.write(head(id, ""));
         out.write(body, 0, body.length / 2);
         out.flush();
         connection.setSoLinger(true, 0);
+        yield false;
+      }
+    };
+  }
+
+  /** Sends for as long as the caller lets it. */
+  private static boolean endless(OutputStream out, String begin, String filler) throws IOException {
+    out.write(begin.getBytes(StandardCharsets.US_ASCII));
+    byte[] block = filler.repeat(FILLERS_AT_ONCE).getBytes(StandardCharsets.US_ASCII);
+    while (true) {
+      out.write(block);
+    }
+  }
+
+  private static boolean trickle(OutputStream out, byte[] head) throws IOException {
+    out.write(head);
+    while (true) {
+      out.write('x');
+      out.flush();
+      try {
+        Thread.sleep(TRICKLE_MILLIS);
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
         return false;
       }
     }
   }
 
+  private static String text(byte[] bytes) {
+    return new String(bytes, StandardCharsets.US_ASCII);
+  }
+
   private byte[] framed(String id, byte[] body) {
     byte[] head = head(id, "content-length: " + body.length + "\r\n");
     byte[] all = new byte[head.length + body.length];
--- a/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
@@ -106,6 +106,34 @@
         + "}";
   }
 
+  /**
+   * Returns a job for the model "m0" whose items are scored by the service behind {@link
+   * #BOOK_HOST}. The scorer of the item "a" has the id "score-a" and the path "/score/a".
+   */
+  public static String scoredJob(int minVersion, String... items) {
+    return scoredJob(minVersion, "score-", items);
+  }
+
+  /** Returns the same with another beginning of the scorers' ids. */
+  public static String scoredJob(int minVersion, String scorerPrefix, String[] items) {
+    String job = job(minVersion, items);
+    for (String id : items) {
+      String scorer =
+          "\"scorer\":{\"id\":\""
+              + scorerPrefix
+              + id
+              + "\",\"host\":\""
+              + BOOK_HOST
+              + "\",\"path\":\"/score/"
+              + id
+              + "\",\"body\":\"q83v\"},";
+      job =
+          job.replace(
+              "{\"id\":\"" + id + "\",\"path\"", "{" + scorer + "\"id\":\"" + id + "\",\"path\"");
+    }
+    return job;
+  }
+
   private static String item(String model, String id) {
     return "{\"id\":\""
         + id
--- a/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
@@ -13,6 +13,7 @@
 import com.linecorp.armeria.server.ServerBuilder;
 import com.linecorp.armeria.server.ServiceRequestContext;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -44,6 +45,9 @@
   private long highestFence;
   private int breakAfter = -1;
   private int answerWith;
+  private boolean leaving;
+  private String failingPath = "";
+  private long pauseBeforeAnswer;
 
   /**
    * Creates a server.
@@ -93,6 +97,21 @@
     answerWith = status;
   }
 
+  /** Lets every answer say that the server leaves. */
+  public synchronized void setLeaving(boolean value) {
+    leaving = value;
+  }
+
+  /** Answers requests whose path begins so with an error of the server's own; none if empty. */
+  public synchronized void failAt(String pathPrefix) {
+    failingPath = pathPrefix;
+  }
+
+  /** Lets answers of a plain service take some time. */
+  public synchronized void setAnswerTime(long millis) {
+    pauseBeforeAnswer = millis;
+  }
+
   /** Returns the requests that ran, as id and first event, in their order. */
   public synchronized List<String> runs() {
     return List.copyOf(runs);
@@ -164,9 +183,18 @@
     }
     int from = Integer.parseInt(headers.get("last-event-id", "0")) + 1;
     note(id + " from " + from);
-    return engine
-        ? stream(ctx, headers, from)
-        : HttpResponse.of(head(200, id).build(), http.content());
+    if (fails(headers.path())) {
+      return HttpResponse.of(head(500, id).build());
+    }
+    return engine ? stream(ctx, headers, from) : echo(ctx, id, http);
+  }
+
+  private HttpResponse echo(ServiceRequestContext ctx, String id, AggregatedHttpRequest http) {
+    HttpResponse answer = HttpResponse.of(head(200, id).build(), http.content());
+    long millis = answerMillis();
+    return millis == 0
+        ? answer
+        : HttpResponse.delayed(answer, Duration.ofMillis(millis), ctx.eventLoop());
   }
 
   private HttpResponse stream(ServiceRequestContext ctx, RequestHeaders asked, int from) {
@@ -203,9 +231,23 @@
   }
 
   private ResponseHeadersBuilder head(int status, String id) {
-    return ResponseHeaders.builder(status)
-        .add(REQUEST_ID, id)
-        .add("carobhoist-server-stamp", "stamp-of-" + instance);
+    ResponseHeadersBuilder out =
+        ResponseHeaders.builder(status)
+            .add(REQUEST_ID, id)
+            .add("carobhoist-server-stamp", "stamp-of-" + instance);
+    return isLeaving() ? out.add("server-leaving", "1") : out;
+  }
+
+  private synchronized boolean isLeaving() {
+    return leaving;
+  }
+
+  private synchronized boolean fails(String path) {
+    return !failingPath.isEmpty() && path.startsWith(failingPath);
+  }
+
+  private synchronized long answerMillis() {
+    return pauseBeforeAnswer;
   }
 
   private synchronized void noteSent(String id, int number) {
--- a/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
@@ -108,9 +108,11 @@
     put("keyed.servers", server.instance(), server.entry(service, "a", "ready", 1));
   }
 
-  /** Registers a plain server that takes work. */
-  public void register(String service, String instance, OddServerStandIn server) {
-    String entry = PlatformDocuments.serverEntry(service, server.address(), "a", "ready", 1, "");
+  /** Registers a server with odd answers that takes work, as an engine of the model "m0" or not. */
+  public void register(String service, String instance, OddServerStandIn server, boolean engine) {
+    String models = engine ? ",\"models\":[{\"name\":\"m0\",\"version\":1}]" : "";
+    String entry =
+        PlatformDocuments.serverEntry(service, server.address(), "a", "ready", 1, models);
     put("keyed.servers", instance, entry);
   }
 
