Let the swaps of an engine's models share its count of orders; let a load concern its model only

Cause: each model's swap kept the last report of its engine for itself. An order names how many orders the engine has taken; after the order of one model the other model's count was out of date, so its next order came back as a conflict, was waited out, reported and sent again. A load also took its engine out of rotation for the items of all models, though only those of its own model are kept waiting.

Ruled out: orders while another order runs (a swap waits for that already).

WeightDesk is split into the desk, OrderedEngine (one life of an engine) and EngineSwap; whether an engine loads is looked up by engine instead of walking all swaps.

--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -380,7 +380,7 @@
           noteEnd(state, "cancel unanswered");
           release(state, Phase.WAITING);
         }
-      } else if (still.compareTo(silenceOf(state.engine())) > 0) {
+      } else if (still.compareTo(silenceOf(state)) > 0) {
         state.engine().pause(now.plus(policy.brokenPause()));
         cancel(state, "silent", now);
       }
@@ -388,8 +388,9 @@
     moveOne(now);
   }
 
-  private Duration silenceOf(EngineLoad engine) {
-    boolean loads = !port.isInRotation(engine.entry().announcement().instance());
+  private Duration silenceOf(ItemState state) {
+    InstanceId engine = state.engine().entry().announcement().instance();
+    boolean loads = !port.isInRotation(engine, state.job().content().model());
     return loads ? policy.loadSilence() : policy.silence();
   }
 
@@ -485,7 +486,7 @@
     String model = state.job().content().model();
     Optional<WeightVersion> only = onlyVersion(state);
     return e ->
-        port.isInRotation(e.entry().announcement().instance())
+        port.isInRotation(e.entry().announcement().instance(), model)
             && (model.isEmpty() || e.version(model).compareTo(min) >= 0)
             && (only.isEmpty() || e.version(model).equals(only.get()));
   }
--- a/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
+++ b/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
@@ -25,8 +25,11 @@
   /** Returns the engines of a service that take work. */
   Collection<ServerEntry> engines(ServiceName service);
 
-  /** Returns whether an engine may be given runs now, as far as its weights are concerned. */
-  boolean isInRotation(InstanceId engine);
+  /**
+   * Returns whether an engine may be given runs of a model now, as far as its weights are
+   * concerned; of any model if it is empty.
+   */
+  boolean isInRotation(InstanceId engine, String model);
 
   /** Returns the runners that can be reached and don't leave. */
   Collection<Runner> runners();
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -79,7 +79,7 @@
     }
 
     @Override
-    public boolean isInRotation(InstanceId engine) {
+    public boolean isInRotation(InstanceId engine, String model) {
       return !loading.contains(engine);
     }
 
--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -411,6 +411,22 @@
     }
   }
 
+  @Test
+  void ordersForSeveralModelsOfOneEngineKnowOfEachOther() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      final PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      for (int version = 2; version <= 5; version++) {
+        final int named = version;
+        cluster.store().nameVersion("m0", version);
+        cluster.await("m0 is loaded", () -> engine.version("m0") == named);
+        cluster.store().nameVersion("m1", version);
+        cluster.await("m1 is loaded", () -> engine.version("m1") == named);
+      }
+      assertThat(engine.conflicts()).isEqualTo(0);
+    }
+  }
+
   @Test
   void lostAnswersOfTheStoreDoubleNothing() throws IOException {
     try (GatewayCluster cluster = cluster()) {
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -267,8 +267,8 @@
   }
 
   @Override
-  public boolean isInRotation(InstanceId engine) {
-    return weights.isInRotation(engine);
+  public boolean isInRotation(InstanceId engine, String model) {
+    return weights.isInRotation(engine, model);
   }
 
   @Override
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/gateway/EngineSwap.java
@@ -0,0 +1,193 @@
+package org.carobhoist.server.gateway;
+
+import java.time.Duration;
+import java.util.Collection;
+import java.util.Optional;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.swap.LoadTurns;
+import org.carobhoist.core.swap.SwapCoordinator;
+import org.carobhoist.core.swap.SwapEvent;
+import org.carobhoist.core.swap.SwapPolicy;
+import org.carobhoist.core.swap.SwapPort;
+import org.carobhoist.core.swap.SwapState;
+import org.carobhoist.core.swap.WeightOrder;
+import org.carobhoist.platform.EngineOrders;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+
+/** Brings the weights of one model at one engine to the version that is named. */
+final class EngineSwap implements SwapPort {
+
+  /** Time between two looks at a load in progress. */
+  private static final Duration POLL_PERIOD = Duration.ofMillis(250);
+
+  /** Time that a load takes at least. */
+  private static final Duration LEAST_LOAD_TIME = Duration.ofMillis(800);
+
+  private static final SwapPolicy POLICY =
+      new SwapPolicy(
+          1,
+          Duration.ZERO,
+          Duration.ofMillis(200),
+          Duration.ofSeconds(1),
+          Duration.ofSeconds(8),
+          Duration.ofSeconds(8),
+          Duration.ofSeconds(1));
+
+  private final WeightDesk desk;
+  private final OrderedEngine engine;
+  private final ServiceName service;
+  private final String model;
+  private final Clock clock;
+  private final SwapCoordinator coordinator;
+
+  EngineSwap(
+      WeightDesk desk, OrderedEngine engine, ServiceName service, String model, Clock clock) {
+    this.desk = desk;
+    this.engine = engine;
+    this.service = service;
+    this.model = model;
+    this.clock = clock;
+    this.coordinator =
+        SwapCoordinator.create(this, POLICY, clock, (order, since) -> desk.isTurn(this));
+  }
+
+  OrderedEngine engine() {
+    return engine;
+  }
+
+  ServiceName service() {
+    return service;
+  }
+
+  String model() {
+    return model;
+  }
+
+  SwapState state() {
+    return coordinator.state();
+  }
+
+  /** Begins with an order only where the registry doesn't show the version already. */
+  void start(WeightVersion registered) {
+    Optional<WeightVersion> target = desk.named(model);
+    coordinator.start();
+    if (target.isPresent() && !target.get().equals(registered)) {
+      order();
+    }
+  }
+
+  /** Takes the version that is named now. */
+  void order() {
+    desk.named(model).ifPresent(v -> coordinator.onOrder(new WeightOrder(service, v, v.number())));
+  }
+
+  void tick() {
+    coordinator.tick();
+  }
+
+  LoadTurns.Candidate candidate() {
+    return new LoadTurns.Candidate(
+        engine.id(),
+        coordinator.served().orElse(new WeightVersion(0)),
+        desk.surroundings().demanded(model),
+        desk.surroundings().runsAt(engine.id()),
+        desk.surroundings().longestRunAt(engine.id()));
+  }
+
+  @Override
+  public void prefetch(long call, WeightOrder order) {
+    // The engine fetches with the load itself.
+    desk.loop().execute(() -> coordinator.onCall(call, SwapEvent.DONE));
+  }
+
+  @Override
+  public void load(long call, WeightOrder order) {
+    if (engine.orders().isEmpty()) {
+      desk.loop().execute(() -> coordinator.onCall(call, SwapEvent.FAILED));
+      return;
+    }
+    long fence = desk.term();
+    EventLog.info(
+        LogEvent.ENGINE_ORDERED,
+        "engine",
+        engine.id(),
+        "model",
+        model,
+        "version",
+        order.version(),
+        "fence",
+        fence,
+        "orders",
+        engine.orders().getAsLong(),
+        "runs",
+        desk.surroundings().runsAt(engine.id()));
+    engine.order(
+        model, order.version(), desk.self(), fence, answer -> onAnswer(call, fence, answer));
+  }
+
+  private void onAnswer(long call, long fence, EngineOrders.Answer answer) {
+    switch (answer) {
+      case TAKEN -> desk.loop().after(LEAST_LOAD_TIME, () -> poll(call));
+      case HOLDS -> coordinator.onCall(call, SwapEvent.DONE);
+      case FENCED -> {
+        desk.onFenced(fence);
+        coordinator.onCall(call, SwapEvent.REFUSED);
+      }
+      default -> coordinator.onCall(call, SwapEvent.FAILED);
+    }
+  }
+
+  /** Looks until the load has ended; the coordinator gives up by itself after its time. */
+  private void poll(long call) {
+    if (coordinator.state() != SwapState.LOADING || !desk.isFollowed(this)) {
+      return;
+    }
+    engine.report(
+        model,
+        report -> {
+          boolean done = report.isPresent() && !report.get().busy();
+          if (done) {
+            coordinator.onCall(call, SwapEvent.DONE);
+          } else {
+            desk.loop().after(POLL_PERIOD, () -> poll(call));
+          }
+        });
+  }
+
+  @Override
+  public void readServed(long call) {
+    engine.report(
+        model,
+        report -> {
+          if (report.isEmpty()) {
+            coordinator.onCall(call, SwapEvent.FAILED);
+            return;
+          }
+          report
+              .get()
+              .version()
+              .ifPresent(v -> desk.surroundings().onServed(engine.id(), model, v));
+          coordinator.onServed(call, report.get().version());
+        });
+  }
+
+  @Override
+  public void readLog() {
+    Duration sentAt = clock.elapsed();
+    desk.surroundings().readLease().thenRun(() -> coordinator.onLogRead(sentAt));
+  }
+
+  @Override
+  public Collection<InstanceId> peers() {
+    return desk.followed();
+  }
+
+  @Override
+  public void announce() {
+    // What is in rotation is asked for at each placement.
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -493,6 +493,11 @@
       return leaseTail.barrier();
     }
 
+    @Override
+    public void onSaidLeaving(InstanceId engine) {
+      servers.onSaidLeaving(engine);
+    }
+
     @Override
     public void onServed(InstanceId engine, String model, WeightVersion version) {
       coordinator.jobs().onEngineVersion(engine, model, version);
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/gateway/OrderedEngine.java
@@ -0,0 +1,160 @@
+package org.carobhoist.server.gateway;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.HttpRequest;
+import java.time.Duration;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.swap.SwapState;
+import org.carobhoist.platform.CallHeaders;
+import org.carobhoist.platform.EngineOrders;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+
+/**
+ * One life of an engine as the coordinator orders it to load. An order names how many orders the
+ * engine has taken, so that one that is carried out late does nothing; the swaps of all models of
+ * the engine share that count.
+ */
+final class OrderedEngine {
+
+  private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
+
+  private final InstanceId id;
+  private final String address;
+  private final long born;
+  private final Upstreams upstreams;
+  private final Executor loop;
+  private final Consumer<InstanceId> leaving;
+  private final Map<String, EngineSwap> swaps = new LinkedHashMap<>();
+  private OptionalLong orders = OptionalLong.empty();
+
+  /**
+   * Creates an engine without swaps.
+   *
+   * @param born when it started
+   * @param leaving takes an engine that says it leaves
+   */
+  OrderedEngine(
+      InstanceId id,
+      String address,
+      long born,
+      Upstreams upstreams,
+      Executor loop,
+      Consumer<InstanceId> leaving) {
+    this.id = id;
+    this.address = address;
+    this.born = born;
+    this.upstreams = upstreams;
+    this.loop = loop;
+    this.leaving = leaving;
+  }
+
+  InstanceId id() {
+    return id;
+  }
+
+  boolean isSame(String otherAddress, long otherBorn) {
+    return address.equals(otherAddress) && born == otherBorn;
+  }
+
+  /** Returns the swaps by model. */
+  Map<String, EngineSwap> swaps() {
+    return swaps;
+  }
+
+  /** Returns whether the engine loads weights of any model. */
+  boolean isLoading() {
+    return swaps.values().stream().anyMatch(s -> s.state() == SwapState.LOADING);
+  }
+
+  /** Returns whether the engine loads weights of a model. */
+  boolean isLoading(String model) {
+    EngineSwap swap = swaps.get(model);
+    return swap != null && swap.state() == SwapState.LOADING;
+  }
+
+  /** Returns how many orders the engine has taken; empty before its first report. */
+  OptionalLong orders() {
+    return orders;
+  }
+
+  /** Asks the engine what it serves of a model; nothing if it doesn't say. */
+  void report(String model, Consumer<Optional<EngineOrders.Report>> next) {
+    call(EngineOrders.reportRequest(id))
+        .thenApply(reply -> EngineOrders.report(reply.content().array(), model))
+        .whenCompleteAsync(
+            (report, failure) -> {
+              if (failure == null) {
+                orders = OptionalLong.of(report.orders());
+              } else {
+                EventLog.warn(
+                    LogEvent.ENGINE_REPORT_FAILED, "engine", id, "why", failure.toString());
+              }
+              next.accept(Optional.ofNullable(report));
+            },
+            loop);
+  }
+
+  /**
+   * Orders the engine to load a version.
+   *
+   * @throws java.util.NoSuchElementException if it has made no report yet
+   */
+  void order(
+      String model,
+      WeightVersion version,
+      InstanceId holder,
+      long fence,
+      Consumer<EngineOrders.Answer> next) {
+    long expected = orders.orElseThrow();
+    HttpRequest request =
+        EngineOrders.loadRequest(
+            id, model, version, EngineOrders.Mode.RETAIN, holder, fence, expected);
+    call(request)
+        .whenCompleteAsync(
+            (reply, failure) -> {
+              int status = failure == null ? reply.status().code() : 0;
+              EngineOrders.Answer answer = EngineOrders.answer(status);
+              if (answer == EngineOrders.Answer.TAKEN) {
+                orders = OptionalLong.of(expected + 1);
+              } else if (answer != EngineOrders.Answer.HOLDS) {
+                EventLog.warn(
+                    LogEvent.ENGINE_ORDER_FAILED,
+                    "engine",
+                    id,
+                    "model",
+                    model,
+                    "status",
+                    status,
+                    "fence",
+                    fence,
+                    "orders",
+                    expected);
+              }
+              next.accept(answer);
+            },
+            loop);
+  }
+
+  private CompletableFuture<AggregatedHttpResponse> call(HttpRequest request) {
+    return upstreams
+        .call(address, request, CALL_TIMEOUT)
+        .aggregate()
+        .thenApplyAsync(
+            reply -> {
+              if (CallHeaders.isLeaving(reply.headers())) {
+                leaving.accept(id);
+              }
+              return reply;
+            },
+            loop);
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
@@ -4,15 +4,12 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.function.Consumer;
-import java.util.stream.Collectors;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
@@ -21,15 +18,7 @@
 import org.carobhoist.core.membership.ServerEntry;
 import org.carobhoist.core.swap.LoadTurns;
 import org.carobhoist.core.swap.ModelShares;
-import org.carobhoist.core.swap.SwapCoordinator;
-import org.carobhoist.core.swap.SwapEvent;
-import org.carobhoist.core.swap.SwapPolicy;
-import org.carobhoist.core.swap.SwapPort;
 import org.carobhoist.core.swap.SwapState;
-import org.carobhoist.core.swap.WeightOrder;
-import org.carobhoist.platform.EngineOrders;
-import org.carobhoist.server.log.EventLog;
-import org.carobhoist.server.log.LogEvent;
 import org.carobhoist.server.runtime.DecisionLoop;
 
 /**
@@ -47,39 +36,18 @@
   /** A run that ends within the time of a load loses less by waiting than by the pause. */
   private static final Duration SHORT_RUN = Duration.ofMillis(600);
 
-  /** Time between two looks at a load in progress. */
-  private static final Duration POLL_PERIOD = Duration.ofMillis(250);
-
-  /** Time that a load takes at least. */
-  private static final Duration LEAST_LOAD_TIME = Duration.ofMillis(800);
-
-  private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
-
-  private static final SwapPolicy POLICY =
-      new SwapPolicy(
-          1,
-          Duration.ZERO,
-          Duration.ofMillis(200),
-          Duration.ofSeconds(1),
-          Duration.ofSeconds(8),
-          Duration.ofSeconds(8),
-          Duration.ofSeconds(1));
-
   private final InstanceId self;
   private final DecisionLoop loop;
   private final Clock clock;
   private final Upstreams upstreams;
   private final LeaseKeeper lease;
   private final Surroundings surroundings;
-  private final Map<Followed, EngineSwap> swaps = new LinkedHashMap<>();
+  private final Map<InstanceId, OrderedEngine> engines = new LinkedHashMap<>();
   private final Map<ServiceName, ModelShares> shares = new HashMap<>();
   private final Map<String, WeightVersion> named = new HashMap<>();
   private final LoadTurns turns = LoadTurns.create(LOADS_AT_ONCE, LOADS_SHARE, SHORT_RUN);
   private long fencedTerm = -1;
 
-  /** A model that an engine follows. */
-  private record Followed(InstanceId engine, String model) {}
-
   /** What the desk asks of the process around it. */
   interface Surroundings {
 
@@ -97,6 +65,9 @@
 
     /** Takes the version of a model that an engine says it serves. */
     void onServed(InstanceId engine, String model, WeightVersion version);
+
+    /** Takes an engine that says it leaves. */
+    void onSaidLeaving(InstanceId engine);
   }
 
   WeightDesk(
@@ -119,256 +90,136 @@
     WeightVersion known = named.get(model);
     if (known == null || known.compareTo(version) < 0) {
       named.put(model, version);
-      swaps.values().forEach(EngineSwap::order);
+      swaps().stream().filter(s -> s.model().equals(model)).forEach(EngineSwap::order);
     }
   }
 
   /** Takes the engines of a service that take work now, and the models that they serve. */
-  void onEngines(ServiceName service, List<String> models, Collection<ServerEntry> engines) {
+  void onEngines(ServiceName service, List<String> models, Collection<ServerEntry> entries) {
     if (models.isEmpty()) {
       return;
     }
     List<ModelShares.Holder> holders =
-        engines.stream()
+        entries.stream()
             .map(e -> new ModelShares.Holder(e.announcement().instance(), e.versions()))
             .toList();
     Map<InstanceId, Set<String>> divided =
         shares.computeIfAbsent(service, k -> ModelShares.create()).divide(holders, models, named);
-    swaps
-        .values()
-        .removeIf(
-            s ->
-                s.service.equals(service)
-                    && !divided.getOrDefault(s.engine, Set.of()).contains(s.model));
-    for (ServerEntry e : engines) {
-      divided.get(e.announcement().instance()).forEach(model -> follow(service, model, e));
+    for (OrderedEngine engine : engines.values()) {
+      Set<String> follows = divided.getOrDefault(engine.id(), Set.of());
+      engine
+          .swaps()
+          .values()
+          .removeIf(s -> s.service().equals(service) && !follows.contains(s.model()));
+    }
+    for (ServerEntry e : entries) {
+      OrderedEngine engine = engine(e);
+      divided.get(engine.id()).forEach(model -> follow(service, model, engine, e));
     }
   }
 
-  private void follow(ServiceName service, String model, ServerEntry e) {
-    Followed key = new Followed(e.announcement().instance(), model);
-    EngineSwap known = swaps.get(key);
-    if (known != null && known.address.equals(e.address()) && known.born == e.beat().born()) {
-      return;
+  /** Returns an engine's present life. */
+  private OrderedEngine engine(ServerEntry e) {
+    InstanceId id = e.announcement().instance();
+    OrderedEngine known = engines.get(id);
+    if (known != null && known.isSame(e.address(), e.beat().born())) {
+      return known;
+    }
+    OrderedEngine engine =
+        new OrderedEngine(
+            id, e.address(), e.beat().born(), upstreams, loop, surroundings::onSaidLeaving);
+    engines.put(id, engine);
+    return engine;
+  }
+
+  private void follow(ServiceName service, String model, OrderedEngine engine, ServerEntry e) {
+    if (!engine.swaps().containsKey(model)) {
+      EngineSwap swap = new EngineSwap(this, engine, service, model, clock);
+      engine.swaps().put(model, swap);
+      swap.start(e.versions().get(model));
     }
-    EngineSwap swap = new EngineSwap(key.engine(), service, model, e.address(), e.beat().born());
-    swaps.put(key, swap);
-    swap.start(e.versions().get(model));
   }
 
   /** Takes an engine that is gone or leaves. */
   void onGone(InstanceId engine) {
-    swaps.keySet().removeIf(k -> k.engine().equals(engine));
+    engines.remove(engine);
   }
 
   /** Forgets everything; another process coordinates. */
   void clear() {
-    swaps.clear();
+    engines.clear();
     shares.clear();
   }
 
   /** Lets time pass; to be called several times a second while this process coordinates. */
   void tick() {
-    List.copyOf(swaps.values()).forEach(s -> s.coordinator.tick());
+    swaps().forEach(EngineSwap::tick);
   }
 
-  /** Returns whether an engine may be given runs. */
-  boolean isInRotation(InstanceId engine) {
-    return swaps.values().stream()
-        .noneMatch(s -> s.engine.equals(engine) && s.coordinator.state() == SwapState.LOADING);
+  /** Returns whether an engine may be given runs of a model; of any model if it is empty. */
+  boolean isInRotation(InstanceId id, String model) {
+    OrderedEngine engine = engines.get(id);
+    return engine == null || !(model.isEmpty() ? engine.isLoading() : engine.isLoading(model));
   }
 
-  private boolean isTurn(EngineSwap swap) {
-    if (!lease.mayOrder() || lease.term() == fencedTerm || !isInRotation(swap.engine)) {
+  /** Returns whether a swap may order its engine to load now. */
+  boolean isTurn(EngineSwap swap) {
+    if (!lease.mayOrder() || lease.term() == fencedTerm || swap.engine().isLoading()) {
       return false;
     }
     int loading = 0;
     int followers = 0;
-    Set<InstanceId> engines = new HashSet<>();
     List<LoadTurns.Candidate> candidates = new ArrayList<>();
-    for (EngineSwap s : swaps.values()) {
-      engines.add(s.engine);
-      boolean same = s.service.equals(swap.service) && s.model.equals(swap.model);
+    for (EngineSwap s : swaps()) {
+      boolean same = s.service().equals(swap.service()) && s.model().equals(swap.model());
       followers += same ? 1 : 0;
-      if (s.coordinator.state() == SwapState.LOADING) {
+      if (s.state() == SwapState.LOADING) {
         loading++;
-      } else if (same && s.coordinator.state() == SwapState.AWAITING_TURN) {
+      } else if (same && s.state() == SwapState.AWAITING_TURN) {
         candidates.add(s.candidate());
       }
     }
-    return turns.next(candidates, loading, followers, engines.size()).contains(swap.engine);
+    return turns.next(candidates, loading, followers, engines.size()).contains(swap.engine().id());
   }
 
-  /** One engine's swaps. */
-  private final class EngineSwap implements SwapPort {
-
-    private final InstanceId engine;
-    private final ServiceName service;
-    private final String model;
-    private final String address;
-    private final long born;
-    private final SwapCoordinator coordinator;
-    private EngineOrders.Report last;
-
-    private EngineSwap(
-        InstanceId engine, ServiceName service, String model, String address, long born) {
-      this.engine = engine;
-      this.service = service;
-      this.model = model;
-      this.address = address;
-      this.born = born;
-      this.coordinator =
-          SwapCoordinator.create(this, POLICY, clock, (order, since) -> isTurn(this));
-    }
-
-    /** Begins with an order only where the registry doesn't show the version already. */
-    private void start(WeightVersion registered) {
-      WeightVersion target = named.get(model);
-      coordinator.start();
-      if (target != null && !target.equals(registered)) {
-        order();
-      }
-    }
-
-    private void order() {
-      WeightVersion target = named.get(model);
-      if (target != null) {
-        coordinator.onOrder(new WeightOrder(service, target, target.number()));
-      }
-    }
-
-    private LoadTurns.Candidate candidate() {
-      return new LoadTurns.Candidate(
-          engine,
-          coordinator.served().orElse(new WeightVersion(0)),
-          surroundings.demanded(model),
-          surroundings.runsAt(engine),
-          surroundings.longestRunAt(engine));
-    }
-
-    @Override
-    public void prefetch(long call, WeightOrder order) {
-      // The engine fetches with the load itself.
-      loop.execute(() -> coordinator.onCall(call, SwapEvent.DONE));
-    }
+  /** Takes an engine's word that a later term has ordered it. */
+  void onFenced(long fence) {
+    fencedTerm = fence;
+  }
 
-    @Override
-    public void load(long call, WeightOrder order) {
-      if (last == null) {
-        loop.execute(() -> coordinator.onCall(call, SwapEvent.FAILED));
-        return;
-      }
-      long fence = lease.term();
-      EventLog.info(
-          LogEvent.ENGINE_ORDERED,
-          "engine",
-          engine,
-          "version",
-          order.version(),
-          "fence",
-          fence,
-          "orders",
-          last.orders(),
-          "runs",
-          surroundings.runsAt(engine));
-      upstreams
-          .call(
-              address,
-              EngineOrders.loadRequest(
-                  engine,
-                  model,
-                  order.version(),
-                  EngineOrders.Mode.RETAIN,
-                  self,
-                  fence,
-                  last.orders()),
-              CALL_TIMEOUT)
-          .aggregate()
-          .whenCompleteAsync(
-              (reply, failure) ->
-                  onAnswer(call, order, fence, failure == null ? reply.status().code() : 0),
-              loop);
-    }
+  /** Returns whether a swap is still this desk's. */
+  boolean isFollowed(EngineSwap swap) {
+    OrderedEngine engine = engines.get(swap.engine().id());
+    return engine != null && engine.swaps().get(swap.model()) == swap;
+  }
 
-    private void onAnswer(long call, WeightOrder order, long fence, int status) {
-      EngineOrders.Answer answer = EngineOrders.answer(status);
-      if (answer != EngineOrders.Answer.TAKEN) {
-        EventLog.warn(
-            LogEvent.ENGINE_ORDER_FAILED, "engine", engine, "status", status, "fence", fence);
-      }
-      if (answer == EngineOrders.Answer.FENCED) {
-        fencedTerm = fence;
-      }
-      if (answer == EngineOrders.Answer.TAKEN) {
-        loop.after(LEAST_LOAD_TIME, () -> poll(call));
-      } else {
-        coordinator.onCall(
-            call, answer == EngineOrders.Answer.FENCED ? SwapEvent.REFUSED : SwapEvent.FAILED);
-      }
-    }
+  /** Returns the engines that are followed. */
+  Set<InstanceId> followed() {
+    return Set.copyOf(engines.keySet());
+  }
 
-    /** Looks until the load has ended; the coordinator gives up by itself after its time. */
-    private void poll(long call) {
-      if (coordinator.state() != SwapState.LOADING
-          || swaps.get(new Followed(engine, model)) != this) {
-        return;
-      }
-      report(
-          report -> {
-            boolean done = report.isPresent() && !report.get().busy();
-            if (done) {
-              coordinator.onCall(call, SwapEvent.DONE);
-            } else {
-              loop.after(POLL_PERIOD, () -> poll(call));
-            }
-          });
-    }
+  /** Returns the newest version of a model that was named. */
+  Optional<WeightVersion> named(String model) {
+    return Optional.ofNullable(named.get(model));
+  }
 
-    @Override
-    public void readServed(long call) {
-      report(
-          report -> {
-            if (report.isEmpty()) {
-              coordinator.onCall(call, SwapEvent.FAILED);
-              return;
-            }
-            report.get().version().ifPresent(v -> surroundings.onServed(engine, model, v));
-            coordinator.onServed(call, report.get().version());
-          });
-    }
+  InstanceId self() {
+    return self;
+  }
 
-    private void report(Consumer<Optional<EngineOrders.Report>> next) {
-      upstreams
-          .call(address, EngineOrders.reportRequest(engine), CALL_TIMEOUT)
-          .aggregate()
-          .thenApply(reply -> EngineOrders.report(reply.content().array(), model))
-          .whenCompleteAsync(
-              (report, failure) -> {
-                if (failure == null) {
-                  last = report;
-                } else {
-                  EventLog.warn(
-                      LogEvent.ENGINE_REPORT_FAILED, "engine", engine, "why", failure.toString());
-                }
-                next.accept(Optional.ofNullable(report));
-              },
-              loop);
-    }
+  long term() {
+    return lease.term();
+  }
 
-    @Override
-    public void readLog() {
-      Duration sentAt = clock.elapsed();
-      surroundings.readLease().thenRun(() -> coordinator.onLogRead(sentAt));
-    }
+  DecisionLoop loop() {
+    return loop;
+  }
 
-    @Override
-    public Collection<InstanceId> peers() {
-      return swaps.keySet().stream().map(Followed::engine).collect(Collectors.toSet());
-    }
+  Surroundings surroundings() {
+    return surroundings;
+  }
 
-    @Override
-    public void announce() {
-      // What is in rotation is asked for at each placement.
-    }
+  private List<EngineSwap> swaps() {
+    return engines.values().stream().flatMap(e -> e.swaps().values().stream()).toList();
   }
 }
--- a/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
@@ -43,6 +43,7 @@
   private final Map<String, Long> versions = new TreeMap<>(Map.of("m0", 1L, "m1", 1L));
   private long orders;
   private long highestFence;
+  private int conflicts;
   private int breakAfter = -1;
   private int answerWith;
   private boolean leaving;
@@ -127,6 +128,11 @@
     return versions.getOrDefault(model, 0L);
   }
 
+  /** Returns how many orders were refused since they expected another number of orders. */
+  public synchronized int conflicts() {
+    return conflicts;
+  }
+
   private synchronized String models() {
     return versions.entrySet().stream()
         .map(v -> "{\"name\":\"" + v.getKey() + "\",\"version\":" + v.getValue() + "}")
@@ -159,6 +165,7 @@
       return HttpResponse.of(HttpStatus.PRECONDITION_FAILED);
     }
     if (order.path("expected").asLong() != orders) {
+      conflicts++;
       return HttpResponse.of(HttpStatus.CONFLICT);
     }
     highestFence = fence;
