Gather the registry's and the jobs' records before the next read; bound a hint by an item's most tokens

Cause, reads: a tail read again the moment a record came. Now the registry's tail pauses for a fifth of the drain time after a read that brought records, the processes' own records for 200 ms, a job shard for 250 ms unless this process coordinates or a caller waits for a record there, who ends the pause.

Tests that failed before: KeyedTailTest.readsDoNotGrowWithTheRecordsWhereTheyAreGathered, JobCoordinatorTest.hintBeyondAnItemsMostTokensReservesNoMoreThanThose. Ruled out: longer waiting reads, which end with the first record anyway.

--- a/core/src/main/java/org/carobhoist/core/placement/ItemState.java
+++ b/core/src/main/java/org/carobhoist/core/placement/ItemState.java
@@ -151,7 +151,9 @@
   }
 
   private int expectedEvents(int eventTokens) {
-    int tokens = item.expectedTokens() > 0 ? item.expectedTokens() : item.maxTokens();
+    int hint = item.expectedTokens();
+    int most = item.maxTokens();
+    int tokens = hint > 0 && most > 0 ? Math.min(hint, most) : Math.max(hint, most);
     int each = Math.max(DEFAULT_EVENT_TOKENS, eventTokens);
     return Math.max(1, (tokens + each - 1) / each);
   }
--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.core.common.Scheduler;
@@ -17,6 +18,9 @@
  *
  * <p>A caller that needs to know that nothing is missing asks for a {@link #barrier()}: it
  * completes when everything is known that was in the shard when the question came.
+ *
+ * <p>After a read that brought records a tail may pause, so that the next read brings what has come
+ * meanwhile: the number of reads then doesn't grow with the number of records.
  */
 public final class KeyedTail {
 
@@ -30,8 +34,12 @@
   private final Clock clock;
   private final Scheduler scheduler;
   private final Duration wait;
+  private final Supplier<Duration> gathering;
   private final JitteredBackoff backoff;
   private long next = UNKNOWN;
+  private long nextAtStep = UNKNOWN;
+  private boolean pausing;
+  private Runnable cancelPause = () -> {};
   private Duration freshAsOf = Duration.ZERO;
   private boolean loaded;
   private boolean lost;
@@ -43,19 +51,21 @@
       TailListener listener,
       Clock clock,
       Scheduler scheduler,
-      Duration wait) {
+      Duration wait,
+      Supplier<Duration> gathering) {
     this.store = store;
     this.shard = shard;
     this.listener = listener;
     this.clock = clock;
     this.scheduler = scheduler;
     this.wait = wait;
+    this.gathering = gathering;
     this.backoff =
         JitteredBackoff.create(FIRST_PAUSE, LONGEST_PAUSE, new SplittableRandom(shard.hashCode()));
   }
 
   /**
-   * Returns a tail that hasn't started.
+   * Returns a tail that hasn't started and never pauses.
    *
    * @param wait how long one read waits for a record
    */
@@ -66,7 +76,24 @@
       Clock clock,
       Scheduler scheduler,
       Duration wait) {
-    return new KeyedTail(store, shard, listener, clock, scheduler, wait);
+    return create(store, shard, listener, clock, scheduler, wait, () -> Duration.ZERO);
+  }
+
+  /**
+   * Returns a tail that hasn't started.
+   *
+   * @param wait how long one read waits for a record
+   * @param gathering how long to pause after a read that brought records, at the present moment
+   */
+  public static KeyedTail create(
+      RecordStore store,
+      Shard shard,
+      TailListener listener,
+      Clock clock,
+      Scheduler scheduler,
+      Duration wait,
+      Supplier<Duration> gathering) {
+    return new KeyedTail(store, shard, listener, clock, scheduler, wait, gathering);
   }
 
   /** Begins to follow the shard. */
@@ -74,6 +101,15 @@
     step();
   }
 
+  /** Ends a pause: somebody waits for the next record. */
+  public void hurry() {
+    if (pausing) {
+      pausing = false;
+      cancelPause.run();
+      step();
+    }
+  }
+
   /** Returns the shard. */
   public Shard shard() {
     return shard;
@@ -132,6 +168,7 @@
       return;
     }
     Duration sentAt = clock.elapsed();
+    nextAtStep = next;
     store
         .read(shard, next, wait)
         .thenCompose(outcome -> afterRead(outcome, sentAt))
@@ -149,7 +186,7 @@
   private void afterStep(Throwable failure) {
     if (failure == null) {
       noteRegained();
-      step();
+      goOn();
       return;
     }
     if (!lost) {
@@ -159,6 +196,22 @@
     scheduler.after(backoff.next(), this::step);
   }
 
+  private void goOn() {
+    Duration pause = next > nextAtStep ? gathering.get() : Duration.ZERO;
+    if (pause.isZero()) {
+      step();
+      return;
+    }
+    pausing = true;
+    cancelPause =
+        scheduler.after(
+            pause,
+            () -> {
+              pausing = false;
+              step();
+            });
+  }
+
   private void noteRegained() {
     backoff.reset();
     if (lost) {
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -240,6 +240,20 @@
         .inOrder();
   }
 
+  private static JobItem hinted(String id, int maxEvents, int expectedEvents) {
+    return new JobItem(
+        new ItemId(id), "g", "/p", List.of(), new byte[0], 10, maxEvents * 10, expectedEvents * 10);
+  }
+
+  @Test
+  void hintBeyondAnItemsMostTokensReservesNoMoreThanThose() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", hinted("i1", 4_900, 40_000), hinted("i2", 4_400, 40_000));
+    pass(50);
+    assertThat(port.started).hasSize(2);
+  }
+
   @Test
   void brokenRunGoesOnElsewhereFromItsText() {
     addEngine("e1", V6);
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
@@ -0,0 +1,155 @@
+package org.carobhoist.core.store;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+import org.junit.jupiter.api.Test;
+
+/** How many reads a tail makes, and how late it learns of a record. */
+final class KeyedTailTest {
+
+  private static final Shard SHARD = new Shard("servers", 0);
+  private static final Duration WAIT = Duration.ofSeconds(1);
+  private static final Duration GATHERING = Duration.ofMillis(400);
+  private static final Duration LENGTH = Duration.ofSeconds(20);
+  private static final int RECORDS = 500;
+
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue queue = new EventQueue(clock);
+  private final Store store = new Store();
+  private final List<Duration> lags = new ArrayList<>();
+  private Duration gathering = Duration.ZERO;
+
+  private Runnable after(Duration delay, Runnable task) {
+    boolean[] cancelled = {false};
+    queue.after(
+        delay,
+        () -> {
+          if (!cancelled[0]) {
+            task.run();
+          }
+        });
+    return () -> cancelled[0] = true;
+  }
+
+  /** A store that answers at once, or as soon as there is a record. */
+  private final class Store implements RecordStore {
+
+    private final List<StoredRecord> records = new ArrayList<>();
+    private final List<Duration> times = new ArrayList<>();
+    private Optional<Runnable> waiting = Optional.empty();
+    private int reads;
+
+    private void put() {
+      records.add(new StoredRecord(records.size(), "k", new byte[] {1}));
+      times.add(clock.elapsed());
+      Optional<Runnable> reader = waiting;
+      waiting = Optional.empty();
+      reader.ifPresent(Runnable::run);
+    }
+
+    @Override
+    public CompletableFuture<AppendOutcome> append(
+        Shard shard, List<KeyedRecord> appended, OptionalLong at) {
+      throw new UnsupportedOperationException("the test appends by itself");
+    }
+
+    @Override
+    public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
+      reads++;
+      CompletableFuture<ReadOutcome> reply = new CompletableFuture<>();
+      Runnable answer =
+          () -> {
+            List<StoredRecord> found = records.subList((int) from, records.size());
+            reply.complete(new ReadOutcome.Batch(records.size(), List.copyOf(found)));
+          };
+      if (from < records.size() || wait.isZero()) {
+        queue.after(Duration.ofMillis(4), answer);
+      } else {
+        waiting = Optional.of(answer);
+      }
+      return reply;
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> newest(Shard shard, String after) {
+      return CompletableFuture.completedFuture(new NewestPage(List.of(), false, records.size()));
+    }
+  }
+
+  private final class Listener implements TailListener {
+
+    @Override
+    public void onSnapshot(List<StoredRecord> records) {}
+
+    @Override
+    public void onRecord(StoredRecord stored) {
+      lags.add(clock.elapsed().minus(store.times.get((int) stored.offset())));
+    }
+  }
+
+  private KeyedTail follow() {
+    KeyedTail tail =
+        KeyedTail.create(store, SHARD, new Listener(), clock, this::after, WAIT, () -> gathering);
+    tail.start();
+    for (int i = 1; i <= RECORDS; i++) {
+      queue.after(LENGTH.multipliedBy(i).dividedBy(RECORDS), store::put);
+    }
+    return tail;
+  }
+
+  @Test
+  void readsDoNotGrowWithTheRecordsWhereTheyAreGathered() {
+    gathering = GATHERING;
+    follow();
+    queue.run(LENGTH.plus(GATHERING.multipliedBy(2)));
+    assertThat(lags).hasSize(RECORDS);
+    assertThat(store.reads).isAtMost((int) LENGTH.dividedBy(GATHERING) + 2);
+    for (Duration lag : lags) {
+      assertThat(lag).isAtMost(GATHERING.plusMillis(50));
+    }
+  }
+
+  @Test
+  void withoutPauseEachRecordComesAtOnce() {
+    follow();
+    queue.run(LENGTH.plusSeconds(1));
+    assertThat(lags).hasSize(RECORDS);
+    for (Duration lag : lags) {
+      assertThat(lag).isAtMost(Duration.ofMillis(50));
+    }
+  }
+
+  @Test
+  void hurryEndsThePause() {
+    gathering = GATHERING;
+    KeyedTail tail = follow();
+    queue.run(Duration.ofMillis(100));
+    int before = lags.size();
+    gathering = Duration.ZERO;
+    tail.hurry();
+    tail.hurry();
+    queue.run(Duration.ofMillis(110));
+    assertThat(lags.size()).isGreaterThan(before);
+    queue.run(LENGTH.plusSeconds(1));
+    assertThat(lags).hasSize(RECORDS);
+  }
+
+  @Test
+  void whoNeedsToKnowIsNotKeptWaiting() {
+    gathering = GATHERING;
+    KeyedTail tail = follow();
+    queue.run(Duration.ofMillis(200));
+    CompletableFuture<Void> known = tail.barrier();
+    queue.run(Duration.ofMillis(210));
+    assertThat(known.isDone()).isTrue();
+    assertThat(tail.next()).isEqualTo(store.records.size());
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -16,6 +16,7 @@
 import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
@@ -78,6 +79,18 @@
   /** The same for the lease, whose silence has to be seen in time. */
   private static final Duration LEASE_READ_WAIT = Duration.ofMillis(400);
 
+  /**
+   * Pauses of the registry's tail in the time for which a leaving server still serves; each server
+   * writes about once a second, which is no news.
+   */
+  private static final int GATHERINGS_PER_DRAIN = 5;
+
+  /** Pause of the tail of the processes' own records, which come in herds. */
+  private static final Duration NODE_GATHERING = Duration.ofMillis(200);
+
+  /** Pause of a job shard's tail where nobody waits; what was read has to be seen within 1 s. */
+  private static final Duration JOB_GATHERING = Duration.ofMillis(250);
+
   /** Time for an answer of the store; it answers in 4 ms, or in some 250 ms when it is slow. */
   private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
 
@@ -181,7 +194,8 @@
     this.view = JobView.create(codec, JobJson::decode, Topics.JOB_SHARDS);
     List<KeyedTail> jobTails = new ArrayList<>();
     for (Shard shard : Topics.jobs()) {
-      jobTails.add(tail(shard, view.ofShard(shard.part()), READ_WAIT));
+      jobTails.add(
+          tail(shard, view.ofShard(shard.part()), READ_WAIT, () -> jobGathering(shard.part())));
     }
     final ResultLists lists = new ResultLists(store, jobTails, view, codec, loop);
     this.context = forwardContext();
@@ -224,8 +238,9 @@
     this.weights =
         new WeightDesk(boot.node(), loop, clock, upstreams, lease, new Engines(leaseTail));
     tail(Topics.OPERATORS, new OperatorFeed(manifests, weights::onNamed), READ_WAIT);
-    tail(Topics.SERVERS, servers, READ_WAIT);
-    tail(Topics.NODES, mesh, READ_WAIT);
+    Duration part = boot.bounds().drain().dividedBy(GATHERINGS_PER_DRAIN);
+    tail(Topics.SERVERS, servers, READ_WAIT, () -> part);
+    tail(Topics.NODES, mesh, READ_WAIT, () -> NODE_GATHERING);
     this.network =
         LinkNetwork.create(
             text(boot.peers()), hello(), new PeerDesk(loop, mesh, runner, paths), thread);
@@ -299,11 +314,22 @@
   }
 
   private KeyedTail tail(Shard shard, TailListener listener, Duration wait) {
-    KeyedTail tail = KeyedTail.create(store, shard, listener, clock, loop, wait);
+    return tail(shard, listener, wait, () -> Duration.ZERO);
+  }
+
+  private KeyedTail tail(
+      Shard shard, TailListener listener, Duration wait, Supplier<Duration> gathering) {
+    KeyedTail tail = KeyedTail.create(store, shard, listener, clock, loop, wait, gathering);
     tails.add(tail);
     return tail;
   }
 
+  /** A coordinator and whoever has a reader waiting need each record of a job at once. */
+  private Duration jobGathering(int part) {
+    boolean awaited = coordinator.isActive() || jobs.hasReader(part);
+    return awaited ? Duration.ZERO : JOB_GATHERING;
+  }
+
   private ClientFactory clientFactory() {
     return ClientFactory.builder()
         .workerGroup(thread, false)
--- a/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
@@ -157,6 +157,11 @@
         .exceptionally(failure -> unsure(id, failure));
   }
 
+  /** Returns whether a caller waits for a record of a shard. */
+  boolean hasReader(int part) {
+    return readers.keySet().stream().anyMatch(id -> view.shardOf(id) == part);
+  }
+
   @Override
   public void onAccepted(Job job) {
     wake(job);
@@ -201,10 +206,12 @@
     }
     CompletableFuture<Void> woken = new CompletableFuture<>();
     readers.computeIfAbsent(job.id(), k -> new ArrayList<>()).add(woken);
+    tails.get(view.shardOf(job.id())).hurry();
     Runnable cancel = loop.after(patience, () -> woken.complete(null));
     return woken.thenCompose(
         ok -> {
           cancel.run();
+          forget(job.id(), woken);
           return freshPage(job, from);
         });
   }
@@ -289,6 +296,15 @@
     }
   }
 
+  private void forget(JobId id, CompletableFuture<Void> reader) {
+    readers.computeIfPresent(
+        id,
+        (k, waiting) -> {
+          waiting.remove(reader);
+          return waiting.isEmpty() ? null : waiting;
+        });
+  }
+
   private static AggregatedHttpResponse unsure(JobId id, Throwable failure) {
     EventLog.info(LogEvent.READ_UNSURE, "job", id, "why", failure);
     return plain(UNAVAILABLE, "");
