Say what items wait for; let engines follow a number of models, two as a try

A line a second (7208) counts waiting items by what keeps them from an engine: version, load, pause, slot or memory. Shares can now give an engine several models; loads and their turns look only at the runs of their own model. Streams that never end are tested against a client that doesn't read, and a reply of the store that never ends.

--- a/core/src/main/java/org/carobhoist/core/placement/EngineLoad.java
+++ b/core/src/main/java/org/carobhoist/core/placement/EngineLoad.java
@@ -91,13 +91,17 @@
 
   /** Returns whether there is a free slot, and memory for one more text of the given size. */
   boolean hasRoom(long tokens, double memoryShare, Duration now) {
-    if (now.compareTo(pausedUntil) < 0 || items.size() >= spec.slots()) {
+    if (isPaused(now) || items.size() >= spec.slots()) {
       return false;
     }
     long used = items.stream().mapToLong(i -> i.expectedTokens(spec.eventTokens())).sum();
     return items.isEmpty() || used + tokens <= memoryShare * spec.memoryTokens();
   }
 
+  boolean isPaused(Duration now) {
+    return now.compareTo(pausedUntil) < 0;
+  }
+
   int eventTokens() {
     return spec.eventTokens();
   }
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
+import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -12,6 +13,7 @@
 import java.util.Optional;
 import java.util.function.Function;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
@@ -49,6 +51,9 @@
   /** Time in which a job that runs already has to reach the store. */
   private static final Duration PROVISIONAL_TIME = Duration.ofSeconds(15);
 
+  /** Time between two notes of what items wait for. */
+  private static final Duration WAIT_NOTE_PERIOD = Duration.ofSeconds(1);
+
   /** Bits of a run's number that count the runs of one term. */
   private static final int RUN_BITS = 24;
 
@@ -65,6 +70,7 @@
   private boolean active;
   private long nextRun;
   private Duration placesFrom = Duration.ZERO;
+  private Duration nextWaitNote = Duration.ZERO;
 
   private record ItemKey(JobId job, ItemId item) {}
 
@@ -123,25 +129,27 @@
     return runs.size();
   }
 
-  /** Returns how many runs an engine has from this coordinator. */
-  public int runsAt(InstanceId engine) {
-    EngineLoad load = engines.get(engine);
-    return load == null ? 0 : load.items().size();
+  /** Returns how many runs of a model an engine has from this coordinator. */
+  public int runsAt(InstanceId engine, String model) {
+    return (int) runsOf(engine, model).count();
   }
 
-  /** Returns how long the longest run of an engine is expected to go on; zero if it has none. */
-  public Duration longestRunAt(InstanceId engine) {
-    EngineLoad load = engines.get(engine);
-    if (load == null) {
-      return Duration.ZERO;
-    }
+  /** Returns how long an engine's longest run of a model should go on; zero if it has none. */
+  public Duration longestRunAt(InstanceId engine, String model) {
     Duration now = clock.elapsed();
-    return load.items().stream()
+    return runsOf(engine, model)
         .map(s -> timeLeft(s, now))
         .max(Comparator.naturalOrder())
         .orElse(Duration.ZERO);
   }
 
+  private Stream<ItemState> runsOf(InstanceId engine, String model) {
+    EngineLoad load = engines.get(engine);
+    return load == null
+        ? Stream.empty()
+        : load.items().stream().filter(s -> s.job().content().model().equals(model));
+  }
+
   /** Takes the version of a model that an engine says it serves. */
   public void onEngineVersion(InstanceId engine, String model, WeightVersion version) {
     EngineLoad load = engines.get(engine);
@@ -471,24 +479,64 @@
       Instant wall) {
     Collection<EngineLoad> pool = engines(service);
     if (pool.stream().allMatch(e -> e.freeSlots() <= 0)) {
+      noteWaiting(service, waiting, pool, now);
       return;
     }
     int eventTokens = pool.stream().mapToInt(EngineLoad::eventTokens).findFirst().orElse(1);
+    List<ItemState> left = new ArrayList<>();
     for (ItemState state : placer.order(waiting, eventTokens)) {
-      placer
-          .choose(state, pool, allowed(state), now)
-          .ifPresent(engine -> start(state, engine, runnerFor(engine, runners), now, wall));
+      Optional<EngineLoad> engine = placer.choose(state, pool, allowed(state), now);
+      if (engine.isPresent()) {
+        start(state, engine.get(), runnerFor(engine.get(), runners), now, wall);
+      } else {
+        left.add(state);
+      }
     }
+    noteWaiting(service, left, pool, now);
+  }
+
+  /** Notes once in a while how many items wait for what. */
+  private void noteWaiting(
+      ServiceName service, List<ItemState> left, Collection<EngineLoad> pool, Duration now) {
+    if (left.isEmpty() || now.compareTo(nextWaitNote) < 0) {
+      return;
+    }
+    nextWaitNote = now.plus(WAIT_NOTE_PERIOD);
+    Map<WaitCause, Integer> causes = new EnumMap<>(WaitCause.class);
+    left.forEach(s -> causes.merge(waitCause(s, pool, now), 1, Integer::sum));
+    port.noteWaiting(service, causes);
+  }
+
+  private WaitCause waitCause(ItemState state, Collection<EngineLoad> pool, Duration now) {
+    WaitCause nearest = WaitCause.NO_ENGINE;
+    for (EngineLoad e : pool) {
+      WaitCause here =
+          !hasVersion(state, e)
+              ? WaitCause.VERSION
+              : !takesModel(state, e)
+                  ? WaitCause.LOADING
+                  : e.isPaused(now)
+                      ? WaitCause.PAUSED
+                      : e.freeSlots() <= 0 ? WaitCause.SLOTS : WaitCause.MEMORY;
+      nearest = here.compareTo(nearest) > 0 ? here : nearest;
+    }
+    return nearest;
   }
 
   private Predicate<EngineLoad> allowed(ItemState state) {
-    WeightVersion min = state.job().content().minVersion();
+    return e -> takesModel(state, e) && hasVersion(state, e);
+  }
+
+  private boolean takesModel(ItemState state, EngineLoad e) {
+    InstanceId engine = e.entry().announcement().instance();
+    return port.isInRotation(engine, state.job().content().model());
+  }
+
+  private static boolean hasVersion(ItemState state, EngineLoad e) {
     String model = state.job().content().model();
     Optional<WeightVersion> only = onlyVersion(state);
-    return e ->
-        port.isInRotation(e.entry().announcement().instance(), model)
-            && (model.isEmpty() || e.version(model).compareTo(min) >= 0)
-            && (only.isEmpty() || e.version(model).equals(only.get()));
+    return (model.isEmpty() || e.version(model).compareTo(state.job().content().minVersion()) >= 0)
+        && (only.isEmpty() || e.version(model).equals(only.get()));
   }
 
   /** Returns the version that a text of a single version binds its run to. */
--- a/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
+++ b/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
@@ -1,6 +1,7 @@
 package org.carobhoist.core.placement;
 
 import java.util.Collection;
+import java.util.Map;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.common.Zone;
@@ -61,6 +62,9 @@
   /** Notes a decision on an item. */
   void note(Decision decision, JobId job, ItemId item, Object... fields);
 
+  /** Notes how many items of a service wait for what. */
+  void noteWaiting(ServiceName service, Map<WaitCause, Integer> causes);
+
   /** Decisions that are worth a line in the log. */
   enum Decision {
     /** The item runs at an engine. */
--- a/core/src/main/java/org/carobhoist/core/swap/ModelShares.java
+++ b/core/src/main/java/org/carobhoist/core/swap/ModelShares.java
@@ -1,36 +1,44 @@
 package org.carobhoist.core.swap;
 
-import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.WeightVersion;
 
 /**
  * Which engines follow which model. The load that it answers: several trainers share the engines of
- * a service, each names a version every few seconds, and every load takes an engine away from its
- * runs. If each engine followed every model, it would load all the time; so the engines are divided
- * evenly, and each follows one model. Where there are too few for that, all follow all.
+ * a service, and each names a version every few seconds. An engine that follows more models gives
+ * each step more slots at its start, but every version that it follows is a load. So each engine
+ * follows a few of the models, and each model has about as many engines as every other. Where there
+ * are too few engines for that, all follow all.
  *
- * <p>Engines keep their model while the shares differ by one engine at most. A new coordinator
- * takes an engine to follow the model whose newest version it is nearest to.
+ * <p>Engines keep their models while the shares differ by one engine at most. A new coordinator
+ * takes an engine to follow the models whose newest versions it is nearest to.
  */
 public final class ModelShares {
 
   /** Engines that each model must have; with fewer the loss of one would hold a trainer up. */
   private static final int LEAST_SHARE = 3;
 
-  private final Map<InstanceId, String> followed = new HashMap<>();
+  private final int modelsPerEngine;
+  private final Map<InstanceId, Set<String>> followed = new HashMap<>();
 
-  private ModelShares() {}
+  private ModelShares(int modelsPerEngine) {
+    this.modelsPerEngine = modelsPerEngine;
+  }
 
-  /** Returns shares without engines. */
-  public static ModelShares create() {
-    return new ModelShares();
+  /**
+   * Returns shares without engines.
+   *
+   * @param modelsPerEngine models that an engine follows, at least 1
+   */
+  public static ModelShares create(int modelsPerEngine) {
+    return new ModelShares(modelsPerEngine);
   }
 
   /**
@@ -51,32 +59,53 @@
   public Map<InstanceId, Set<String>> divide(
       Collection<Holder> holders, List<String> models, Map<String, WeightVersion> newest) {
     Map<InstanceId, Set<String>> out = new HashMap<>();
-    if (models.size() == 1 || holders.size() < LEAST_SHARE * models.size()) {
+    boolean few = holders.size() * modelsPerEngine < LEAST_SHARE * models.size();
+    if (models.size() <= modelsPerEngine || few) {
       holders.forEach(h -> out.put(h.engine(), Set.copyOf(models)));
       return out;
     }
-    Map<String, List<Holder>> shares = new HashMap<>();
-    models.forEach(m -> shares.put(m, new ArrayList<>()));
-    List<Holder> free = new ArrayList<>();
-    holders.stream()
-        .sorted(Comparator.comparing(Holder::engine))
-        .forEach(h -> shares.getOrDefault(followed.getOrDefault(h.engine(), ""), free).add(h));
-    free.forEach(h -> shares.get(nearest(h, models, shares, newest)).add(h));
-    balance(models, shares);
+    List<Holder> sorted = holders.stream().sorted(Comparator.comparing(Holder::engine)).toList();
+    Map<String, Integer> counts = new HashMap<>();
+    models.forEach(m -> counts.put(m, 0));
+    for (Holder h : sorted) {
+      Set<String> kept = new TreeSet<>(followed.getOrDefault(h.engine(), Set.of()));
+      kept.retainAll(models);
+      kept.forEach(m -> counts.merge(m, 1, Integer::sum));
+      out.put(h.engine(), kept);
+    }
+    sorted.forEach(h -> fill(h, out.get(h.engine()), models, counts, newest));
+    balance(models, sorted, counts, out);
     followed.clear();
-    shares.forEach((model, share) -> share.forEach(h -> followed.put(h.engine(), model)));
-    followed.forEach((engine, model) -> out.put(engine, Set.of(model)));
+    followed.putAll(out);
     return out;
   }
 
+  /** Lets an engine follow as many models as it should. */
+  private void fill(
+      Holder holder,
+      Set<String> follows,
+      List<String> models,
+      Map<String, Integer> counts,
+      Map<String, WeightVersion> newest) {
+    while (follows.size() < modelsPerEngine) {
+      String next = nearest(holder, follows, models, counts, newest);
+      follows.add(next);
+      counts.merge(next, 1, Integer::sum);
+    }
+  }
+
   /** Returns the model that an engine lags behind least; of several the one with fewest engines. */
   private static String nearest(
       Holder holder,
+      Set<String> follows,
       List<String> models,
-      Map<String, List<Holder>> shares,
+      Map<String, Integer> counts,
       Map<String, WeightVersion> newest) {
     Comparator<String> byLag = Comparator.comparingLong(m -> lag(holder, m, newest));
-    return models.stream().min(byLag.thenComparingInt(m -> shares.get(m).size())).orElseThrow();
+    return models.stream()
+        .filter(m -> !follows.contains(m))
+        .min(byLag.thenComparing(counts::get))
+        .orElseThrow();
   }
 
   private static long lag(Holder holder, String model, Map<String, WeightVersion> newest) {
@@ -86,15 +115,28 @@
   }
 
   /** Moves engines from the largest share to the smallest until they differ by one at most. */
-  private static void balance(List<String> models, Map<String, List<Holder>> shares) {
-    Comparator<String> bySize = Comparator.comparingInt(m -> shares.get(m).size());
+  private static void balance(
+      List<String> models,
+      List<Holder> holders,
+      Map<String, Integer> counts,
+      Map<InstanceId, Set<String>> out) {
+    Comparator<String> bySize = Comparator.comparing(counts::get);
     while (true) {
-      List<Holder> most = shares.get(models.stream().max(bySize).orElseThrow());
-      List<Holder> least = shares.get(models.stream().min(bySize).orElseThrow());
-      if (most.size() - least.size() <= 1) {
+      String most = models.stream().max(bySize).orElseThrow();
+      String least = models.stream().min(bySize).orElseThrow();
+      if (counts.get(most) - counts.get(least) <= 1) {
         return;
       }
-      least.add(most.remove(most.size() - 1));
+      Set<String> moved =
+          holders.stream()
+              .map(h -> out.get(h.engine()))
+              .filter(f -> f.contains(most) && !f.contains(least))
+              .reduce((a, b) -> b)
+              .orElseThrow();
+      moved.remove(most);
+      moved.add(least);
+      counts.merge(most, -1, Integer::sum);
+      counts.merge(least, 1, Integer::sum);
     }
   }
 }
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -71,6 +71,7 @@
     private final List<ItemResult> results = new ArrayList<>();
     private final List<String> scored = new ArrayList<>();
     private final List<InstanceId> leaving = new ArrayList<>();
+    private final List<Map<WaitCause, Integer>> waits = new ArrayList<>();
     private final List<Runner> runners = new ArrayList<>(List.of(new Runner(RUNNER, ZONE)));
 
     @Override
@@ -131,6 +132,11 @@
     @Override
     public void note(Decision decision, JobId job, ItemId item, Object... fields) {}
 
+    @Override
+    public void noteWaiting(ServiceName service, Map<WaitCause, Integer> causes) {
+      waits.add(causes);
+    }
+
     private RunOrder last() {
       return started.get(started.size() - 1);
     }
@@ -345,6 +351,24 @@
     assertThat(port.last().engine().value()).isEqualTo("old");
   }
 
+  @Test
+  void whatItemsWaitForIsNotedOnceASecond() {
+    addEngine("old", new WeightVersion(5));
+    activate();
+    submit("j1", item("i1", 9), item("i2", 9), item("i3", 9));
+    pass(50);
+    assertThat(port.waits).containsExactly(Map.of(WaitCause.VERSION, 3));
+    addEngine("e1", V6);
+    pass(50);
+    assertThat(port.started).hasSize(2);
+    pass(1_000);
+    assertThat(port.waits.get(1)).containsExactly(WaitCause.SLOTS, 1);
+    port.loading.add(new InstanceId("e1"));
+    pass(1_100);
+    assertThat(port.waits.get(2)).containsExactly(WaitCause.LOADING, 1);
+    assertThat(port.waits).hasSize(3);
+  }
+
   @Test
   void anItemIsGivenUpAfterItsAttemptsOrItsTime() {
     addEngine("e1", V6);
--- a/core/src/test/java/org/carobhoist/core/swap/ModelSharesTest.java
+++ b/core/src/test/java/org/carobhoist/core/swap/ModelSharesTest.java
@@ -15,7 +15,7 @@
 
   private static final List<String> MODELS = List.of("m0", "m1", "m2");
 
-  private final ModelShares shares = ModelShares.create();
+  private final ModelShares shares = ModelShares.create(1);
 
   private static ModelShares.Holder engine(int number, long... versions) {
     Map<String, WeightVersion> all = new HashMap<>();
@@ -51,6 +51,43 @@
     divided.values().forEach(s -> assertThat(s).containsExactlyElementsIn(MODELS));
   }
 
+  @Test
+  void enginesThatFollowSeveralModelsAreDividedEvenlyToo() {
+    ModelShares pairs = ModelShares.create(2);
+    for (int count = 5; count < 40; count++) {
+      Map<InstanceId, Set<String>> divided = pairs.divide(engines(count), MODELS, Map.of());
+      assertThat(divided).hasSize(count);
+      divided.values().forEach(s -> assertThat(s).hasSize(2));
+      for (String m : MODELS) {
+        assertThat(count(divided, m)).isAtLeast(2 * count / 3);
+        assertThat(count(divided, m)).isAtMost((2 * count + 2) / 3);
+      }
+    }
+  }
+
+  @Test
+  void enginesThatFollowSeveralModelsKeepThemWhenOthersAreLost() {
+    ModelShares pairs = ModelShares.create(2);
+    List<ModelShares.Holder> all = engines(12);
+    Map<InstanceId, Set<String>> before = pairs.divide(all, MODELS, Map.of());
+    List<ModelShares.Holder> rest = new ArrayList<>(all);
+    rest.removeIf(h -> before.get(h.engine()).equals(Set.of("m0", "m1")));
+    Map<InstanceId, Set<String>> after = pairs.divide(rest, MODELS, Map.of());
+    long lost = all.size() - rest.size();
+    long moved =
+        rest.stream().filter(h -> !before.get(h.engine()).equals(after.get(h.engine()))).count();
+    assertThat(lost).isGreaterThan(0);
+    assertThat(moved).isAtMost(lost);
+    MODELS.forEach(m -> assertThat(count(after, m)).isAtLeast(2 * rest.size() / 3));
+  }
+
+  @Test
+  void asManyModelsAsAnEngineFollowsAreFollowedByAll() {
+    Map<InstanceId, Set<String>> divided =
+        ModelShares.create(2).divide(engines(27), List.of("m0", "m1"), Map.of());
+    divided.values().forEach(s -> assertThat(s).containsExactly("m0", "m1"));
+  }
+
   @Test
   void theOnlyModelIsFollowedByAll() {
     Map<InstanceId, Set<String>> divided = shares.divide(engines(20), List.of("m0"), Map.of());
--- a/it/src/test/java/org/carobhoist/it/GatewayCluster.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayCluster.java
@@ -31,6 +31,7 @@
   private final List<OddServerStandIn> oddServers = new ArrayList<>();
   private final Map<String, RoleProcess> processes = new HashMap<>();
   private final Map<String, PlatformCaller> callers = new HashMap<>();
+  private final Map<String, Integer> fronts = new HashMap<>();
 
   private GatewayCluster(Path folder) {
     this.folder = folder;
@@ -109,10 +110,16 @@
     int front = LoopbackPorts.next();
     int peers = LoopbackPorts.nextPair();
     callers.put(name, PlatformCaller.of(front, LIMIT));
+    fronts.put(name, front);
     String boot = PlatformDocuments.bootFile(name, front, ready, peers, storeAddress);
     processes.put(name, RoleProcess.start("gateway", folder, name, boot));
   }
 
+  /** Returns the port at which an entry takes clients. */
+  int frontPort(String name) {
+    return fronts.get(name);
+  }
+
   RoleProcess process(String name) {
     return processes.get(name);
   }
--- a/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
@@ -2,11 +2,23 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
+import com.linecorp.armeria.common.ContentTooLargeException;
 import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.carobhoist.platform.DirectTransport;
+import org.carobhoist.platform.StoreCall;
+import org.carobhoist.platform.StoreReply;
 import org.carobhoist.standin.OddServerStandIn;
 import org.carobhoist.standin.OddServerStandIn.Oddity;
 import org.carobhoist.standin.PlatformDocuments;
@@ -25,6 +37,11 @@
   private static final String JOBS = PlatformDocuments.JOBS_HOST;
   private static final String BOOK = PlatformDocuments.BOOK_HOST;
 
+  /** What sockets and buffers between a server and a client that doesn't read may hold. */
+  private static final long MOST_BYTES_ON_THE_WAY = 32L << 20;
+
+  private static final Duration LONG_TIME = Duration.ofSeconds(60);
+
   @TempDir private Path folder;
 
   private GatewayCluster cluster() throws IOException {
@@ -120,6 +137,48 @@
     }
   }
 
+  @Test
+  void streamThatNeverEndsIsReadAsItsClientReads() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.publish(2, "streaming");
+      OddServerStandIn odd = cluster.addOddServer("s-1", "app", Oddity.ENDLESS_BODY);
+      cluster.awaitReady("entry-1");
+      cluster.await(
+          "the manifest is in force", () -> cluster.logOf("entry-1").contains("event=7501"));
+      try (Socket client = new Socket("127.0.0.1", cluster.frontPort("entry-1"))) {
+        String request =
+            "POST /seat HTTP/1.1\r\nhost: "
+                + BOOK
+                + "\r\ncarobhoist-request-id: r1\r\ncontent-length: 0\r\n\r\n";
+        client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        long[] last = {0};
+        cluster.await(
+            "the server is held back",
+            () -> {
+              long before = last[0];
+              last[0] = odd.fillerBytes();
+              return before > 0 && before == last[0];
+            });
+        assertThat(last[0]).isLessThan(MOST_BYTES_ON_THE_WAY);
+      }
+    }
+  }
+
+  @Test
+  void storesReplyThatNeverEndsIsCut() throws IOException {
+    OddServerStandIn odd = OddServerStandIn.start("store", Oddity.ENDLESS_BODY);
+    InetSocketAddress address =
+        new InetSocketAddress("127.0.0.1", Integer.parseInt(odd.address().split(":")[1]));
+    StoreCall call =
+        new StoreCall("GET", "/-/log-read?topic=t&part=0&from=0", new byte[0], LONG_TIME);
+    CompletableFuture<StoreReply> reply =
+        DirectTransport.to(address, ClientFactory.ofDefault()).call(call);
+    assertThat(assertThrows(CompletionException.class, reply::join))
+        .hasCauseThat()
+        .isInstanceOf(ContentTooLargeException.class);
+    odd.stop();
+  }
+
   @ParameterizedTest
   @EnumSource(
       names = {
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.carobhoist.core.common.Clock;
@@ -36,6 +37,7 @@
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.core.placement.RunText;
 import org.carobhoist.core.placement.TextDelta;
+import org.carobhoist.core.placement.WaitCause;
 import org.carobhoist.platform.JobJson;
 import org.carobhoist.server.link.proto.LinkFrame;
 import org.carobhoist.server.link.proto.RunCancel;
@@ -350,6 +352,11 @@
     EventLog.info(event, all.toArray());
   }
 
+  @Override
+  public void noteWaiting(ServiceName service, Map<WaitCause, Integer> causes) {
+    EventLog.info(LogEvent.ITEMS_WAIT, "service", service, "causes", causes);
+  }
+
   @Override
   public void onAccepted(Job job) {
     // Only the coordinator needs the content, which is large; the others don't decode it.
--- a/server/src/main/java/org/carobhoist/server/gateway/EngineSwap.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/EngineSwap.java
@@ -94,8 +94,8 @@
         engine.id(),
         coordinator.served().orElse(new WeightVersion(0)),
         desk.surroundings().demanded(model),
-        desk.surroundings().runsAt(engine.id()),
-        desk.surroundings().longestRunAt(engine.id()));
+        desk.surroundings().runsAt(engine.id(), model),
+        desk.surroundings().longestRunAt(engine.id(), model));
   }
 
   @Override
@@ -124,7 +124,7 @@
         "orders",
         engine.orders().getAsLong(),
         "runs",
-        desk.surroundings().runsAt(engine.id()));
+        desk.surroundings().runsAt(engine.id(), model));
     engine.order(
         model, order.version(), desk.self(), fence, answer -> onAnswer(call, fence, answer));
   }
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -500,13 +500,13 @@
     }
 
     @Override
-    public int runsAt(InstanceId engine) {
-      return coordinator.jobs().runsAt(engine);
+    public int runsAt(InstanceId engine, String model) {
+      return coordinator.jobs().runsAt(engine, model);
     }
 
     @Override
-    public Duration longestRunAt(InstanceId engine) {
-      return coordinator.jobs().longestRunAt(engine);
+    public Duration longestRunAt(InstanceId engine, String model) {
+      return coordinator.jobs().longestRunAt(engine, model);
     }
 
     @Override
--- a/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/WeightDesk.java
@@ -33,6 +33,12 @@
   /** Part of the engines that load at once where that is more; the users' sheets name 10 of 35. */
   private static final double LOADS_SHARE = 0.27;
 
+  /**
+   * Models that an engine follows. With two, the loads that half of the engines make for each
+   * version keep the turns of loads busy for about four fifths of the time between two versions.
+   */
+  private static final int MODELS_PER_ENGINE = 2;
+
   /** A run that ends within the time of a load loses less by waiting than by the pause. */
   private static final Duration SHORT_RUN = Duration.ofMillis(600);
 
@@ -51,11 +57,11 @@
   /** What the desk asks of the process around it. */
   interface Surroundings {
 
-    /** Returns how many runs an engine has. */
-    int runsAt(InstanceId engine);
+    /** Returns how many runs of a model an engine has. */
+    int runsAt(InstanceId engine, String model);
 
-    /** Returns how long an engine's longest run is expected to go on. */
-    Duration longestRunAt(InstanceId engine);
+    /** Returns how long an engine's longest run of a model is expected to go on. */
+    Duration longestRunAt(InstanceId engine, String model);
 
     /** Returns the newest version of a model that an open job demands. */
     WeightVersion demanded(String model);
@@ -104,7 +110,9 @@
             .map(e -> new ModelShares.Holder(e.announcement().instance(), e.versions()))
             .toList();
     Map<InstanceId, Set<String>> divided =
-        shares.computeIfAbsent(service, k -> ModelShares.create()).divide(holders, models, named);
+        shares
+            .computeIfAbsent(service, k -> ModelShares.create(MODELS_PER_ENGINE))
+            .divide(holders, models, named);
     for (OrderedEngine engine : engines.values()) {
       Set<String> follows = divided.getOrDefault(engine.id(), Set.of());
       engine
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -104,6 +104,8 @@
   RUN_ENDED(7206, "run ended"),
   /** An order of an older coordinator was ignored. */
   OLD_TERM_IGNORED(7207, "order of an older term ignored"),
+  /** Items wait for an engine. */
+  ITEMS_WAIT(7208, "items wait for an engine"),
   /** An engine was ordered to load weights. */
   ENGINE_ORDERED(7301, "engine ordered to load"),
   /** An engine didn't take an order. */
--- a/standin/src/main/java/org/carobhoist/standin/OddServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/OddServerStandIn.java
@@ -16,6 +16,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * Stands in for a plain server of the users' platform whose answers are odd on the wire in ways
@@ -57,6 +58,7 @@
   private final ServerSocket socket;
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
   private final AtomicInteger open = new AtomicInteger();
+  private final AtomicLong fillerBytes = new AtomicLong();
   private final Map<Socket, byte[]> late = new ConcurrentHashMap<>();
 
   private OddServerStandIn(String instance, Oddity oddity, ServerSocket socket) {
@@ -92,6 +94,11 @@
     return runs;
   }
 
+  /** Returns how much was sent of answers that never end. */
+  public long fillerBytes() {
+    return fillerBytes.get();
+  }
+
   /** Returns whether no connection is open. */
   public boolean isIdle() {
     return open.get() == 0;
@@ -168,11 +175,12 @@
   }
 
   /** Sends for as long as the caller lets it. */
-  private static boolean endless(OutputStream out, String begin, String filler) throws IOException {
+  private boolean endless(OutputStream out, String begin, String filler) throws IOException {
     out.write(begin.getBytes(StandardCharsets.US_ASCII));
     byte[] block = filler.repeat(FILLERS_AT_ONCE).getBytes(StandardCharsets.US_ASCII);
     while (true) {
       out.write(block);
+      fillerBytes.addAndGet(block.length);
     }
   }
 
