Let machines with processor time coordinate and run items; hand over when slow; order at once after a release

Cause: whichever process was first took the lease, also one with 0.27 cores, of which a coordinator of 35 engines alone uses up to 0.22; streams went to machines by name. A holder that a machine's slow-down caught went on deciding late for as long as that lasted.

Change: processes tell their machine's processor time in their record. One below 0.6 cores leaves a vacant lease to others for 600 ms; heirs are chosen by processor time; of a zone's runners those with less than half of the most get nothing.

The record before a conditional append is the one known when it was sent.

--- a/core/src/main/java/org/carobhoist/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseKeeper.java
@@ -48,6 +48,8 @@
   private Duration quietSince = Duration.ZERO;
   private boolean busy;
   private boolean retired;
+  private Optional<Duration> vacantSince = Optional.empty();
+  private Duration takesFrom = Duration.ZERO;
   private boolean held;
   private Duration sentAt = Duration.ZERO;
   private Duration renewedAt = Duration.ZERO;
@@ -134,7 +136,9 @@
       if (since(renewedAt).compareTo(policy.renewal()) >= 0) {
         append(new LeaseEntry(self, incarnation, lastTerm, false, Optional.empty()));
       }
-    } else if (isVacant()) {
+    } else if (!isVacant()) {
+      vacantSince = Optional.empty();
+    } else if (mayTake()) {
       append(new LeaseEntry(self, incarnation, 0, false, Optional.empty()));
     }
   }
@@ -165,6 +169,29 @@
     }
   }
 
+  /**
+   * Gives a lease up that is held, for one that has more to work with; this process takes it again
+   * only after a while.
+   */
+  public void handOver(InstanceId heir, Duration holdOff) {
+    if (held && !busy) {
+      takesFrom = clock.elapsed().plus(holdOff);
+      append(new LeaseEntry(self, incarnation, lastTerm, true, Optional.of(heir)));
+      lose("handed over to " + heir);
+    }
+  }
+
+  /** Returns whether others have had their time to take a lease that is vacant. */
+  private boolean mayTake() {
+    Duration now = clock.elapsed();
+    if (vacantSince.isEmpty()) {
+      vacantSince = Optional.of(now);
+    }
+    boolean heir = last.flatMap(LeaseEntry::heir).filter(self::equals).isPresent();
+    Duration wait = heir ? Duration.ZERO : policy.handicap();
+    return since(vacantSince.get()).compareTo(wait) >= 0 && now.compareTo(takesFrom) >= 0;
+  }
+
   private boolean isVacant() {
     if (last.isEmpty()) {
       return true;
@@ -185,14 +212,18 @@
     busy = true;
     sentAt = clock.elapsed();
     Duration began = sentAt;
+    // The condition makes this the record before the new one; a read may show the new one first.
+    Optional<LeaseEntry> before = last;
     KeyedRecord content = new KeyedRecord(KEY, codec.encode(entry));
     store
         .append(tail.shard(), List.of(content), OptionalLong.of(tail.next()))
-        .whenComplete((outcome, failure) -> onAnswer(entry, content, began, outcome, failure));
+        .whenComplete(
+            (outcome, failure) -> onAnswer(entry, before, content, began, outcome, failure));
   }
 
   private void onAnswer(
       LeaseEntry entry,
+      Optional<LeaseEntry> before,
       KeyedRecord content,
       Duration began,
       AppendOutcome outcome,
@@ -204,7 +235,6 @@
       tail.barrier().whenComplete((ok, unread) -> busy = false);
       return;
     }
-    Optional<LeaseEntry> before = last;
     tail.onAppended(((AppendOutcome.Appended) outcome).offset(), List.of(content));
     if (entry.released() || retired) {
       return;
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -583,14 +583,22 @@
     port.start(runner, order);
   }
 
-  /** Keeps an engine's runs at one runner of its zone, so that few connections serve many runs. */
+  /**
+   * Keeps an engine's runs at one runner of its zone, so that few connections serve many runs; not
+   * at one with much less processor time than others of the zone have.
+   */
   private static InstanceId runnerFor(EngineLoad engine, List<Runner> runners) {
     long key = Rendezvous.key(engine.entry().announcement().instance().value());
+    int most = runners.stream().mapToInt(Runner::milliCores).max().orElse(0);
+    Comparator<Runner> strong = Comparator.comparing(r -> 2 * r.milliCores() >= most);
     Comparator<Runner> near =
         Comparator.comparing(r -> r.zone().equals(engine.entry().announcement().zone()));
     Comparator<Runner> ranked =
         Comparator.comparingLong(r -> Rendezvous.score(key, r.id().value()));
-    return runners.stream().max(near.thenComparing(ranked)).orElseThrow().id();
+    return runners.stream()
+        .max(near.thenComparing(strong).thenComparing(ranked))
+        .orElseThrow()
+        .id();
   }
 
   private Collection<EngineLoad> engines(ServiceName service) {
--- a/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
+++ b/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
@@ -20,8 +20,9 @@
    *
    * @param id its instance
    * @param zone its availability zone
+   * @param milliCores processor time that its machine has, in thousandths of a core; 0 if unknown
    */
-  record Runner(InstanceId id, Zone zone) {}
+  record Runner(InstanceId id, Zone zone, int milliCores) {}
 
   /** Returns the engines of a service that take work. */
   Collection<ServerEntry> engines(ServiceName service);
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseKeeperTest.java
@@ -0,0 +1,22 @@
+package org.carobhoist.core.lease;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import org.carobhoist.core.testing.Schedules;
+import org.junit.jupiter.api.Test;
+
+/** Who takes a lease that is vacant, and what a process does that finds itself too slow. */
+final class LeaseKeeperTest {
+
+  private static final int SCHEDULES = 200;
+
+  @Test
+  void processWithLessToWorkWithTakesTheLeaseOnlyIfNobodyElseDoes() {
+    assertThat(Schedules.explore(1, SCHEDULES, LeaseWorld::runFirstTake)).isEmpty();
+  }
+
+  @Test
+  void slowHolderLeavesTheLeaseToItsHeirAndDoesNotTakeItBackAtOnce() {
+    assertThat(Schedules.explore(1, SCHEDULES, LeaseWorld::runHandOver)).isEmpty();
+  }
+}
--- a/core/src/test/java/org/carobhoist/core/lease/LeaseWorld.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseWorld.java
@@ -37,6 +37,9 @@
   private static final Duration END = Duration.ofSeconds(30);
 
   private final SharedLog log = new SharedLog();
+  private static final Duration HANDICAP = Duration.ofMillis(600);
+  private static final Duration HOLD_OFF = Duration.ofSeconds(3);
+
   private final ManualClock clock = new ManualClock();
   private final EventQueue queue = new EventQueue(clock);
   private final SplittableRandom random;
@@ -55,6 +58,7 @@
   private final class Candidate implements LeasePort, Clock {
     private final StoreLink link = new StoreLink(log, queue, random.split());
     private final Incarnation incarnation = new Incarnation("run-" + incarnations++);
+    private final int index;
     private final InstanceId id;
     private final LeaseKeeper keeper;
     private boolean alive = true;
@@ -63,13 +67,21 @@
     private Duration diedAt = Duration.ZERO;
 
     private Candidate(int index, double faultShare) {
+      this.index = index;
       id = new InstanceId("entry-" + index);
       link.setFaultShare(faultShare);
       link.setDelivery(this::gated);
       RecordStore store = rules.conditional() ? link : new UnconditionalStore(link);
       keeper =
           LeaseKeeper.create(
-              id, incarnation, store, new Codec(), this, policy(), this, LeaseWorld.this::isEnded);
+              id,
+              incarnation,
+              store,
+              new Codec(),
+              this,
+              policy(index),
+              this,
+              LeaseWorld.this::isEnded);
       KeyedTail tail = KeyedTail.create(store, SHARD, keeper, this, this::later, WAIT);
       keeper.follow(tail);
       tail.start();
@@ -175,10 +187,58 @@
     return new LeaseWorld(random, rules).runToEnd();
   }
 
-  private LeasePolicy policy() {
+  /** Starts all processes; the ones with a handicap must not be first while others are there. */
+  static Optional<String> runFirstTake(SplittableRandom random) {
+    LeaseWorld world = new LeaseWorld(random, Rules.ALL);
+    world.startAll();
+    world.queue.run(Duration.ofSeconds(3));
+    int holder = world.holder();
+    if (holder < 0 || holder % 2 != 0) {
+      return Optional.of("held by " + holder);
+    }
+    world.candidates.stream().filter(c -> c.index % 2 == 0).forEach(Candidate::kill);
+    world.queue.run(Duration.ofSeconds(9));
+    int next = world.holder();
+    return next % 2 == 1 ? Optional.empty() : Optional.of("then held by " + next);
+  }
+
+  /** Lets the holder hand over; its heir orders soon after, and it stays the holder. */
+  static Optional<String> runHandOver(SplittableRandom random) {
+    LeaseWorld world = new LeaseWorld(random, Rules.ALL);
+    world.startAll();
+    world.queue.run(Duration.ofSeconds(4));
+    int holder = world.holder();
+    int heir = (holder + 1) % PROCESSES;
+    Duration at = world.clock.elapsed().plus(LeaseKeeper.TICK);
+    world.queue.after(LeaseKeeper.TICK, () -> world.handOverOnceItCan(holder));
+    world.queue.run(at.plusSeconds(1));
+    if (world.holder() != heir || !world.candidates.get(heir).givesOrders()) {
+      return Optional.of(holder + " left it, then held by " + world.holder());
+    }
+    world.queue.run(at.plus(HOLD_OFF).plusSeconds(1));
+    return world.holder() == heir ? Optional.empty() : Optional.of("then " + world.holder());
+  }
+
+  private void startAll() {
+    for (int i = 0; i < PROCESSES; i++) {
+      candidates.add(new Candidate(i, 0));
+    }
+  }
+
+  /** A renewal that is on its way has to end first. */
+  private void handOverOnceItCan(int index) {
+    handOver(index);
+    if (candidates.get(index).keeper.isHeld()) {
+      queue.after(Duration.ofMillis(10), () -> handOverOnceItCan(index));
+    }
+  }
+
+  private LeasePolicy policy(int index) {
     LeasePolicy p = LeasePolicy.of(rules.gap() ? ORDER_GAP : Duration.ZERO);
     Duration trust = rules.trustEnds() ? p.trust() : END;
-    return new LeasePolicy(p.renewal(), p.silence(), trust, p.heirTime(), p.orderGap());
+    Duration handicap = index % 2 == 0 ? Duration.ZERO : HANDICAP;
+    return new LeasePolicy(p.renewal(), p.silence(), trust, p.heirTime(), p.orderGap())
+        .withHandicap(handicap);
   }
 
   private Optional<String> runToEnd() {
@@ -207,7 +267,7 @@
     }
     Candidate candidate = candidates.get(index);
     Duration time = Duration.ofMillis(random.nextInt(200, 5_000));
-    switch (random.nextInt(5)) {
+    switch (random.nextInt(6)) {
       case 0 -> restart(index, time);
       case 1 -> candidate.freeze(time);
       case 2 -> {
@@ -215,13 +275,14 @@
         queue.after(time, () -> candidate.link.setCut(false));
       }
       case 3 -> stop(index, time);
+      case 4 -> handOver(index);
       default -> log.expire(SHARD);
     }
   }
 
   private int holder() {
     for (int i = 0; i < PROCESSES; i++) {
-      if (candidates.get(i).keeper.isHeld()) {
+      if (candidates.get(i).alive && candidates.get(i).keeper.isHeld()) {
         return i;
       }
     }
@@ -246,6 +307,13 @@
     queue.after(grace, () -> restart(index, Duration.ofMillis(300)));
   }
 
+  /** A process that holds the lease finds itself too slow. */
+  private void handOver(int index) {
+    InstanceId heir = new InstanceId("entry-" + (index + 1) % PROCESSES);
+    Candidate candidate = candidates.get(index);
+    candidate.gated(() -> candidate.keeper.handOver(heir, HOLD_OFF));
+  }
+
   private void heal() {
     for (Candidate c : candidates) {
       c.link.setFaultShare(0);
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -66,13 +66,14 @@
     private final List<ServerEntry> engines = new ArrayList<>();
     private final Set<InstanceId> loading = new HashSet<>();
     private final List<RunOrder> started = new ArrayList<>();
+    private final List<InstanceId> startedAt = new ArrayList<>();
     private final List<Long> cancelled = new ArrayList<>();
     private final List<String> listed = new ArrayList<>();
     private final List<ItemResult> results = new ArrayList<>();
     private final List<String> scored = new ArrayList<>();
     private final List<InstanceId> leaving = new ArrayList<>();
     private final List<Map<WaitCause, Integer>> waits = new ArrayList<>();
-    private final List<Runner> runners = new ArrayList<>(List.of(new Runner(RUNNER, ZONE)));
+    private final List<Runner> runners = new ArrayList<>(List.of(new Runner(RUNNER, ZONE, 1_000)));
 
     @Override
     public Collection<ServerEntry> engines(ServiceName service) {
@@ -92,6 +93,7 @@
     @Override
     public void start(InstanceId runner, RunOrder order) {
       started.add(order);
+      startedAt.add(runner);
     }
 
     @Override
@@ -320,6 +322,24 @@
     assertThat(port.last().prefix().events()).isEqualTo(4);
   }
 
+  @Test
+  void runsGoToRunnersThatHaveProcessorTime() {
+    for (int i = 0; i < 8; i++) {
+      addEngine("e" + i, V6);
+      port.runners.add(new PlacementPort.Runner(new InstanceId("weak-" + i), ZONE, 270));
+    }
+    port.runners.add(new PlacementPort.Runner(OTHER, ZONE, 1_500));
+    activate();
+    JobItem[] wanted = new JobItem[16];
+    for (int i = 0; i < wanted.length; i++) {
+      wanted[i] = item("i" + i, 9);
+    }
+    submit("j1", wanted);
+    pass(50);
+    assertThat(port.started).hasSize(16);
+    assertThat(Set.copyOf(port.startedAt)).containsExactly(RUNNER, OTHER);
+  }
+
   @Test
   void silentRunIsCancelledBeforeItGoesOnElsewhere() {
     addEngine("e1", V6);
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -24,6 +24,7 @@
 import org.carobhoist.core.lease.LeaseEntry;
 import org.carobhoist.core.lease.LeaseKeeper;
 import org.carobhoist.core.lease.LeasePort;
+import org.carobhoist.core.lease.TickPace;
 import org.carobhoist.core.manifest.EngineSpec;
 import org.carobhoist.core.manifest.Manifest;
 import org.carobhoist.core.manifest.ManifestHolder;
@@ -50,8 +51,14 @@
 /** Places items and keeps the engines' weights while this process holds the lease. */
 final class CoordinatorDesk implements PlacementPort, LeasePort, JobListener {
 
+  /**
+   * Time for which a process doesn't coordinate after it was too slow; slow spells last seconds.
+   */
+  private static final Duration HOLD_OFF = Duration.ofSeconds(10);
+
   private final InstanceId self;
   private final Zone zone;
+  private final int milliCores;
   private final DecisionLoop loop;
   private final Clock clock;
   private final ManifestHolder manifests;
@@ -63,6 +70,7 @@
   private final FinishedTexts finished;
   private final Duration keepTime;
   private final JobCoordinator jobs;
+  private final TickPace pace = TickPace.create(JobCoordinator.TICK);
   private final Set<InstanceId> leaving = new HashSet<>();
   private WeightDesk weights;
   private LeaseKeeper lease;
@@ -74,6 +82,7 @@
   CoordinatorDesk(
       InstanceId self,
       Zone zone,
+      int milliCores,
       DecisionLoop loop,
       Clock clock,
       ManifestHolder manifests,
@@ -86,6 +95,7 @@
       Duration keepTime) {
     this.self = self;
     this.zone = zone;
+    this.milliCores = milliCores;
     this.loop = loop;
     this.clock = clock;
     this.manifests = manifests;
@@ -127,6 +137,7 @@
     jobs.activate(term);
     runner.onAttach(term, new LocalLink());
     mesh.linked().keySet().forEach(this::attach);
+    pace.reset();
     if (!ticking) {
       ticking = true;
       loop.after(JobCoordinator.TICK, this::tick);
@@ -220,6 +231,9 @@
       return;
     }
     loop.after(JobCoordinator.TICK, this::tick);
+    if (pace.isSlow(clock.elapsed()) && handOver()) {
+      return;
+    }
     manifests
         .current()
         .ifPresent(
@@ -232,6 +246,17 @@
     forgetOne(clock.now());
   }
 
+  /** Lets a peer coordinate whose machine does better; returns whether there is one. */
+  private boolean handOver() {
+    Optional<InstanceId> heir = mesh.heir();
+    heir.ifPresent(
+        h -> {
+          EventLog.warn(LogEvent.LEASE_HANDED_OVER, "heir", h, "late", pace.lateness());
+          lease.handOver(h, HOLD_OFF);
+        });
+    return heir.isPresent() && !active;
+  }
+
   /** Drops the oldest job whose results nobody may read any more from the store. */
   private void forgetOne(Instant now) {
     if (forgetting) {
@@ -277,13 +302,13 @@
   public Collection<Runner> runners() {
     List<Runner> out = new ArrayList<>();
     if (!stopping) {
-      out.add(new Runner(self, zone));
+      out.add(new Runner(self, zone, milliCores));
     }
     mesh.linked()
         .forEach(
-            (id, itsZone) -> {
+            (id, peer) -> {
               if (!leaving.contains(id)) {
-                out.add(new Runner(id, itsZone));
+                out.add(peer);
               }
             });
     return out;
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -85,6 +85,12 @@
    */
   private static final int GATHERINGS_PER_DRAIN = 5;
 
+  /** Processor time that a coordinator should have; one of 35 engines takes up to 0.22 cores. */
+  private static final int COORDINATOR_MILLI_CORES = 600;
+
+  /** Time that machines with less leave a vacant lease to others; taking it needs some 20 ms. */
+  private static final Duration HANDICAP = Duration.ofMillis(600);
+
   /** Pause of the tail of the processes' own records, which come in herds. */
   private static final Duration NODE_GATHERING = Duration.ofMillis(200);
 
@@ -209,6 +215,7 @@
         new CoordinatorDesk(
             boot.node(),
             boot.zone(),
+            boot.milliCores(),
             loop,
             clock,
             manifests,
@@ -230,7 +237,7 @@
             store,
             new LeaseRecords(),
             coordinator,
-            LeasePolicy.of(boot.bounds().orderGap()),
+            LeasePolicy.of(boot.bounds().orderGap()).withHandicap(handicap()),
             clock,
             entry -> mesh.hasEnded(entry.holder(), entry.incarnation()));
     KeyedTail leaseTail = tail(Topics.LEASE, lease, LEASE_READ_WAIT);
@@ -324,6 +331,10 @@
     return tail;
   }
 
+  private Duration handicap() {
+    return boot.milliCores() < COORDINATOR_MILLI_CORES ? HANDICAP : Duration.ZERO;
+  }
+
   /** A coordinator and whoever has a reader waiting need each record of a job at once. */
   private Duration jobGathering(int part) {
     boolean awaited = coordinator.isActive() || jobs.hasReader(part);
@@ -397,6 +408,7 @@
             .setAddress(text(boot.peers()).toString())
             .setZone(boot.zone().value())
             .setIncarnation(incarnation.value())
+            .setMilliCores(boot.milliCores())
             .build();
     write(new KeyedRecord(boot.node().value(), node.toByteArray()));
   }
--- a/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
@@ -15,6 +15,7 @@
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.placement.PlacementPort;
 import org.carobhoist.core.routing.Rendezvous;
 import org.carobhoist.core.settings.SocketAddressText;
 import org.carobhoist.core.store.StoredRecord;
@@ -142,15 +143,17 @@
     tick();
   }
 
-  /** Returns the peers whose link is up, with their zones. */
-  Map<InstanceId, Zone> linked() {
-    Map<InstanceId, Zone> out = new HashMap<>();
-    peers.values().stream()
-        .filter(p -> p.link != null)
-        .forEach(p -> out.put(p.id, new Zone(p.node.getZone())));
+  /** Returns the peers whose link is up, with what they have. */
+  Map<InstanceId, PlacementPort.Runner> linked() {
+    Map<InstanceId, PlacementPort.Runner> out = new HashMap<>();
+    peers.values().stream().filter(p -> p.link != null).forEach(p -> out.put(p.id, runner(p)));
     return out;
   }
 
+  private static PlacementPort.Runner runner(Peer p) {
+    return new PlacementPort.Runner(p.id, new Zone(p.node.getZone()), p.node.getMilliCores());
+  }
+
   /** Returns the paths to the store by way of peers that reach it. */
   List<StoreTransport> storePaths() {
     return peers.values().stream()
@@ -168,12 +171,13 @@
     }
   }
 
-  /** Returns a peer that could take the coordinator's lease over. */
+  /** Returns the peer that could best take the coordinator's lease over. */
   Optional<InstanceId> heir() {
+    Comparator<Peer> byCores = Comparator.comparing(p -> p.node.getMilliCores());
     return peers.values().stream()
         .filter(p -> p.link != null && p.storeReachable)
-        .map(p -> p.id)
-        .min(Comparator.naturalOrder());
+        .max(byCores.thenComparing(p -> p.id))
+        .map(p -> p.id);
   }
 
   /** Returns whether the run of a process that another record names is known to have ended. */
--- a/server/src/main/java/org/carobhoist/server/link/proto/NodeRecord.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/NodeRecord.java
@@ -179,6 +179,55 @@
     incarnation_ = value.toStringUtf8();
   }
 
+  public static final int MILLI_CORES_FIELD_NUMBER = 4;
+  private int milliCores_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Processor time that the machine has, in thousandths of a core; 0 if it doesn't say.
+   * </pre>
+   *
+   * <code>int32 milli_cores = 4;</code>
+   *
+   * @return The milliCores.
+   */
+  @java.lang.Override
+  public int getMilliCores() {
+    return milliCores_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Processor time that the machine has, in thousandths of a core; 0 if it doesn't say.
+   * </pre>
+   *
+   * <code>int32 milli_cores = 4;</code>
+   *
+   * @param value The milliCores to set.
+   */
+  private void setMilliCores(int value) {
+
+    milliCores_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Processor time that the machine has, in thousandths of a core; 0 if it doesn't say.
+   * </pre>
+   *
+   * <code>int32 milli_cores = 4;</code>
+   */
+  private void clearMilliCores() {
+
+    milliCores_ = 0;
+  }
+
   public static org.carobhoist.server.link.proto.NodeRecord parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -446,6 +495,57 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Processor time that the machine has, in thousandths of a core; 0 if it doesn't say.
+     * </pre>
+     *
+     * <code>int32 milli_cores = 4;</code>
+     *
+     * @return The milliCores.
+     */
+    @java.lang.Override
+    public int getMilliCores() {
+      return instance.getMilliCores();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Processor time that the machine has, in thousandths of a core; 0 if it doesn't say.
+     * </pre>
+     *
+     * <code>int32 milli_cores = 4;</code>
+     *
+     * @param value The milliCores to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMilliCores(int value) {
+      copyOnWrite();
+      instance.setMilliCores(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Processor time that the machine has, in thousandths of a core; 0 if it doesn't say.
+     * </pre>
+     *
+     * <code>int32 milli_cores = 4;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearMilliCores() {
+      copyOnWrite();
+      instance.clearMilliCores();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.NodeRecord)
   }
 
@@ -468,11 +568,11 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "address_", "zone_", "incarnation_",
+                "address_", "zone_", "incarnation_", "milliCores_",
               };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0208"
-                  + "\u0003\u0208";
+              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0208\u0002\u0208"
+                  + "\u0003\u0208\u0004\u0004";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/NodeRecordOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/NodeRecordOrBuilder.java
@@ -52,4 +52,17 @@
    * @return The bytes for incarnation.
    */
   com.google.protobuf.ByteString getIncarnationBytes();
+
+  /**
+   *
+   *
+   * <pre>
+   * Processor time that the machine has, in thousandths of a core; 0 if it doesn't say.
+   * </pre>
+   *
+   * <code>int32 milli_cores = 4;</code>
+   *
+   * @return The milliCores.
+   */
+  int getMilliCores();
 }
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -124,6 +124,8 @@
   PEER_LOST(7404, "peer lost"),
   /** This process's record for the others couldn't be written. */
   MEMBER_WRITE_FAILED(7405, "membership record not written"),
+  /** This process is too slow to coordinate. */
+  LEASE_HANDED_OVER(7406, "coordinator lease handed over"),
   /** A manifest is in force. */
   MANIFEST_IN_FORCE(7501, "manifest in force"),
   /** A shard of the store can't be read. */
