Bound the answers that aren't whole over all of them, not one by one

Cause: the bound of 1 MiB for each plain answer cut sound ones: a body may have what the manifest allows (32 MiB on the users' sites). GatewayTest.headsAndBodiesAreTakenUpToTheManifestsLimits showed it, before any landing. A bound of 32 MiB for each would let a few endless answers fill the heap.

Change: BufferBudget: 22 MiB over all answers of a process that aren't whole or not yet taken by their clients; past it the largest is cut, which an endless one soon is. Calls of the process's own keep 1 MiB.

--- a/server/src/main/java/org/carobhoist/server/gateway/ForwardContext.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ForwardContext.java
@@ -5,6 +5,7 @@
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.limit.BufferBudget;
 import org.carobhoist.core.membership.EndpointDirectory;
 import org.carobhoist.core.membership.RegisteredServers;
 import org.carobhoist.core.request.RetryBudget;
@@ -24,6 +25,7 @@
     RegisteredServers servers,
     RetryBudget budget,
     Upstreams upstreams,
+    BufferBudget buffers,
     RequestMetrics metrics) {
 
   /** Takes what the head of an answer says of the server that sent it. */
--- a/server/src/main/java/org/carobhoist/server/gateway/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ForwardedCall.java
@@ -18,6 +18,7 @@
 import org.carobhoist.core.common.RefusalReason;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.common.Verdict;
+import org.carobhoist.core.limit.BufferBudget;
 import org.carobhoist.core.manifest.Route;
 import org.carobhoist.core.manifest.RouteKind;
 import org.carobhoist.core.membership.ServerEntry;
@@ -56,6 +57,7 @@
   private final RequestRun run;
   private final Duration startedAt;
   private final Duration deadline;
+  private final List<Exchange> exchanges = new ArrayList<>();
   private Exchange current;
   private Exchange complete;
   private Runnable cancelDeadline = () -> {};
@@ -84,6 +86,7 @@
               context.loop().execute(call::onClientGone);
               return null;
             });
+    out.whenComplete().whenComplete((ok, gone) -> context.loop().execute(call::release));
     call.cancelDeadline = context.loop().after(call.left(), call.run::onDeadline);
     call.run.start();
   }
@@ -111,6 +114,7 @@
     }
     context.directory().onBegin(endpoint);
     current = new Exchange(endpoint, attempt);
+    exchanges.add(current);
     current.start(server.get());
   }
 
@@ -158,6 +162,11 @@
     end(Verdict.MAY_HAVE_RUN, refusal.reason() + ": " + refusal.detail());
   }
 
+  /** Lets go of what was held for the client. */
+  private void release() {
+    exchanges.forEach(e -> e.buffer.close());
+  }
+
   private void onClientGone() {
     if (run.state() != RequestState.COMPLETED && run.state() != RequestState.REFUSED) {
       run.onCancel();
@@ -229,6 +238,7 @@
     private Subscription subscription;
     private ResponseHeaders head;
     private Runnable cancelTimeout = () -> {};
+    private final BufferBudget.Buffer buffer = context.buffers().open(this::onTooLarge);
     private boolean over;
 
     private Exchange(InstanceId endpoint, int attempt) {
@@ -241,10 +251,7 @@
       HttpRequest toServer =
           HttpRequest.of(
               CallHeaders.forward(request.headers(), endpoint, left, ""), request.content());
-      response =
-          isStreaming()
-              ? context.upstreams().send(server.address(), toServer, Duration.ZERO)
-              : context.upstreams().call(server.address(), toServer, Duration.ZERO);
+      response = context.upstreams().send(server.address(), toServer, Duration.ZERO);
       response.subscribe(this);
       boolean again = route.isIdempotent() && attempt < route.retry().maxAttempts();
       if (again && !isStreaming()) {
@@ -267,6 +274,12 @@
       context.directory().onEnd(endpoint);
     }
 
+    private void onTooLarge() {
+      if (!over) {
+        fail("the answer is too large, or has no end");
+      }
+    }
+
     private void onTimeout() {
       if (!over) {
         fail("no answer in time");
@@ -276,6 +289,7 @@
     /** The request may have run; what the server still says is dropped. */
     private void fail(String why) {
       abort();
+      buffer.close();
       context.router().onFailure(service, endpoint);
       EventLog.info(
           LogEvent.ATTEMPT_FAILED,
@@ -320,6 +334,7 @@
           out.write(data);
         } else {
           body.add(data);
+          buffer.add(data.length());
         }
       }
     }
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -25,6 +25,7 @@
 import org.carobhoist.core.job.JobView;
 import org.carobhoist.core.lease.LeaseKeeper;
 import org.carobhoist.core.lease.LeasePolicy;
+import org.carobhoist.core.limit.BufferBudget;
 import org.carobhoist.core.manifest.ManifestHolder;
 import org.carobhoist.core.membership.EndpointDirectory;
 import org.carobhoist.core.membership.RegisteredServers;
@@ -109,6 +110,9 @@
   /** How long unused connections of clients are kept, longer than any manifest asks for. */
   private static final Duration CLIENT_IDLE_TIME = Duration.ofMinutes(10);
 
+  /** Bytes of answers that aren't whole yet; a fifth of the heap that the deploy file gives. */
+  private static final long ANSWER_BYTES = 22L << 20;
+
   /** Most bytes of a request's head, more than any manifest allows; the routes check its limit. */
   private static final int MAX_HEAD_BYTES = 65_536;
 
@@ -363,6 +367,7 @@
         servers,
         RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST),
         upstreams,
+        BufferBudget.create(ANSWER_BYTES),
         RequestMetrics.create(metrics, s -> !directory.viewsOf(s).isEmpty()));
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/Upstreams.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/Upstreams.java
@@ -20,7 +20,7 @@
   /** Clients kept; a client is small, and an installation has some hundreds of servers. */
   private static final int MOST_CLIENTS = 1_024;
 
-  /** Most bytes of an answer that is kept whole; a page of results has at most a megabyte. */
+  /** Most bytes of an answer to a call of this process's own; reports and scores have some KiB. */
   private static final long MAX_ANSWER_BYTES = 1 << 20;
 
   private static final int INITIAL_CAPACITY = 64;
@@ -40,7 +40,7 @@
   }
 
   /**
-   * Sends a request whose whole answer is kept until it has ended.
+   * Sends a request of this process's own, whose answer is read when it is whole.
    *
    * @param timeout time until the whole answer has to be there; zero for none
    */
