Keep the entries of results in shards that nobody follows

At 43 processes and 80 results a second that is about 30 MB/s of the 80 MB/s that all reads of the store share, in steady state; when all processes start again each reads some 20 to 30 MB, more than 1 GB together.

Change: the list (result/JOB/ITEM) names the place of an entry, which has a record of its own under a key that no other entry has, in 16 shards that nobody follows. It is appended before the list names it, read by offset by the process that is asked for a page, by key once the store has dropped old records, and kept there in 4 MiB. A former result is copied for a later job.

Weighed: texts with peers (any number of machines may go at once); compressing them (half at best).

--- a/core/src/main/java/org/carobhoist/core/placement/FormerTexts.java
+++ b/core/src/main/java/org/carobhoist/core/placement/FormerTexts.java
@@ -1,10 +1,8 @@
 package org.carobhoist.core.placement;
 
 import java.util.Optional;
-import java.util.function.Function;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.job.ItemId;
-import org.carobhoist.core.job.ItemResult;
 import org.carobhoist.core.job.Job;
 import org.carobhoist.core.job.JobItem;
 import org.carobhoist.core.job.JobView;
@@ -16,17 +14,10 @@
 final class FormerTexts {
 
   private final JobView view;
-  private final Function<ItemResult, RunText> textOf;
   private final KeptTexts kept = new KeptTexts();
 
-  /**
-   * Creates a memory without texts.
-   *
-   * @param textOf returns the text of a result
-   */
-  FormerTexts(JobView view, Function<ItemResult, RunText> textOf) {
+  FormerTexts(JobView view) {
     this.view = view;
-    this.textOf = textOf;
   }
 
   /** Keeps the text of an item whose job has ended. */
@@ -34,21 +25,8 @@
     kept.put(item, text);
   }
 
-  /** Returns the result of another job that may stand in this one as it is. */
-  Optional<ItemResult> result(Job job, JobItem item) {
-    return former(job, item).filter(f -> isScoredFor(f, item)).flatMap(f -> f.result(item.id()));
-  }
-
-  /** Returns a text to go on from, or one that is whole. */
-  Optional<RunText> text(Job job, JobItem item) {
-    WeightVersion min = job.content().minVersion();
-    boolean single = job.head().terms().singleVersion();
-    Optional<RunText> whole = former(job, item).flatMap(f -> f.result(item.id())).map(textOf);
-    whole.ifPresent(RunText::markComplete);
-    return whole.isPresent() ? whole : kept.take(item.id()).filter(t -> t.fits(min, single));
-  }
-
-  private Optional<Job> former(Job job, JobItem item) {
+  /** Returns the job whose result of an item fits this one. */
+  Optional<Job> jobWithResult(Job job, JobItem item) {
     WeightVersion min = job.content().minVersion();
     boolean single = job.head().terms().singleVersion();
     return view.jobs().stream()
@@ -58,8 +36,15 @@
         .findFirst();
   }
 
+  /** Returns a text to go on from, or one that is whole. */
+  Optional<RunText> text(Job job, JobItem item) {
+    WeightVersion min = job.content().minVersion();
+    boolean single = job.head().terms().singleVersion();
+    return kept.take(item.id()).filter(t -> t.fits(min, single));
+  }
+
   /** A score belongs to one call; a call with another id needs an answer of its own. */
-  private static boolean isScoredFor(Job former, JobItem item) {
+  static boolean isScoredFor(Job former, JobItem item) {
     if (item.reward().isEmpty()) {
       return true;
     }
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -86,7 +86,7 @@
     this.placer = new Placer(policy);
     this.clock = clock;
     this.specs = specs;
-    this.former = new FormerTexts(view, port::textOf);
+    this.former = new FormerTexts(view);
   }
 
   /**
@@ -269,11 +269,12 @@
     if (items.putIfAbsent(key, state) != null) {
       return;
     }
-    Optional<ItemResult> same = former.result(job, item);
-    if (same.isPresent()) {
-      port.note(Decision.REUSED, job.id(), item.id(), "versions", same.get().versions());
+    Optional<Job> other = former.jobWithResult(job, item);
+    if (other.isPresent()) {
+      ItemResult result = other.get().result(item.id()).orElseThrow();
+      port.note(Decision.REUSED, job.id(), item.id(), "versions", result.versions());
       state.onEnd(Phase.DONE, clock.elapsed());
-      port.list(job.id(), same.get());
+      port.reuse(job, item, result, FormerTexts.isScoredFor(other.get(), item));
       return;
     }
     former.text(job, item).ifPresent(state::replaceText);
--- a/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
+++ b/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
@@ -51,8 +51,12 @@
    */
   void finish(Job job, JobItem item, RunText text);
 
-  /** Returns the text of a result that is not dead. */
-  RunText textOf(ItemResult result);
+  /**
+   * Lists what another job's result holds for an item that comes again.
+   *
+   * @param scored whether the result's score is one for the item too; else its text is scored anew
+   */
+  void reuse(Job job, JobItem item, ItemResult former, boolean scored);
 
   /** Returns the result of an item that is given up. */
   ItemResult dead(ItemId item);
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/job/ResultEntriesTest.java
@@ -0,0 +1,136 @@
+package org.carobhoist.core.job;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.IntStream;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.store.Shard;
+import org.carobhoist.core.store.SharedLog;
+import org.carobhoist.core.store.StoreLink;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+import org.junit.jupiter.api.Test;
+
+/** Entries through stores that are slow, refuse calls, lose answers or carry writes out late. */
+final class ResultEntriesTest {
+
+  private static final List<Shard> SHARDS =
+      IntStream.range(0, 4).mapToObj(i -> new Shard("texts", i)).toList();
+  private static final JobId JOB = new JobId("j1");
+  private static final Duration LONG = Duration.ofSeconds(60);
+
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue queue = new EventQueue(clock);
+  private final SharedLog log = new SharedLog();
+  private final StoreLink link = new StoreLink(log, queue, new SplittableRandom(7));
+  private final ResultEntries writer = entries("writer");
+  private boolean wanted = true;
+
+  private ResultEntries entries(String name) {
+    return ResultEntries.create(link, SHARDS, this::after, name);
+  }
+
+  private Runnable after(Duration delay, Runnable task) {
+    queue.after(delay, task);
+    return () -> {};
+  }
+
+  private void pass(Duration time) {
+    queue.run(clock.elapsed().plus(time));
+  }
+
+  private static ItemResult result(String item, int length) {
+    byte[] entry = (item + "x".repeat(length)).getBytes(StandardCharsets.US_ASCII);
+    return new ItemResult(new ItemId(item), false, Set.of(new WeightVersion(3)), entry);
+  }
+
+  private List<ItemResult> write(int count) {
+    List<CompletableFuture<ItemResult>> placed = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      placed.add(writer.write(JOB, result("i" + i, 1_000), () -> wanted));
+    }
+    pass(LONG);
+    return placed.stream().map(CompletableFuture::join).toList();
+  }
+
+  private List<String> load(ResultEntries reader, List<ItemResult> results) {
+    CompletableFuture<List<ItemResult>> loaded = reader.load(results);
+    pass(LONG);
+    return loaded.join().stream()
+        .map(r -> new String(r.pageEntry(), StandardCharsets.US_ASCII).split("x")[0])
+        .toList();
+  }
+
+  @Test
+  void anotherProcessReadsWhatWasWritten() {
+    List<ItemResult> placed = write(5);
+    placed.forEach(r -> assertThat(r.pageEntry()).isEmpty());
+    assertThat(placed.get(2).length()).isEqualTo(1_002);
+    assertThat(load(entries("reader"), placed))
+        .containsExactly("i0", "i1", "i2", "i3", "i4")
+        .inOrder();
+    assertThat(load(entries("reader-2"), placed.subList(3, 4))).containsExactly("i3");
+  }
+
+  @Test
+  void smallEntriesStayInTheList() {
+    ItemResult small = result("i0", 10);
+    assertThat(writer.write(JOB, small, () -> true).join()).isEqualTo(small);
+  }
+
+  @Test
+  void entriesOutliveTheStoresHistory() {
+    List<ItemResult> placed = write(5);
+    SHARDS.forEach(log::expire);
+    assertThat(load(entries("reader"), placed)).containsExactly("i0", "i1", "i2", "i3", "i4");
+  }
+
+  @Test
+  void entriesAreWrittenAndReadThroughFaults() {
+    link.setFaultShare(0.4);
+    List<ItemResult> placed = write(30);
+    link.setFaultShare(0);
+    List<String> read = load(entries("reader"), placed);
+    assertThat(read).hasSize(30);
+    for (int i = 0; i < 30; i++) {
+      assertThat(read.get(i)).isEqualTo("i" + i);
+    }
+  }
+
+  @Test
+  void entryThatIsNoLongerWantedIsNotWrittenForEver() {
+    link.setCut(true);
+    CompletableFuture<ItemResult> placed = writer.write(JOB, result("i0", 1_000), () -> wanted);
+    pass(Duration.ofSeconds(5));
+    assertThat(placed.isDone()).isFalse();
+    wanted = false;
+    pass(Duration.ofSeconds(5));
+    assertThat(placed.join().place()).isEmpty();
+  }
+
+  @Test
+  void missingEntriesFailAndAreNeverMadeUp() {
+    ItemResult lost = result("i0", 0).at(new EntryPlace("text/j1/i0/nobody-1", 1, 12, 1_000));
+    CompletableFuture<List<ItemResult>> loaded = entries("reader").load(List.of(lost));
+    pass(LONG);
+    assertThat(loaded.isCompletedExceptionally()).isTrue();
+  }
+
+  @Test
+  void whatIsKeptForReadersIsBounded() {
+    List<ItemResult> placed = new ArrayList<>();
+    for (int i = 0; i < 60; i++) {
+      CompletableFuture<ItemResult> one = writer.write(JOB, result("i" + i, 150_000), () -> true);
+      pass(Duration.ofSeconds(1));
+      placed.add(one.join());
+    }
+    assertThat(writer.cachedBytes()).isAtMost(4 << 20);
+  }
+}
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -117,8 +117,12 @@
     }
 
     @Override
-    public RunText textOf(ItemResult result) {
-      return RunText.of(new TextDelta(0, 1, result.pageEntry(), "", result.versions()));
+    public void reuse(Job job, JobItem item, ItemResult former, boolean sameScore) {
+      if (sameScore) {
+        list(job.id(), former);
+      } else {
+        scored.add(job.id() + " " + item.reward().orElseThrow().id());
+      }
     }
 
     @Override
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -56,6 +56,9 @@
    */
   private static final Duration HOLD_OFF = Duration.ofSeconds(10);
 
+  /** Pause before a former result that couldn't be read is read again. */
+  private static final Duration REUSE_PAUSE = Duration.ofMillis(300);
+
   private final InstanceId self;
   private final Zone zone;
   private final int milliCores;
@@ -347,9 +350,27 @@
   }
 
   @Override
-  public RunText textOf(ItemResult result) {
-    byte[] text = JobJson.textOf(result);
-    return RunText.of(new TextDelta(0, 1, text, "", result.versions()));
+  public void reuse(Job job, JobItem item, ItemResult former, boolean scored) {
+    lists
+        .load(List.of(former))
+        .whenComplete(
+            (loaded, failure) -> {
+              if (failure == null) {
+                reuse(job, item, scored, loaded.get(0));
+              } else if (active && job.isOpen() && job.result(item.id()).isEmpty()) {
+                EventLog.info(LogEvent.READ_UNSURE, "job", job.id(), "why", failure);
+                loop.after(REUSE_PAUSE, () -> reuse(job, item, former, scored));
+              }
+            });
+  }
+
+  private void reuse(Job job, JobItem item, boolean scored, ItemResult loaded) {
+    if (scored) {
+      lists.list(job.id(), loaded);
+      return;
+    }
+    TextDelta whole = new TextDelta(0, 1, JobJson.textOf(loaded), "", loaded.versions());
+    finish(job, item, RunText.of(whole));
   }
 
   @Override
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -23,6 +23,7 @@
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.job.JobRecordCodec;
 import org.carobhoist.core.job.JobView;
+import org.carobhoist.core.job.ResultEntries;
 import org.carobhoist.core.lease.LeaseKeeper;
 import org.carobhoist.core.lease.LeasePolicy;
 import org.carobhoist.core.limit.BufferBudget;
@@ -207,7 +208,9 @@
       jobTails.add(
           tail(shard, view.ofShard(shard.part()), READ_WAIT, () -> jobGathering(shard.part())));
     }
-    final ResultLists lists = new ResultLists(store, jobTails, view, codec, loop);
+    ResultEntries entries =
+        ResultEntries.create(store, Topics.entries(), loop, incarnation.value());
+    final ResultLists lists = new ResultLists(store, jobTails, view, codec, entries, loop);
     this.context = forwardContext();
     RewardDesk rewardDesk = new RewardDesk(context, manifests);
     this.rewards =
@@ -230,7 +233,7 @@
             lists,
             finished,
             boot.bounds().resultTime());
-    this.jobs = new JobDesk(store, view, jobTails, codec, loop, clock, runner::runEarly);
+    this.jobs = new JobDesk(store, view, jobTails, codec, lists, loop, clock, runner::runEarly);
     view.listen(coordinator);
     view.listen(jobs);
     view.listen(finished);
--- a/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
@@ -70,6 +70,7 @@
   private final JobView view;
   private final List<KeyedTail> tails;
   private final JobRecordCodec codec;
+  private final ResultLists lists;
   private final DecisionLoop loop;
   private final Clock clock;
   private final BiConsumer<JobHead, byte[]> runEarly;
@@ -85,6 +86,7 @@
       JobView view,
       List<KeyedTail> tails,
       JobRecordCodec codec,
+      ResultLists lists,
       DecisionLoop loop,
       Clock clock,
       BiConsumer<JobHead, byte[]> runEarly) {
@@ -92,6 +94,7 @@
     this.view = view;
     this.tails = tails;
     this.codec = codec;
+    this.lists = lists;
     this.loop = loop;
     this.clock = clock;
     this.runEarly = runEarly;
@@ -219,13 +222,29 @@
   /** Says that there is nothing at a position only after a look at what the store holds now. */
   private CompletableFuture<AggregatedHttpResponse> freshPage(Job job, int from) {
     if (from < job.listed() || !job.isOpen() || !isStale(job.id())) {
-      return done(page(job, from));
+      return page(job, from);
     }
-    return tails.get(view.shardOf(job.id())).barrier().thenApply(ok -> page(job, from));
+    return tails.get(view.shardOf(job.id())).barrier().thenCompose(ok -> page(job, from));
   }
 
-  private AggregatedHttpResponse page(Job job, int from) {
-    byte[] body = JobJson.page(job.head().total(), from, job.resultsFrom(from), PAGE_BYTES);
+  private CompletableFuture<AggregatedHttpResponse> page(Job job, int from) {
+    return lists
+        .load(first(job.resultsFrom(from)))
+        .thenApply(results -> page(job.head().total(), from, results));
+  }
+
+  /** Returns as many results as fit into a page, at least one if there is one. */
+  private static List<ItemResult> first(List<ItemResult> results) {
+    int count = 0;
+    long bytes = 0;
+    while (count < results.size() && (count == 0 || bytes <= PAGE_BYTES)) {
+      bytes += results.get(count++).length();
+    }
+    return List.copyOf(results.subList(0, count));
+  }
+
+  private static AggregatedHttpResponse page(int total, int from, List<ItemResult> results) {
+    byte[] body = JobJson.page(total, from, results, PAGE_BYTES);
     ResponseHeaders headers =
         CallHeaders.own(OK, "", Optional.empty()).toBuilder().contentType(MediaType.JSON).build();
     return AggregatedHttpResponse.of(headers, HttpData.wrap(body));
--- a/server/src/main/java/org/carobhoist/server/gateway/JobRecords.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobRecords.java
@@ -9,6 +9,7 @@
 import java.util.stream.Collectors;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.job.EntryPlace;
 import org.carobhoist.core.job.ItemId;
 import org.carobhoist.core.job.ItemResult;
 import org.carobhoist.core.job.Job;
@@ -50,13 +51,21 @@
 
   @Override
   public KeyedRecord listed(JobId job, ItemResult result) {
-    ResultRecord value =
+    ResultRecord.Builder value =
         ResultRecord.newBuilder()
             .setPageEntry(ByteString.copyFrom(result.pageEntry()))
             .setDead(result.dead())
-            .addAllVersions(result.versions().stream().map(WeightVersion::number).toList())
-            .build();
-    return new KeyedRecord(key(LISTED, job, result.item().value()), value.toByteArray());
+            .addAllVersions(result.versions().stream().map(WeightVersion::number).toList());
+    result
+        .place()
+        .ifPresent(
+            p ->
+                value
+                    .setEntryKey(p.key())
+                    .setEntryPart(p.part())
+                    .setEntryOffset(p.offset())
+                    .setEntryLength(p.length()));
+    return new KeyedRecord(key(LISTED, job, result.item().value()), value.build().toByteArray());
   }
 
   @Override
@@ -156,11 +165,20 @@
   private static ItemResult result(ItemId item, byte[] value)
       throws InvalidProtocolBufferException {
     ResultRecord message = ResultRecord.parseFrom(value);
-    return new ItemResult(
-        item,
-        message.getDead(),
-        message.getVersionsList().stream().map(WeightVersion::new).collect(Collectors.toSet()),
-        message.getPageEntry().toByteArray());
+    ItemResult result =
+        new ItemResult(
+            item,
+            message.getDead(),
+            message.getVersionsList().stream().map(WeightVersion::new).collect(Collectors.toSet()),
+            message.getPageEntry().toByteArray());
+    return message.getEntryKey().isEmpty()
+        ? result
+        : result.at(
+            new EntryPlace(
+                message.getEntryKey(),
+                message.getEntryPart(),
+                message.getEntryOffset(),
+                message.getEntryLength()));
   }
 
   private static String key(String kind, JobId job, String rest) {
--- a/server/src/main/java/org/carobhoist/server/gateway/ResultLists.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ResultLists.java
@@ -11,10 +11,12 @@
 import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.job.JobRecordCodec;
 import org.carobhoist.core.job.JobView;
+import org.carobhoist.core.job.ResultEntries;
 import org.carobhoist.core.store.AppendOutcome;
 import org.carobhoist.core.store.KeyedTail;
 import org.carobhoist.core.store.OrderedAppender;
 import org.carobhoist.core.store.RecordStore;
+import org.carobhoist.core.store.Want;
 
 /** Lists results in the store, each item once whichever processes have a result for it. */
 final class ResultLists {
@@ -26,6 +28,7 @@
   private final List<KeyedTail> tails;
   private final JobView view;
   private final JobRecordCodec codec;
+  private final ResultEntries entries;
   private final List<OrderedAppender> appenders = new ArrayList<>();
 
   ResultLists(
@@ -33,11 +36,13 @@
       List<KeyedTail> tails,
       JobView view,
       JobRecordCodec codec,
+      ResultEntries entries,
       Scheduler scheduler) {
     this.store = store;
     this.tails = tails;
     this.view = view;
     this.codec = codec;
+    this.entries = entries;
     for (KeyedTail tail : tails) {
       appenders.add(OrderedAppender.create(store, tail, view::want, scheduler, LINGER));
     }
@@ -45,13 +50,23 @@
 
   /** Lists a result; returns whether it is the one in the store. */
   CompletableFuture<Boolean> list(JobId job, ItemResult result) {
-    return appenders.get(view.shardOf(job)).append(codec.listed(job, result));
+    String key = codec.listed(job, result).key();
+    return entries
+        .write(job, result, () -> view.want(key) != Want.NEVER)
+        .thenCompose(placed -> appenders.get(view.shardOf(job)).append(codec.listed(job, placed)));
+  }
+
+  /** Returns results with what pages say of them; fails if that can't be read now. */
+  CompletableFuture<List<ItemResult>> load(List<ItemResult> results) {
+    return entries.load(results);
   }
 
   /** Drops every record of a job; the job is gone from the view once the store has done so. */
   CompletableFuture<AppendOutcome> forget(Job job) {
     KeyedTail tail = tails.get(view.shardOf(job.id()));
-    return store.append(tail.shard(), codec.forgotten(job), OptionalLong.empty());
+    return entries
+        .forget(job)
+        .thenCompose(ok -> store.append(tail.shard(), codec.forgotten(job), OptionalLong.empty()));
   }
 
   /** Returns the number of results that wait for the store. */
--- a/server/src/main/java/org/carobhoist/server/gateway/Topics.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/Topics.java
@@ -10,6 +10,9 @@
   /** Shards of the jobs; two steps are open at a time, so few shards spread the appends enough. */
   static final int JOB_SHARDS = 4;
 
+  /** Shards of the entries of results; the store gives every topic at least as many. */
+  static final int ENTRY_SHARDS = 16;
+
   static final Shard OPERATORS = new Shard("keyed.op", 0);
   static final Shard SERVERS = new Shard("keyed.servers", 0);
   static final Shard NODES = new Shard("keyed.nodes", 0);
@@ -17,6 +20,10 @@
 
   private Topics() {}
 
+  static List<Shard> entries() {
+    return IntStream.range(0, ENTRY_SHARDS).mapToObj(i -> new Shard("keyed.texts", i)).toList();
+  }
+
   static List<Shard> jobs() {
     return IntStream.range(0, JOB_SHARDS).mapToObj(i -> new Shard("keyed.jobs", i)).toList();
   }
--- a/server/src/main/java/org/carobhoist/server/link/proto/ResultRecord.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/ResultRecord.java
@@ -23,12 +23,19 @@
   private ResultRecord() {
     pageEntry_ = com.google.protobuf.ByteString.EMPTY;
     versions_ = emptyLongList();
+    entryKey_ = "";
   }
 
   public static final int PAGE_ENTRY_FIELD_NUMBER = 1;
   private com.google.protobuf.ByteString pageEntry_;
 
   /**
+   *
+   *
+   * <pre>
+   * Empty where the entry has a record of its own.
+   * </pre>
+   *
    * <code>bytes page_entry = 1;</code>
    *
    * @return The pageEntry.
@@ -39,6 +46,12 @@
   }
 
   /**
+   *
+   *
+   * <pre>
+   * Empty where the entry has a record of its own.
+   * </pre>
+   *
    * <code>bytes page_entry = 1;</code>
    *
    * @param value The pageEntry to set.
@@ -49,7 +62,15 @@
     pageEntry_ = value;
   }
 
-  /** <code>bytes page_entry = 1;</code> */
+  /**
+   *
+   *
+   * <pre>
+   * Empty where the entry has a record of its own.
+   * </pre>
+   *
+   * <code>bytes page_entry = 1;</code>
+   */
   private void clearPageEntry() {
 
     pageEntry_ = getDefaultInstance().getPageEntry();
@@ -163,6 +184,176 @@
     versions_ = emptyLongList();
   }
 
+  public static final int ENTRY_KEY_FIELD_NUMBER = 4;
+  private java.lang.String entryKey_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Key, partition, offset and length of the entry's own record.
+   * </pre>
+   *
+   * <code>string entry_key = 4;</code>
+   *
+   * @return The entryKey.
+   */
+  @java.lang.Override
+  public java.lang.String getEntryKey() {
+    return entryKey_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Key, partition, offset and length of the entry's own record.
+   * </pre>
+   *
+   * <code>string entry_key = 4;</code>
+   *
+   * @return The bytes for entryKey.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getEntryKeyBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(entryKey_);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Key, partition, offset and length of the entry's own record.
+   * </pre>
+   *
+   * <code>string entry_key = 4;</code>
+   *
+   * @param value The entryKey to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setEntryKey(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+
+    entryKey_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Key, partition, offset and length of the entry's own record.
+   * </pre>
+   *
+   * <code>string entry_key = 4;</code>
+   */
+  private void clearEntryKey() {
+
+    entryKey_ = getDefaultInstance().getEntryKey();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Key, partition, offset and length of the entry's own record.
+   * </pre>
+   *
+   * <code>string entry_key = 4;</code>
+   *
+   * @param value The bytes for entryKey to set.
+   */
+  private void setEntryKeyBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    entryKey_ = value.toStringUtf8();
+  }
+
+  public static final int ENTRY_PART_FIELD_NUMBER = 5;
+  private int entryPart_;
+
+  /**
+   * <code>int32 entry_part = 5;</code>
+   *
+   * @return The entryPart.
+   */
+  @java.lang.Override
+  public int getEntryPart() {
+    return entryPart_;
+  }
+
+  /**
+   * <code>int32 entry_part = 5;</code>
+   *
+   * @param value The entryPart to set.
+   */
+  private void setEntryPart(int value) {
+
+    entryPart_ = value;
+  }
+
+  /** <code>int32 entry_part = 5;</code> */
+  private void clearEntryPart() {
+
+    entryPart_ = 0;
+  }
+
+  public static final int ENTRY_OFFSET_FIELD_NUMBER = 6;
+  private long entryOffset_;
+
+  /**
+   * <code>int64 entry_offset = 6;</code>
+   *
+   * @return The entryOffset.
+   */
+  @java.lang.Override
+  public long getEntryOffset() {
+    return entryOffset_;
+  }
+
+  /**
+   * <code>int64 entry_offset = 6;</code>
+   *
+   * @param value The entryOffset to set.
+   */
+  private void setEntryOffset(long value) {
+
+    entryOffset_ = value;
+  }
+
+  /** <code>int64 entry_offset = 6;</code> */
+  private void clearEntryOffset() {
+
+    entryOffset_ = 0L;
+  }
+
+  public static final int ENTRY_LENGTH_FIELD_NUMBER = 7;
+  private int entryLength_;
+
+  /**
+   * <code>int32 entry_length = 7;</code>
+   *
+   * @return The entryLength.
+   */
+  @java.lang.Override
+  public int getEntryLength() {
+    return entryLength_;
+  }
+
+  /**
+   * <code>int32 entry_length = 7;</code>
+   *
+   * @param value The entryLength to set.
+   */
+  private void setEntryLength(int value) {
+
+    entryLength_ = value;
+  }
+
+  /** <code>int32 entry_length = 7;</code> */
+  private void clearEntryLength() {
+
+    entryLength_ = 0;
+  }
+
   public static org.carobhoist.server.link.proto.ResultRecord parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -266,6 +457,12 @@
     }
 
     /**
+     *
+     *
+     * <pre>
+     * Empty where the entry has a record of its own.
+     * </pre>
+     *
      * <code>bytes page_entry = 1;</code>
      *
      * @return The pageEntry.
@@ -276,6 +473,12 @@
     }
 
     /**
+     *
+     *
+     * <pre>
+     * Empty where the entry has a record of its own.
+     * </pre>
+     *
      * <code>bytes page_entry = 1;</code>
      *
      * @param value The pageEntry to set.
@@ -288,6 +491,12 @@
     }
 
     /**
+     *
+     *
+     * <pre>
+     * Empty where the entry has a record of its own.
+     * </pre>
+     *
      * <code>bytes page_entry = 1;</code>
      *
      * @return This builder for chaining.
@@ -409,6 +618,190 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Key, partition, offset and length of the entry's own record.
+     * </pre>
+     *
+     * <code>string entry_key = 4;</code>
+     *
+     * @return The entryKey.
+     */
+    @java.lang.Override
+    public java.lang.String getEntryKey() {
+      return instance.getEntryKey();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Key, partition, offset and length of the entry's own record.
+     * </pre>
+     *
+     * <code>string entry_key = 4;</code>
+     *
+     * @return The bytes for entryKey.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getEntryKeyBytes() {
+      return instance.getEntryKeyBytes();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Key, partition, offset and length of the entry's own record.
+     * </pre>
+     *
+     * <code>string entry_key = 4;</code>
+     *
+     * @param value The entryKey to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryKey(java.lang.String value) {
+      copyOnWrite();
+      instance.setEntryKey(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Key, partition, offset and length of the entry's own record.
+     * </pre>
+     *
+     * <code>string entry_key = 4;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearEntryKey() {
+      copyOnWrite();
+      instance.clearEntryKey();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Key, partition, offset and length of the entry's own record.
+     * </pre>
+     *
+     * <code>string entry_key = 4;</code>
+     *
+     * @param value The bytes for entryKey to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryKeyBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setEntryKeyBytes(value);
+      return this;
+    }
+
+    /**
+     * <code>int32 entry_part = 5;</code>
+     *
+     * @return The entryPart.
+     */
+    @java.lang.Override
+    public int getEntryPart() {
+      return instance.getEntryPart();
+    }
+
+    /**
+     * <code>int32 entry_part = 5;</code>
+     *
+     * @param value The entryPart to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryPart(int value) {
+      copyOnWrite();
+      instance.setEntryPart(value);
+      return this;
+    }
+
+    /**
+     * <code>int32 entry_part = 5;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearEntryPart() {
+      copyOnWrite();
+      instance.clearEntryPart();
+      return this;
+    }
+
+    /**
+     * <code>int64 entry_offset = 6;</code>
+     *
+     * @return The entryOffset.
+     */
+    @java.lang.Override
+    public long getEntryOffset() {
+      return instance.getEntryOffset();
+    }
+
+    /**
+     * <code>int64 entry_offset = 6;</code>
+     *
+     * @param value The entryOffset to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryOffset(long value) {
+      copyOnWrite();
+      instance.setEntryOffset(value);
+      return this;
+    }
+
+    /**
+     * <code>int64 entry_offset = 6;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearEntryOffset() {
+      copyOnWrite();
+      instance.clearEntryOffset();
+      return this;
+    }
+
+    /**
+     * <code>int32 entry_length = 7;</code>
+     *
+     * @return The entryLength.
+     */
+    @java.lang.Override
+    public int getEntryLength() {
+      return instance.getEntryLength();
+    }
+
+    /**
+     * <code>int32 entry_length = 7;</code>
+     *
+     * @param value The entryLength to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEntryLength(int value) {
+      copyOnWrite();
+      instance.setEntryLength(value);
+      return this;
+    }
+
+    /**
+     * <code>int32 entry_length = 7;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearEntryLength() {
+      copyOnWrite();
+      instance.clearEntryLength();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.ResultRecord)
   }
 
@@ -431,11 +824,17 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "pageEntry_", "dead_", "versions_",
+                "pageEntry_",
+                "dead_",
+                "versions_",
+                "entryKey_",
+                "entryPart_",
+                "entryOffset_",
+                "entryLength_",
               };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0001\u0000\u0001\n\u0002\u0007"
-                  + "\u0003%";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0001\u0000\u0001\n\u0002\u0007"
+                  + "\u0003%\u0004\u0208\u0005\u0004\u0006\u0002\u0007\u0004";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/ResultRecordOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/ResultRecordOrBuilder.java
@@ -12,6 +12,12 @@
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
+   *
+   *
+   * <pre>
+   * Empty where the entry has a record of its own.
+   * </pre>
+   *
    * <code>bytes page_entry = 1;</code>
    *
    * @return The pageEntry.
@@ -46,4 +52,51 @@
    * @return The versions at the given index.
    */
   long getVersions(int index);
+
+  /**
+   *
+   *
+   * <pre>
+   * Key, partition, offset and length of the entry's own record.
+   * </pre>
+   *
+   * <code>string entry_key = 4;</code>
+   *
+   * @return The entryKey.
+   */
+  java.lang.String getEntryKey();
+
+  /**
+   *
+   *
+   * <pre>
+   * Key, partition, offset and length of the entry's own record.
+   * </pre>
+   *
+   * <code>string entry_key = 4;</code>
+   *
+   * @return The bytes for entryKey.
+   */
+  com.google.protobuf.ByteString getEntryKeyBytes();
+
+  /**
+   * <code>int32 entry_part = 5;</code>
+   *
+   * @return The entryPart.
+   */
+  int getEntryPart();
+
+  /**
+   * <code>int64 entry_offset = 6;</code>
+   *
+   * @return The entryOffset.
+   */
+  long getEntryOffset();
+
+  /**
+   * <code>int32 entry_length = 7;</code>
+   *
+   * @return The entryLength.
+   */
+  int getEntryLength();
 }
