--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -376,7 +376,7 @@
   }
 
   @Test
-  void whatItemsWaitForIsNotedOnceASecond() {
+  void whatItemsWaitForIsNotedOncePerSecond() {
     addEngine("old", new WeightVersion(5));
     activate();
     submit("j1", item("i1", 9), item("i2", 9), item("i3", 9));
--- a/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
@@ -132,7 +132,7 @@
     gathering = GATHERING;
     KeyedTail tail = follow();
     queue.run(Duration.ofMillis(100));
-    int before = lags.size();
+    final int before = lags.size();
     gathering = Duration.ZERO;
     tail.hurry();
     tail.hurry();
