--- a/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
@@ -91,7 +91,7 @@
   @Test
   void lateSecondAnswersReachNoOtherRequest() throws IOException {
     try (GatewayCluster cluster = cluster()) {
-      OddServerStandIn odd = cluster.addOddServer("s-1", "app", Oddity.LATE_SECOND_ANSWER);
+      final OddServerStandIn odd = cluster.addOddServer("s-1", "app", Oddity.LATE_SECOND_ANSWER);
       cluster.awaitReady("entry-1");
       int wholeOnes = 0;
       for (int i = 0; i < 40; i++) {
@@ -119,7 +119,7 @@
       })
   void answersThatNeverEndAreCutAndTheRequestGoesOnElsewhere(Oddity oddity) throws IOException {
     try (GatewayCluster cluster = cluster()) {
-      OddServerStandIn odd = cluster.addOddServer("s-1", "app", oddity);
+      final OddServerStandIn odd = cluster.addOddServer("s-1", "app", oddity);
       cluster.awaitReady("entry-1");
       AggregatedHttpResponse alone = cluster.post("entry-1", BOOK, "/seat", "x", "r0");
       assertThat(alone.status().code()).isAtLeast(500);
--- a/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
@@ -230,7 +230,7 @@
   private CompletableFuture<AggregatedHttpResponse> page(Job job, int from) {
     return lists
         .load(first(job.resultsFrom(from)))
-        .thenApply(results -> page(job.head().total(), from, results));
+        .thenApply(results -> answerPage(job.head().total(), from, results));
   }
 
   /** Returns as many results as fit into a page, at least one if there is one. */
@@ -243,7 +243,7 @@
     return List.copyOf(results.subList(0, count));
   }
 
-  private static AggregatedHttpResponse page(int total, int from, List<ItemResult> results) {
+  private static AggregatedHttpResponse answerPage(int total, int from, List<ItemResult> results) {
     byte[] body = JobJson.page(total, from, results, PAGE_BYTES);
     ResponseHeaders headers =
         CallHeaders.own(OK, "", Optional.empty()).toBuilder().contentType(MediaType.JSON).build();
