One cancellable schedule for tests; the same growing pause for both kinds of scoring

The four copies of a cancellable task in the tests become EventQueue.schedule; SampleScorer and RewardCalls wait by JitteredBackoff, so that both spread their tries.

--- a/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
+++ b/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
@@ -30,7 +30,7 @@
   private final List<String> events = new ArrayList<>();
   private final RegisteredServers servers =
       RegisteredServers.create(
-          directory, RegisteredServersTest::decode, new Events(), this::after, LAPSE);
+          directory, RegisteredServersTest::decode, new Events(), queue::schedule, LAPSE);
 
   private final class Events implements ServerListener {
 
@@ -56,18 +56,6 @@
     public void onReadable(boolean readable, String why) {}
   }
 
-  private Runnable after(Duration delay, Runnable task) {
-    boolean[] cancelled = {false};
-    queue.after(
-        delay,
-        () -> {
-          if (!cancelled[0]) {
-            task.run();
-          }
-        });
-    return () -> cancelled[0] = true;
-  }
-
   /** Entries are written as PHASE BORN SEQUENCE. */
   private static ServerEntry decode(StoredRecord stored) {
     String[] parts = new String(stored.value(), StandardCharsets.US_ASCII).split(" ");
--- a/core/src/test/java/org/carobhoist/core/reward/RewardCallsTest.java
+++ b/core/src/test/java/org/carobhoist/core/reward/RewardCallsTest.java
@@ -25,19 +25,8 @@
   private final FakeRewardPort port = new FakeRewardPort();
   private final List<String> results = new ArrayList<>();
   private final RewardCalls calls =
-      RewardCalls.create(port, RewardPolicy.DEFAULT, clock, this::after, new SplittableRandom(5));
-
-  private Runnable after(Duration delay, Runnable task) {
-    boolean[] cancelled = {false};
-    queue.after(
-        delay,
-        () -> {
-          if (!cancelled[0]) {
-            task.run();
-          }
-        });
-    return () -> cancelled[0] = true;
-  }
+      RewardCalls.create(
+          port, RewardPolicy.DEFAULT, clock, queue::schedule, new SplittableRandom(5));
 
   private void pass(long millis) {
     Duration until = clock.elapsed().plus(Duration.ofMillis(millis));
--- a/core/src/test/java/org/carobhoist/core/reward/RewardLoad.java
+++ b/core/src/test/java/org/carobhoist/core/reward/RewardLoad.java
@@ -84,7 +84,7 @@
     }
     for (int p = 0; p < processes; p++) {
       Process process = new Process();
-      process.calls = RewardCalls.create(process, policy, clock, this::after, random.split());
+      process.calls = RewardCalls.create(process, policy, clock, queue::schedule, random.split());
       for (int i = p; i < texts; i += processes) {
         String name = "i" + i;
         queue.after(
@@ -93,18 +93,6 @@
     }
   }
 
-  private Runnable after(Duration delay, Runnable task) {
-    boolean[] cancelled = {false};
-    queue.after(
-        delay,
-        () -> {
-          if (!cancelled[0]) {
-            task.run();
-          }
-        });
-    return () -> cancelled[0] = true;
-  }
-
   /** A lookup goes to the emptier one of two endpoints, as the router's choice does. */
   private void lookUp() {
     Endpoint a = endpoints.get(random.nextInt(ENDPOINTS));
--- a/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
@@ -27,18 +27,6 @@
   private final List<Duration> lags = new ArrayList<>();
   private Duration gathering = Duration.ZERO;
 
-  private Runnable after(Duration delay, Runnable task) {
-    boolean[] cancelled = {false};
-    queue.after(
-        delay,
-        () -> {
-          if (!cancelled[0]) {
-            task.run();
-          }
-        });
-    return () -> cancelled[0] = true;
-  }
-
   /** A store that answers at once, or as soon as there is a record. */
   private final class Store implements RecordStore {
 
@@ -97,7 +85,8 @@
 
   private KeyedTail follow() {
     KeyedTail tail =
-        KeyedTail.create(store, SHARD, new Listener(), clock, this::after, WAIT, () -> gathering);
+        KeyedTail.create(
+            store, SHARD, new Listener(), clock, queue::schedule, WAIT, () -> gathering);
     tail.start();
     for (int i = 1; i <= RECORDS; i++) {
       queue.after(LENGTH.multipliedBy(i).dividedBy(RECORDS), store::put);
--- a/core/src/test/java/org/carobhoist/core/testing/EventQueue.java
+++ b/core/src/test/java/org/carobhoist/core/testing/EventQueue.java
@@ -24,6 +24,19 @@
     tasks.add(new Task(clock.elapsed().plus(delay), count++, body));
   }
 
+  /** Adds a task that runs after a delay; the returned handle cancels it. */
+  public Runnable schedule(Duration delay, Runnable body) {
+    boolean[] cancelled = {false};
+    after(
+        delay,
+        () -> {
+          if (!cancelled[0]) {
+            body.run();
+          }
+        });
+    return () -> cancelled[0] = true;
+  }
+
   /** Runs tasks until none is left or the next one lies beyond the limit; returns how many ran. */
   public int run(Duration limit) {
     int ran = 0;
--- a/it/src/test/java/org/carobhoist/it/GatewayRewardsTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayRewardsTest.java
@@ -24,6 +24,21 @@
     return cluster.post(entry, JOBS, "/j", job, id).status().code();
   }
 
+  /** Adds a plain service without room, so that texts stay without a score. */
+  private static PlatformServerStandIn addRefusingApp(GatewayCluster cluster) {
+    PlatformServerStandIn app = cluster.addServer("s-1", "app", false);
+    app.answerWith(503);
+    cluster.awaitReady("entry-1");
+    cluster.awaitReady("entry-2");
+    return app;
+  }
+
+  private static void awaitWholeTexts(PlatformServerStandIn engine) {
+    TestCluster.await(
+        "every text is whole",
+        () -> List.of("a", "b", "c", "d").stream().allMatch(i -> engine.sent(i) == 4));
+  }
+
   @Test
   void resultsBearTheScoreOfTheirOwnCall() throws IOException {
     try (GatewayCluster cluster = GatewayCluster.withTwoEntries(folder)) {
@@ -60,14 +75,11 @@
   void textsWhoseRunnerIsKilledBeforeTheScoreAreNotRunAgain() throws IOException {
     try (GatewayCluster cluster = GatewayCluster.withTwoEntries(folder)) {
       final PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
-      PlatformServerStandIn app = cluster.addServer("s-1", "app", false);
-      app.answerWith(503);
-      cluster.awaitReady("entry-1");
-      cluster.awaitReady("entry-2");
+      final PlatformServerStandIn app = addRefusingApp(cluster);
       final String first = cluster.awaitCoordinatorAndItsLink();
       final String second = GatewayCluster.otherThan(first);
       post(cluster, first, PlatformDocuments.scoredJob(1, "a", "b", "c", "d"), "j1");
-      cluster.await("every text is whole", () -> engine.sent("d") == 4 && engine.sent("a") == 4);
+      awaitWholeTexts(engine);
       cluster.await("the calls fail", () -> cluster.logOf(first).contains("event=7602"));
       cluster.process(second).kill();
       cluster.await("the loss is seen", () -> cluster.logOf(first).contains("event=7404"));
@@ -82,14 +94,11 @@
   void textsWhoseCoordinatorIsKilledBeforeTheScoreAreNotRunAgain() throws IOException {
     try (GatewayCluster cluster = GatewayCluster.withTwoEntries(folder)) {
       final PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
-      PlatformServerStandIn app = cluster.addServer("s-1", "app", false);
-      app.answerWith(503);
-      cluster.awaitReady("entry-1");
-      cluster.awaitReady("entry-2");
+      final PlatformServerStandIn app = addRefusingApp(cluster);
       final String first = cluster.awaitCoordinatorAndItsLink();
       final String second = GatewayCluster.otherThan(first);
       post(cluster, second, PlatformDocuments.scoredJob(1, "a", "b", "c", "d"), "j1");
-      cluster.await("every text is whole", () -> engine.sent("d") == 4 && engine.sent("a") == 4);
+      awaitWholeTexts(engine);
       final long atRunner =
           cluster.logOf(first).lines().filter(l -> l.contains("runner=" + second)).count();
       cluster.process(first).kill();
--- a/server/src/main/java/org/carobhoist/server/sidecar/SampleScorer.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SampleScorer.java
@@ -4,8 +4,10 @@
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleConsumer;
+import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.core.rollout.FinishedSample;
 import org.carobhoist.server.logservice.HttpScorer;
 import org.carobhoist.server.logservice.Scorer;
@@ -18,10 +20,11 @@
 final class SampleScorer {
 
   private static final Duration FIRST_DELAY = Duration.ofMillis(200);
-  private static final int MAX_DOUBLINGS = 6;
+  private static final Duration LONGEST_DELAY = Duration.ofMillis(12_800);
 
   private final DecisionLoop loop;
   private final Map<URI, Scorer> scorers = new HashMap<>();
+  private final SplittableRandom random = new SplittableRandom();
 
   private SampleScorer(DecisionLoop loop) {
     this.loop = loop;
@@ -38,7 +41,8 @@
       FinishedSample sample,
       BooleanSupplier wanted,
       DoubleConsumer result) {
-    score(scorers.computeIfAbsent(url, HttpScorer::at), prompt, sample, wanted, result, 0);
+    JitteredBackoff delays = JitteredBackoff.create(FIRST_DELAY, LONGEST_DELAY, random);
+    score(scorers.computeIfAbsent(url, HttpScorer::at), prompt, sample, wanted, result, delays);
   }
 
   private void score(
@@ -47,7 +51,7 @@
       FinishedSample sample,
       BooleanSupplier wanted,
       DoubleConsumer result,
-      int failures) {
+      JitteredBackoff delays) {
     if (!wanted.getAsBoolean()) {
       return;
     }
@@ -59,8 +63,8 @@
                 onScore(score, wanted, result);
                 return;
               }
-              Duration delay = FIRST_DELAY.multipliedBy(1L << Math.min(failures, MAX_DOUBLINGS));
-              loop.after(delay, () -> score(scorer, prompt, sample, wanted, result, failures + 1));
+              loop.after(
+                  delays.next(), () -> score(scorer, prompt, sample, wanted, result, delays));
             },
             loop);
   }
