Soak three real processes under overlapping faults

Processes are killed, stopped and paused, lose their way to the store by refusals, silence or one way only, the store turns all away or loses answers, engines break streams, plain servers have no room; seeded, in series that overlap. Callers on kept connections, a trainer with scored jobs that sends a job again elsewhere until it is accepted. Checked: answers are the caller's own, nothing that must run once runs twice, nothing that was said not to run has run, each accepted job ends whole and the same everywhere with its scores, no result is listed twice, no page takes back what it showed.

A build plays seeds 1 and 2; -Dcarobhoist.soak=FIRST,COUNT others.

--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/GatewaySoakTest.java
@@ -0,0 +1,130 @@
+package org.carobhoist.it;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.stream.LongStream;
+import org.carobhoist.standin.FaultProxy;
+import org.carobhoist.standin.PlatformServerStandIn;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
+
+/**
+ * Real processes under overlapping faults, judged by what callers and servers saw: nothing lost,
+ * doubled, mixed up or wrongly attributed, and no request run that was said not to run.
+ *
+ * <p>Two seeds are played in a build; {@code -Dcarobhoist.soak=FIRST,COUNT} plays others.
+ */
+@Execution(ExecutionMode.SAME_THREAD)
+final class GatewaySoakTest {
+
+  private static final Duration FAULTS = Duration.ofSeconds(10);
+  private static final int CALLERS_PER_ENTRY = 2;
+  private static final List<String> ENTRIES = List.of("entry-1", "entry-2", "entry-3");
+
+  @TempDir private Path folder;
+
+  static LongStream seeds() {
+    String[] range = System.getProperty("carobhoist.soak", "1,2").split(",");
+    long first = Long.parseLong(range[0]);
+    return LongStream.range(first, first + Long.parseLong(range[1]));
+  }
+
+  @ParameterizedTest
+  @MethodSource("seeds")
+  void promisesHoldUnderOverlappingFaults(long seed) throws IOException {
+    Path own = Files.createDirectory(folder.resolve("seed-" + seed));
+    List<FaultProxy> proxies = new ArrayList<>();
+    try (GatewayCluster cluster = GatewayCluster.start(own)) {
+      cluster.publish(2, "non_idempotent");
+      for (String entry : ENTRIES) {
+        FaultProxy proxy = FaultProxy.before("127.0.0.1", cluster.store().uri().getPort());
+        proxy.start();
+        proxies.add(proxy);
+        cluster.startEntry(entry, "127.0.0.1:" + proxy.port());
+      }
+      List<PlatformServerStandIn> engines =
+          List.of(cluster.addServer("e-1", "lm", true), cluster.addServer("e-2", "lm", true));
+      engines.forEach(e -> e.setEvents(12, 30));
+      List<PlatformServerStandIn> apps =
+          List.of(cluster.addServer("s-1", "app", false), cluster.addServer("s-2", "app", false));
+      ENTRIES.forEach(cluster::awaitReady);
+      SoakFaults faults = new SoakFaults(cluster, ENTRIES, proxies, engines, apps, seed);
+      SoakCallers callers = new SoakCallers(cluster, ENTRIES);
+      final CompletableFuture<Void> stopped = callers.start(CALLERS_PER_ENTRY);
+      faults.play(FAULTS);
+      ENTRIES.forEach(cluster::awaitReady);
+      callers.stop();
+      stopped.join();
+      String story = "seed " + seed + " " + faults.played();
+      assertWithMessage(story).that(callers.broken()).isEmpty();
+      assertWithMessage(story).that(callers.served()).isGreaterThan(0);
+      checkRequests(story, callers, apps);
+      checkJobs(story, cluster, callers);
+    } finally {
+      for (FaultProxy proxy : proxies) {
+        proxy.stop();
+      }
+    }
+  }
+
+  /** A request that isn't idempotent runs once at most, and never after a promise. */
+  private static void checkRequests(
+      String story, SoakCallers callers, List<PlatformServerStandIn> apps) {
+    Map<String, Integer> runs = new HashMap<>();
+    for (PlatformServerStandIn app : apps) {
+      app.runs().stream()
+          .map(r -> r.split(" ")[0])
+          .filter(id -> id.contains("-caller-"))
+          .forEach(id -> runs.merge(id, 1, Integer::sum));
+    }
+    List<String> doubled =
+        runs.entrySet().stream().filter(e -> e.getValue() > 1).map(Map.Entry::getKey).toList();
+    List<String> lies = callers.promisedNotRun().stream().filter(runs::containsKey).toList();
+    assertWithMessage(story).that(doubled).isEmpty();
+    assertWithMessage(story).that(lies).isEmpty();
+  }
+
+  /** Every job that was accepted ends whole, the same at every entry, each item listed once. */
+  private static void checkJobs(String story, GatewayCluster cluster, SoakCallers callers) {
+    assertWithMessage(story).that(callers.accepted()).isNotEmpty();
+    callers
+        .accepted()
+        .forEach(
+            (job, items) -> {
+              ENTRIES.forEach(e -> cluster.awaitListed(e, job, items.size()));
+              String page = cluster.results(ENTRIES.get(0), job);
+              for (String entry : ENTRIES) {
+                assertWithMessage(story).that(cluster.results(entry, job)).isEqualTo(page);
+              }
+              for (String item : items) {
+                String whole = "\"id\":\"" + item + "\",\"state\":\"completed\",\"text\":\"" + item;
+                assertWithMessage(story).that(page).contains(whole + "-1\\n" + item + "-2\\n");
+                assertWithMessage(story)
+                    .that(page)
+                    .contains("\\n" + item + "-12\",\"versions\":[1]");
+              }
+              assertWithMessage(story)
+                  .that(page.split("\"score\":\"stamp-of-s-", -1))
+                  .hasLength(items.size() + 1);
+              assertWithMessage(story)
+                  .that(cluster.store().count("keyed.jobs", shardOf(job), "result/" + job + "/"))
+                  .isEqualTo(items.size());
+            });
+  }
+
+  private static int shardOf(String job) {
+    return Math.floorMod(job.hashCode(), 4);
+  }
+}
--- a/it/src/test/java/org/carobhoist/it/RoleProcess.java
+++ b/it/src/test/java/org/carobhoist/it/RoleProcess.java
@@ -53,9 +53,28 @@
     return process.onExit().orTimeout(STOP_SECONDS, TimeUnit.SECONDS).join().exitValue();
   }
 
+  /** Asks the process to end, and doesn't wait for it. */
+  void askToEnd() {
+    process.destroy();
+  }
+
   /** Tells the process that its settings file has changed; returns once the signal is sent. */
   void hangUp() throws IOException {
-    new ProcessBuilder("kill", "-HUP", Long.toString(process.pid())).start().onExit().join();
+    signal("-HUP");
+  }
+
+  /** Pauses the process. */
+  void pause() throws IOException {
+    signal("-STOP");
+  }
+
+  /** Lets a paused process go on. */
+  void resume() throws IOException {
+    signal("-CONT");
+  }
+
+  private void signal(String option) throws IOException {
+    new ProcessBuilder("kill", option, Long.toString(process.pid())).start().onExit().join();
   }
 
   /** Ends the process at once, as a crash does. */
--- /dev/null
+++ b/it/src/test/java/org/carobhoist/it/SoakFaults.java
@@ -0,0 +1,152 @@
+package org.carobhoist.it;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.carobhoist.standin.FaultProxy;
+import org.carobhoist.standin.PlatformServerStandIn;
+
+/**
+ * Faults that come in series and overlap: processes are killed, paused, stopped and started again,
+ * lose their way to the store, the store turns everyone away or loses answers, engines break
+ * streams, plain servers have no room. Every fault ends by itself; the seed says which ones come.
+ */
+final class SoakFaults {
+
+  private static final int MOST_GAP_MILLIS = 900;
+  private static final int LEAST_MILLIS = 300;
+  private static final int MOST_MILLIS = 3_000;
+
+  private final GatewayCluster cluster;
+  private final List<String> entries;
+  private final List<FaultProxy> proxies;
+  private final List<PlatformServerStandIn> engines;
+  private final List<PlatformServerStandIn> apps;
+  private final SplittableRandom random;
+  private final ScheduledExecutorService timer = Executors.newSingleThreadScheduledExecutor();
+  private final List<String> played = new ArrayList<>();
+  private final boolean[] busy;
+
+  SoakFaults(
+      GatewayCluster cluster,
+      List<String> entries,
+      List<FaultProxy> proxies,
+      List<PlatformServerStandIn> engines,
+      List<PlatformServerStandIn> apps,
+      long seed) {
+    this.cluster = cluster;
+    this.entries = entries;
+    this.proxies = proxies;
+    this.engines = engines;
+    this.apps = apps;
+    this.random = new SplittableRandom(seed);
+    this.busy = new boolean[entries.size()];
+  }
+
+  /** Plays faults for some time, then lets the last ones end. */
+  void play(Duration length) {
+    long end = length.toMillis();
+    for (long at = 0; at < end; at += random.nextInt(MOST_GAP_MILLIS)) {
+      int kind = random.nextInt(10);
+      int index = random.nextInt(entries.size());
+      int millis = random.nextInt(LEAST_MILLIS, MOST_MILLIS);
+      timer.schedule(() -> begin(kind, index, millis), at, TimeUnit.MILLISECONDS);
+    }
+    CompletableFuture<Void> over = new CompletableFuture<>();
+    timer.schedule(() -> over.complete(null), end + 2L * MOST_MILLIS, TimeUnit.MILLISECONDS);
+    over.join();
+    timer.shutdown();
+  }
+
+  /** Returns what was played, for the message of a failure. */
+  List<String> played() {
+    return played;
+  }
+
+  private void begin(int kind, int index, int millis) {
+    try {
+      switch (kind) {
+        case 0, 1, 2 -> process(kind, index, millis);
+        case 3 -> during(index, millis, "refused", on -> proxies.get(index).setRefusing(on));
+        case 4 -> during(index, millis, "silent", on -> proxies.get(index).setFrozen(on));
+        case 5 -> during(index, millis, "one-way", on -> proxies.get(index).setDropReplies(on));
+        case 6 -> during(-1, millis / 2, "store away", on -> cluster.store().turnAway(t -> on));
+        case 7 -> {
+          note("answers lost", -1, 0);
+          cluster.store().loseAnswers(3);
+        }
+        case 8 -> {
+          PlatformServerStandIn engine = engines.get(index % engines.size());
+          note("stream broken at " + engine.instance(), -1, 0);
+          engine.breakNextAfter(random.nextInt(1, 8));
+        }
+        default -> {
+          PlatformServerStandIn app = apps.get(index % apps.size());
+          during(
+              -1, millis / 3, "no room at " + app.instance(), on -> app.answerWith(on ? 503 : 0));
+        }
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  /** A process suffers one fault at a time, so that each ends with the process running. */
+  private void process(int kind, int index, int millis) throws IOException {
+    if (busy[index]) {
+      return;
+    }
+    busy[index] = true;
+    RoleProcess process = cluster.process(entries.get(index));
+    switch (kind) {
+      case 0 -> {
+        note("killed", index, millis);
+        process.kill();
+      }
+      case 1 -> {
+        note("stopped", index, millis);
+        process.askToEnd();
+      }
+      default -> {
+        note("paused", index, millis);
+        process.pause();
+      }
+    }
+    timer.schedule(() -> endOf(kind, index, process), millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void endOf(int kind, int index, RoleProcess process) {
+    try {
+      if (kind == 2) {
+        process.resume();
+      } else {
+        process.kill();
+        process.restart();
+      }
+      busy[index] = false;
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  private void during(int index, int millis, String what, Switch fault) {
+    note(what, index, millis);
+    fault.set(true);
+    timer.schedule(() -> fault.set(false), millis, TimeUnit.MILLISECONDS);
+  }
+
+  private void note(String what, int index, int millis) {
+    played.add(what + (index < 0 ? "" : " " + entries.get(index)) + " " + millis + " ms");
+  }
+
+  private interface Switch {
+    void set(boolean on);
+  }
+}
