--- a/core/src/main/java/org/carobhoist/core/reward/RewardCall.java
+++ b/core/src/main/java/org/carobhoist/core/reward/RewardCall.java
@@ -10,6 +10,7 @@
 import org.carobhoist.core.chart.StateChart;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.JitteredBackoff;
+import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.job.RewardRequest;
 
 /** One reward call and what became of its tries. */
@@ -32,6 +33,7 @@
   private int errors;
   private int failures;
   private long number;
+  private ServiceName service;
   private InstanceId endpoint;
   private String score = "";
   private boolean wayMissing;
@@ -110,8 +112,9 @@
     awaitedSince = now;
   }
 
-  void onPlaced(long newNumber, InstanceId newEndpoint) {
+  void onPlaced(long newNumber, ServiceName newService, InstanceId newEndpoint) {
     number = newNumber;
+    service = newService;
     endpoint = newEndpoint;
     wayMissing = false;
   }
@@ -121,6 +124,10 @@
     return number;
   }
 
+  ServiceName service() {
+    return service;
+  }
+
   InstanceId endpoint() {
     return endpoint;
   }
--- a/core/src/main/java/org/carobhoist/core/reward/RewardCalls.java
+++ b/core/src/main/java/org/carobhoist/core/reward/RewardCalls.java
@@ -16,6 +16,7 @@
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.core.common.Scheduler;
+import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.job.RewardRequest;
 import org.carobhoist.core.reward.RewardPort.Decision;
@@ -181,8 +182,7 @@
   private void send(RewardCall call) {
     sent.put(call.number(), call);
     own.merge(call.endpoint(), 1, Integer::sum);
-    RewardPort.Way way = port.way(call.request()).orElseThrow();
-    port.send(call.number(), way.service(), call.endpoint(), call.request(), call.tryTime(policy));
+    port.send(call.number(), call.service(), call.endpoint(), call.request(), call.tryTime(policy));
   }
 
   private void cancel(RewardCall call) {
@@ -223,10 +223,10 @@
       return false;
     }
     boolean patient = clock.elapsed().minus(call.awaitedSince()).compareTo(policy.patience()) < 0;
-    List<EndpointView> open =
-        placer.open(port.endpoints(way.get().service()), this::hasOwnPlace, patient);
-    Optional<InstanceId> chosen = port.choose(way.get().service(), open, call.failedAt());
-    chosen.ifPresent(endpoint -> call.onPlaced(++lastNumber, endpoint));
+    ServiceName service = way.get().service();
+    List<EndpointView> open = placer.open(port.endpoints(service), this::hasOwnPlace, patient);
+    Optional<InstanceId> chosen = port.choose(service, open, call.failedAt());
+    chosen.ifPresent(endpoint -> call.onPlaced(++lastNumber, service, endpoint));
     return chosen.isPresent();
   }
 
--- a/core/src/test/java/org/carobhoist/core/reward/FakeRewardPort.java
+++ b/core/src/test/java/org/carobhoist/core/reward/FakeRewardPort.java
@@ -24,10 +24,17 @@
   final List<Sent> sent = new ArrayList<>();
   final List<Long> cancelled = new ArrayList<>();
   final List<Decision> notes = new ArrayList<>();
+  boolean drawsOtherServicesInTurn;
+  private int draws;
   Optional<Way> way = Optional.of(new Way(APP, 3));
 
   /** A try that was sent. */
-  record Sent(long number, InstanceId endpoint, RewardRequest request, Duration timeout) {}
+  record Sent(
+      long number,
+      ServiceName service,
+      InstanceId endpoint,
+      RewardRequest request,
+      Duration timeout) {}
 
   static EndpointView endpoint(String id, int taken, int slots) {
     return new EndpointView(
@@ -48,7 +55,9 @@
 
   @Override
   public Optional<Way> way(RewardRequest request) {
-    return way;
+    draws++;
+    boolean other = drawsOtherServicesInTurn && draws % 2 == 0;
+    return other ? Optional.of(new Way(new ServiceName("other"), 3)) : way;
   }
 
   @Override
@@ -73,7 +82,7 @@
       InstanceId endpoint,
       RewardRequest request,
       Duration timeout) {
-    sent.add(new Sent(number, endpoint, request, timeout));
+    sent.add(new Sent(number, service, endpoint, request, timeout));
   }
 
   @Override
--- a/core/src/test/java/org/carobhoist/core/reward/RewardCallsTest.java
+++ b/core/src/test/java/org/carobhoist/core/reward/RewardCallsTest.java
@@ -94,6 +94,14 @@
     assertThat(port.sent).hasSize(5);
   }
 
+  @Test
+  void callOfSplitRouteStaysWithTheServiceOfItsEndpoint() {
+    port.endpoints.add(FakeRewardPort.endpoint("e1", 0, 6));
+    port.drawsOtherServicesInTurn = true;
+    begin("i1");
+    assertThat(port.last().service()).isEqualTo(FakeRewardPort.APP);
+  }
+
   @Test
   void nothingIsCalledOnceNobodyWantsTheScore() {
     port.endpoints.add(FakeRewardPort.endpoint("e1", 0, 6));
