Give pages of newest records time, and read the shards of jobs in turn at a start

Each process asks for the pages of four job shards at once, 1.3 MB each, of a store whose reads share 80 MB/s: 172 pages take 2.9 s, a page was given up after 700 ms and its walk begun anew, and the store went on sending what nobody read. FleetStartTest plays just this with the real tails: with the time of small calls fewer than half of 43 processes have read the jobs after 15 s.

Change: pages have 5 s; the shards of jobs are read one after the other, so that each process asks for one page at a time. In FleetStartTest all 43 processes have read everything within the 15 s.

--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -39,6 +39,7 @@
   private long next = UNKNOWN;
   private long nextAtStep = UNKNOWN;
   private boolean pausing;
+  private Runnable onLoaded = () -> {};
   private Runnable cancelPause = () -> {};
   private Duration freshAsOf = Duration.ZERO;
   private boolean loaded;
@@ -101,6 +102,15 @@
     step();
   }
 
+  /** Runs a task once the listener has the newest record of every key; at once if it has. */
+  public void whenLoaded(Runnable task) {
+    if (loaded) {
+      task.run();
+    } else {
+      onLoaded = task;
+    }
+  }
+
   /** Ends a pause: somebody waits for the next record. */
   public void hurry() {
     if (pausing) {
@@ -278,5 +288,8 @@
     loaded = true;
     freshAsOf = sentAt;
     listener.onSnapshot(sorted);
+    Runnable task = onLoaded;
+    onLoaded = () -> {};
+    task.run();
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -102,6 +103,13 @@
   /** Time for an answer of the store; it answers in 4 ms, or in some 250 ms when it is slow. */
   private static final Duration STORE_TIMEOUT = Duration.ofMillis(700);
 
+  /**
+   * Time for a page of newest records. When all processes of a fleet start together, each page is
+   * one of some dozens that share the store's reads; a page given up is read for nothing, and the
+   * store is no less busy.
+   */
+  private static final Duration PAGE_TIMEOUT = Duration.ofSeconds(5);
+
   /** Time for a new connection; the farthest server is some 10 ms away. */
   private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
 
@@ -154,6 +162,7 @@
   private final Traffic traffic = Traffic.create(() -> this.draining, GatewayService::refuse);
   private final Upstreams upstreams = new Upstreams(clients);
   private final List<KeyedTail> tails = new ArrayList<>();
+  private final List<KeyedTail> jobTails = new ArrayList<>();
   private final PeerMesh mesh;
   private final StorePaths paths;
   private final RecordStore store;
@@ -194,7 +203,7 @@
     this.paths =
         new StorePaths(
             DirectTransport.to(boot.store(), clients), mesh::storePaths, probes, loop, clock);
-    this.store = HttpRecordStore.over(paths, STORE_TIMEOUT);
+    this.store = HttpRecordStore.over(paths, STORE_TIMEOUT, PAGE_TIMEOUT);
     this.servers =
         RegisteredServers.create(
             directory,
@@ -203,7 +212,6 @@
             loop,
             Duration.ofMillis((long) (boot.bounds().drain().toMillis() * LAPSE_SHARE)));
     this.view = JobView.create(codec, JobJson::decode, Topics.JOB_SHARDS);
-    List<KeyedTail> jobTails = new ArrayList<>();
     for (Shard shard : Topics.jobs()) {
       jobTails.add(
           tail(shard, view.ofShard(shard.part()), READ_WAIT, () -> jobGathering(shard.part())));
@@ -280,13 +288,23 @@
 
   private void begin() {
     mesh.start(network);
-    tails.forEach(KeyedTail::start);
+    tails.stream().filter(t -> !jobTails.contains(t)).forEach(KeyedTail::start);
+    startInTurn(jobTails.iterator());
     coordinator.begin(lease, weights);
     announce();
     EventLog.info(
         LogEvent.STARTED, "role", "gateway", "instance", boot.node(), "incarnation", incarnation);
   }
 
+  /** Reads the shards of jobs one after the other, so that a start asks for one page at a time. */
+  private void startInTurn(Iterator<KeyedTail> left) {
+    if (left.hasNext()) {
+      KeyedTail tail = left.next();
+      tail.start();
+      tail.whenLoaded(() -> startInTurn(left));
+    }
+  }
+
   /**
    * Drains: gives the coordination up, is no longer ready, lets runs and requests end while there
    * is time, hands back what still runs, then leaves. The last requests are refused, not passed on:
