Log how shards and entries of results are read, and how the end of a job is answered

Three hypotheses stood: readings of all newest records that are given up and begun anew when all processes start; entries of results that are found too late once the store has dropped old records; records dropped too early. The logs couldn't tell them apart: a reading left no line unless it failed, and then only the first time; of a read that was refused neither kind nor time was known; of the end of a job only that others saw it.

Change: 7508 and 7509 (each reading of a shard: pages, records, ms, why), 7110 (each reading of entries: entries, calls by offset and by key, ms, why), 7109 (end of a job: status, ms), 7105 with what and ms. One wrapper logs what happens to every shard; three copies of that go, and the shards of the lease and the processes, which logged nothing, are covered too. No decision changes.

Tests: event catalogue, tails, entries, view, registry: none failed.

--- a/core/src/main/java/org/carobhoist/core/job/JobListener.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobListener.java
@@ -17,7 +17,4 @@
 
   /** A record of the shard can't be read. */
   default void onUnreadable(String key, long offset, String why) {}
-
-  /** A shard of jobs can't be read, or can be read again. */
-  default void onReadable(int part, boolean readable, String why) {}
 }
--- a/core/src/main/java/org/carobhoist/core/job/JobView.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobView.java
@@ -168,15 +168,5 @@
     public void onRecord(StoredRecord stored) {
       decode(stored).ifPresent(r -> apply(r, stored.offset()));
     }
-
-    @Override
-    public void onLost(Throwable cause) {
-      listeners.forEach(l -> l.onReadable(part, false, String.valueOf(cause)));
-    }
-
-    @Override
-    public void onRegained() {
-      listeners.forEach(l -> l.onReadable(part, true, ""));
-    }
   }
 }
--- a/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
+++ b/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
@@ -6,10 +6,13 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.core.common.Scheduler;
 import org.carobhoist.core.store.AppendOutcome;
@@ -49,6 +52,8 @@
   private final RecordStore store;
   private final List<Shard> shards;
   private final Scheduler scheduler;
+  private final Clock clock;
+  private final Consumer<EntryRead> onRead;
   private final String writer;
   private final JitteredBackoff backoff;
   private final Map<Shard, List<Pending>> waiting = new HashMap<>();
@@ -58,10 +63,18 @@
 
   private record Pending(KeyedRecord entry, BooleanSupplier wanted, CompletableFuture<Long> done) {}
 
-  private ResultEntries(RecordStore store, List<Shard> shards, Scheduler scheduler, String writer) {
+  private ResultEntries(
+      RecordStore store,
+      List<Shard> shards,
+      Scheduler scheduler,
+      Clock clock,
+      Consumer<EntryRead> onRead,
+      String writer) {
     this.store = store;
     this.shards = List.copyOf(shards);
     this.scheduler = scheduler;
+    this.clock = clock;
+    this.onRead = onRead;
     this.writer = writer;
     this.backoff =
         JitteredBackoff.create(FIRST_PAUSE, LONGEST_PAUSE, new SplittableRandom(writer.hashCode()));
@@ -71,11 +84,17 @@
    * Returns the entries as one process writes and reads them.
    *
    * @param shards where entries lie, each job's in one shard
+   * @param onRead is told of each reading from the store
    * @param writer a name that no other run of a process has; 1 to 36 characters
    */
   public static ResultEntries create(
-      RecordStore store, List<Shard> shards, Scheduler scheduler, String writer) {
-    return new ResultEntries(store, shards, scheduler, writer);
+      RecordStore store,
+      List<Shard> shards,
+      Scheduler scheduler,
+      Clock clock,
+      Consumer<EntryRead> onRead,
+      String writer) {
+    return new ResultEntries(store, shards, scheduler, clock, onRead, writer);
   }
 
   /**
@@ -129,8 +148,7 @@
     }
     CompletableFuture<Void> all = CompletableFuture.completedFuture(null);
     for (Map.Entry<Integer, Map<String, EntryPlace>> m : missing.entrySet()) {
-      Shard shard = shards.get(m.getKey());
-      all = all.thenCompose(ok -> read(shard, m.getValue(), found));
+      all = all.thenCompose(ok -> read(new Reading(shards.get(m.getKey()), m.getValue(), found)));
     }
     return all.thenApply(
         ok ->
@@ -202,57 +220,86 @@
     flush(shard);
   }
 
+  /** Entries of one shard that are being read. */
+  private final class Reading {
+
+    private final Shard shard;
+    private final Map<String, EntryPlace> missing;
+    private final Map<String, byte[]> found;
+    private final int wanted;
+    private final Duration since = clock.elapsed();
+    private int reads;
+    private int pages;
+
+    private Reading(Shard shard, Map<String, EntryPlace> missing, Map<String, byte[]> found) {
+      this.shard = shard;
+      this.missing = missing;
+      this.found = found;
+      this.wanted = missing.size();
+    }
+
+    private long first() {
+      return missing.values().stream().mapToLong(EntryPlace::offset).min().orElseThrow();
+    }
+
+    private void absorb(List<StoredRecord> records) {
+      for (StoredRecord r : records) {
+        if (!r.isDrop() && missing.remove(r.key()) != null) {
+          found.put(r.key(), r.value());
+          keep(r.key(), r.value());
+        }
+      }
+    }
+
+    private EntryRead report(Throwable failure) {
+      Duration took = clock.elapsed().minus(since);
+      return new EntryRead(shard, wanted, reads, pages, took, Optional.ofNullable(failure));
+    }
+  }
+
+  private CompletableFuture<Void> read(Reading reading) {
+    return readOn(reading).whenComplete((ok, failure) -> onRead.accept(reading.report(failure)));
+  }
+
   /** Reads on from the first entry that is missing, as long as offsets still lead to entries. */
-  private CompletableFuture<Void> read(
-      Shard shard, Map<String, EntryPlace> missing, Map<String, byte[]> found) {
-    long from = missing.values().stream().mapToLong(EntryPlace::offset).min().orElseThrow();
+  private CompletableFuture<Void> readOn(Reading reading) {
+    reading.reads++;
     return store
-        .read(shard, from, Duration.ZERO)
+        .read(reading.shard, reading.first(), Duration.ZERO)
         .thenCompose(
             outcome -> {
               if (!(outcome instanceof ReadOutcome.Batch batch)) {
-                return walk(shard, "", missing, found);
+                return walk("", reading);
               }
-              absorb(batch.records(), missing, found);
-              if (missing.isEmpty()) {
+              reading.absorb(batch.records());
+              if (reading.missing.isEmpty()) {
                 return CompletableFuture.completedFuture(null);
               }
-              long next = missing.values().stream().mapToLong(EntryPlace::offset).min().getAsLong();
-              boolean passed = batch.records().isEmpty() || next <= lastOf(batch);
-              return passed ? walk(shard, "", missing, found) : read(shard, missing, found);
+              boolean passed = batch.records().isEmpty() || reading.first() <= lastOf(batch);
+              return passed ? walk("", reading) : readOn(reading);
             });
   }
 
   /** Looks for entries by their keys, page by page. */
-  private CompletableFuture<Void> walk(
-      Shard shard, String after, Map<String, EntryPlace> missing, Map<String, byte[]> found) {
+  private CompletableFuture<Void> walk(String after, Reading reading) {
+    reading.pages++;
     return store
-        .newest(shard, after)
+        .newest(reading.shard, after)
         .thenCompose(
             page -> {
-              absorb(page.records(), missing, found);
-              if (missing.isEmpty()) {
+              reading.absorb(page.records());
+              if (reading.missing.isEmpty()) {
                 return CompletableFuture.completedFuture(null);
               }
               if (!page.more() || page.records().isEmpty()) {
-                String what = missing.keySet().iterator().next() + " is not in " + shard;
-                return CompletableFuture.failedFuture(StoreException.notRun(what));
+                String what = reading.missing.keySet().iterator().next();
+                return CompletableFuture.failedFuture(
+                    StoreException.notRun(what + " is not in " + reading.shard));
               }
-              String last = page.records().get(page.records().size() - 1).key();
-              return walk(shard, last, missing, found);
+              return walk(page.records().get(page.records().size() - 1).key(), reading);
             });
   }
 
-  private void absorb(
-      List<StoredRecord> records, Map<String, EntryPlace> missing, Map<String, byte[]> found) {
-    for (StoredRecord r : records) {
-      if (!r.isDrop() && missing.remove(r.key()) != null) {
-        found.put(r.key(), r.value());
-        keep(r.key(), r.value());
-      }
-    }
-  }
-
   private static long lastOf(ReadOutcome.Batch batch) {
     return batch.records().get(batch.records().size() - 1).offset();
   }
--- a/core/src/main/java/org/carobhoist/core/membership/RegisteredServers.java
+++ b/core/src/main/java/org/carobhoist/core/membership/RegisteredServers.java
@@ -87,16 +87,6 @@
     }
   }
 
-  @Override
-  public void onLost(Throwable cause) {
-    listener.onReadable(false, String.valueOf(cause));
-  }
-
-  @Override
-  public void onRegained() {
-    listener.onReadable(true, "");
-  }
-
   /** Returns the entry of a server that is used. */
   public Optional<ServerEntry> entry(InstanceId instance) {
     return Optional.ofNullable(entries.get(instance));
--- a/core/src/main/java/org/carobhoist/core/membership/ServerListener.java
+++ b/core/src/main/java/org/carobhoist/core/membership/ServerListener.java
@@ -16,7 +16,4 @@
 
   /** A record names no server that can be used. */
   void onUnreadable(String key, long offset, String why);
-
-  /** The registry can't be read, or can be read again. */
-  void onReadable(boolean readable, String why);
 }
--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -247,46 +248,68 @@
   /** Reads all pages again; several callers share one walk. */
   private CompletableFuture<Void> reload() {
     if (reload == null) {
-      Duration sentAt = clock.elapsed();
-      CompletableFuture<Void> walk =
-          page("", new ArrayList<>(), UNKNOWN).thenAccept(w -> install(w, sentAt));
-      reload = walk;
-      walk.whenComplete((ok, failure) -> reload = null);
-      return walk;
+      Walk walk = new Walk(clock.elapsed());
+      CompletableFuture<Void> whole = page("", walk).thenRun(() -> install(walk));
+      reload = whole;
+      whole.whenComplete(
+          (ok, failure) -> {
+            reload = null;
+            listener.onWalk(walk.report(clock.elapsed(), failure));
+          });
+      return whole;
     }
     return reload;
   }
 
-  private record Walk(List<StoredRecord> records, long end) {}
+  /** What has been read of the newest records. */
+  private static final class Walk {
 
-  private CompletableFuture<Walk> page(String after, List<StoredRecord> records, long firstEnd) {
+    private final Duration sentAt;
+    private final List<StoredRecord> records = new ArrayList<>();
+    private long end = UNKNOWN;
+    private int pages;
+
+    private Walk(Duration sentAt) {
+      this.sentAt = sentAt;
+    }
+
+    private void add(NewestPage page) {
+      end = end == UNKNOWN ? page.end() : end;
+      records.addAll(page.records());
+      pages++;
+    }
+
+    private ShardWalk report(Duration now, Throwable failure) {
+      return new ShardWalk(pages, records.size(), now.minus(sentAt), Optional.ofNullable(failure));
+    }
+  }
+
+  private CompletableFuture<Void> page(String after, Walk walk) {
     return store
         .newest(shard, after)
         .thenCompose(
             page -> {
-              long end = firstEnd == UNKNOWN ? page.end() : firstEnd;
-              records.addAll(page.records());
+              walk.add(page);
               if (!page.more() || page.records().isEmpty()) {
-                return CompletableFuture.completedFuture(new Walk(records, end));
+                return CompletableFuture.completedFuture(null);
               }
-              String last = page.records().get(page.records().size() - 1).key();
-              return page(last, records, end);
+              return page(page.records().get(page.records().size() - 1).key(), walk);
             });
   }
 
   /** Installs a walk; what came after its first page is read again in order. */
-  private void install(Walk walk, Duration sentAt) {
-    if (loaded && walk.end() < next) {
+  private void install(Walk walk) {
+    if (loaded && walk.end < next) {
       return;
     }
     final List<StoredRecord> sorted =
-        walk.records().stream()
-            .filter(r -> r.offset() < walk.end() && !r.isDrop())
+        walk.records.stream()
+            .filter(r -> r.offset() < walk.end && !r.isDrop())
             .sorted(Comparator.comparingLong(StoredRecord::offset))
             .toList();
-    next = walk.end();
+    next = walk.end;
     loaded = true;
-    freshAsOf = sentAt;
+    freshAsOf = walk.sentAt;
     listener.onSnapshot(sorted);
     Runnable task = onLoaded;
     onLoaded = () -> {};
--- a/core/src/main/java/org/carobhoist/core/store/TailListener.java
+++ b/core/src/main/java/org/carobhoist/core/store/TailListener.java
@@ -14,6 +14,9 @@
   /** Takes the next record. */
   void onRecord(StoredRecord stored);
 
+  /** All newest records were read, or reading them was given up. */
+  default void onWalk(ShardWalk walk) {}
+
   /** The shard can't be read any more; what is known grows old. */
   default void onLost(Throwable cause) {}
 
--- a/core/src/test/java/org/carobhoist/core/job/JobViewTest.java
+++ b/core/src/test/java/org/carobhoist/core/job/JobViewTest.java
@@ -64,9 +64,6 @@
     public void onUnreadable(String key, long offset, String why) {
       seen.add("unreadable " + key);
     }
-
-    @Override
-    public void onReadable(int part, boolean readable, String why) {}
   }
 
   @BeforeEach
--- a/core/src/test/java/org/carobhoist/core/job/ResultEntriesTest.java
+++ b/core/src/test/java/org/carobhoist/core/job/ResultEntriesTest.java
@@ -30,11 +30,12 @@
   private final EventQueue queue = new EventQueue(clock);
   private final SharedLog log = new SharedLog();
   private final StoreLink link = new StoreLink(log, queue, new SplittableRandom(7));
+  private final List<EntryRead> readings = new ArrayList<>();
   private final ResultEntries writer = entries("writer");
   private boolean wanted = true;
 
   private ResultEntries entries(String name) {
-    return ResultEntries.create(link, SHARDS, this::after, name);
+    return ResultEntries.create(link, SHARDS, this::after, clock, readings::add, name);
   }
 
   private Runnable after(Duration delay, Runnable task) {
@@ -90,6 +91,10 @@
     List<ItemResult> placed = write(5);
     SHARDS.forEach(log::expire);
     assertThat(load(entries("reader"), placed)).containsExactly("i0", "i1", "i2", "i3", "i4");
+    assertThat(readings).hasSize(1);
+    assertThat(readings.get(0).wanted()).isEqualTo(5);
+    assertThat(readings.get(0).reads()).isEqualTo(1);
+    assertThat(readings.get(0).pages()).isAtLeast(1);
   }
 
   @Test
--- a/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
+++ b/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
@@ -51,9 +51,6 @@
     public void onUnreadable(String key, long offset, String why) {
       events.add("unreadable " + key);
     }
-
-    @Override
-    public void onReadable(boolean readable, String why) {}
   }
 
   /** Entries are written as PHASE BORN SEQUENCE. */
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorDesk.java
@@ -441,15 +441,6 @@
     EventLog.warn(LogEvent.RECORD_SKIPPED, "key", key, "offset", offset, "why", why);
   }
 
-  @Override
-  public void onReadable(int part, boolean readable, String why) {
-    if (readable) {
-      EventLog.info(LogEvent.SHARD_REGAINED, "topic", "jobs", "part", part);
-    } else {
-      EventLog.warn(LogEvent.SHARD_LOST, "topic", "jobs", "part", part, "why", why);
-    }
-  }
-
   /** This process's own runner, without a link between. */
   private final class LocalLink implements RunnerDesk.CoordinatorLink {
 
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -217,7 +217,8 @@
           tail(shard, view.ofShard(shard.part()), READ_WAIT, () -> jobGathering(shard.part())));
     }
     ResultEntries entries =
-        ResultEntries.create(store, Topics.entries(), loop, incarnation.value());
+        ResultEntries.create(
+            store, Topics.entries(), loop, clock, ResultLists::logRead, incarnation.value());
     final ResultLists lists = new ResultLists(store, jobTails, view, codec, entries, loop);
     this.context = forwardContext();
     RewardDesk rewardDesk = new RewardDesk(context, manifests);
@@ -351,7 +352,8 @@
 
   private KeyedTail tail(
       Shard shard, TailListener listener, Duration wait, Supplier<Duration> gathering) {
-    KeyedTail tail = KeyedTail.create(store, shard, listener, clock, loop, wait, gathering);
+    TailListener logged = new ShardLog(shard, listener);
+    KeyedTail tail = KeyedTail.create(store, shard, logged, clock, loop, wait, gathering);
     tails.add(tail);
     return tail;
   }
--- a/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
@@ -129,17 +129,19 @@
 
   /** Reads results. */
   CompletableFuture<AggregatedHttpResponse> results(JobId id, int from, Duration patience) {
+    Duration since = clock.elapsed();
     return find(id)
         .thenCompose(
             found ->
                 found.isEmpty()
                     ? done(plain(NOT_FOUND, ""))
                     : awaitResults(found.get(), from, patience))
-        .exceptionally(failure -> unsure(id, failure));
+        .exceptionally(failure -> unsure("results", id, since, failure));
   }
 
   /** Reads the body of an item. */
   CompletableFuture<AggregatedHttpResponse> item(JobId id, ItemId item) {
+    Duration since = clock.elapsed();
     return find(id)
         .thenApply(
             found -> {
@@ -149,15 +151,16 @@
                   : AggregatedHttpResponse.of(
                       CallHeaders.own(OK, "", Optional.empty()), HttpData.wrap(known.get().body()));
             })
-        .exceptionally(failure -> unsure(id, failure));
+        .exceptionally(failure -> unsure("item", id, since, failure));
   }
 
   /** Ends a job. */
   CompletableFuture<AggregatedHttpResponse> end(JobId id, Duration patience) {
+    Duration since = clock.elapsed();
     return find(id)
         .thenCompose(
             found -> found.isEmpty() ? done(plain(NOT_FOUND, "")) : storeEnd(found.get(), patience))
-        .exceptionally(failure -> unsure(id, failure));
+        .exceptionally(failure -> unsure("end", id, since, failure));
   }
 
   /** Returns whether a caller waits for a record of a shard. */
@@ -197,8 +200,15 @@
 
   private CompletableFuture<AggregatedHttpResponse> storeEnd(Job job, Duration patience) {
     List<KeyedRecord> end = List.of(codec.ended(job.id()));
+    Duration since = clock.elapsed();
     return persist(job.id(), end, job::isEnded, patience, () -> {})
-        .thenApply(verdict -> plain(verdict == Verdict.COMPLETED ? OK : TIMEOUT, ""));
+        .thenApply(verdict -> answerEnd(job, verdict, clock.elapsed().minus(since)));
+  }
+
+  private static AggregatedHttpResponse answerEnd(Job job, Verdict verdict, Duration took) {
+    int status = verdict == Verdict.COMPLETED ? OK : TIMEOUT;
+    EventLog.info(LogEvent.END_ANSWERED, "job", job.id(), "status", status, "ms", took.toMillis());
+    return plain(status, "");
   }
 
   private CompletableFuture<AggregatedHttpResponse> awaitResults(
@@ -324,8 +334,9 @@
         });
   }
 
-  private static AggregatedHttpResponse unsure(JobId id, Throwable failure) {
-    EventLog.info(LogEvent.READ_UNSURE, "job", id, "why", failure);
+  private AggregatedHttpResponse unsure(String what, JobId id, Duration since, Throwable failure) {
+    long millis = clock.elapsed().minus(since).toMillis();
+    EventLog.info(LogEvent.READ_UNSURE, "job", id, "what", what, "ms", millis, "why", failure);
     return plain(UNAVAILABLE, "");
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/OperatorFeed.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/OperatorFeed.java
@@ -63,16 +63,6 @@
     }
   }
 
-  @Override
-  public void onLost(Throwable cause) {
-    EventLog.warn(LogEvent.SHARD_LOST, "topic", "operators", "why", cause);
-  }
-
-  @Override
-  public void onRegained() {
-    EventLog.info(LogEvent.SHARD_REGAINED, "topic", "operators");
-  }
-
   private void take(Manifest manifest, long offset) {
     if (manifests.offer(manifest)) {
       EventLog.info(LogEvent.MANIFEST_IN_FORCE, "version", manifest.version(), "offset", offset);
--- a/server/src/main/java/org/carobhoist/server/gateway/ResultLists.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ResultLists.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.Scheduler;
+import org.carobhoist.core.job.EntryRead;
 import org.carobhoist.core.job.ItemResult;
 import org.carobhoist.core.job.Job;
 import org.carobhoist.core.job.JobId;
@@ -17,6 +18,8 @@
 import org.carobhoist.core.store.OrderedAppender;
 import org.carobhoist.core.store.RecordStore;
 import org.carobhoist.core.store.Want;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
 
 /** Lists results in the store, each item once whichever processes have a result for it. */
 final class ResultLists {
@@ -61,6 +64,24 @@
     return entries.load(results);
   }
 
+  /** Logs a reading from the store, which a reader of results has waited for. */
+  static void logRead(EntryRead read) {
+    EventLog.info(
+        LogEvent.ENTRIES_READ,
+        "shard",
+        read.shard(),
+        "entries",
+        read.wanted(),
+        "reads",
+        read.reads(),
+        "pages",
+        read.pages(),
+        "ms",
+        read.took().toMillis(),
+        "why",
+        read.failure().map(String::valueOf).orElse(""));
+  }
+
   /** Drops every record of a job; the job is gone from the view once the store has done so. */
   CompletableFuture<AppendOutcome> forget(Job job) {
     KeyedTail tail = tails.get(view.shardOf(job.id()));
--- a/server/src/main/java/org/carobhoist/server/gateway/ServerFeed.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ServerFeed.java
@@ -45,13 +45,4 @@
   public void onUnreadable(String key, long offset, String why) {
     EventLog.warn(LogEvent.RECORD_SKIPPED, "key", key, "offset", offset, "why", why);
   }
-
-  @Override
-  public void onReadable(boolean readable, String why) {
-    if (readable) {
-      EventLog.info(LogEvent.SHARD_REGAINED, "topic", "servers");
-    } else {
-      EventLog.warn(LogEvent.SHARD_LOST, "topic", "servers", "why", why);
-    }
-  }
 }
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/gateway/ShardLog.java
@@ -0,0 +1,68 @@
+package org.carobhoist.server.gateway;
+
+import java.util.List;
+import org.carobhoist.core.store.Shard;
+import org.carobhoist.core.store.ShardWalk;
+import org.carobhoist.core.store.StoredRecord;
+import org.carobhoist.core.store.TailListener;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+
+/** Logs how well a shard can be read, and hands everything on to its listener. */
+final class ShardLog implements TailListener {
+
+  private final Shard shard;
+  private final TailListener listener;
+
+  ShardLog(Shard shard, TailListener listener) {
+    this.shard = shard;
+    this.listener = listener;
+  }
+
+  @Override
+  public void onSnapshot(List<StoredRecord> records) {
+    listener.onSnapshot(records);
+  }
+
+  @Override
+  public void onRecord(StoredRecord stored) {
+    listener.onRecord(stored);
+  }
+
+  @Override
+  public void onWalk(ShardWalk walk) {
+    if (walk.failure().isPresent()) {
+      EventLog.warn(LogEvent.SHARD_WALK_FAILED, fields(walk, "why", walk.failure().get()));
+    } else {
+      EventLog.info(LogEvent.SHARD_WALKED, fields(walk, "outcome", "whole"));
+    }
+    listener.onWalk(walk);
+  }
+
+  @Override
+  public void onLost(Throwable cause) {
+    EventLog.warn(LogEvent.SHARD_LOST, "shard", shard, "why", cause);
+    listener.onLost(cause);
+  }
+
+  @Override
+  public void onRegained() {
+    EventLog.info(LogEvent.SHARD_REGAINED, "shard", shard);
+    listener.onRegained();
+  }
+
+  private Object[] fields(ShardWalk walk, String lastName, Object last) {
+    return new Object[] {
+      "shard",
+      shard,
+      "pages",
+      walk.pages(),
+      "records",
+      walk.records(),
+      "ms",
+      walk.took().toMillis(),
+      lastName,
+      last
+    };
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -88,6 +88,10 @@
   STORE_TRIED_AGAIN(7106, "store tried again"),
   /** A job runs that the store doesn't have yet. */
   JOB_RUNS_EARLY(7108, "job runs before it is stored"),
+  /** The end of a job was answered. */
+  END_ANSWERED(7109, "end of a job answered"),
+  /** Entries of results were read from the store. */
+  ENTRIES_READ(7110, "entries of results read"),
   /** A second record lists an item of a job. */
   LISTED_AGAIN(7107, "item listed a second time"),
   /** An item has been given to an engine. */
@@ -136,6 +140,10 @@
   STORE_PATH_LOST(7504, "direct path to the store lost"),
   /** The store can be reached directly again. */
   STORE_PATH_REGAINED(7505, "direct path to the store regained"),
+  /** All newest records of a shard were read. */
+  SHARD_WALKED(7508, "shard read whole"),
+  /** Reading all newest records of a shard was given up. */
+  SHARD_WALK_FAILED(7509, "reading of a shard given up"),
   /** A server is gone from the registry. */
   ENDPOINT_GONE(7506, "endpoint gone"),
   /** A server said in an answer that it leaves. */
