Show that a view loses the results of a job that is submitted again while it is read

The test fails on this code: a process that starts reads a shard page by page; the end of its first page is where it reads on. Reading on brings the job, without results. That process then answers that nothing stands at a position that was read before (LOST), and may list items a second time. Jobs are submitted again just when all processes start, since their submitters got no answer.

--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/job/JobViewWalkTest.java
@@ -0,0 +1,106 @@
+package org.carobhoist.core.job;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.manifest.JobTerms;
+import org.carobhoist.core.store.AppendOutcome;
+import org.carobhoist.core.store.KeyedRecord;
+import org.carobhoist.core.store.KeyedTail;
+import org.carobhoist.core.store.NewestPage;
+import org.carobhoist.core.store.ReadOutcome;
+import org.carobhoist.core.store.RecordStore;
+import org.carobhoist.core.store.Shard;
+import org.carobhoist.core.store.SharedLog;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+import org.junit.jupiter.api.Test;
+
+/** Views that are read page by page while others write. */
+final class JobViewWalkTest {
+
+  private static final Shard SHARD = new Shard("jobs", 0);
+  private static final JobId JOB = new JobId("j9");
+  private static final int PAGE_SIZE = 3;
+
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue queue = new EventQueue(clock);
+  private final SharedLog log = new SharedLog();
+  private final JobView view =
+      JobView.create(
+          new PlainRecords(JobViewWalkTest::head),
+          bytes -> new JobContent(0, "m", new WeightVersion(1), 0, List.of()),
+          1);
+  private Runnable beforeNextPage = () -> {};
+
+  private static JobHead head(JobId id) {
+    JobTerms terms = new JobTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), false);
+    return new JobHead(id, new ServiceName("lm"), "a.example", "jobs", Instant.EPOCH, terms, 3, 4);
+  }
+
+  private final class Store implements RecordStore {
+
+    @Override
+    public CompletableFuture<AppendOutcome> append(
+        Shard shard, List<KeyedRecord> records, OptionalLong at) {
+      throw new UnsupportedOperationException("the test appends by itself");
+    }
+
+    @Override
+    public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
+      CompletableFuture<ReadOutcome> reply = new CompletableFuture<>();
+      queue.after(Duration.ofMillis(4), () -> reply.complete(log.read(shard, from)));
+      return reply;
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> newest(Shard shard, String after) {
+      if (!after.isEmpty()) {
+        beforeNextPage.run();
+      }
+      return CompletableFuture.completedFuture(log.newest(shard, after, PAGE_SIZE));
+    }
+  }
+
+  private void append(String... keys) {
+    for (String key : keys) {
+      log.append(SHARD, List.of(new KeyedRecord(key, new byte[] {1})), OptionalLong.empty());
+    }
+  }
+
+  private void readOn() {
+    KeyedTail tail =
+        KeyedTail.create(
+            new Store(),
+            SHARD,
+            view.ofShard(0),
+            clock,
+            queue::schedule,
+            Duration.ofMillis(100),
+            () -> Duration.ofMillis(100));
+    tail.start();
+    queue.run(Duration.ofSeconds(1));
+  }
+
+  private List<String> listed() {
+    return view.job(JOB).orElseThrow().resultsFrom(0).stream().map(r -> r.item().value()).toList();
+  }
+
+  @Test
+  void jobThatIsSubmittedAgainBetweenTwoPagesKeepsItsResults() {
+    append("job/j9", "result/j9/b", "result/j9/a", "job/j1", "job/j2", "job/j3");
+    beforeNextPage =
+        () -> {
+          beforeNextPage = () -> {};
+          append("job/j9");
+        };
+    readOn();
+    assertThat(listed()).containsExactly("b", "a").inOrder();
+  }
+}
