Show that readers of a job's results read the entries of other jobs as well

The test fails on this code: two entries of 1 KB cost 4,102 bytes by offset, since everything behind them comes too (up to a megabyte a call), and the whole shard from its first key once the store has dropped old records (20 s of history on the grown sites).

--- a/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
+++ b/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
@@ -230,6 +230,7 @@
     private final Duration since = clock.elapsed();
     private int reads;
     private int pages;
+    private long bytes;
 
     private Reading(Shard shard, Map<String, EntryPlace> missing, Map<String, byte[]> found) {
       this.shard = shard;
@@ -244,6 +245,7 @@
 
     private void absorb(List<StoredRecord> records) {
       for (StoredRecord r : records) {
+        bytes += r.size();
         if (!r.isDrop() && missing.remove(r.key()) != null) {
           found.put(r.key(), r.value());
           keep(r.key(), r.value());
@@ -253,7 +255,7 @@
 
     private EntryRead report(Throwable failure) {
       Duration took = clock.elapsed().minus(since);
-      return new EntryRead(shard, wanted, reads, pages, took, Optional.ofNullable(failure));
+      return new EntryRead(shard, wanted, reads, pages, bytes, took, Optional.ofNullable(failure));
     }
   }
 
--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -280,7 +280,9 @@
     }
 
     private ShardWalk report(Duration now, Throwable failure) {
-      return new ShardWalk(pages, records.size(), now.minus(sentAt), Optional.ofNullable(failure));
+      long bytes = records.stream().mapToLong(StoredRecord::size).sum();
+      Duration took = now.minus(sentAt);
+      return new ShardWalk(pages, records.size(), bytes, took, Optional.ofNullable(failure));
     }
   }
 
--- a/core/src/main/java/org/carobhoist/core/store/ShardWalk.java
+++ b/core/src/main/java/org/carobhoist/core/store/ShardWalk.java
@@ -8,7 +8,9 @@
  *
  * @param pages pages read
  * @param records records on these pages
+ * @param bytes bytes of their keys and values
  * @param took time from the first call to the last answer
  * @param failure why it was given up; empty if it was whole
  */
-public record ShardWalk(int pages, int records, Duration took, Optional<Throwable> failure) {}
+public record ShardWalk(
+    int pages, int records, long bytes, Duration took, Optional<Throwable> failure) {}
--- a/core/src/main/java/org/carobhoist/core/store/StoredRecord.java
+++ b/core/src/main/java/org/carobhoist/core/store/StoredRecord.java
@@ -9,6 +9,11 @@
  */
 public record StoredRecord(long offset, String key, byte[] value) {
 
+  /** Returns the bytes of key and value together. */
+  public int size() {
+    return key.length() + value.length;
+  }
+
   /** Returns whether the record drops its key. */
   public boolean isDrop() {
     return value.length == 0;
--- a/core/src/test/java/org/carobhoist/core/job/ResultEntriesTest.java
+++ b/core/src/test/java/org/carobhoist/core/job/ResultEntriesTest.java
@@ -97,6 +97,26 @@
     assertThat(readings.get(0).pages()).isAtLeast(1);
   }
 
+  @Test
+  void readerOfOneJobDoesNotReadTheEntriesOfOthers() {
+    List<ItemResult> wantedOnes = new ArrayList<>();
+    for (String job : List.of("j1", "j5", "j9", "n1", "n5", "n9")) {
+      for (int i = 0; i < 2; i++) {
+        ItemResult one = result(job + "-" + i, 1_000);
+        CompletableFuture<ItemResult> placed = writer.write(new JobId(job), one, () -> true);
+        pass(Duration.ofSeconds(1));
+        if (job.equals("n5")) {
+          wantedOnes.add(placed.join());
+        }
+      }
+    }
+    assertThat(load(entries("reader"), wantedOnes)).containsExactly("n5-0", "n5-1");
+    SHARDS.forEach(log::expire);
+    assertThat(load(entries("later reader"), wantedOnes)).containsExactly("n5-0", "n5-1");
+    readings.forEach(r -> assertThat(r.bytes()).isAtMost(3 * 1_100));
+    assertThat(readings).hasSize(2);
+  }
+
   @Test
   void entriesAreWrittenAndReadThroughFaults() {
     link.setFaultShare(0.4);
--- a/server/src/main/java/org/carobhoist/server/gateway/ResultLists.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ResultLists.java
@@ -76,6 +76,8 @@
         read.reads(),
         "pages",
         read.pages(),
+        "bytes",
+        read.bytes(),
         "ms",
         read.took().toMillis(),
         "why",
--- a/server/src/main/java/org/carobhoist/server/gateway/ShardLog.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ShardLog.java
@@ -59,6 +59,8 @@
       walk.pages(),
       "records",
       walk.records(),
+      "bytes",
+      walk.bytes(),
       "ms",
       walk.took().toMillis(),
       lastName,
