Keep the results of a job that is submitted again while its shard is read

The tail handed on what lay before the end of the first page and dropped the rest, since it comes again in order. The same holds for any key: a server or a process that wrote again between two pages counted as gone.

The view takes jobs from them before it applies results; the registry and the mesh count their keys as present.

Ruled out: remembering results of unknown jobs (a job without results would still be taken for forgotten, and its runs ended).

Before: JobViewWalkTest expected [b, a], got []. Now it passes, with the tests of views, tails, lease, listing and registry.

--- a/core/src/main/java/org/carobhoist/core/job/JobView.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobView.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.carobhoist.core.store.Snapshot;
 import org.carobhoist.core.store.StoredRecord;
 import org.carobhoist.core.store.TailListener;
 import org.carobhoist.core.store.Want;
@@ -145,10 +146,10 @@
     }
 
     @Override
-    public void onSnapshot(List<StoredRecord> records) {
+    public void onSnapshot(Snapshot snapshot) {
       Set<JobId> present = new HashSet<>();
       Map<Long, JobRecord> others = new LinkedHashMap<>();
-      for (StoredRecord stored : records) {
+      for (StoredRecord stored : snapshot.records()) {
         Optional<JobRecord> decoded = decode(stored);
         decoded.map(JobRecord::job).ifPresent(present::add);
         // A job that was submitted twice may have its newest record behind those of its results.
@@ -158,6 +159,12 @@
           decoded.ifPresent(r -> others.put(stored.offset(), r));
         }
       }
+      for (StoredRecord stored : snapshot.later()) {
+        if (decode(stored).orElse(null) instanceof JobRecord.Accepted a) {
+          present.add(a.job());
+          accept(a);
+        }
+      }
       others.forEach((offset, record) -> apply(record, offset));
       List.copyOf(jobs.values()).stream()
           .filter(j -> shardOf(j.id()) == part && !present.contains(j.id()))
--- a/core/src/main/java/org/carobhoist/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseKeeper.java
@@ -12,6 +12,7 @@
 import org.carobhoist.core.store.KeyedRecord;
 import org.carobhoist.core.store.KeyedTail;
 import org.carobhoist.core.store.RecordStore;
+import org.carobhoist.core.store.Snapshot;
 import org.carobhoist.core.store.StoredRecord;
 import org.carobhoist.core.store.TailListener;
 
@@ -97,11 +98,11 @@
   }
 
   @Override
-  public void onSnapshot(List<StoredRecord> records) {
-    if (records.isEmpty()) {
+  public void onSnapshot(Snapshot snapshot) {
+    if (snapshot.records().isEmpty()) {
       quietSince = clock.elapsed();
     }
-    records.forEach(this::onRecord);
+    snapshot.records().forEach(this::onRecord);
   }
 
   @Override
--- a/core/src/main/java/org/carobhoist/core/membership/RegisteredServers.java
+++ b/core/src/main/java/org/carobhoist/core/membership/RegisteredServers.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -12,6 +11,7 @@
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Scheduler;
 import org.carobhoist.core.common.ServiceName;
+import org.carobhoist.core.store.Snapshot;
 import org.carobhoist.core.store.StoredRecord;
 import org.carobhoist.core.store.TailListener;
 
@@ -64,13 +64,12 @@
   }
 
   @Override
-  public void onSnapshot(List<StoredRecord> records) {
-    Set<InstanceId> present = new HashSet<>();
-    for (StoredRecord r : records) {
-      onRecord(r);
-      parseId(r.key()).ifPresent(present::add);
-    }
-    List.copyOf(entries.keySet()).stream().filter(i -> !present.contains(i)).forEach(this::lapse);
+  public void onSnapshot(Snapshot snapshot) {
+    snapshot.records().forEach(this::onRecord);
+    Set<String> present = snapshot.keys();
+    List.copyOf(entries.keySet()).stream()
+        .filter(i -> !present.contains(i.value()))
+        .forEach(this::lapse);
   }
 
   @Override
--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -2,7 +2,6 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -304,15 +303,10 @@
     if (loaded && walk.end < next) {
       return;
     }
-    final List<StoredRecord> sorted =
-        walk.records.stream()
-            .filter(r -> r.offset() < walk.end && !r.isDrop())
-            .sorted(Comparator.comparingLong(StoredRecord::offset))
-            .toList();
     next = walk.end;
     loaded = true;
     freshAsOf = walk.sentAt;
-    listener.onSnapshot(sorted);
+    listener.onSnapshot(Snapshot.of(walk.records, walk.end));
     Runnable task = onLoaded;
     onLoaded = () -> {};
     task.run();
--- a/core/src/main/java/org/carobhoist/core/store/TailListener.java
+++ b/core/src/main/java/org/carobhoist/core/store/TailListener.java
@@ -1,15 +1,13 @@
 package org.carobhoist.core.store;
 
-import java.util.List;
-
 /** Takes the records of a shard in their order. */
 public interface TailListener {
 
   /**
-   * Takes the newest record of every key, in the order of their offsets. What the listener knows of
-   * other keys is gone from the shard.
+   * Takes the newest record of every key. What the listener knows of other keys is gone from the
+   * shard.
    */
-  void onSnapshot(List<StoredRecord> records);
+  void onSnapshot(Snapshot snapshot);
 
   /** Takes the next record. */
   void onRecord(StoredRecord stored);
--- a/core/src/test/java/org/carobhoist/core/job/JobViewTest.java
+++ b/core/src/test/java/org/carobhoist/core/job/JobViewTest.java
@@ -9,6 +9,7 @@
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.manifest.JobTerms;
+import org.carobhoist.core.store.Snapshot;
 import org.carobhoist.core.store.StoredRecord;
 import org.carobhoist.core.store.TailListener;
 import org.carobhoist.core.store.Want;
@@ -93,11 +94,12 @@
   @Test
   void snapshotGivesTheSameListThoughTheJobWasSubmittedAgain() {
     shard.onSnapshot(
-        List.of(
-            stored(1, "result/j1/b"),
-            stored(2, "result/j1/a"),
-            stored(5, "job/j1"),
-            stored(6, "end/j1")));
+        Snapshot.of(
+            List.of(
+                stored(1, "result/j1/b"),
+                stored(2, "result/j1/a"),
+                stored(5, "job/j1"),
+                stored(6, "end/j1"))));
     assertThat(listed()).containsExactly("b", "a").inOrder();
     assertThat(view.job(JOB).orElseThrow().isEnded()).isTrue();
   }
@@ -107,11 +109,12 @@
     shard.onRecord(stored(0, "job/j1"));
     shard.onRecord(stored(1, "result/j1/b"));
     shard.onSnapshot(
-        List.of(
-            stored(0, "job/j1"),
-            stored(1, "result/j1/b"),
-            stored(2, "result/j1/c"),
-            stored(3, "result/j1/a")));
+        Snapshot.of(
+            List.of(
+                stored(0, "job/j1"),
+                stored(1, "result/j1/b"),
+                stored(2, "result/j1/c"),
+                stored(3, "result/j1/a"))));
     assertThat(listed()).containsExactly("b", "c", "a").inOrder();
     assertThat(events.seen).doesNotContain("again b");
   }
@@ -119,7 +122,7 @@
   @Test
   void jobThatLeftTheStoreIsForgotten() {
     shard.onRecord(stored(0, "job/j1"));
-    shard.onSnapshot(List.of());
+    shard.onSnapshot(Snapshot.of(List.of()));
     assertThat(view.job(JOB).isPresent()).isFalse();
     assertThat(events.seen).containsExactly("accepted", "ended").inOrder();
   }
--- a/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
+++ b/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
@@ -14,6 +14,7 @@
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.common.Zone;
 import org.carobhoist.core.routing.EndpointView;
+import org.carobhoist.core.store.Snapshot;
 import org.carobhoist.core.store.StoredRecord;
 import org.carobhoist.core.testing.EventQueue;
 import org.carobhoist.core.testing.ManualClock;
@@ -103,7 +104,8 @@
     servers.onSaidLeaving(new InstanceId("s1"));
     assertThat(usable()).containsExactly("s2");
     servers.onRecord(stored(2, "s1", "SERVING 5 2"));
-    servers.onSnapshot(List.of(stored(3, "s1", "SERVING 5 3"), stored(4, "s2", "SERVING 5 2")));
+    servers.onSnapshot(
+        Snapshot.of(List.of(stored(3, "s1", "SERVING 5 3"), stored(4, "s2", "SERVING 5 2"))));
     assertThat(usable()).containsExactly("s2");
     assertThat(events).containsExactly("leaving s1");
   }
@@ -156,7 +158,7 @@
   @Test
   void snapshotsDropWhatTheyLack() {
     servers.onRecord(stored(0, "s1", "SERVING 1 1"));
-    servers.onSnapshot(List.of(stored(4, "s2", "SERVING 1 1")));
+    servers.onSnapshot(Snapshot.of(List.of(stored(4, "s2", "SERVING 1 1"))));
     assertThat(usable()).containsExactly("s1", "s2");
     queue.run(Duration.ofSeconds(5));
     assertThat(usable()).containsExactly("s2");
--- a/core/src/test/java/org/carobhoist/core/store/FleetStart.java
+++ b/core/src/test/java/org/carobhoist/core/store/FleetStart.java
@@ -77,7 +77,7 @@
     }
 
     @Override
-    public void onSnapshot(List<StoredRecord> records) {
+    public void onSnapshot(Snapshot snapshot) {
       left[0]--;
       loaded += left[0] == 0 ? 1 : 0;
     }
--- a/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
@@ -75,7 +75,7 @@
   private final class Listener implements TailListener {
 
     @Override
-    public void onSnapshot(List<StoredRecord> records) {}
+    public void onSnapshot(Snapshot snapshot) {}
 
     @Override
     public void onRecord(StoredRecord stored) {
--- a/core/src/test/java/org/carobhoist/core/store/ListingWorld.java
+++ b/core/src/test/java/org/carobhoist/core/store/ListingWorld.java
@@ -75,8 +75,8 @@
     }
 
     @Override
-    public void onSnapshot(List<StoredRecord> records) {
-      records.forEach(this::onRecord);
+    public void onSnapshot(Snapshot snapshot) {
+      snapshot.records().forEach(this::onRecord);
     }
 
     @Override
--- a/server/src/main/java/org/carobhoist/server/gateway/OperatorFeed.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/OperatorFeed.java
@@ -1,11 +1,11 @@
 package org.carobhoist.server.gateway;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.function.BiConsumer;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.manifest.Manifest;
 import org.carobhoist.core.manifest.ManifestHolder;
+import org.carobhoist.core.store.Snapshot;
 import org.carobhoist.core.store.StoredRecord;
 import org.carobhoist.core.store.TailListener;
 import org.carobhoist.platform.ManifestDecoder;
@@ -24,8 +24,8 @@
   }
 
   @Override
-  public void onSnapshot(List<StoredRecord> records) {
-    records.forEach(this::onRecord);
+  public void onSnapshot(Snapshot snapshot) {
+    snapshot.records().forEach(this::onRecord);
   }
 
   @Override
--- a/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
@@ -18,6 +19,7 @@
 import org.carobhoist.core.placement.PlacementPort;
 import org.carobhoist.core.routing.Rendezvous;
 import org.carobhoist.core.settings.SocketAddressText;
+import org.carobhoist.core.store.Snapshot;
 import org.carobhoist.core.store.StoredRecord;
 import org.carobhoist.core.store.TailListener;
 import org.carobhoist.platform.StoreCall;
@@ -111,9 +113,9 @@
   }
 
   @Override
-  public void onSnapshot(List<StoredRecord> records) {
-    List<String> present = records.stream().map(StoredRecord::key).toList();
-    records.forEach(this::onRecord);
+  public void onSnapshot(Snapshot snapshot) {
+    Set<String> present = snapshot.keys();
+    snapshot.records().forEach(this::onRecord);
     List.copyOf(peers.values()).stream()
         .filter(p -> !present.contains(p.id.value()))
         .forEach(p -> remove(p.id));
--- a/server/src/main/java/org/carobhoist/server/gateway/ShardLog.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ShardLog.java
@@ -1,8 +1,8 @@
 package org.carobhoist.server.gateway;
 
-import java.util.List;
 import org.carobhoist.core.store.Shard;
 import org.carobhoist.core.store.ShardWalk;
+import org.carobhoist.core.store.Snapshot;
 import org.carobhoist.core.store.StoredRecord;
 import org.carobhoist.core.store.TailListener;
 import org.carobhoist.server.log.EventLog;
@@ -20,8 +20,8 @@
   }
 
   @Override
-  public void onSnapshot(List<StoredRecord> records) {
-    listener.onSnapshot(records);
+  public void onSnapshot(Snapshot snapshot) {
+    listener.onSnapshot(snapshot);
   }
 
   @Override
