Read only the entries that a reader of results lacks

On the grown sites' stores, which keep 20 s of history, each page of an older job cost the shard's every page; all reads of the store share one rate.

Cause: a read by offset asked for nothing less than a megabyte, and looking by key began at the first key of the shard, though pages are in the order of their keys.

Change: a read asks for the bytes that are missing, which the list names; looking by key begins right before the first missing key, jumps to the next one, and ends where it has passed.

Before: readerOfOneJobDoesNotReadTheEntriesOfOthers got 4,102 bytes where 3,300 (a page) are allowed. Now it passes, with the other tests of entries.

--- a/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
+++ b/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -17,6 +18,7 @@
 import org.carobhoist.core.common.Scheduler;
 import org.carobhoist.core.store.AppendOutcome;
 import org.carobhoist.core.store.KeyedRecord;
+import org.carobhoist.core.store.NewestPage;
 import org.carobhoist.core.store.ReadOutcome;
 import org.carobhoist.core.store.RecordStore;
 import org.carobhoist.core.store.Shard;
@@ -239,10 +241,19 @@
       this.wanted = missing.size();
     }
 
-    private long first() {
+    private long firstOffset() {
       return missing.values().stream().mapToLong(EntryPlace::offset).min().orElseThrow();
     }
 
+    private String firstKey() {
+      return missing.keySet().stream().min(Comparator.naturalOrder()).orElseThrow();
+    }
+
+    /** Returns the bytes of what is missing, as if nothing else lay between. */
+    private int bytesLeft() {
+      return missing.values().stream().mapToInt(p -> p.key().length() + p.length()).sum();
+    }
+
     private void absorb(List<StoredRecord> records) {
       for (StoredRecord r : records) {
         bytes += r.size();
@@ -267,22 +278,22 @@
   private CompletableFuture<Void> readOn(Reading reading) {
     reading.reads++;
     return store
-        .read(reading.shard, reading.first(), Duration.ZERO)
+        .readUpTo(reading.shard, reading.firstOffset(), reading.bytesLeft())
         .thenCompose(
             outcome -> {
               if (!(outcome instanceof ReadOutcome.Batch batch)) {
-                return walk("", reading);
+                return walk(before(reading.firstKey()), reading);
               }
               reading.absorb(batch.records());
               if (reading.missing.isEmpty()) {
                 return CompletableFuture.completedFuture(null);
               }
-              boolean passed = batch.records().isEmpty() || reading.first() <= lastOf(batch);
-              return passed ? walk("", reading) : readOn(reading);
+              boolean passed = batch.records().isEmpty() || reading.firstOffset() <= lastOf(batch);
+              return passed ? walk(before(reading.firstKey()), reading) : readOn(reading);
             });
   }
 
-  /** Looks for entries by their keys, page by page. */
+  /** Looks for entries by their keys; what lies between them is left out page by page. */
   private CompletableFuture<Void> walk(String after, Reading reading) {
     reading.pages++;
     return store
@@ -293,15 +304,28 @@
               if (reading.missing.isEmpty()) {
                 return CompletableFuture.completedFuture(null);
               }
-              if (!page.more() || page.records().isEmpty()) {
-                String what = reading.missing.keySet().iterator().next();
+              String first = reading.firstKey();
+              if (!page.more() || first.compareTo(lastKeyOf(page)) <= 0) {
                 return CompletableFuture.failedFuture(
-                    StoreException.notRun(what + " is not in " + reading.shard));
+                    StoreException.notRun(first + " is not in " + reading.shard));
               }
-              return walk(page.records().get(page.records().size() - 1).key(), reading);
+              return walk(later(before(first), lastKeyOf(page)), reading);
             });
   }
 
+  private static String later(String a, String b) {
+    return a.compareTo(b) > 0 ? a : b;
+  }
+
+  /** Returns a key that stands before another, with hardly any between them. */
+  private static String before(String key) {
+    return key.substring(0, key.length() - 1);
+  }
+
+  private static String lastKeyOf(NewestPage page) {
+    return page.records().get(page.records().size() - 1).key();
+  }
+
   private static long lastOf(ReadOutcome.Batch batch) {
     return batch.records().get(batch.records().size() - 1).offset();
   }
--- a/core/src/main/java/org/carobhoist/core/store/RecordStore.java
+++ b/core/src/main/java/org/carobhoist/core/store/RecordStore.java
@@ -26,6 +26,15 @@
    */
   CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait);
 
+  /**
+   * Reads records that are there, in their order.
+   *
+   * @param from the first offset wanted
+   * @param maxBytes bytes of records that are wanted; fewer come where the store's own bound is
+   *     reached, and up to a kilobyte more
+   */
+  CompletableFuture<ReadOutcome> readUpTo(Shard shard, long from, int maxBytes);
+
   /**
    * Reads the newest record of each key.
    *
--- a/core/src/test/java/org/carobhoist/core/job/JobViewWalkTest.java
+++ b/core/src/test/java/org/carobhoist/core/job/JobViewWalkTest.java
@@ -59,6 +59,11 @@
       return reply;
     }
 
+    @Override
+    public CompletableFuture<ReadOutcome> readUpTo(Shard shard, long from, int maxBytes) {
+      throw new UnsupportedOperationException("only tails read here");
+    }
+
     @Override
     public CompletableFuture<NewestPage> newest(Shard shard, String after) {
       if (!after.isEmpty()) {
--- a/core/src/test/java/org/carobhoist/core/store/FleetStart.java
+++ b/core/src/test/java/org/carobhoist/core/store/FleetStart.java
@@ -99,6 +99,11 @@
       return new CompletableFuture<>();
     }
 
+    @Override
+    public CompletableFuture<ReadOutcome> readUpTo(Shard shard, long from, int maxBytes) {
+      throw new UnsupportedOperationException("only tails read here");
+    }
+
     @Override
     public CompletableFuture<NewestPage> newest(Shard shard, String after) {
       CompletableFuture<NewestPage> reply = new CompletableFuture<>();
--- a/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
@@ -66,6 +66,11 @@
       return reply;
     }
 
+    @Override
+    public CompletableFuture<ReadOutcome> readUpTo(Shard shard, long from, int maxBytes) {
+      throw new UnsupportedOperationException("only tails read here");
+    }
+
     @Override
     public CompletableFuture<NewestPage> newest(Shard shard, String after) {
       return CompletableFuture.completedFuture(new NewestPage(List.of(), false, records.size()));
--- a/core/src/test/java/org/carobhoist/core/store/SharedLog.java
+++ b/core/src/test/java/org/carobhoist/core/store/SharedLog.java
@@ -45,6 +45,23 @@
     return new ReadOutcome.Batch(size, List.copyOf(found));
   }
 
+  /** Reads what is there, up to a number of bytes, but at least one record. */
+  public ReadOutcome readUpTo(Shard shard, long from, int maxBytes) {
+    if (!(read(shard, from) instanceof ReadOutcome.Batch all)) {
+      return new ReadOutcome.Expired();
+    }
+    List<StoredRecord> found = new ArrayList<>();
+    int bytes = 0;
+    for (StoredRecord r : all.records()) {
+      bytes += r.size();
+      if (!found.isEmpty() && bytes > maxBytes) {
+        break;
+      }
+      found.add(r);
+    }
+    return new ReadOutcome.Batch(all.end(), List.copyOf(found));
+  }
+
   /** Reads a page of the newest records. */
   public NewestPage newest(Shard shard, String after, int pageSize) {
     TreeMap<String, StoredRecord> newest = new TreeMap<>();
--- a/core/src/test/java/org/carobhoist/core/store/StoreLink.java
+++ b/core/src/test/java/org/carobhoist/core/store/StoreLink.java
@@ -67,6 +67,11 @@
     return out;
   }
 
+  @Override
+  public CompletableFuture<ReadOutcome> readUpTo(Shard shard, long from, int maxBytes) {
+    return call(() -> log.readUpTo(shard, from, maxBytes), false);
+  }
+
   @Override
   public CompletableFuture<NewestPage> newest(Shard shard, String after) {
     return call(() -> log.newest(shard, after, PAGE_SIZE), false);
--- a/core/src/test/java/org/carobhoist/core/store/UnconditionalStore.java
+++ b/core/src/test/java/org/carobhoist/core/store/UnconditionalStore.java
@@ -19,6 +19,11 @@
     return store.read(shard, from, wait);
   }
 
+  @Override
+  public CompletableFuture<ReadOutcome> readUpTo(Shard shard, long from, int maxBytes) {
+    return store.readUpTo(shard, from, maxBytes);
+  }
+
   @Override
   public CompletableFuture<NewestPage> newest(Shard shard, String after) {
     return store.newest(shard, after);
