Show that a process that starts denies a job which was accepted meanwhile

The test fails on this code: while a process reads a shard page by page, a job is accepted elsewhere, and then asked for here. The question shares the reading that is under way, which began before the job was accepted and ends where its first page did; so the job counts as absent, and the caller gets 404 (LOST).

Expected true, got false.

--- a/core/src/test/java/org/carobhoist/core/job/JobViewWalkTest.java
+++ b/core/src/test/java/org/carobhoist/core/job/JobViewWalkTest.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -28,6 +29,7 @@
   private static final Shard SHARD = new Shard("jobs", 0);
   private static final JobId JOB = new JobId("j9");
   private static final int PAGE_SIZE = 3;
+  private static final Duration PAGE_TIME = Duration.ofMillis(200);
 
   private final ManualClock clock = new ManualClock();
   private final EventQueue queue = new EventQueue(clock);
@@ -69,7 +71,10 @@
       if (!after.isEmpty()) {
         beforeNextPage.run();
       }
-      return CompletableFuture.completedFuture(log.newest(shard, after, PAGE_SIZE));
+      CompletableFuture<NewestPage> reply = new CompletableFuture<>();
+      NewestPage page = log.newest(shard, after, PAGE_SIZE);
+      queue.after(PAGE_TIME, () -> reply.complete(page));
+      return reply;
     }
   }
 
@@ -79,7 +84,7 @@
     }
   }
 
-  private void readOn() {
+  private KeyedTail follow() {
     KeyedTail tail =
         KeyedTail.create(
             new Store(),
@@ -90,7 +95,7 @@
             Duration.ofMillis(100),
             () -> Duration.ofMillis(100));
     tail.start();
-    queue.run(Duration.ofSeconds(1));
+    return tail;
   }
 
   private List<String> listed() {
@@ -105,7 +110,19 @@
           beforeNextPage = () -> {};
           append("job/j9");
         };
-    readOn();
+    follow();
+    queue.run(Duration.ofSeconds(1));
     assertThat(listed()).containsExactly("b", "a").inOrder();
   }
+
+  @Test
+  void jobThatWasAcceptedWhileTheShardWasReadIsNotDenied() {
+    append("job/k1", "job/k2", "job/k3", "job/k4");
+    KeyedTail tail = follow();
+    append("job/j9");
+    List<Boolean> known = new ArrayList<>();
+    tail.barrier().thenRun(() -> known.add(view.job(JOB).isPresent()));
+    queue.run(Duration.ofSeconds(2));
+    assertThat(known).containsExactly(true);
+  }
 }
