Answer for a job's absence only after reading on past the question

Cause: a barrier promises that everything is known which the shard held when the question came. While a shard was being read whole, for the first time or since its older records were gone, the barrier completed with that reading, though it may have begun seconds before the question.

Change: after such a reading the barrier reads on from its end, as it does for a shard that is known.

Ruled out: answering 503 until the shard is known (every answer is late then, and the reader's time may be over when the shard is known a moment later); a reading of its own for each question (the pages again).

Before: jobThatWasAcceptedWhileTheShardWasReadIsNotDenied expected true, got false. Now it passes, with the tests of tails, listing, lease and fleet start.

--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -148,7 +148,7 @@
   /** Completes once everything is known that the shard holds now; fails if that can't be told. */
   public CompletableFuture<Void> barrier() {
     if (!loaded) {
-      return reload();
+      return reloadAndReadOn();
     }
     Duration sentAt = clock.elapsed();
     return store
@@ -169,7 +169,12 @@
       absorb(batch, sentAt);
       return next >= batch.end() ? CompletableFuture.completedFuture(null) : barrier();
     }
-    return reload();
+    return reloadAndReadOn();
+  }
+
+  /** A walk that is under way may have begun before the question, so only reading on settles it. */
+  private CompletableFuture<Void> reloadAndReadOn() {
+    return reload().thenCompose(ok -> barrier());
   }
 
   private void step() {
