Deny a position only by what is known as of the installation's settle time

Callers could see: a page without a result that another process had shown more than a second before, from a process whose waiting read of the shard hangs (lost packets, a silent connection).

Cause: a view counted as fresh for 1.6 s, a constant of the desk, while the installation asks for what was read anywhere to be shown after bounds.settle_ms (1 s). A waiting read lasts up to 1.7 s before it is given up.

Test: positionIsNotDeniedWhileAWaitingReadHangs fails with the former 1.6 s (0 records known, 1 expected) and passes with the bound.

--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -156,6 +156,17 @@
         .thenCompose(outcome -> afterBarrier(outcome, sentAt));
   }
 
+  /**
+   * Completes once everything is known that the shard held a while ago; fails if that can't be
+   * told.
+   *
+   * @param age how long ago, zero or more
+   */
+  public CompletableFuture<Void> asOf(Duration age) {
+    boolean known = loaded && clock.elapsed().minus(freshAsOf).compareTo(age) <= 0;
+    return known ? CompletableFuture.completedFuture(null) : barrier();
+  }
+
   /** Takes records that this process has appended itself, right at the end that it knew. */
   public void onAppended(long offset, List<KeyedRecord> records) {
     for (int i = 0; i < records.size(); i++) {
--- a/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
@@ -17,6 +17,7 @@
 
   private static final Shard SHARD = new Shard("servers", 0);
   private static final Duration WAIT = Duration.ofSeconds(1);
+  private static final Duration SETTLE = Duration.ofSeconds(1);
   private static final Duration GATHERING = Duration.ofMillis(400);
   private static final Duration LENGTH = Duration.ofSeconds(20);
   private static final int RECORDS = 500;
@@ -34,13 +35,16 @@
     private final List<Duration> times = new ArrayList<>();
     private Optional<Runnable> waiting = Optional.empty();
     private int reads;
+    private boolean silent;
 
     private void put() {
       records.add(new StoredRecord(records.size(), "k", new byte[] {1}));
       times.add(clock.elapsed());
       Optional<Runnable> reader = waiting;
       waiting = Optional.empty();
-      reader.ifPresent(Runnable::run);
+      if (!silent) {
+        reader.ifPresent(Runnable::run);
+      }
     }
 
     @Override
@@ -146,4 +150,17 @@
     assertThat(known.isDone()).isTrue();
     assertThat(tail.next()).isEqualTo(store.records.size());
   }
+
+  @Test
+  void positionIsNotDeniedWhileAWaitingReadHangs() {
+    KeyedTail tail = KeyedTail.create(store, SHARD, new Listener(), clock, queue::schedule, WAIT);
+    tail.start();
+    store.silent = true;
+    queue.run(Duration.ofMillis(10));
+    store.put();
+    clock.advance(SETTLE.plusMillis(200));
+    tail.asOf(SETTLE);
+    queue.run(clock.elapsed().plusMillis(100));
+    assertThat(tail.next()).isEqualTo(1);
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -242,7 +242,17 @@
             lists,
             finished,
             boot.bounds().resultTime());
-    this.jobs = new JobDesk(store, view, jobTails, codec, lists, loop, clock, runner::runEarly);
+    this.jobs =
+        new JobDesk(
+            store,
+            view,
+            jobTails,
+            codec,
+            lists,
+            loop,
+            clock,
+            boot.bounds().settle(),
+            runner::runEarly);
     view.listen(coordinator);
     view.listen(jobs);
     view.listen(finished);
--- a/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
@@ -47,9 +47,6 @@
   /** Most bytes of results in one page. */
   private static final int PAGE_BYTES = 1_000_000;
 
-  /** Time after which a view without news from the store no longer proves an absence. */
-  private static final Duration FRESHNESS = Duration.ofMillis(1_600);
-
   /** Pause between two tries to store a record. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
 
@@ -73,12 +70,14 @@
   private final ResultLists lists;
   private final DecisionLoop loop;
   private final Clock clock;
+  private final Duration settleTime;
   private final BiConsumer<JobHead, byte[]> runEarly;
   private final Map<JobId, List<CompletableFuture<Void>>> readers = new HashMap<>();
 
   /**
    * Creates the desk.
    *
+   * @param settleTime time after which a position that was read anywhere has to be shown
    * @param runEarly lets a job run that the store hasn't taken at the first try
    */
   JobDesk(
@@ -89,6 +88,7 @@
       ResultLists lists,
       DecisionLoop loop,
       Clock clock,
+      Duration settleTime,
       BiConsumer<JobHead, byte[]> runEarly) {
     this.store = store;
     this.view = view;
@@ -97,6 +97,7 @@
     this.lists = lists;
     this.loop = loop;
     this.clock = clock;
+    this.settleTime = settleTime;
     this.runEarly = runEarly;
   }
 
@@ -231,10 +232,10 @@
 
   /** Says that there is nothing at a position only after a look at what the store holds now. */
   private CompletableFuture<AggregatedHttpResponse> freshPage(Job job, int from) {
-    if (from < job.listed() || !job.isOpen() || !isStale(job.id())) {
+    if (from < job.listed() || !job.isOpen()) {
       return page(job, from);
     }
-    return tails.get(view.shardOf(job.id())).barrier().thenCompose(ok -> page(job, from));
+    return tails.get(view.shardOf(job.id())).asOf(settleTime).thenCompose(ok -> page(job, from));
   }
 
   private CompletableFuture<AggregatedHttpResponse> page(Job job, int from) {
@@ -260,11 +261,6 @@
     return AggregatedHttpResponse.of(headers, HttpData.wrap(body));
   }
 
-  private boolean isStale(JobId id) {
-    KeyedTail tail = tails.get(view.shardOf(id));
-    return tail.isLost() || clock.elapsed().minus(tail.freshAsOf()).compareTo(FRESHNESS) > 0;
-  }
-
   /** Finds a job; empty only if the store holds none by that id. */
   private CompletableFuture<Optional<Job>> find(JobId id) {
     Optional<Job> known = view.job(id);
