Go on after the pages that were read when one of them fails

Callers could see: reads refused for longer than a start needs. A shard's newest records come in pages of up to a megabyte; when one of them failed, the reading began with the first one again, though the store that failed it is most often one that has too much to send. So the more a store has to send, the more it is asked.

Cause: a reading kept nothing of what it had got.

Change: the next try goes on after the last page, within ten seconds of the first one; later the records since then may be gone. The end of the first page stays the end of the reading, so nothing else changes.

Test: pagesThatWereReadAreNotAskedForAgainAfterAFailure asked for the first page three times, now once.

--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -26,6 +26,10 @@
 
   private static final Duration FIRST_PAUSE = Duration.ofMillis(50);
   private static final Duration LONGEST_PAUSE = Duration.ofMillis(400);
+
+  /** Half of the shortest history of the installations: what came meanwhile can still be read. */
+  private static final Duration LONGEST_WALK = Duration.ofSeconds(10);
+
   private static final long UNKNOWN = -1;
 
   private final RecordStore store;
@@ -44,6 +48,7 @@
   private Duration freshAsOf = Duration.ZERO;
   private boolean loaded;
   private boolean lost;
+  private Optional<Walk> unfinished = Optional.empty();
   private CompletableFuture<Void> reload;
 
   private KeyedTail(
@@ -260,20 +265,22 @@
     }
   }
 
-  /** Reads all pages again; several callers share one walk. */
+  /** Reads all pages, or goes on after those read before a failure; callers share one walk. */
   private CompletableFuture<Void> reload() {
-    if (reload == null) {
-      Walk walk = new Walk(clock.elapsed());
-      CompletableFuture<Void> whole = page("", walk).thenRun(() -> install(walk));
-      reload = whole;
-      whole.whenComplete(
-          (ok, failure) -> {
-            reload = null;
-            listener.onWalk(walk.report(clock.elapsed(), failure));
-          });
-      return whole;
+    if (reload != null) {
+      return reload;
     }
-    return reload;
+    Duration now = clock.elapsed();
+    Walk walk = unfinished.filter(w -> w.mayGoOn(now)).orElseGet(() -> new Walk(now));
+    unfinished = Optional.of(walk);
+    CompletableFuture<Void> whole = page(walk).thenRun(() -> install(walk));
+    reload = whole;
+    whole.whenComplete(
+        (ok, failure) -> {
+          reload = null;
+          listener.onWalk(walk.report(clock.elapsed(), failure));
+        });
+    return whole;
   }
 
   /** What has been read of the newest records. */
@@ -281,6 +288,7 @@
 
     private final Duration sentAt;
     private final List<StoredRecord> records = new ArrayList<>();
+    private String lastKey = "";
     private long end = UNKNOWN;
     private int pages;
 
@@ -291,9 +299,14 @@
     private void add(NewestPage page) {
       end = end == UNKNOWN ? page.end() : end;
       records.addAll(page.records());
+      page.records().stream().reduce((a, b) -> b).ifPresent(r -> lastKey = r.key());
       pages++;
     }
 
+    private boolean mayGoOn(Duration now) {
+      return now.minus(sentAt).compareTo(LONGEST_WALK) < 0;
+    }
+
     private ShardWalk report(Duration now, Throwable failure) {
       long bytes = records.stream().mapToLong(StoredRecord::size).sum();
       Duration took = now.minus(sentAt);
@@ -301,21 +314,21 @@
     }
   }
 
-  private CompletableFuture<Void> page(String after, Walk walk) {
+  private CompletableFuture<Void> page(Walk walk) {
     return store
-        .newest(shard, after)
+        .newest(shard, walk.lastKey)
         .thenCompose(
             page -> {
               walk.add(page);
-              if (!page.more() || page.records().isEmpty()) {
-                return CompletableFuture.completedFuture(null);
-              }
-              return page(page.records().get(page.records().size() - 1).key(), walk);
+              return page.more() && !page.records().isEmpty()
+                  ? page(walk)
+                  : CompletableFuture.completedFuture(null);
             });
   }
 
   /** Installs a walk; what came after its first page is read again in order. */
   private void install(Walk walk) {
+    unfinished = Optional.empty();
     if (loaded && walk.end < next) {
       return;
     }
--- a/core/src/test/java/org/carobhoist/core/job/JobViewWalkTest.java
+++ b/core/src/test/java/org/carobhoist/core/job/JobViewWalkTest.java
@@ -19,6 +19,7 @@
 import org.carobhoist.core.store.RecordStore;
 import org.carobhoist.core.store.Shard;
 import org.carobhoist.core.store.SharedLog;
+import org.carobhoist.core.store.StoreException;
 import org.carobhoist.core.testing.EventQueue;
 import org.carobhoist.core.testing.ManualClock;
 import org.junit.jupiter.api.Test;
@@ -39,7 +40,9 @@
           new PlainRecords(JobViewWalkTest::head),
           bytes -> new JobContent(0, "m", new WeightVersion(1), 0, List.of()),
           1);
+  private final List<String> pagesAsked = new ArrayList<>();
   private Runnable beforeNextPage = () -> {};
+  private int pagesThatFail;
 
   private static JobHead head(JobId id) {
     JobTerms terms = new JobTerms(Duration.ofSeconds(7), Duration.ofSeconds(40), false);
@@ -68,9 +71,13 @@
 
     @Override
     public CompletableFuture<NewestPage> newest(Shard shard, String after) {
+      pagesAsked.add(after);
       if (!after.isEmpty()) {
         beforeNextPage.run();
       }
+      if (!after.isEmpty() && pagesThatFail-- > 0) {
+        return CompletableFuture.failedFuture(StoreException.notRun("turned away"));
+      }
       CompletableFuture<NewestPage> reply = new CompletableFuture<>();
       NewestPage page = log.newest(shard, after, PAGE_SIZE);
       queue.after(PAGE_TIME, () -> reply.complete(page));
@@ -125,4 +132,14 @@
     queue.run(Duration.ofSeconds(2));
     assertThat(known).containsExactly(true);
   }
+
+  @Test
+  void pagesThatWereReadAreNotAskedForAgainAfterAFailure() {
+    append("job/j9", "job/k1", "job/k2", "job/k3", "result/j9/a", "job/k4", "job/k5", "job/k6");
+    pagesThatFail = 2;
+    follow();
+    queue.run(Duration.ofSeconds(3));
+    assertThat(pagesAsked).containsExactly("", "job/k2", "job/k2", "job/k2", "job/k5").inOrder();
+    assertThat(listed()).containsExactly("a");
+  }
 }
