Let pages outlive the suspicion that small calls raise

Callers could see: reads of jobs refused while a fleet starts.

Cause: pages of newest records were given five seconds, since a store whose reads are shared by a fleet is slow to send and not away. But the path to the store is judged by small calls within 600 to 700 ms; when it was given up, every call in flight failed at once, pages too, and was asked for again, directly or by way of a peer, while the store went on sending the former answer.

Change: calls with large answers, which are those given more than two seconds, keep their own time. Waiting reads and appends still leave a lost path at once (a test shows that as well).

Against it: a machine that is cut off while it reads a page learns that up to 5 s later than before.

Test: pageInFlightIsNotGivenUpWhenSmallCallsGetNoAnswer failed with "path given up" before, and passes now.

--- a/server/src/main/java/org/carobhoist/server/gateway/StorePaths.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/StorePaths.java
@@ -19,7 +19,9 @@
  * Reaches the store directly, or by way of a peer while the store turns this machine away. Every
  * call of this process may be made twice: appends carry a condition or say the same each time. A
  * direct call that fails is made again by way of a peer. If a probe of another shard fails too, the
- * path itself is given up until a probe succeeds; else only a part of the store is away.
+ * path itself is given up until a probe succeeds; else only a part of the store is away. Calls whose
+ * answers are large keep their own time: a store that has much to send answers late without being
+ * away, and what it sends to nobody makes it later still.
  */
 final class StorePaths implements StoreTransport {
 
@@ -29,12 +31,15 @@
   /** Time for the answer to a probe; the store answers in 4 ms, or some 250 ms when it is slow. */
   private static final Duration PROBE_TIMEOUT = Duration.ofMillis(600);
 
+  /** Calls that are given longer have large answers; a waiting read is given 1.7 s. */
+  private static final Duration LONGEST_SMALL_CALL = Duration.ofSeconds(2);
+
   private final StoreTransport direct;
   private final Supplier<List<StoreTransport>> peers;
   private final List<StoreCall> probes;
   private final DecisionLoop loop;
   private final Clock clock;
-  private final Set<CompletableFuture<StoreReply>> directCalls = new HashSet<>();
+  private final Set<CompletableFuture<StoreReply>> smallCalls = new HashSet<>();
   private boolean suspect;
   private boolean verifying;
   private Duration trustedUntil = Duration.ZERO;
@@ -92,12 +97,14 @@
 
   private CompletableFuture<StoreReply> direct(StoreCall call) {
     CompletableFuture<StoreReply> out = new CompletableFuture<>();
-    directCalls.add(out);
+    if (call.timeout().compareTo(LONGEST_SMALL_CALL) <= 0) {
+      smallCalls.add(out);
+    }
     direct
         .call(call)
         .whenCompleteAsync(
             (reply, failure) -> {
-              directCalls.remove(out);
+              smallCalls.remove(out);
               if (failure == null) {
                 out.complete(reply);
               } else {
@@ -144,9 +151,9 @@
 
   private void suspect(String why) {
     suspect = true;
-    EventLog.warn(LogEvent.STORE_PATH_LOST, "why", why, "calls", directCalls.size());
+    EventLog.warn(LogEvent.STORE_PATH_LOST, "why", why, "calls", smallCalls.size());
     // Calls in flight on the same path would only be noticed at their own time-outs.
-    List<CompletableFuture<StoreReply>> waiting = new ArrayList<>(directCalls);
+    List<CompletableFuture<StoreReply>> waiting = new ArrayList<>(smallCalls);
     waiting.forEach(c -> c.completeExceptionally(new IllegalStateException("path given up")));
     loop.after(PROBE_PERIOD, this::probe);
   }
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/gateway/StorePathsTest.java
@@ -0,0 +1,85 @@
+package org.carobhoist.server.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.carobhoist.platform.StoreCall;
+import org.carobhoist.platform.StoreReply;
+import org.carobhoist.server.runtime.DecisionLoop;
+import org.carobhoist.server.runtime.SystemClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** What becomes of calls in flight when the direct path to the store is given up. */
+final class StorePathsTest {
+
+  private static final byte[] NO_CONTENT = {};
+  private static final StoreCall PROBE = call("/probe", Duration.ofMillis(600));
+
+  private final DecisionLoop loop = DecisionLoop.create("store-paths-test");
+  private final BlockingQueue<Sent> sent = new LinkedBlockingQueue<>();
+  private final StorePaths paths =
+      new StorePaths(this::send, List::of, List.of(PROBE), loop, SystemClock.create());
+
+  private record Sent(StoreCall call, CompletableFuture<StoreReply> reply) {
+
+    private void fail() {
+      reply.completeExceptionally(new IllegalStateException("no answer"));
+    }
+  }
+
+  private static StoreCall call(String target, Duration timeout) {
+    return new StoreCall("GET", target, NO_CONTENT, timeout);
+  }
+
+  private CompletableFuture<StoreReply> send(StoreCall call) {
+    Sent one = new Sent(call, new CompletableFuture<>());
+    sent.add(one);
+    return one.reply();
+  }
+
+  private CompletableFuture<StoreReply> start(StoreCall call) {
+    return loop.call(() -> paths.call(call)).thenCompose(reply -> reply);
+  }
+
+  /** Takes the next call that the paths make. */
+  private Sent next(String target) throws InterruptedException {
+    Sent one = sent.take();
+    assertThat(one.call().target()).isEqualTo(target);
+    return one;
+  }
+
+  @AfterEach
+  void stop() {
+    loop.stop().join();
+  }
+
+  @Test
+  void pageInFlightIsNotGivenUpWhenSmallCallsGetNoAnswer() throws InterruptedException {
+    final CompletableFuture<StoreReply> page = start(call("/page", Duration.ofSeconds(5)));
+    final Sent pageSent = next("/page");
+    start(call("/waiting-read", Duration.ofMillis(1_700)));
+    next("/waiting-read").fail();
+    next("/probe").fail();
+    next("/probe");
+    assertThat(loop.call(paths::isDirect).join()).isFalse();
+    pageSent.reply().complete(new StoreReply(200, NO_CONTENT));
+    assertThat(page.join().status()).isEqualTo(200);
+  }
+
+  @Test
+  void waitingReadsAreGivenUpWithThePath() throws InterruptedException {
+    final CompletableFuture<StoreReply> waiting =
+        start(call("/waiting-read", Duration.ofMillis(1_700)));
+    next("/waiting-read");
+    start(call("/append", Duration.ofMillis(700)));
+    next("/append").fail();
+    next("/probe").fail();
+    next("/probe");
+    assertThat(waiting.handle((reply, failure) -> failure != null).join()).isTrue();
+  }
+}
