Read on before a conditional append where the tail pauses

A process whose tail gathers records for 250 ms has not read what others appended meanwhile; so nearly each of its conditional appends failed, was followed by a read, and made again: three calls where two do.

Change: while the tail pauses, the appender reads on first. Where a read is waiting the tail is up to date, and the append goes first as before.

Test: processWhoseTailPausesReadsBeforeItAppends got a conflict and an append before, now the append alone. The schedules of listing (ListingScheduleTest) pass.

--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -125,6 +125,11 @@
     }
   }
 
+  /** Returns whether records may have come since the last read that nobody waits for. */
+  public boolean isPausing() {
+    return pausing;
+  }
+
   /** Returns the shard. */
   public Shard shard() {
     return shard;
--- a/core/src/main/java/org/carobhoist/core/store/OrderedAppender.java
+++ b/core/src/main/java/org/carobhoist/core/store/OrderedAppender.java
@@ -92,13 +92,19 @@
   }
 
   private void step() {
-    dropUnwanted();
     if (waiting.isEmpty()) {
       busy = false;
-      return;
-    }
-    if (!tail.isLoaded()) {
+    } else if (!tail.isLoaded() || tail.isPausing()) {
       readOn();
+    } else {
+      appendBatch();
+    }
+  }
+
+  private void appendBatch() {
+    dropUnwanted();
+    if (waiting.isEmpty()) {
+      busy = false;
       return;
     }
     List<Pending> batch = batch();
@@ -133,7 +139,7 @@
         .whenComplete(
             (ok, failure) -> {
               if (failure == null) {
-                step();
+                appendBatch();
               } else {
                 scheduler.after(backoff.next(), this::step);
               }
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/store/OrderedAppenderTest.java
@@ -0,0 +1,85 @@
+package org.carobhoist.core.store;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+import org.junit.jupiter.api.Test;
+
+/** Calls that appends cost a process whose tail pauses between reads. */
+final class OrderedAppenderTest {
+
+  private static final Shard SHARD = new Shard("jobs", 0);
+  private static final Duration WAIT = Duration.ofSeconds(1);
+  private static final Duration GATHERING = Duration.ofMillis(400);
+  private static final Duration LINGER = Duration.ofMillis(15);
+
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue queue = new EventQueue(clock);
+  private final SharedLog log = new SharedLog();
+  private final StoreLink link = new StoreLink(log, queue, new SplittableRandom(3));
+  private final List<AppendOutcome> outcomes = new ArrayList<>();
+
+  /** Notes what becomes of appends. */
+  private final class Store implements RecordStore {
+
+    @Override
+    public CompletableFuture<AppendOutcome> append(
+        Shard shard, List<KeyedRecord> records, OptionalLong at) {
+      return link.append(shard, records, at)
+          .whenComplete((outcome, failure) -> outcomes.add(outcome));
+    }
+
+    @Override
+    public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
+      return link.read(shard, from, wait);
+    }
+
+    @Override
+    public CompletableFuture<ReadOutcome> readUpTo(Shard shard, long from, int maxBytes) {
+      return link.readUpTo(shard, from, maxBytes);
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> newest(Shard shard, String after) {
+      return link.newest(shard, after);
+    }
+  }
+
+  private static final class Nobody implements TailListener {
+
+    @Override
+    public void onSnapshot(Snapshot snapshot) {}
+
+    @Override
+    public void onRecord(StoredRecord stored) {}
+  }
+
+  private void writeElsewhere(String key) {
+    log.append(SHARD, List.of(new KeyedRecord(key, new byte[] {1})), OptionalLong.empty());
+  }
+
+  @Test
+  void processWhoseTailPausesReadsBeforeItAppends() {
+    RecordStore store = new Store();
+    KeyedTail tail =
+        KeyedTail.create(store, SHARD, new Nobody(), clock, queue::schedule, WAIT, () -> GATHERING);
+    OrderedAppender appender =
+        OrderedAppender.create(store, tail, key -> Want.NOW, queue::schedule, LINGER);
+    tail.start();
+    queue.run(Duration.ofMillis(100));
+    writeElsewhere("first");
+    queue.run(Duration.ofMillis(200));
+    writeElsewhere("second");
+    CompletableFuture<Boolean> done = appender.append(new KeyedRecord("own", new byte[] {2}));
+    queue.run(Duration.ofMillis(400));
+    assertThat(done.join()).isTrue();
+    assertThat(outcomes).containsExactly(new AppendOutcome.Appended(2));
+  }
+}
