Let callers that wait for the same start share what is read after it

Change: one question is answered at a time; those that come meanwhile share the next read, which goes as far as the shard reached when it was sent, not to an end that moves.

Test: callersThatWaitForAStartShareWhatIsReadAfterIt (30 callers) made 30 reads before, two are allowed.

--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -50,6 +50,8 @@
   private boolean lost;
   private Optional<Walk> unfinished = Optional.empty();
   private CompletableFuture<Void> reload;
+  private CompletableFuture<Void> answering;
+  private CompletableFuture<Void> asked;
 
   private KeyedTail(
       RecordStore store,
@@ -155,15 +157,38 @@
     return lost;
   }
 
-  /** Completes once everything is known that the shard holds now; fails if that can't be told. */
+  /**
+   * Completes once everything is known that the shard holds now; fails if that can't be told.
+   * Questions that come while another is being answered share the next read.
+   */
   public CompletableFuture<Void> barrier() {
-    if (!loaded) {
-      return reloadAndReadOn();
+    if (answering == null) {
+      answering = readPast();
+      CompletableFuture<Void> own = answering;
+      own.whenComplete((ok, failure) -> answerNext());
+      return own;
+    }
+    if (asked == null) {
+      asked = new CompletableFuture<>();
+    }
+    return asked;
+  }
+
+  private void answerNext() {
+    CompletableFuture<Void> next = asked;
+    answering = null;
+    asked = null;
+    if (next != null) {
+      barrier().whenComplete((ok, failure) -> settle(next, failure));
+    }
+  }
+
+  private static void settle(CompletableFuture<Void> question, Throwable failure) {
+    if (failure == null) {
+      question.complete(null);
+    } else {
+      question.completeExceptionally(failure);
     }
-    Duration sentAt = clock.elapsed();
-    return store
-        .read(shard, next, Duration.ZERO)
-        .thenCompose(outcome -> afterBarrier(outcome, sentAt));
   }
 
   /**
@@ -185,17 +210,25 @@
     }
   }
 
-  private CompletableFuture<Void> afterBarrier(ReadOutcome outcome, Duration sentAt) {
-    if (outcome instanceof ReadOutcome.Batch batch) {
-      absorb(batch, sentAt);
-      return next >= batch.end() ? CompletableFuture.completedFuture(null) : barrier();
-    }
-    return reloadAndReadOn();
+  /** Reads on to where the shard ends now; a walk under way may have begun before the question. */
+  private CompletableFuture<Void> readPast() {
+    return loaded ? readTo(UNKNOWN) : reload().thenCompose(ok -> readTo(UNKNOWN));
   }
 
-  /** A walk that is under way may have begun before the question, so only reading on settles it. */
-  private CompletableFuture<Void> reloadAndReadOn() {
-    return reload().thenCompose(ok -> barrier());
+  /** Reads on to an offset, or to the end that the first answer tells. */
+  private CompletableFuture<Void> readTo(long end) {
+    Duration sentAt = clock.elapsed();
+    return store
+        .read(shard, next, Duration.ZERO)
+        .thenCompose(
+            outcome -> {
+              if (!(outcome instanceof ReadOutcome.Batch batch)) {
+                return reload().thenCompose(ok -> readTo(end));
+              }
+              absorb(batch, sentAt);
+              long goal = end == UNKNOWN ? batch.end() : end;
+              return next >= goal ? CompletableFuture.completedFuture(null) : readTo(goal);
+            });
   }
 
   private void step() {
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailStartTest.java
@@ -0,0 +1,115 @@
+package org.carobhoist.core.store;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.testing.EventQueue;
+import org.carobhoist.core.testing.ManualClock;
+import org.junit.jupiter.api.Test;
+
+/** What callers of a tail get while its shard is read for the first time. */
+final class KeyedTailStartTest {
+
+  private static final Shard SHARD = new Shard("jobs", 0);
+  private static final Duration PAGE_TIME = Duration.ofMillis(500);
+
+  private final ManualClock clock = new ManualClock();
+  private final EventQueue queue = new EventQueue(clock);
+  private final SharedLog log = new SharedLog();
+  private final Listener listener = new Listener();
+  private int immediateReads;
+  private long immediateRecords;
+
+  private final class Store implements RecordStore {
+
+    @Override
+    public CompletableFuture<AppendOutcome> append(
+        Shard shard, List<KeyedRecord> records, OptionalLong at) {
+      throw new UnsupportedOperationException("the test appends by itself");
+    }
+
+    @Override
+    public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
+      CompletableFuture<ReadOutcome> reply = new CompletableFuture<>();
+      Duration delay = wait.isZero() ? Duration.ofMillis(4) : wait;
+      queue.after(
+          delay,
+          () -> {
+            ReadOutcome outcome = log.read(SHARD, from);
+            if (wait.isZero() && outcome instanceof ReadOutcome.Batch b) {
+              immediateReads++;
+              immediateRecords += b.records().size();
+            }
+            reply.complete(outcome);
+          });
+      return reply;
+    }
+
+    @Override
+    public CompletableFuture<ReadOutcome> readUpTo(Shard shard, long from, int maxBytes) {
+      throw new UnsupportedOperationException("only tails read here");
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> newest(Shard shard, String after) {
+      CompletableFuture<NewestPage> reply = new CompletableFuture<>();
+      NewestPage page = log.newest(shard, after, 3);
+      queue.after(PAGE_TIME, () -> reply.complete(page));
+      return reply;
+    }
+  }
+
+  private static final class Listener implements TailListener {
+
+    private final List<String> known = new ArrayList<>();
+
+    @Override
+    public void onSnapshot(Snapshot snapshot) {
+      snapshot.records().forEach(this::onRecord);
+    }
+
+    @Override
+    public void onRecord(StoredRecord stored) {
+      known.add(stored.key());
+    }
+  }
+
+  private void append(String... keys) {
+    for (String key : keys) {
+      log.append(SHARD, List.of(new KeyedRecord(key, new byte[] {1})), OptionalLong.empty());
+    }
+  }
+
+  private KeyedTail follow() {
+    KeyedTail tail =
+        KeyedTail.create(
+            new Store(),
+            SHARD,
+            listener,
+            clock,
+            queue::schedule,
+            Duration.ofSeconds(1),
+            () -> Duration.ofMillis(250));
+    tail.start();
+    return tail;
+  }
+
+  @Test
+  void callersThatWaitForAStartShareWhatIsReadAfterIt() {
+    append("a", "b", "c", "d");
+    KeyedTail tail = follow();
+    List<CompletableFuture<Void>> callers = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      callers.add(tail.barrier());
+    }
+    append("e", "f", "g", "h", "i", "j", "k", "l", "m", "n");
+    queue.run(Duration.ofSeconds(3));
+    callers.forEach(c -> assertThat(c.isDone()).isTrue());
+    assertThat(immediateReads).isAtMost(2);
+    assertThat(immediateRecords).isAtMost(20);
+  }
+}
