Take a shard for read only once its listener has taken all of it

The task that starts the next shard never ran either, nor did it while a shard's partition couldn't be read, so that the jobs of the shards behind it weren't followed. A page without records that says more was taken for the last.

Change: what is known is set after the listener has taken it; the next shard is started when the first reading of the one before has ended, whole or not; an empty page that isn't the last is a failed reading.

Tests: KeyedTailStartTest, of which snapshotThatFailedHalfwayIsNotTakenForWhole (b, c, d missing), nextShardIsStartedThoughTheFirstReadingFailed and emptyPageThatSaysMoreIsNotTheEnd (d, e missing) failed before.

--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -43,10 +43,11 @@
   private long next = UNKNOWN;
   private long nextAtStep = UNKNOWN;
   private boolean pausing;
-  private Runnable onLoaded = () -> {};
+  private Runnable onTried = () -> {};
   private Runnable cancelPause = () -> {};
   private Duration freshAsOf = Duration.ZERO;
   private boolean loaded;
+  private boolean tried;
   private boolean lost;
   private Optional<Walk> unfinished = Optional.empty();
   private CompletableFuture<Void> reload;
@@ -109,12 +110,12 @@
     step();
   }
 
-  /** Runs a task once the listener has the newest record of every key; at once if it has. */
-  public void whenLoaded(Runnable task) {
-    if (loaded) {
+  /** Runs a task once the first reading of the shard has ended, whole or not; at once if it has. */
+  public void whenTried(Runnable task) {
+    if (tried) {
       task.run();
     } else {
-      onLoaded = task;
+      onTried = task;
     }
   }
 
@@ -317,10 +318,18 @@
         (ok, failure) -> {
           reload = null;
           listener.onWalk(walk.report(clock.elapsed(), failure));
+          noteTried();
         });
     return whole;
   }
 
+  private void noteTried() {
+    tried = true;
+    Runnable task = onTried;
+    onTried = () -> {};
+    task.run();
+  }
+
   /** What has been read of the newest records. */
   private static final class Walk {
 
@@ -358,9 +367,11 @@
         .thenCompose(
             page -> {
               walk.add(page);
-              return page.more() && !page.records().isEmpty()
-                  ? page(walk)
-                  : CompletableFuture.completedFuture(null);
+              if (page.more() && page.records().isEmpty()) {
+                return CompletableFuture.failedFuture(
+                    StoreException.notRun("an empty page of " + shard + " isn't the last one"));
+              }
+              return page.more() ? page(walk) : CompletableFuture.completedFuture(null);
             });
   }
 
@@ -370,12 +381,9 @@
     if (loaded && walk.end < next) {
       return;
     }
+    listener.onSnapshot(Snapshot.of(walk.records, walk.end));
     next = walk.end;
     loaded = true;
     freshAsOf = walk.sentAt;
-    listener.onSnapshot(Snapshot.of(walk.records, walk.end));
-    Runnable task = onLoaded;
-    onLoaded = () -> {};
-    task.run();
   }
 }
--- a/core/src/test/java/org/carobhoist/core/store/FleetStart.java
+++ b/core/src/test/java/org/carobhoist/core/store/FleetStart.java
@@ -64,7 +64,7 @@
   private void startInTurn(List<KeyedTail> tails, int index) {
     if (index < tails.size()) {
       tails.get(index).start();
-      tails.get(index).whenLoaded(() -> startInTurn(tails, index + 1));
+      tails.get(index).whenTried(() -> startInTurn(tails, index + 1));
     }
   }
 
--- a/core/src/test/java/org/carobhoist/core/store/KeyedTailStartTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailStartTest.java
@@ -21,6 +21,7 @@
   private final EventQueue queue = new EventQueue(clock);
   private final SharedLog log = new SharedLog();
   private final Listener listener = new Listener();
+  private boolean emptyPageOnce;
   private int immediateReads;
   private long immediateRecords;
 
@@ -57,7 +58,10 @@
     @Override
     public CompletableFuture<NewestPage> newest(Shard shard, String after) {
       CompletableFuture<NewestPage> reply = new CompletableFuture<>();
-      NewestPage page = log.newest(shard, after, 3);
+      NewestPage page =
+          emptyPageOnce && !after.isEmpty()
+              ? new NewestPage(List.of(), true, log.records(SHARD).size())
+              : log.newest(shard, after, 3);
       queue.after(PAGE_TIME, () -> reply.complete(page));
       return reply;
     }
@@ -66,6 +70,7 @@
   private static final class Listener implements TailListener {
 
     private final List<String> known = new ArrayList<>();
+    private String refuses = "";
 
     @Override
     public void onSnapshot(Snapshot snapshot) {
@@ -74,6 +79,10 @@
 
     @Override
     public void onRecord(StoredRecord stored) {
+      if (stored.key().equals(refuses)) {
+        refuses = "";
+        throw new IllegalStateException("listener fails once");
+      }
       known.add(stored.key());
     }
   }
@@ -112,4 +121,41 @@
     assertThat(immediateReads).isAtMost(2);
     assertThat(immediateRecords).isAtMost(20);
   }
+
+  @Test
+  void snapshotThatFailedHalfwayIsNotTakenForWhole() {
+    append("a", "b", "c", "d");
+    listener.refuses = "b";
+    KeyedTail tail = follow();
+    queue.run(Duration.ofSeconds(2));
+    CompletableFuture<Void> asked = tail.barrier();
+    queue.run(Duration.ofSeconds(10));
+    assertThat(asked.isDone() && !asked.isCompletedExceptionally()).isTrue();
+    assertThat(listener.known).containsAtLeast("a", "b", "c", "d");
+  }
+
+  @Test
+  void nextShardIsStartedThoughTheFirstReadingFailed() {
+    append("a", "b", "c", "d");
+    listener.refuses = "b";
+    KeyedTail tail = follow();
+    boolean[] next = {false};
+    tail.whenTried(() -> next[0] = true);
+    queue.run(Duration.ofSeconds(30));
+    assertThat(tail.isLoaded()).isTrue();
+    assertThat(next[0]).isTrue();
+  }
+
+  @Test
+  void emptyPageThatSaysMoreIsNotTheEnd() {
+    append("a", "b", "c", "d", "e");
+    emptyPageOnce = true;
+    KeyedTail tail = follow();
+    queue.run(Duration.ofSeconds(2));
+    emptyPageOnce = false;
+    CompletableFuture<Void> asked = tail.barrier();
+    queue.run(Duration.ofSeconds(20));
+    assertThat(asked.isDone()).isTrue();
+    assertThat(listener.known).containsAtLeast("a", "b", "c", "d", "e");
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -312,7 +312,7 @@
     if (left.hasNext()) {
       KeyedTail tail = left.next();
       tail.start();
-      tail.whenLoaded(() -> startInTurn(left));
+      tail.whenTried(() -> startInTurn(left));
     }
   }
 
