Take the coordinator's lease only with the jobs at hand

Cause: a process took the lease as soon as it had read the lease's own shard. One that is back within the silence takes it at once, since its former run is over, while the jobs' shards may need seconds. It attaches to the runners with an empty view and cancels every run that they report, since it doesn't know their jobs.

Change: a process takes the lease only once it has read all shards of jobs; until then it leaves it to others. A holder keeps it, since a shard that was read stays known.

Against it: while a shard of jobs can't be read by any process that starts, nobody new coordinates.

--- a/core/src/main/java/org/carobhoist/core/lease/LeaseKeeper.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseKeeper.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
@@ -42,6 +43,7 @@
   private final LeasePolicy policy;
   private final Clock clock;
   private final Predicate<LeaseEntry> ended;
+  private BooleanSupplier prepared = () -> true;
   private KeyedTail tail;
   private Optional<LeaseEntry> last = Optional.empty();
   private Optional<LeaseEntry> former = Optional.empty();
@@ -97,6 +99,11 @@
     this.tail = leaseTail;
   }
 
+  /** Sets what has to hold before this process takes the lease; nothing has to by default. */
+  public void takeOnlyIf(BooleanSupplier condition) {
+    this.prepared = condition;
+  }
+
   @Override
   public void onSnapshot(Snapshot snapshot) {
     if (snapshot.records().isEmpty()) {
@@ -137,7 +144,7 @@
       if (since(renewedAt).compareTo(policy.renewal()) >= 0) {
         append(new LeaseEntry(self, incarnation, lastTerm, false, Optional.empty()));
       }
-    } else if (!isVacant()) {
+    } else if (!isVacant() || !prepared.getAsBoolean()) {
       vacantSince = Optional.empty();
     } else if (mayTake()) {
       append(new LeaseEntry(self, incarnation, 0, false, Optional.empty()));
--- a/core/src/test/java/org/carobhoist/core/lease/LeaseKeeperTest.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseKeeperTest.java
@@ -15,6 +15,11 @@
     assertThat(Schedules.explore(1, SCHEDULES, LeaseWorld::runFirstTake)).isEmpty();
   }
 
+  @Test
+  void processThatHasNotReadTheJobsDoesNotCoordinate() {
+    assertThat(Schedules.explore(1, SCHEDULES, LeaseWorld::runPreparation)).isEmpty();
+  }
+
   @Test
   void slowHolderLeavesTheLeaseToItsHeirAndDoesNotTakeItBackAtOnce() {
     assertThat(Schedules.explore(1, SCHEDULES, LeaseWorld::runHandOver)).isEmpty();
--- a/core/src/test/java/org/carobhoist/core/lease/LeaseWorld.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseWorld.java
@@ -62,6 +62,7 @@
     private final InstanceId id;
     private final LeaseKeeper keeper;
     private boolean alive = true;
+    private boolean prepared = true;
     private Duration frozenUntil = Duration.ZERO;
     private Duration frozenTotal = Duration.ZERO;
     private Duration diedAt = Duration.ZERO;
@@ -84,6 +85,7 @@
               LeaseWorld.this::isEnded);
       KeyedTail tail = KeyedTail.create(store, SHARD, keeper, this, this::later, WAIT);
       keeper.follow(tail);
+      keeper.takeOnlyIf(() -> prepared);
       tail.start();
       later(LeaseKeeper.TICK, this::tick);
     }
@@ -202,6 +204,25 @@
     return next % 2 == 1 ? Optional.empty() : Optional.of("then held by " + next);
   }
 
+  /** A process that isn't prepared leaves the lease alone until it is. */
+  static Optional<String> runPreparation(SplittableRandom random) {
+    LeaseWorld world = new LeaseWorld(random, Rules.ALL);
+    world.startAll();
+    world.candidates.forEach(c -> c.prepared = c.index == 1);
+    world.queue.run(Duration.ofSeconds(3));
+    if (world.holder() != 1) {
+      return Optional.of("held by " + world.holder() + ", which isn't prepared");
+    }
+    world.candidates.get(1).kill();
+    world.queue.run(Duration.ofSeconds(6));
+    if (world.holder() >= 0) {
+      return Optional.of("then held by " + world.holder() + ", which isn't prepared");
+    }
+    world.candidates.get(0).prepared = true;
+    world.queue.run(Duration.ofSeconds(9));
+    return world.holder() == 0 ? Optional.empty() : Optional.of("not held when prepared");
+  }
+
   /** Lets the holder hand over; its heir orders soon after, and it stays the holder. */
   static Optional<String> runHandOver(SplittableRandom random) {
     LeaseWorld world = new LeaseWorld(random, Rules.ALL);
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -268,6 +268,8 @@
             entry -> mesh.hasEnded(entry.holder(), entry.incarnation()));
     KeyedTail leaseTail = tail(Topics.LEASE, lease, LEASE_READ_WAIT);
     lease.follow(leaseTail);
+    // A coordinator that doesn't know a job cancels its runs.
+    lease.takeOnlyIf(() -> jobTails.stream().allMatch(KeyedTail::isLoaded));
     this.weights =
         new WeightDesk(boot.node(), loop, clock, upstreams, lease, new Engines(leaseTail));
     tail(Topics.OPERATORS, new OperatorFeed(manifests, weights::onNamed), READ_WAIT);
