--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -42,6 +42,7 @@
   private final JitteredBackoff backoff;
   private long next = UNKNOWN;
   private long nextAtStep = UNKNOWN;
+  private long knownEnd = UNKNOWN;
   private boolean pausing;
   private Runnable onTried = () -> {};
   private Runnable cancelPause = () -> {};
@@ -267,7 +268,7 @@
   }
 
   private void goOn() {
-    Duration pause = next > nextAtStep ? gathering.get() : Duration.ZERO;
+    Duration pause = next > nextAtStep && next >= knownEnd ? gathering.get() : Duration.ZERO;
     if (pause.isZero()) {
       step();
       return;
@@ -292,6 +293,7 @@
 
   private void absorb(ReadOutcome.Batch batch, Duration sentAt) {
     batch.records().forEach(this::deliver);
+    knownEnd = batch.end();
     if (next >= batch.end() && sentAt.compareTo(freshAsOf) > 0) {
       freshAsOf = sentAt;
     }
--- a/core/src/main/java/org/carobhoist/core/store/RecordStore.java
+++ b/core/src/main/java/org/carobhoist/core/store/RecordStore.java
@@ -30,8 +30,8 @@
    * Reads records that are there, in their order.
    *
    * @param from the first offset wanted
-   * @param maxBytes bytes of records that are wanted; fewer come where the store's own bound is
-   *     reached, and up to a kilobyte more
+   * @param maxBytes bytes of records that are wanted; fewer come where a bound of the call is
+   *     reached, and up to two kilobytes more
    */
   CompletableFuture<ReadOutcome> readUpTo(Shard shard, long from, int maxBytes);
 
--- a/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
@@ -36,6 +36,7 @@
     private Optional<Runnable> waiting = Optional.empty();
     private int reads;
     private boolean silent;
+    private int mostRecords = Integer.MAX_VALUE / 2;
 
     private void put() {
       records.add(new StoredRecord(records.size(), "k", new byte[] {1}));
@@ -59,7 +60,8 @@
       CompletableFuture<ReadOutcome> reply = new CompletableFuture<>();
       Runnable answer =
           () -> {
-            List<StoredRecord> found = records.subList((int) from, records.size());
+            int to = Math.min(records.size(), (int) from + mostRecords);
+            List<StoredRecord> found = records.subList((int) from, to);
             reply.complete(new ReadOutcome.Batch(records.size(), List.copyOf(found)));
           };
       if (from < records.size() || wait.isZero()) {
@@ -163,4 +165,17 @@
     queue.run(clock.elapsed().plusMillis(100));
     assertThat(tail.next()).isEqualTo(1);
   }
+
+  @Test
+  void tailThatIsBehindReadsOnWithoutPauses() {
+    gathering = GATHERING;
+    store.mostRecords = 5;
+    KeyedTail tail = follow();
+    queue.run(Duration.ofMillis(20));
+    for (int i = 0; i < 100; i++) {
+      store.put();
+    }
+    queue.run(GATHERING.plusMillis(300));
+    assertThat(tail.next()).isAtLeast(100);
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/StorePaths.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/StorePaths.java
@@ -19,9 +19,9 @@
  * Reaches the store directly, or by way of a peer while the store turns this machine away. Every
  * call of this process may be made twice: appends carry a condition or say the same each time. A
  * direct call that fails is made again by way of a peer. If a probe of another shard fails too, the
- * path itself is given up until a probe succeeds; else only a part of the store is away. Calls whose
- * answers are large keep their own time: a store that has much to send answers late without being
- * away, and what it sends to nobody makes it later still.
+ * path itself is given up until a probe succeeds; else only a part of the store is away. Calls
+ * whose answers are large keep their own time: a store that has much to send answers late without
+ * being away, and what it sends to nobody makes it later still.
  */
 final class StorePaths implements StoreTransport {
 
