Refuse calls about unknown jobs while a shard is still being read

Cause: a job that isn't known is looked up by reading the shard on, however long that takes.

Test: callsAboutUnknownJobsAreRefusedWhileTheShardIsStillBeingRead got no answer within 30 s before.

--- a/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
@@ -31,6 +31,8 @@
 import org.carobhoist.core.store.KeyedRecord;
 import org.carobhoist.core.store.KeyedTail;
 import org.carobhoist.core.store.RecordStore;
+import org.carobhoist.core.store.Shard;
+import org.carobhoist.core.store.StoreException;
 import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.platform.JobJson;
 import org.carobhoist.server.log.EventLog;
@@ -47,6 +49,12 @@
   /** Most bytes of results in one page. */
   private static final int PAGE_BYTES = 1_000_000;
 
+  /**
+   * Time to find out about a job that isn't known. A client waits 1.5 s longer than it allows for;
+   * one that is told sooner asks a process that has read the shard.
+   */
+  private static final Duration FIND_TIME = Duration.ofSeconds(1);
+
   /** Pause between two tries to store a record. */
   private static final Duration RETRY_PAUSE = Duration.ofMillis(60);
 
@@ -267,7 +275,14 @@
     if (known.isPresent()) {
       return CompletableFuture.completedFuture(known);
     }
-    return tails.get(view.shardOf(id)).barrier().thenApply(ok -> view.job(id));
+    CompletableFuture<Void> read = tails.get(view.shardOf(id)).barrier().copy();
+    Runnable cancel = loop.after(FIND_TIME, () -> read.completeExceptionally(stillReading(id)));
+    return read.whenComplete((ok, failure) -> cancel.run()).thenApply(ok -> view.job(id));
+  }
+
+  private StoreException stillReading(JobId id) {
+    Shard shard = tails.get(view.shardOf(id)).shard();
+    return StoreException.notRun(shard + " wasn't read on within " + FIND_TIME.toMillis() + " ms");
   }
 
   /** Appends records until the store is known to have them, or time is up. */
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/gateway/JobDeskTest.java
@@ -0,0 +1,104 @@
+package org.carobhoist.server.gateway;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.linecorp.armeria.common.AggregatedHttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.job.ItemId;
+import org.carobhoist.core.job.JobId;
+import org.carobhoist.core.job.JobView;
+import org.carobhoist.core.store.AppendOutcome;
+import org.carobhoist.core.store.KeyedRecord;
+import org.carobhoist.core.store.KeyedTail;
+import org.carobhoist.core.store.NewestPage;
+import org.carobhoist.core.store.ReadOutcome;
+import org.carobhoist.core.store.RecordStore;
+import org.carobhoist.core.store.Shard;
+import org.carobhoist.platform.JobJson;
+import org.carobhoist.server.runtime.DecisionLoop;
+import org.carobhoist.server.runtime.SystemClock;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** Calls about jobs at a process that is still reading what the store holds. */
+final class JobDeskTest {
+
+  private static final JobId JOB = new JobId("j1");
+  private static final Duration PATIENCE = Duration.ofSeconds(5);
+
+  /** Long enough for a busy machine; an answer that never comes fails the test. */
+  private static final long GIVE_UP_SECONDS = 30;
+
+  private final DecisionLoop loop = DecisionLoop.create("job-desk-test");
+  private final Clock clock = SystemClock.create();
+  private final JobRecords codec = new JobRecords();
+  private final RecordStore store = new SilentStore();
+  private final JobView view = JobView.create(codec, JobJson::decode, 1);
+  private final KeyedTail tail =
+      KeyedTail.create(
+          store, new Shard("jobs", 0), view.ofShard(0), clock, loop, Duration.ofSeconds(1));
+  private final JobDesk desk =
+      new JobDesk(
+          store,
+          view,
+          List.of(tail),
+          codec,
+          null,
+          loop,
+          clock,
+          Duration.ofSeconds(1),
+          (head, submitted) -> {});
+
+  /** A store that has much to send: no answer comes. */
+  private static final class SilentStore implements RecordStore {
+
+    @Override
+    public CompletableFuture<AppendOutcome> append(
+        Shard shard, List<KeyedRecord> records, OptionalLong at) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<ReadOutcome> readUpTo(Shard shard, long from, int maxBytes) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<NewestPage> newest(Shard shard, String after) {
+      return new CompletableFuture<>();
+    }
+  }
+
+  private int status(Supplier<CompletableFuture<AggregatedHttpResponse>> call) {
+    return loop.call(call)
+        .thenCompose(response -> response)
+        .orTimeout(GIVE_UP_SECONDS, TimeUnit.SECONDS)
+        .join()
+        .status()
+        .code();
+  }
+
+  @AfterEach
+  void stop() {
+    loop.stop().join();
+  }
+
+  @Test
+  void callsAboutUnknownJobsAreRefusedWhileTheShardIsStillBeingRead() {
+    loop.execute(tail::start);
+    assertThat(status(() -> desk.results(JOB, 0, Duration.ZERO))).isEqualTo(503);
+    assertThat(status(() -> desk.item(JOB, new ItemId("i1")))).isEqualTo(503);
+    assertThat(status(() -> desk.end(JOB, PATIENCE))).isEqualTo(503);
+  }
+}
