--- a/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
+++ b/core/src/main/java/org/carobhoist/core/store/KeyedTail.java
@@ -177,11 +177,11 @@
   }
 
   private void answerNext() {
-    CompletableFuture<Void> next = asked;
+    CompletableFuture<Void> waiting = asked;
     answering = null;
     asked = null;
-    if (next != null) {
-      barrier().whenComplete((ok, failure) -> settle(next, failure));
+    if (waiting != null) {
+      barrier().whenComplete((ok, failure) -> settle(waiting, failure));
     }
   }
 
