Leave half of the settle time to the answer that denies a position

A view that was as old as the settle time when the answer was written is older when it arrives, from a process that is slowed or paused. The age that a view may have is half of the bound now.

Tests: tailThatHasJustReadAsksNothingMore shows that a fresh view still costs no read.

--- a/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
@@ -178,4 +178,14 @@
     queue.run(GATHERING.plusMillis(300));
     assertThat(tail.next()).isAtLeast(100);
   }
+
+  @Test
+  void tailThatHasJustReadAsksNothingMore() {
+    KeyedTail tail = KeyedTail.create(store, SHARD, new Listener(), clock, queue::schedule, WAIT);
+    tail.start();
+    queue.run(Duration.ofMillis(10));
+    final int before = store.reads;
+    assertThat(tail.asOf(SETTLE).isDone()).isTrue();
+    assertThat(store.reads).isEqualTo(before);
+  }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JobDesk.java
@@ -64,6 +64,9 @@
   /** When to come back after a refusal; the store's outages last seconds. */
   private static final Duration RETRY_AFTER = Duration.ofMillis(500);
 
+  /** Part of the settle time that a view may be old; the rest is for the answer's way. */
+  private static final int SETTLE_SHARES = 2;
+
   private static final int OK = 200;
   private static final int ACCEPTED = 202;
   private static final int BAD_REQUEST = 400;
@@ -78,7 +81,7 @@
   private final ResultLists lists;
   private final DecisionLoop loop;
   private final Clock clock;
-  private final Duration settleTime;
+  private final Duration viewAge;
   private final BiConsumer<JobHead, byte[]> runEarly;
   private final Map<JobId, List<CompletableFuture<Void>>> readers = new HashMap<>();
 
@@ -105,7 +108,7 @@
     this.lists = lists;
     this.loop = loop;
     this.clock = clock;
-    this.settleTime = settleTime;
+    this.viewAge = settleTime.dividedBy(SETTLE_SHARES);
     this.runEarly = runEarly;
   }
 
@@ -243,7 +246,7 @@
     if (from < job.listed() || !job.isOpen()) {
       return page(job, from);
     }
-    return tails.get(view.shardOf(job.id())).asOf(settleTime).thenCompose(ok -> page(job, from));
+    return tails.get(view.shardOf(job.id())).asOf(viewAge).thenCompose(ok -> page(job, from));
   }
 
   private CompletableFuture<AggregatedHttpResponse> page(Job job, int from) {
