Let the test of a fleet's start ask what the shards hold, not only read them

Now each of the 43 processes has a caller for every shard from the start on, small reads wait behind pages as at a store that sends in turn, and a process counts once all four are answered.

--- a/core/src/test/java/org/carobhoist/core/store/FleetStart.java
+++ b/core/src/test/java/org/carobhoist/core/store/FleetStart.java
@@ -15,6 +15,9 @@
 final class FleetStart {
 
   private static final int SHARDS = 4;
+  private static final Duration SMALL_CALL = Duration.ofMillis(700);
+  private static final Duration ANSWER_TIME = Duration.ofMillis(4);
+  private static final Duration CALLERS_PAUSE = Duration.ofMillis(500);
   private static final int PAGES = 2;
   private static final double PAGE_MEGABYTES = 1.33;
   private static final double STORE_MEGABYTES_PER_SECOND = 80;
@@ -25,40 +28,41 @@
   private final EventQueue queue = new EventQueue(clock);
   private final Duration timeout;
   private Duration busyUntil = Duration.ZERO;
-  private int loaded;
+  private int answering;
 
   private FleetStart(Duration timeout) {
     this.timeout = timeout;
   }
 
-  /** Returns how many of the processes have read all shards within a time. */
-  static int loadedWithin(Duration time, int processes, Duration pageTimeout, boolean inTurn) {
+  /** Returns how many of the processes can tell within a time what every shard holds. */
+  static int answeringWithin(Duration time, int processes, Duration pageTimeout, boolean inTurn) {
     FleetStart fleet = new FleetStart(pageTimeout);
     for (int i = 0; i < processes; i++) {
       fleet.start(inTurn);
     }
     fleet.queue.run(time);
-    return fleet.loaded;
+    return fleet.answering;
   }
 
   private void start(boolean inTurn) {
     List<KeyedTail> tails = new ArrayList<>();
-    int[] left = {SHARDS};
     for (int i = 0; i < SHARDS; i++) {
       tails.add(
           KeyedTail.create(
               new Store(),
               new Shard("jobs", i),
-              new Snapshots(left),
+              new Nobody(),
               clock,
               queue::schedule,
               Duration.ofSeconds(1)));
     }
+    int[] left = {SHARDS};
     if (inTurn) {
       startInTurn(tails, 0);
     } else {
       tails.forEach(KeyedTail::start);
     }
+    tails.forEach(t -> ask(t, left));
   }
 
   private void startInTurn(List<KeyedTail> tails, int index) {
@@ -68,19 +72,23 @@
     }
   }
 
-  private final class Snapshots implements TailListener {
-
-    private final int[] left;
+  /** A caller that asks until it gets an answer. */
+  private void ask(KeyedTail tail, int[] left) {
+    tail.barrier()
+        .whenComplete(
+            (ok, failure) -> {
+              if (failure != null) {
+                queue.after(CALLERS_PAUSE, () -> ask(tail, left));
+              } else if (--left[0] == 0) {
+                answering++;
+              }
+            });
+  }
 
-    private Snapshots(int[] left) {
-      this.left = left;
-    }
+  private static final class Nobody implements TailListener {
 
     @Override
-    public void onSnapshot(Snapshot snapshot) {
-      left[0]--;
-      loaded += left[0] == 0 ? 1 : 0;
-    }
+    public void onSnapshot(Snapshot snapshot) {}
 
     @Override
     public void onRecord(StoredRecord stored) {}
@@ -96,7 +104,8 @@
 
     @Override
     public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
-      return new CompletableFuture<>();
+      return answer(
+          wait, Duration.ZERO, wait.plus(SMALL_CALL), new ReadOutcome.Batch(from, List.of()));
     }
 
     @Override
@@ -106,16 +115,26 @@
 
     @Override
     public CompletableFuture<NewestPage> newest(Shard shard, String after) {
-      CompletableFuture<NewestPage> reply = new CompletableFuture<>();
-      Duration now = clock.elapsed();
-      busyUntil = (busyUntil.compareTo(now) > 0 ? busyUntil : now).plus(PAGE_TIME);
       int page = after.isEmpty() ? 1 : Integer.parseInt(after) + 1;
       List<StoredRecord> one =
           List.of(new StoredRecord(page, Integer.toString(page), new byte[] {1}));
+      return answer(
+          Duration.ZERO, PAGE_TIME, timeout, new NewestPage(one, page < PAGES, PAGES + 1));
+    }
+
+    /** Answers in turn with all other calls, each of which takes its time. */
+    private <T> CompletableFuture<T> answer(
+        Duration wait, Duration work, Duration limit, T content) {
+      CompletableFuture<T> reply = new CompletableFuture<>();
       queue.after(
-          busyUntil.minus(now), () -> reply.complete(new NewestPage(one, page < PAGES, PAGES + 1)));
+          wait,
+          () -> {
+            Duration now = clock.elapsed();
+            busyUntil = (busyUntil.compareTo(now) > 0 ? busyUntil : now).plus(work);
+            queue.after(busyUntil.minus(now).plus(ANSWER_TIME), () -> reply.complete(content));
+          });
       queue.after(
-          timeout,
+          limit,
           () -> reply.completeExceptionally(StoreException.mayHaveRun("no answer in time", null)));
       return reply;
     }
--- a/core/src/test/java/org/carobhoist/core/store/FleetStartTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/FleetStartTest.java
@@ -17,13 +17,14 @@
   private static final Duration PAGE_TIME = Duration.ofSeconds(5);
 
   @Test
-  void everyProcessHasReadTheJobsInTime() {
-    assertThat(FleetStart.loadedWithin(RECOVERY, PROCESSES, PAGE_TIME, true)).isEqualTo(PROCESSES);
+  void everyProcessAnswersForEveryJobInTime() {
+    assertThat(FleetStart.answeringWithin(RECOVERY, PROCESSES, PAGE_TIME, true))
+        .isEqualTo(PROCESSES);
   }
 
   @Test
   void withTheTimeOfSmallCallsTheStoreIsBusyForNothing() {
-    assertThat(FleetStart.loadedWithin(RECOVERY, PROCESSES, CALL_TIME, false))
+    assertThat(FleetStart.answeringWithin(RECOVERY, PROCESSES, CALL_TIME, false))
         .isLessThan(PROCESSES / 2);
   }
 }
