Complete the opening of a link only when it is up

Callers saw: a peer or sidecar whose connection ended or stayed silent before its hello was never linked again by a gateway; a coordinator would not use that machine as a runner, and an entry lacked it as a path to the store.

Cause: LinkNetwork.open completed with the TCP connection. PeerMesh then waited for an onUp that never came and took the peer for one that is being connected for ever. LinkPool opened a further connection to a silent sidecar every 250 ms or more and closed none.

Change: the future completes after the listener was told that the link is up, and fails if the connection ends or brings no hello for 2 s; the connection is then closed, on the accepting side too, and event 2004 tells why. 2001 says who opened the link.

Two tests of real processes waited for the wrong link. The log line "peer=..." also comes from the link that the peer opened, and the entry's own was up as much as 0.5 s later in passing runs.

--- a/it/src/test/java/org/carobhoist/it/GatewayCluster.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayCluster.java
@@ -1,5 +1,6 @@
 package org.carobhoist.it;
 
+import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
 import java.io.IOException;
@@ -12,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.function.BooleanSupplier;
+import java.util.regex.Pattern;
 import org.carobhoist.standin.LoopbackPorts;
 import org.carobhoist.standin.OddServerStandIn;
 import org.carobhoist.standin.PlatformCaller;
@@ -32,6 +34,7 @@
   private final Map<String, RoleProcess> processes = new HashMap<>();
   private final Map<String, PlatformCaller> callers = new HashMap<>();
   private final Map<String, Integer> fronts = new HashMap<>();
+  private final Map<String, WebClient> admins = new HashMap<>();
 
   private GatewayCluster(Path folder) {
     this.folder = folder;
@@ -112,6 +115,7 @@
     callers.put(name, PlatformCaller.of(front, LIMIT));
     fronts.put(name, front);
     String boot = PlatformDocuments.bootFile(name, front, ready, peers, storeAddress);
+    admins.put(name, WebClient.of("http://127.0.0.1:" + (peers + 1)));
     processes.put(name, RoleProcess.start("gateway", folder, name, boot));
   }
 
@@ -168,15 +172,25 @@
     }
   }
 
-  /** Waits until one of two entries coordinates and knows the other; returns its name. */
+  /** Waits until one of two entries coordinates and has a link to the other; returns its name. */
   String awaitCoordinatorAndItsLink() {
     await("a coordinator", () -> !coordinatorNow().isEmpty());
     String first = coordinatorNow();
-    String link = "peer=" + otherThan(first);
-    await("a link to the runner", () -> logOf(first).contains(link));
+    awaitLink(first, otherThan(first));
     return first;
   }
 
+  /** Waits until an entry has a link to a peer; one that the peer opened is of no use to it. */
+  void awaitLink(String entry, String peer) {
+    Pattern linked = Pattern.compile("\"peers\":\\[[^]]*\"" + peer + "\"");
+    await("a link of " + entry + " to " + peer, () -> linked.matcher(state(entry)).find());
+  }
+
+  /** Returns what an entry believes. */
+  String state(String entry) {
+    return admins.get(entry).get("/state").aggregate().join().contentUtf8();
+  }
+
   /** Returns the other one of two entries. */
   static String otherThan(String entry) {
     return entry.equals("entry-1") ? "entry-2" : "entry-1";
--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -265,7 +265,7 @@
       cluster.addServer("e-1", "lm", true);
       cluster.awaitReady("entry-1");
       cluster.awaitReady("entry-2");
-      cluster.await("a peer", () -> logOf(cluster, "entry-2").contains("peer=entry-1"));
+      cluster.awaitLink("entry-2", "entry-1");
       proxy.setRefusing(true);
       String job = PlatformDocuments.job(1, "a", "b");
       assertThat(cluster.post("entry-2", JOBS, "/j", job, "j1").status().code()).isEqualTo(202);
--- a/server/src/main/java/org/carobhoist/server/entry/LinkPool.java
+++ b/server/src/main/java/org/carobhoist/server/entry/LinkPool.java
@@ -250,7 +250,7 @@
     Duration doubled = target.delay.multipliedBy(2);
     Duration longer = doubled.compareTo(RETRY_MAX) < 0 ? doubled : RETRY_MAX;
     target.delay = failure == null ? RETRY_MIN : longer;
-    // Also after success: the peer's hello is still to come.
+    // Also after success: a link that breaks at once isn't opened without end.
     target.notBefore = clock.elapsed().plus(target.delay);
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
@@ -198,7 +198,6 @@
       link.close();
       return;
     }
-    peer.connecting = false;
     peer.refused = false;
     peer.link = link;
     peer.known = true;
@@ -315,14 +314,14 @@
     SocketAddressText address = SocketAddressText.parse(peer.node.getAddress());
     network
         .open(address.host(), address.port())
-        .whenCompleteAsync((ok, failure) -> onConnected(peer, failure), loop);
+        .whenCompleteAsync((ok, failure) -> onOpened(peer, failure), loop);
   }
 
-  private void onConnected(Peer peer, Throwable failure) {
+  private void onOpened(Peer peer, Throwable failure) {
+    peer.connecting = false;
     if (failure == null) {
       return;
     }
-    peer.connecting = false;
     // Nobody listens there: the process has ended, and with it all that it ran.
     peer.refused = failure instanceof ConnectException;
     if (peer.refused && peer.known) {
--- a/server/src/main/java/org/carobhoist/server/link/LinkHandler.java
+++ b/server/src/main/java/org/carobhoist/server/link/LinkHandler.java
@@ -2,6 +2,11 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
 import org.carobhoist.server.link.proto.Hello;
 import org.carobhoist.server.link.proto.LinkFrame;
 import org.carobhoist.server.log.EventLog;
@@ -12,20 +17,41 @@
 
   static final int PROTOCOL = 1;
 
+  /**
+   * Time for the peer's hello, which it sends as soon as it takes the connection; longer than the
+   * 1.7 s for which a peer may pause before it counts as lost.
+   */
+  private static final Duration HELLO_TIME = Duration.ofSeconds(2);
+
   private final Hello self;
   private final LinkListener listener;
   private final boolean opened;
+  private final CompletableFuture<Void> up;
+  private Future<?> helloTimer = CompletableFuture.completedFuture(null);
   private Link link;
 
-  LinkHandler(Hello self, LinkListener listener, boolean opened) {
+  /**
+   * Creates the handler of a new connection.
+   *
+   * @param up completes after the listener was told that the link is up, or fails once it can't
+   *     come up any more
+   */
+  LinkHandler(Hello self, LinkListener listener, boolean opened, CompletableFuture<Void> up) {
     this.self = self;
     this.listener = listener;
     this.opened = opened;
+    this.up = up;
   }
 
   @Override
   public void channelActive(ChannelHandlerContext ctx) {
     ctx.writeAndFlush(LinkFrame.newBuilder().setHello(self).build());
+    helloTimer =
+        ctx.executor()
+            .schedule(
+                () -> giveUp(ctx, "no hello in time"),
+                HELLO_TIME.toMillis(),
+                TimeUnit.MILLISECONDS);
   }
 
   @Override
@@ -36,12 +62,14 @@
     }
     if (!frame.hasHello() || frame.getHello().getProtocol() != PROTOCOL) {
       EventLog.warn(LogEvent.FRAME_DROPPED, "peer", ctx.channel().remoteAddress());
-      ctx.close();
+      giveUp(ctx, "no hello of this protocol");
       return;
     }
+    helloTimer.cancel(false);
     link = new Link(ctx.channel(), frame.getHello(), opened);
-    EventLog.info(LogEvent.LINK_UP, "peer", link.peer().getInstance());
+    EventLog.info(LogEvent.LINK_UP, "peer", link.peer().getInstance(), "opened", opened);
     listener.onUp(link);
+    up.complete(null);
   }
 
   @Override
@@ -49,11 +77,27 @@
     if (link != null) {
       EventLog.info(LogEvent.LINK_DOWN, "peer", link.peer().getInstance());
       listener.onDown(link);
+      return;
     }
+    giveUp(ctx, "closed before the hello");
   }
 
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    if (link == null) {
+      giveUp(ctx, cause.toString());
+      return;
+    }
+    ctx.close();
+  }
+
+  /** Ends a connection that has brought no hello. */
+  private void giveUp(ChannelHandlerContext ctx, String why) {
+    helloTimer.cancel(false);
+    boolean first = up.completeExceptionally(new IOException(why));
+    if (first && opened) {
+      EventLog.warn(LogEvent.LINK_NOT_UP, "peer", ctx.channel().remoteAddress(), "why", why);
+    }
     ctx.close();
   }
 }
--- a/server/src/main/java/org/carobhoist/server/link/LinkNetwork.java
+++ b/server/src/main/java/org/carobhoist/server/link/LinkNetwork.java
@@ -15,6 +15,7 @@
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.carobhoist.core.settings.SocketAddressText;
 import org.carobhoist.server.link.proto.Hello;
 import org.carobhoist.server.runtime.Service;
@@ -73,7 +74,9 @@
             .channel(TransportType.serverChannelType(group))
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(initializer(false));
+            .childHandler(
+                initializer(
+                    () -> new LinkHandler(self, listener, false, new CompletableFuture<>())));
     CompletableFuture<Void> done = new CompletableFuture<>();
     boot.bind(address.host(), address.port())
         .addListener(
@@ -106,29 +109,30 @@
     }
   }
 
-  /** Opens a link; the future fails if the connection can't be made. */
+  /**
+   * Opens a link. The future completes when the link is up, after the listener was told. It fails
+   * if the connection can't be made, or ends or stays silent before the peer's hello.
+   */
   public CompletableFuture<Void> open(String host, int port) {
+    CompletableFuture<Void> up = new CompletableFuture<>();
     Bootstrap boot =
         new Bootstrap()
             .group(group)
             .channel(TransportType.socketChannelType(group))
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(initializer(true));
-    CompletableFuture<Void> done = new CompletableFuture<>();
+            .handler(initializer(() -> new LinkHandler(self, listener, true, up)));
     boot.connect(host, port)
         .addListener(
             (ChannelFuture f) -> {
-              if (f.isSuccess()) {
-                done.complete(null);
-              } else {
-                done.completeExceptionally(f.cause());
+              if (!f.isSuccess()) {
+                up.completeExceptionally(f.cause());
               }
             });
-    return done;
+    return up;
   }
 
-  private ChannelInitializer<SocketChannel> initializer(boolean opened) {
+  private ChannelInitializer<SocketChannel> initializer(Supplier<LinkHandler> handler) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel ch) {
@@ -136,7 +140,7 @@
             .addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, 4))
             .addLast(new LengthFieldPrepender(LENGTH_BYTES))
             .addLast(new LinkFrameCodec())
-            .addLast(new LinkHandler(self, listener, opened));
+            .addLast(handler.get());
       }
     };
   }
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -22,6 +22,8 @@
   LINK_DOWN(2002, "link down"),
   /** A frame could not be understood. */
   FRAME_DROPPED(2003, "frame dropped"),
+  /** A connection that this process made has brought no link. */
+  LINK_NOT_UP(2004, "link not up"),
   /** Nothing was heard on a link for too long; it is closed. */
   LINK_SILENT(2100, "link silent"),
   /** An endpoint begins to leave; it is drained. */
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/entry/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link org.carobhoist.server.entry}. */
+package org.carobhoist.server.entry;
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/gateway/RawPeer.java
@@ -0,0 +1,80 @@
+package org.carobhoist.server.gateway;
+
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
+import java.time.Duration;
+import org.carobhoist.core.store.StoredRecord;
+import org.carobhoist.server.link.proto.Hello;
+import org.carobhoist.server.link.proto.LinkFrame;
+import org.carobhoist.server.link.proto.NodeRecord;
+
+/** Takes a process's connections one by one and says hello only when a test wants it. */
+final class RawPeer implements AutoCloseable {
+
+  /** Ends a test whose connection never comes; far above what it takes. */
+  static final Duration LIMIT = Duration.ofSeconds(60);
+
+  private final String name;
+  private final ServerSocket acceptor;
+
+  RawPeer(String name) throws IOException {
+    this.name = name;
+    this.acceptor = new ServerSocket(0, 8, InetAddress.getByName("127.0.0.1"));
+    acceptor.setSoTimeout((int) LIMIT.toMillis());
+  }
+
+  /** Returns the record by which others find it. */
+  StoredRecord record(long offset) {
+    NodeRecord node =
+        NodeRecord.newBuilder()
+            .setAddress("127.0.0.1:" + acceptor.getLocalPort())
+            .setZone("a")
+            .setIncarnation(name + "-1")
+            .build();
+    return new StoredRecord(offset, name, node.toByteArray());
+  }
+
+  /** Returns the next connection. */
+  Socket accept() throws IOException {
+    Socket socket = acceptor.accept();
+    socket.setSoTimeout((int) LIMIT.toMillis());
+    return socket;
+  }
+
+  void sayHello(Socket socket) throws IOException {
+    Hello hello =
+        Hello.newBuilder().setInstance(name).setIncarnation(name + "-1").setProtocol(1).build();
+    byte[] frame = LinkFrame.newBuilder().setHello(hello).build().toByteArray();
+    DataOutputStream out = new DataOutputStream(socket.getOutputStream());
+    out.writeInt(frame.length);
+    out.write(frame);
+  }
+
+  /** Returns whether a ping comes on a connection, not its end. */
+  static boolean isUsed(Socket socket) throws IOException {
+    DataInputStream in = new DataInputStream(socket.getInputStream());
+    try {
+      for (LinkFrame frame = read(in); !frame.hasPing(); frame = read(in)) {
+        continue;
+      }
+      return true;
+    } catch (EOFException | SocketException e) {
+      return false;
+    }
+  }
+
+  private static LinkFrame read(DataInputStream in) throws IOException {
+    return LinkFrame.parseFrom(in.readNBytes(in.readInt()));
+  }
+
+  @Override
+  public void close() throws IOException {
+    acceptor.close();
+  }
+}
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/gateway/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link org.carobhoist.server.gateway}. */
+package org.carobhoist.server.gateway;
--- /dev/null
+++ b/server/src/test/java/org/carobhoist/server/link/package-info.java
@@ -0,0 +1,2 @@
+/** Tests of {@link org.carobhoist.server.link}. */
+package org.carobhoist.server.link;
