--- a/core/src/test/java/org/carobhoist/core/job/JobViewWalkTest.java
+++ b/core/src/test/java/org/carobhoist/core/job/JobViewWalkTest.java
@@ -134,7 +134,7 @@
   }
 
   @Test
-  void pagesThatWereReadAreNotAskedForAgainAfterAFailure() {
+  void pagesThatWereReadAreNotAskedForAgainAfterFailures() {
     append("job/j9", "job/k1", "job/k2", "job/k3", "result/j9/a", "job/k4", "job/k5", "job/k6");
     pagesThatFail = 2;
     follow();
--- a/core/src/test/java/org/carobhoist/core/store/KeyedTailStartTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailStartTest.java
@@ -108,7 +108,7 @@
   }
 
   @Test
-  void callersThatWaitForAStartShareWhatIsReadAfterIt() {
+  void callersThatWaitForOneStartShareWhatIsReadAfterIt() {
     append("a", "b", "c", "d");
     KeyedTail tail = follow();
     List<CompletableFuture<Void>> callers = new ArrayList<>();
--- a/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/KeyedTailTest.java
@@ -154,7 +154,7 @@
   }
 
   @Test
-  void positionIsNotDeniedWhileAWaitingReadHangs() {
+  void positionIsNotDeniedWhileReadsHang() {
     KeyedTail tail = KeyedTail.create(store, SHARD, new Listener(), clock, queue::schedule, WAIT);
     tail.start();
     store.silent = true;
@@ -170,7 +170,7 @@
   void tailThatIsBehindReadsOnWithoutPauses() {
     gathering = GATHERING;
     store.mostRecords = 5;
-    KeyedTail tail = follow();
+    final KeyedTail tail = follow();
     queue.run(Duration.ofMillis(20));
     for (int i = 0; i < 100; i++) {
       store.put();
--- a/core/src/test/java/org/carobhoist/core/store/OrderedAppenderTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/OrderedAppenderTest.java
@@ -70,7 +70,7 @@
     RecordStore store = new Store();
     KeyedTail tail =
         KeyedTail.create(store, SHARD, new Nobody(), clock, queue::schedule, WAIT, () -> GATHERING);
-    OrderedAppender appender =
+    final OrderedAppender appender =
         OrderedAppender.create(store, tail, key -> Want.NOW, queue::schedule, LINGER);
     tail.start();
     queue.run(Duration.ofMillis(100));
