Link further peers while none of those linked reaches the store

Cause: the two peers that an entry links as paths to the store were chosen by a hash of the names alone.

Change: RelayPeers (core) holds the choice. A link that is no longer wanted is closed once no call of this process is under way over it. A peer whose last try failed doesn't count while it is tried again; it did, so that a silent peer's stand-in came and went.

--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -300,7 +300,7 @@
   }
 
   private void begin() {
-    mesh.start(network);
+    mesh.start(network, paths::isDirect);
     tails.stream().filter(t -> !jobTails.contains(t)).forEach(KeyedTail::start);
     startInTurn(jobTails.iterator());
     coordinator.begin(lease, weights);
--- a/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
@@ -4,7 +4,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.net.ConnectException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -12,12 +11,13 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.membership.RelayPeers;
 import org.carobhoist.core.placement.PlacementPort;
-import org.carobhoist.core.routing.Rendezvous;
 import org.carobhoist.core.settings.SocketAddressText;
 import org.carobhoist.core.store.Snapshot;
 import org.carobhoist.core.store.StoredRecord;
@@ -39,13 +39,10 @@
 /**
  * The links that this process has opened to other entries, which it knows from their records in the
  * store. The coordinator keeps a link to every entry, the others to a few, by which they reach the
- * store when it turns them away.
+ * store when it turns them away, and to further ones while it turns those away too.
  */
 final class PeerMesh implements TailListener {
 
-  /** Links of an entry that doesn't coordinate. */
-  private static final int RELAY_PEERS = 2;
-
   /** Time between two looks at the links. */
   private static final Duration TICK = Duration.ofMillis(250);
 
@@ -64,8 +61,9 @@
   private final Clock clock;
   private final PeerListener listener;
   private final Map<InstanceId, Peer> peers = new HashMap<>();
-  private final Map<Long, CompletableFuture<StoreReply>> relayed = new HashMap<>();
+  private final Map<Long, Relayed> relayed = new HashMap<>();
   private LinkNetwork network;
+  private BooleanSupplier direct;
   private boolean toAll;
   private long lastCall;
 
@@ -88,7 +86,8 @@
     private Link link;
     private boolean wanted;
     private boolean connecting;
-    private boolean storeReachable;
+    private boolean unlinkable;
+    private RelayPeers.Path path = RelayPeers.Path.UNKNOWN;
     private boolean known;
     private boolean refused;
     private Duration heardAt = Duration.ZERO;
@@ -98,8 +97,26 @@
     private Peer(InstanceId id) {
       this.id = id;
     }
+
+    private boolean reachesStore() {
+      return link != null && path == RelayPeers.Path.OPEN;
+    }
+
+    private void onPath(boolean open) {
+      path = open ? RelayPeers.Path.OPEN : RelayPeers.Path.SHUT;
+    }
+
+    private void dropLink() {
+      Link old = link;
+      link = null;
+      path = RelayPeers.Path.UNKNOWN;
+      old.close();
+    }
   }
 
+  /** A call to the store that a peer makes for this process. */
+  private record Relayed(Peer by, CompletableFuture<StoreReply> reply) {}
+
   PeerMesh(InstanceId self, DecisionLoop loop, Clock clock, PeerListener listener) {
     this.self = self;
     this.loop = loop;
@@ -107,8 +124,14 @@
     this.listener = listener;
   }
 
-  void start(LinkNetwork links) {
+  /**
+   * Begins to link peers.
+   *
+   * @param reachesStore whether this process reaches the store by itself
+   */
+  void start(LinkNetwork links, BooleanSupplier reachesStore) {
     network = links;
+    direct = reachesStore;
     loop.every(TICK, this::tick);
   }
 
@@ -159,7 +182,7 @@
   /** Returns the paths to the store by way of peers that reach it. */
   List<StoreTransport> storePaths() {
     return peers.values().stream()
-        .filter(p -> p.link != null && p.storeReachable)
+        .filter(p -> p.wanted && p.reachesStore())
         .sorted(Comparator.comparing(p -> p.id))
         .map(p -> (StoreTransport) call -> relay(p, call))
         .toList();
@@ -177,7 +200,7 @@
   Optional<InstanceId> heir() {
     Comparator<Peer> byCores = Comparator.comparing(p -> p.node.getMilliCores());
     return peers.values().stream()
-        .filter(p -> p.link != null && p.storeReachable)
+        .filter(Peer::reachesStore)
         .max(byCores.thenComparing(p -> p.id))
         .map(p -> p.id);
   }
@@ -199,6 +222,7 @@
       return;
     }
     peer.refused = false;
+    peer.unlinkable = false;
     peer.link = link;
     peer.known = true;
     peer.heardAt = clock.elapsed();
@@ -210,8 +234,7 @@
   void onDown(Link link) {
     Peer peer = peers.get(new InstanceId(link.peer().getInstance()));
     if (peer != null && peer.link == link) {
-      peer.link = null;
-      peer.storeReachable = false;
+      peer.dropLink();
       connect(peer);
     }
   }
@@ -224,7 +247,7 @@
     }
     peer.heardAt = clock.elapsed();
     switch (frame.getBodyCase()) {
-      case PONG -> peer.storeReachable = frame.getPong().getStoreReachable();
+      case PONG -> peer.onPath(frame.getPong().getStoreReachable());
       case STORE_RELAY_REPLY -> onReply(peer, frame.getStoreRelayReply());
       default -> listener.onFrame(peer.id, frame);
     }
@@ -236,10 +259,9 @@
         peer.node != null && !peer.node.getIncarnation().equals(node.getIncarnation());
     peer.node = node;
     peer.refused &= !restarted;
+    peer.unlinkable &= !restarted;
     if (restarted && peer.link != null) {
-      Link old = peer.link;
-      peer.link = null;
-      old.close();
+      peer.dropLink();
     }
     choose();
   }
@@ -255,17 +277,17 @@
     choose();
   }
 
-  /** Spreads the few links over the entries by a hash of both names. */
   private void choose() {
-    long key = Rendezvous.key(self.value());
-    List<Peer> ranked = new ArrayList<>(peers.values());
-    ranked.sort(Comparator.comparingLong(p -> Rendezvous.score(key, p.id.value())));
-    int linked = 0;
-    for (Peer p : ranked) {
-      boolean unreachable = p.link == null && !p.triedAt.isZero() && !p.connecting;
-      p.wanted = toAll || linked < RELAY_PEERS;
-      linked += p.wanted && !unreachable ? 1 : 0;
-    }
+    Set<InstanceId> relays =
+        RelayPeers.choose(
+            self,
+            peers.values().stream().map(PeerMesh::candidate).toList(),
+            !direct.getAsBoolean());
+    peers.values().forEach(p -> p.wanted = toAll || relays.contains(p.id));
+  }
+
+  private static RelayPeers.Candidate candidate(Peer peer) {
+    return new RelayPeers.Candidate(peer.id, peer.unlinkable ? RelayPeers.Path.NO_LINK : peer.path);
   }
 
   private void tick() {
@@ -284,22 +306,22 @@
   }
 
   private void watch(Peer peer, Duration now) {
-    if (!peer.wanted) {
-      Link unused = peer.link;
-      peer.link = null;
+    if (!peer.wanted && !isRelaying(peer)) {
       peer.known = false;
-      unused.close();
+      peer.dropLink();
     } else if (now.minus(peer.heardAt).compareTo(SILENCE) > 0) {
       EventLog.warn(LogEvent.LINK_SILENT, "peer", peer.id);
-      Link silent = peer.link;
-      peer.link = null;
-      peer.storeReachable = false;
-      silent.close();
+      peer.unlinkable = true;
+      peer.dropLink();
     } else if (now.minus(peer.pingedAt).compareTo(PING_PERIOD) >= 0) {
       ping(peer);
     }
   }
 
+  private boolean isRelaying(Peer peer) {
+    return relayed.values().stream().anyMatch(r -> r.by() == peer);
+  }
+
   private void ping(Peer peer) {
     peer.pingedAt = clock.elapsed();
     peer.link.send(LinkFrame.newBuilder().setPing(Ping.getDefaultInstance()).build());
@@ -322,6 +344,7 @@
     if (failure == null) {
       return;
     }
+    peer.unlinkable = true;
     // Nobody listens there: the process has ended, and with it all that it ran.
     peer.refused = failure instanceof ConnectException;
     if (peer.refused && peer.known) {
@@ -335,9 +358,12 @@
   }
 
   private CompletableFuture<StoreReply> relay(Peer peer, StoreCall call) {
+    if (peer.link == null) {
+      return CompletableFuture.failedFuture(new IllegalStateException("no link to the peer"));
+    }
     long number = ++lastCall;
     CompletableFuture<StoreReply> reply = new CompletableFuture<>();
-    relayed.put(number, reply);
+    relayed.put(number, new Relayed(peer, reply));
     StoreRelay message =
         StoreRelay.newBuilder()
             .setCall(number)
@@ -352,24 +378,25 @@
   }
 
   private void failRelay(long number) {
-    CompletableFuture<StoreReply> reply = relayed.remove(number);
-    if (reply != null) {
-      reply.completeExceptionally(new IllegalStateException("the peer didn't answer in time"));
+    Relayed call = relayed.remove(number);
+    if (call != null) {
+      call.reply()
+          .completeExceptionally(new IllegalStateException("the peer didn't answer in time"));
     }
   }
 
   private void onReply(Peer peer, StoreRelayReply message) {
-    CompletableFuture<StoreReply> reply = relayed.remove(message.getCall());
-    if (reply == null) {
+    Relayed call = relayed.remove(message.getCall());
+    if (call == null) {
       return;
     }
     if (message.getStatus() == 0) {
-      peer.storeReachable = false;
-      reply.completeExceptionally(new IllegalStateException("the peer got no answer"));
+      peer.onPath(false);
+      call.reply().completeExceptionally(new IllegalStateException("the peer got no answer"));
       return;
     }
     StoreReply answer = new StoreReply(message.getStatus(), message.getContent().toByteArray());
-    peer.storeReachable = !answer.isTurnedAway();
-    reply.complete(answer);
+    peer.onPath(!answer.isTurnedAway());
+    call.reply().complete(answer);
   }
 }
--- a/server/src/test/java/org/carobhoist/server/gateway/PeerMeshTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/PeerMeshTest.java
@@ -6,7 +6,19 @@
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
 import java.net.Socket;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
+import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.settings.SocketAddressText;
 import org.carobhoist.core.store.StoredRecord;
@@ -15,19 +27,25 @@
 import org.carobhoist.server.link.LinkNetwork;
 import org.carobhoist.server.link.proto.Hello;
 import org.carobhoist.server.link.proto.LinkFrame;
+import org.carobhoist.server.link.proto.NodeRecord;
+import org.carobhoist.server.link.proto.Pong;
 import org.carobhoist.server.runtime.DecisionLoop;
 import org.carobhoist.server.runtime.SuspendAwareClock;
+import org.carobhoist.standin.LoopbackPorts;
 import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 
 /** The mesh with real connections to peers that do as a test wants. */
 final class PeerMeshTest {
 
+  /** Time after which a peer is asked again whether it reaches the store. */
+  private static final Duration PING_PERIOD = Duration.ofMillis(500);
+
   private final EventLoopGroup thread = EventLoopGroups.newEventLoopGroup(1, "mesh-test");
   private final DecisionLoop loop = DecisionLoop.on(thread.next());
-  private final PeerMesh mesh =
-      new PeerMesh(new InstanceId("self"), loop, SuspendAwareClock.create(), new NoListener());
+  private final BlockingQueue<String> ups = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> downs = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> pongs = new LinkedBlockingQueue<>();
   private final LinkNetwork network =
       LinkNetwork.create(
           new SocketAddressText("127.0.0.1", 0),
@@ -35,9 +53,12 @@
           new ToMesh(),
           thread);
 
-  @BeforeEach
-  void start() {
-    loop.call(this::startMesh).join();
+  private volatile boolean direct = true;
+  private PeerMesh mesh;
+
+  private void start(Clock clock) {
+    mesh = new PeerMesh(new InstanceId("self"), loop, clock, new Ups());
+    loop.execute(() -> mesh.start(network, () -> direct));
   }
 
   @AfterEach
@@ -47,6 +68,7 @@
 
   @Test
   void peerThatClosesTheFirstConnectionBeforeItsHelloIsTriedAgain() throws IOException {
+    start(SuspendAwareClock.create());
     try (RawPeer peer = new RawPeer("peer")) {
       enter(peer.record(0));
       peer.accept().close();
@@ -56,6 +78,7 @@
 
   @Test
   void peerThatKeepsSilentOnTheFirstConnectionIsTriedAgain() throws IOException {
+    start(SuspendAwareClock.create());
     try (RawPeer peer = new RawPeer("peer")) {
       enter(peer.record(0));
       try (Socket silent = peer.accept()) {
@@ -65,6 +88,47 @@
     }
   }
 
+  @Test
+  void furtherPeersAreLinkedWhileTheStoreTurnsTheLinkedOnesAway() throws InterruptedException {
+    HandClock clock = new HandClock();
+    start(clock);
+    Map<String, StorePeer> peers = new HashMap<>();
+    for (String name : List.of("a", "b", "c", "d", "e")) {
+      StorePeer peer = new StorePeer(name);
+      peers.put(name, peer);
+      enter(peer.record);
+    }
+    List<String> usual = List.of(next(ups), next(ups));
+    usual.forEach(name -> peers.get(name).reachesStore = false);
+    direct = false;
+    clock.elapsed = clock.elapsed.plus(PING_PERIOD);
+    Set<String> further = new HashSet<>(List.of(next(ups), next(ups)));
+    assertThat(linked()).hasSize(4);
+    awaitPongs(further);
+    assertThat(loop.call(() -> mesh.storePaths().size()).join()).isEqualTo(2);
+    direct = true;
+    assertThat(Set.of(next(downs), next(downs))).isEqualTo(further);
+    assertThat(linked()).isEqualTo(Set.copyOf(usual));
+  }
+
+  private Set<String> linked() {
+    return loop.call(mesh::linked).join().keySet().stream()
+        .map(InstanceId::value)
+        .collect(Collectors.toSet());
+  }
+
+  private void awaitPongs(Set<String> names) throws InterruptedException {
+    Set<String> missing = new HashSet<>(names);
+    while (!missing.isEmpty()) {
+      missing.remove(next(pongs));
+    }
+  }
+
+  private static String next(BlockingQueue<String> names) throws InterruptedException {
+    String name = names.poll(RawPeer.LIMIT.toSeconds(), TimeUnit.SECONDS);
+    return Objects.requireNonNull(name, "nothing has come");
+  }
+
   private static void assertLinked(RawPeer peer) throws IOException {
     try (Socket next = peer.accept()) {
       peer.sayHello(next);
@@ -76,11 +140,6 @@
     loop.execute(() -> mesh.onRecord(record));
   }
 
-  private boolean startMesh() {
-    mesh.start(network);
-    return true;
-  }
-
   /** Hands what happens on links to the mesh, as a process does. */
   private final class ToMesh implements LinkListener {
 
@@ -91,7 +150,13 @@
 
     @Override
     public void onFrame(Link link, LinkFrame frame) {
-      loop.execute(() -> mesh.onFrame(link, frame));
+      loop.execute(
+          () -> {
+            mesh.onFrame(link, frame);
+            if (frame.hasPong()) {
+              pongs.add(link.peer().getInstance());
+            }
+          });
     }
 
     @Override
@@ -100,10 +165,28 @@
     }
   }
 
-  private static final class NoListener implements PeerMesh.PeerListener {
+  /** Stands still, so that a busy machine makes no peer silent. */
+  private static final class HandClock implements Clock {
+
+    private volatile Duration elapsed = Duration.ofSeconds(10);
+
+    @Override
+    public Instant now() {
+      return Instant.EPOCH;
+    }
+
+    @Override
+    public Duration elapsed() {
+      return elapsed;
+    }
+  }
+
+  private final class Ups implements PeerMesh.PeerListener {
 
     @Override
-    public void onUp(InstanceId peer) {}
+    public void onUp(InstanceId peer) {
+      ups.add(peer.value());
+    }
 
     @Override
     public void onLost(InstanceId peer, String why) {}
@@ -111,4 +194,35 @@
     @Override
     public void onFrame(InstanceId peer, LinkFrame frame) {}
   }
+
+  /** A peer that says whether it reaches the store. */
+  private final class StorePeer implements LinkListener {
+
+    private final String name;
+    private final StoredRecord record;
+    private volatile boolean reachesStore = true;
+
+    private StorePeer(String name) {
+      this.name = name;
+      SocketAddressText address = new SocketAddressText("127.0.0.1", LoopbackPorts.next());
+      NodeRecord node = NodeRecord.newBuilder().setAddress(address.toString()).setZone("a").build();
+      this.record = new StoredRecord(0, name, node.toByteArray());
+      Hello hello = Hello.newBuilder().setInstance(name).build();
+      LinkNetwork.create(address, hello, this, thread).start().join();
+    }
+
+    @Override
+    public void onUp(Link link) {}
+
+    @Override
+    public void onFrame(Link link, LinkFrame frame) {
+      Pong pong = Pong.newBuilder().setStoreReachable(reachesStore).build();
+      link.send(LinkFrame.newBuilder().setPong(pong).build());
+    }
+
+    @Override
+    public void onDown(Link link) {
+      downs.add(name);
+    }
+  }
 }
