Start a gateway without options at once, without the options' library

Cause: a start's processor time was traced by the JVM's log of loaded classes.

Change: "gateway" alone runs the command directly; with options, and for all other commands, the library reads them as before. The exit codes stay.

--- a/server/src/main/java/org/carobhoist/server/app/GatewayCommand.java
+++ b/server/src/main/java/org/carobhoist/server/app/GatewayCommand.java
@@ -9,9 +9,13 @@
 import picocli.CommandLine.Option;
 
 /** Runs an entry on the users' platform. */
-@Command(name = "gateway", description = "Runs an entry where the platform keeps what must last.")
+@Command(
+    name = GatewayCommand.NAME,
+    description = "Runs an entry where the platform keeps what must last.")
 final class GatewayCommand implements Callable<Integer> {
 
+  static final String NAME = "gateway";
+
   @Option(
       names = {"-b", "--boot", "-s", "--settings"},
       paramLabel = "FILE",
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -1,5 +1,6 @@
 package org.carobhoist.server.app;
 
+import java.util.Arrays;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -35,11 +36,30 @@
     })
 public final class Main {
 
+  private static final String[] PLAIN_GATEWAY = {GatewayCommand.NAME};
+
   private Main() {}
 
   /** Runs the command line and ends the process with its exit code. */
   public static void main(String[] args) {
-    System.exit(commandLine().execute(args));
+    System.exit(execute(args));
+  }
+
+  /**
+   * Runs the command line and returns its exit code. A gateway without options is run at once,
+   * since the library that reads options takes a large part of a gateway's start.
+   */
+  static int execute(String... args) {
+    return Arrays.equals(args, PLAIN_GATEWAY) ? runGateway() : commandLine().execute(args);
+  }
+
+  private static int runGateway() {
+    try {
+      return new GatewayCommand().call();
+    } catch (RuntimeException e) {
+      e.printStackTrace();
+      return ExitCodes.FAILED;
+    }
   }
 
   static CommandLine commandLine() {
