Don't take a machine that doesn't answer for one whose process has ended

Cause: a refused connection proves that nobody listens, so the lease of its holder may be taken at once and its runs begun elsewhere without the order gap. Netty's connect time-out is a kind of refusal by its type, and a machine that is frozen or cut off one way doesn't answer within a second. Its process may still give orders.

Change: only a refusal counts; a time-out leaves the peer silent, and the lease to the time that the store shows.

Test: machineThatDoesNotAnswerIsNotTakenForOneWhoseProcessHasEnded expected false for a connect time-out and got true before.

--- a/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
@@ -2,6 +2,7 @@
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
+import io.netty.channel.ConnectTimeoutException;
 import java.net.ConnectException;
 import java.time.Duration;
 import java.util.Comparator;
@@ -345,13 +346,17 @@
       return;
     }
     peer.unlinkable = true;
-    // Nobody listens there: the process has ended, and with it all that it ran.
-    peer.refused = failure instanceof ConnectException;
+    peer.refused = isRefusal(failure);
     if (peer.refused && peer.known) {
       lose(peer, "connection refused");
     }
   }
 
+  /** Returns whether nobody listens there: the process has ended, and with it all that it ran. */
+  static boolean isRefusal(Throwable failure) {
+    return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+  }
+
   private void lose(Peer peer, String why) {
     peer.known = false;
     listener.onLost(peer.id, why);
--- a/server/src/test/java/org/carobhoist/server/gateway/PeerMeshTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/PeerMeshTest.java
@@ -3,8 +3,11 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import com.linecorp.armeria.common.util.EventLoopGroups;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoopGroup;
 import java.io.IOException;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
 import java.net.Socket;
 import java.time.Duration;
 import java.time.Instant;
@@ -225,4 +228,11 @@
       downs.add(name);
     }
   }
+
+  @Test
+  void machineThatDoesNotAnswerIsNotTakenForOneWhoseProcessHasEnded() {
+    assertThat(PeerMesh.isRefusal(new ConnectException("Connection refused"))).isTrue();
+    assertThat(PeerMesh.isRefusal(new ConnectTimeoutException("timed out"))).isFalse();
+    assertThat(PeerMesh.isRefusal(new NoRouteToHostException("no route"))).isFalse();
+  }
 }
