Send large reads again that were lost in an outage of the store

Cause, from the logs of all machines: the first pages of the manifest, the registry and the job shards were sent at 37.55 s into the silence. They have five seconds, so each process waited until 42.55 s although its probes had found the store again at 40.3 s (7505); the pages sent at 42.6 s took 10 ms. The one shard whose reading began after 40.3 s was read at once. Ruled out: slow starts (event 1001 at 37.6 s), overload of the store.

Change: when the path is restored, a large read is sent again if it was sent before a probe that got no answer although a later one did. A busy store answers in order, so this doesn't repeat reads that are only late. Probes of a lost path are sent every 400 ms without waiting for the one before, so the end of an outage shows up to 0.6 s sooner.

--- a/server/src/main/java/org/carobhoist/server/gateway/FailoverStoreTransport.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/FailoverStoreTransport.java
@@ -3,7 +3,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
@@ -20,9 +22,10 @@
  * may be repeated: an append is either conditional or idempotent. A direct call that fails is
  * retried through a peer. If probes of other shards fail too, the direct path is given up until a
  * probe succeeds; otherwise only a part of the store is unavailable. Calls with large responses in
- * flight aren't aborted when the path is given up, but run until their own timeouts: a busy store
- * may respond late without being unreachable, and responses that are discarded only add to its
- * load.
+ * flight aren't aborted when the path is given up: a busy store may respond late without being
+ * unreachable, and responses that are discarded only add to its load. They are sent again when the
+ * path is restored, if a probe that was sent after them has been lost: the store was silent then,
+ * and their responses won't come.
  */
 final class FailoverStoreTransport implements StoreTransport {
 
@@ -41,9 +44,14 @@
   private final DecisionLoop loop;
   private final Clock clock;
   private final Set<CompletableFuture<StoreReply>> smallCalls = new HashSet<>();
+  private final Map<CompletableFuture<StoreReply>, LargeCall> largeCalls = new LinkedHashMap<>();
   private boolean directPathDown;
   private boolean verifying;
   private Duration verifiedUntil = Duration.ZERO;
+  private Duration lastProbeSentAt = Duration.ZERO;
+
+  /** A call with a large response on the direct path, and when it was sent. */
+  private record LargeCall(StoreCall call, Duration sentAt) {}
 
   /**
    * Creates a transport that uses the direct path first.
@@ -100,24 +108,47 @@
 
   private CompletableFuture<StoreReply> callDirect(StoreCall call) {
     CompletableFuture<StoreReply> out = new CompletableFuture<>();
-    if (call.timeout().compareTo(MAX_SMALL_CALL_TIMEOUT) <= 0) {
-      smallCalls.add(out);
+    if (call.timeout().compareTo(MAX_SMALL_CALL_TIMEOUT) > 0) {
+      sendLarge(call, out);
+      return out;
     }
+    smallCalls.add(out);
     direct
         .call(call)
         .whenCompleteAsync(
             (reply, failure) -> {
               smallCalls.remove(out);
-              if (failure == null) {
-                out.complete(reply);
-              } else {
-                out.completeExceptionally(failure);
-              }
+              complete(out, reply, failure);
             },
             loop);
     return out;
   }
 
+  /** Sends a call with a large response, possibly again; only the last sending can fail it. */
+  private void sendLarge(StoreCall call, CompletableFuture<StoreReply> out) {
+    LargeCall sending = new LargeCall(call, clock.elapsed());
+    largeCalls.put(out, sending);
+    direct
+        .call(call)
+        .whenCompleteAsync(
+            (reply, failure) -> {
+              if (failure == null || largeCalls.get(out) == sending) {
+                largeCalls.remove(out);
+                complete(out, reply, failure);
+              }
+            },
+            loop);
+  }
+
+  private static void complete(
+      CompletableFuture<StoreReply> out, StoreReply reply, Throwable failure) {
+    if (failure == null) {
+      out.complete(reply);
+    } else {
+      out.completeExceptionally(failure);
+    }
+  }
+
   private CompletableFuture<StoreReply> retryThroughPeer(
       StoreCall call, StoreReply reply, Throwable failure) {
     if (failure == null && !reply.isRejected()) {
@@ -139,6 +170,7 @@
       return;
     }
     verifying = true;
+    lastProbeSentAt = clock.elapsed();
     probeAll()
         .whenCompleteAsync(
             (reachable, failure) -> {
@@ -164,18 +196,42 @@
     loop.after(PROBE_PERIOD, this::probe);
   }
 
+  /**
+   * Sends a probe, and the next one after a fixed interval without waiting for the result, so that
+   * the end of an outage is noticed within that interval.
+   */
   private void probe() {
+    if (!directPathDown) {
+      return;
+    }
+    Duration previousSentAt = lastProbeSentAt;
+    lastProbeSentAt = clock.elapsed();
     probeAll()
         .whenCompleteAsync(
             (reachable, failure) -> {
-              if (reachable) {
-                directPathDown = false;
-                EventLog.info(LogEvent.STORE_PATH_REGAINED);
-              } else {
-                loop.after(PROBE_PERIOD, this::probe);
+              if (reachable && directPathDown) {
+                restoreDirectPath(previousSentAt);
               }
             },
             loop);
+    loop.after(PROBE_PERIOD, this::probe);
+  }
+
+  /**
+   * Uses the direct path again.
+   *
+   * @param lostProbeSentAt when the last probe was sent that got no response although a later one
+   *     did; large calls sent before it are lost too
+   */
+  private void restoreDirectPath(Duration lostProbeSentAt) {
+    directPathDown = false;
+    List<CompletableFuture<StoreReply>> lost =
+        largeCalls.entrySet().stream()
+            .filter(e -> e.getValue().sentAt().compareTo(lostProbeSentAt) <= 0)
+            .map(Map.Entry::getKey)
+            .toList();
+    EventLog.info(LogEvent.STORE_PATH_REGAINED, "resent", lost.size());
+    lost.forEach(out -> sendLarge(largeCalls.get(out).call(), out));
   }
 
   /** Returns whether the store answers the probe of any shard. */
--- a/server/src/test/java/org/carobhoist/server/gateway/FailoverStoreTransportTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/FailoverStoreTransportTest.java
@@ -84,4 +84,36 @@
     next("/probe");
     assertThat(waiting.handle((reply, failure) -> failure != null).join()).isTrue();
   }
+
+  @Test
+  void pageLostInAnOutageIsSentAgainWhenTheDirectPathIsRestored() throws InterruptedException {
+    final CompletableFuture<StoreReply> page = start(call("/page", Duration.ofSeconds(5)));
+    final SentCall lostPage = next("/page");
+    start(call("/append", Duration.ofMillis(700)));
+    next("/append").fail();
+    next("/probe").fail();
+    next("/probe");
+    // The probe before is still unanswered, as it would be by a silent store.
+    next("/probe").reply().complete(new StoreReply(200, NO_CONTENT));
+    SentCall sentAgain = next("/page");
+    lostPage.fail();
+    sentAgain.reply().complete(new StoreReply(200, NO_CONTENT));
+    assertThat(page.join().status()).isEqualTo(200);
+  }
+
+  @Test
+  void pageSentAfterTheLastLostProbeIsNotSentAgain() throws InterruptedException {
+    start(call("/append", Duration.ofMillis(700)));
+    next("/append").fail();
+    next("/probe").fail();
+    SentCall probe = next("/probe");
+    final CompletableFuture<StoreReply> page = start(call("/page", Duration.ofSeconds(5)));
+    final SentCall pageSent = next("/page");
+    probe.reply().complete(new StoreReply(200, NO_CONTENT));
+    start(call("/read", Duration.ofMillis(700)));
+    next("/read");
+    pageSent.reply().complete(new StoreReply(200, NO_CONTENT));
+    assertThat(page.join().status()).isEqualTo(200);
+    assertThat(sent).isEmpty();
+  }
 }
