Store unfinished texts, so that steps survive the loss of every process

What callers saw: where all processes end at once, each open step runs its texts again from the first event.

Texts were held by runners and the coordinator alone.

Change: the coordinator stores the texts of running items that would lose 0.4 s or more of generation, every 500 ms in one append of 256 KiB at most, in a shard that nobody follows. A new coordinator reads it while it waits for the runners; an item that no runner reports goes on from there. The beginning of a text stays valid, so late or lost appends do no harm. Texts of listed items are deleted, also by the next coordinator.

Tests: JobCoordinatorTest plays the loss of every process, a run that its runner still holds, a text of a version that is too old, the deletion, and an absent store, in virtual time.

--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -18,10 +18,8 @@
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.common.WeightVersion;
-import org.carobhoist.core.job.ItemId;
 import org.carobhoist.core.job.ItemResult;
 import org.carobhoist.core.job.Job;
-import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.job.JobItem;
 import org.carobhoist.core.job.JobView;
 import org.carobhoist.core.manifest.EngineSpec;
@@ -72,13 +70,12 @@
   private final Map<Long, ItemState> runs = new HashMap<>();
   private final Map<InstanceId, EngineLoad> engines = new HashMap<>();
   private final ReusableOutputs reusableOutputs;
+  private final TextCheckpoints checkpoints;
   private boolean active;
   private long nextRun;
   private Duration placementStartsAt = Duration.ZERO;
   private Duration nextWaitLogAt = Duration.ZERO;
 
-  private record ItemKey(JobId job, ItemId item) {}
-
   private JobCoordinator(
       JobView view,
       PlacementPort port,
@@ -92,6 +89,7 @@
     this.clock = clock;
     this.specs = specs;
     this.reusableOutputs = new ReusableOutputs(view);
+    this.checkpoints = new TextCheckpoints(port, clock);
   }
 
   /**
@@ -118,6 +116,7 @@
     items.clear();
     runs.clear();
     engines.clear();
+    checkpoints.reset();
     view.jobs().stream().filter(Job::isOpen).forEach(this::onAccepted);
   }
 
@@ -225,6 +224,33 @@
     reports.forEach(r -> adoptRun(runner, r));
   }
 
+  /**
+   * Called after activation with the unfinished texts that the store holds. Items that no runner
+   * has reported continue from them.
+   *
+   * @return the number of items that continue from a stored text
+   */
+  public int onCheckpointsLoaded(Collection<TextCheckpoint> loaded) {
+    int restored = 0;
+    for (TextCheckpoint checkpoint : loaded) {
+      checkpoints.onLoaded(checkpoint);
+      ItemState state = items.get(checkpoint.key());
+      if (state != null && isImprovedBy(state, checkpoint.text())) {
+        state.replaceText(RunText.fromDelta(checkpoint.text()));
+        restored++;
+      }
+    }
+    return restored;
+  }
+
+  private static boolean isImprovedBy(ItemState state, TextDelta stored) {
+    return state.phase() == Phase.WAITING
+        && stored.firstEventIndex() == 0
+        && stored.eventCount() > state.text().eventCount()
+        && RunText.fromDelta(stored)
+            .fits(state.job().content().minVersion(), state.job().head().rules().singleVersion());
+  }
+
   /** Called when a runner can't be reached any more; its items are placed again. */
   public void onRunnerLost(InstanceId runner) {
     for (ItemState state : List.copyOf(runs.values())) {
@@ -272,6 +298,7 @@
     publishOverdue(now);
     if (now.compareTo(placementStartsAt) >= 0) {
       place(now, wallTime);
+      checkpoints.tick(items);
     }
   }
 
--- a/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
+++ b/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
@@ -1,7 +1,9 @@
 package org.carobhoist.core.placement;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.common.Zone;
@@ -62,6 +64,12 @@
    */
   void reuse(Job job, JobItem item, ItemResult former, boolean scored);
 
+  /**
+   * Stores unfinished texts, and deletes those of items that are done. The future completes on the
+   * decision thread; if it fails, the append may have been carried out or not.
+   */
+  CompletableFuture<Void> storeCheckpoints(List<TextCheckpoint> texts, List<ItemKey> obsolete);
+
   /** Returns the result that marks an item as given up. */
   ItemResult givenUpResult(ItemId item);
 
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -13,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.EndpointKind;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
@@ -71,9 +72,12 @@
     private final List<String> published = new ArrayList<>();
     private final List<ItemResult> results = new ArrayList<>();
     private final List<String> scored = new ArrayList<>();
+    private final Map<ItemKey, TextCheckpoint> checkpoints = new HashMap<>();
     private final List<InstanceId> leaving = new ArrayList<>();
     private final List<Map<WaitCause, Integer>> waits = new ArrayList<>();
     private final List<Runner> runners = new ArrayList<>(List.of(new Runner(RUNNER, ZONE, 1_000)));
+    private boolean storeAway;
+    private int appends;
 
     @Override
     public Collection<ServerEntry> engines(ServiceName service) {
@@ -125,6 +129,18 @@
       }
     }
 
+    @Override
+    public CompletableFuture<Void> storeCheckpoints(
+        List<TextCheckpoint> texts, List<ItemKey> obsolete) {
+      if (storeAway) {
+        return CompletableFuture.failedFuture(new IllegalStateException("store away"));
+      }
+      texts.forEach(c -> checkpoints.put(c.key(), c));
+      obsolete.forEach(checkpoints::remove);
+      appends++;
+      return CompletableFuture.completedFuture(null);
+    }
+
     @Override
     public void onEngineLeaving(InstanceId engine) {
       leaving.add(engine);
@@ -594,4 +610,115 @@
     assertThat(coordinator.runningCount()).isEqualTo(0);
     assertThat(port.published).isEmpty();
   }
+
+  /** Reports one event of each run every 40 ms. */
+  private void generate(int first, int count, RunOrder... orders) {
+    for (int i = first; i < first + count; i++) {
+      for (RunOrder order : orders) {
+        coordinator.onReport(report(order, events(i, 1, V6), RunOutcome.RUNNING));
+      }
+      advance(40);
+    }
+  }
+
+  /** Ends all processes in the middle of a run; another process becomes coordinator. */
+  private void loseEveryProcess() {
+    coordinator.deactivate();
+    clock.advance(Duration.ofSeconds(2));
+    coordinator.activate(2);
+    coordinator.onCheckpointsLoaded(List.copyOf(port.checkpoints.values()));
+  }
+
+  @Test
+  void itemsDoNotRunAgainFromTheirFirstEventAfterTheLossOfEveryProcess() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 60));
+    advance(50);
+    RunOrder first = port.last();
+    generate(0, 40, first);
+    loseEveryProcess();
+    advance(400);
+    assertThat(port.last().run()).isNotEqualTo(first.run());
+    // What is lost is the last half second and less than what is worth an append.
+    assertThat(port.last().prefix().eventCount()).isAtLeast(40 - 13 - 10);
+    assertThat(port.last().prefix().lastId())
+        .isEqualTo(Integer.toString(port.last().prefix().eventCount()));
+  }
+
+  @Test
+  void runReportedByItsRunnerIsAdoptedInsteadOfItsStoredText() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 60));
+    advance(50);
+    RunOrder first = port.last();
+    generate(0, 30, first);
+    assertThat(port.checkpoints).hasSize(1);
+    coordinator.deactivate();
+    coordinator.activate(2);
+    RunReport held = report(first, events(0, 33, V6), RunOutcome.RUNNING);
+    coordinator.onRunnerState(RUNNER, List.of(held));
+    assertThat(coordinator.onCheckpointsLoaded(port.checkpoints.values())).isEqualTo(0);
+    advance(400);
+    assertThat(port.started).containsExactly(first);
+    coordinator.onRunnerLost(RUNNER);
+    advance(50);
+    assertThat(port.last().prefix().eventCount()).isEqualTo(33);
+  }
+
+  @Test
+  void storedTextOfTooOldVersionIsNotContinued() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 60));
+    advance(50);
+    generate(0, 30, port.last());
+    ItemKey key = new ItemKey(new JobId("j1"), new ItemId("i1"));
+    port.checkpoints.put(key, new TextCheckpoint(key, events(0, 30, new WeightVersion(5))));
+    loseEveryProcess();
+    advance(400);
+    assertThat(port.last().prefix().eventCount()).isEqualTo(0);
+  }
+
+  @Test
+  void storedTextsOfListedItemsAreDeletedAlsoByTheNextCoordinator() {
+    addEngine("e1", V6);
+    activate();
+    final Job job = submit("j1", item("i1", 60), item("i2", 60));
+    advance(50);
+    generate(0, 30, port.started.get(0), port.started.get(1));
+    assertThat(port.checkpoints).hasSize(2);
+    coordinator.onResultPublished(
+        job, new ItemResult(new ItemId("i1"), false, Set.of(V6), new byte[0]));
+    advance(500);
+    assertThat(port.checkpoints).hasSize(1);
+    coordinator.deactivate();
+    coordinator.onEnded(job);
+    view.shardListener(0).onRecord(new StoredRecord(heads.size() + 1, "end/j1", new byte[] {1}));
+    coordinator.activate(2);
+    coordinator.onCheckpointsLoaded(List.copyOf(port.checkpoints.values()));
+    advance(400);
+    advance(500);
+    assertThat(port.checkpoints).isEmpty();
+  }
+
+  @Test
+  void shortProgressCausesNoAppendAndAnAbsentStoreIsTriedAgainLater() {
+    addEngine("e1", V6);
+    activate();
+    submit("j1", item("i1", 90));
+    advance(50);
+    RunOrder order = port.last();
+    generate(0, 9, order);
+    advance(500);
+    assertThat(port.appends).isEqualTo(0);
+    port.storeAway = true;
+    generate(9, 15, order);
+    port.storeAway = false;
+    generate(24, 15, order);
+    assertThat(port.appends).isEqualTo(0);
+    generate(39, 45, order);
+    assertThat(port.appends).isAtLeast(1);
+  }
 }
--- /dev/null
+++ b/server/src/main/java/org/carobhoist/server/gateway/CheckpointStore.java
@@ -0,0 +1,87 @@
+package org.carobhoist.server.gateway;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.job.ItemId;
+import org.carobhoist.core.job.JobId;
+import org.carobhoist.core.placement.ItemKey;
+import org.carobhoist.core.placement.TextCheckpoint;
+import org.carobhoist.core.store.KeyedRecord;
+import org.carobhoist.core.store.RecordStore;
+import org.carobhoist.core.store.StoredRecord;
+import org.carobhoist.server.link.proto.RunText;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
+
+/**
+ * Keeps the unfinished texts of items in a shard of the store that nobody follows. Only a process
+ * that becomes coordinator reads it.
+ */
+final class CheckpointStore {
+
+  private static final String KIND = "unfinished";
+  private static final String SEPARATOR = "/";
+  private static final int KEY_PARTS = 3;
+
+  private final RecordStore store;
+
+  CheckpointStore(RecordStore store) {
+    this.store = store;
+  }
+
+  /** Stores texts in place of older ones, and deletes those of other items. */
+  CompletableFuture<Void> store(List<TextCheckpoint> texts, List<ItemKey> obsolete) {
+    List<KeyedRecord> records = new ArrayList<>();
+    texts.forEach(
+        c ->
+            records.add(
+                new KeyedRecord(key(c.key()), RunMapper.textMessage(c.text()).toByteArray())));
+    obsolete.forEach(k -> records.add(KeyedRecord.tombstone(key(k))));
+    return store
+        .append(Topics.UNFINISHED_TEXTS, records, OptionalLong.empty())
+        .thenAccept(ok -> {});
+  }
+
+  /** Reads all texts. */
+  CompletableFuture<List<TextCheckpoint>> load() {
+    return loadAfter("", new ArrayList<>());
+  }
+
+  private CompletableFuture<List<TextCheckpoint>> loadAfter(
+      String lastKey, List<TextCheckpoint> loaded) {
+    return store
+        .newest(Topics.UNFINISHED_TEXTS, lastKey)
+        .thenCompose(
+            page -> {
+              List<StoredRecord> records = page.records();
+              records.forEach(r -> decode(r).ifPresent(loaded::add));
+              return page.more() && !records.isEmpty()
+                  ? loadAfter(records.get(records.size() - 1).key(), loaded)
+                  : CompletableFuture.completedFuture(loaded);
+            });
+  }
+
+  private static String key(ItemKey item) {
+    return String.join(SEPARATOR, KIND, item.job().value(), item.item().value());
+  }
+
+  private static Optional<TextCheckpoint> decode(StoredRecord stored) {
+    String[] parts = stored.key().split(SEPARATOR, KEY_PARTS);
+    if (stored.isTombstone() || parts.length < KEY_PARTS) {
+      return Optional.empty();
+    }
+    try {
+      ItemKey key = new ItemKey(new JobId(parts[1]), new ItemId(parts[2]));
+      RunText text = RunText.parseFrom(stored.value());
+      return Optional.of(new TextCheckpoint(key, RunMapper.delta(text)));
+    } catch (InvalidProtocolBufferException e) {
+      EventLog.warn(
+          LogEvent.RECORD_SKIPPED, "key", stored.key(), "offset", stored.offset(), "why", e);
+      return Optional.empty();
+    }
+  }
+}
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorRole.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorRole.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
@@ -31,12 +32,14 @@
 import org.carobhoist.core.membership.EndpointPhase;
 import org.carobhoist.core.membership.RegisteredServers;
 import org.carobhoist.core.membership.ServerEntry;
+import org.carobhoist.core.placement.ItemKey;
 import org.carobhoist.core.placement.JobCoordinator;
 import org.carobhoist.core.placement.PlacementPolicy;
 import org.carobhoist.core.placement.PlacementPort;
 import org.carobhoist.core.placement.RunOrder;
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.core.placement.RunText;
+import org.carobhoist.core.placement.TextCheckpoint;
 import org.carobhoist.core.placement.TextDelta;
 import org.carobhoist.core.placement.WaitCause;
 import org.carobhoist.platform.JobJson;
@@ -75,6 +78,7 @@
   private final ItemRunner runner;
   private final ResultPublisher publisher;
   private final CompletedTextPublisher completedTexts;
+  private final CheckpointStore checkpoints;
   private final Duration resultRetention;
   private final JobCoordinator jobs;
   private final TickLatenessMonitor tickMonitor = TickLatenessMonitor.create(JobCoordinator.TICK);
@@ -99,6 +103,7 @@
       ItemRunner runner,
       ResultPublisher publisher,
       CompletedTextPublisher completedTexts,
+      CheckpointStore checkpoints,
       Duration resultRetention) {
     this.self = self;
     this.zone = zone;
@@ -112,6 +117,7 @@
     this.runner = runner;
     this.publisher = publisher;
     this.completedTexts = completedTexts;
+    this.checkpoints = checkpoints;
     this.resultRetention = resultRetention;
     this.jobs = JobCoordinator.create(view, this, PlacementPolicy.DEFAULT, clock, this::engineSpec);
   }
@@ -142,6 +148,7 @@
     active = true;
     mesh.linkAll(true);
     jobs.activate(term);
+    loadCheckpoints(term);
     runner.onAttach(term, new LocalLink());
     mesh.linkedPeers().keySet().forEach(this::attach);
     tickMonitor.reset();
@@ -151,6 +158,27 @@
     }
   }
 
+  private void loadCheckpoints(long term) {
+    checkpoints
+        .load()
+        .whenComplete(
+            (texts, failure) -> {
+              if (failure != null) {
+                EventLog.warn(LogEvent.UNFINISHED_TEXTS_UNREAD, "term", term, "why", failure);
+              } else if (active && lease.term() == term) {
+                int restored = jobs.onCheckpointsLoaded(texts);
+                EventLog.info(
+                    LogEvent.UNFINISHED_TEXTS_READ,
+                    "term",
+                    term,
+                    "texts",
+                    texts.size(),
+                    "used",
+                    restored);
+              }
+            });
+  }
+
   @Override
   public void onLost(long term, String why) {
     EventLog.warn(LogEvent.LEASE_LOST, "term", term, "why", why);
@@ -389,6 +417,12 @@
     servers.onLeavingReported(engine);
   }
 
+  @Override
+  public CompletableFuture<Void> storeCheckpoints(
+      List<TextCheckpoint> texts, List<ItemKey> obsolete) {
+    return checkpoints.store(texts, obsolete);
+  }
+
   @Override
   public ItemResult givenUpResult(ItemId item) {
     return JobJson.givenUp(item);
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -265,6 +265,7 @@
             runner,
             publisher,
             completedTexts,
+            new CheckpointStore(store),
             boot.bounds().resultRetention());
     this.jobs =
         new JobRequestHandler(
--- a/server/src/main/java/org/carobhoist/server/gateway/RunMapper.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/RunMapper.java
@@ -122,7 +122,7 @@
         message.getContent().toByteArray());
   }
 
-  private static RunText textMessage(TextDelta delta) {
+  static RunText textMessage(TextDelta delta) {
     return RunText.newBuilder()
         .setSkipped(delta.firstEventIndex())
         .setEvents(delta.eventCount())
@@ -132,7 +132,7 @@
         .build();
   }
 
-  private static TextDelta delta(RunText message) {
+  static TextDelta delta(RunText message) {
     return new TextDelta(
         message.getSkipped(),
         message.getEvents(),
--- a/server/src/main/java/org/carobhoist/server/gateway/Topics.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/Topics.java
@@ -20,6 +20,7 @@
   static final Shard SERVERS = new Shard("keyed.servers", 0);
   static final Shard NODES = new Shard("keyed.nodes", 0);
   static final Shard LEASE = new Shard("keyed.lease", 0);
+  static final Shard UNFINISHED_TEXTS = new Shard("keyed.unfinished", 0);
 
   private Topics() {}
 
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -115,6 +115,10 @@
   OLD_TERM_IGNORED(7207, "order of an older term ignored"),
   /** Items are waiting for an engine. */
   ITEMS_WAIT(7208, "items waiting for an engine"),
+  /** A new coordinator has read the unfinished texts in the store. */
+  UNFINISHED_TEXTS_READ(7209, "unfinished texts read"),
+  /** A new coordinator couldn't read the unfinished texts. */
+  UNFINISHED_TEXTS_UNREAD(7210, "unfinished texts not read"),
   /** An engine was ordered to load weights. */
   ENGINE_ORDERED(7301, "engine ordered to load weights"),
   /** An engine didn't accept an order. */
