--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -262,6 +262,31 @@
     }
   }
 
+  @Test
+  void itemsResumeFromTheirStoredTextAfterEveryProcessIsKilled() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      engine.setEvents(100, 50);
+      cluster.awaitReady("entry-1");
+      cluster.awaitReady("entry-2");
+      final String first = awaitLinkedCoordinator(cluster);
+      cluster.post(first, JOBS, "/j", PlatformDocuments.job(1, "a", "b", "c"), "j1");
+      cluster.await("every item runs", () -> engine.runs().size() == 3);
+      for (String item : List.of("a", "b", "c")) {
+        cluster.await(item + " has progressed", () -> engine.lastSentEvent(item) > 50);
+      }
+      cluster.process("entry-1").kill();
+      cluster.process("entry-2").kill();
+      cluster.process("entry-1").restart();
+      cluster.process("entry-2").restart();
+      cluster.awaitReady("entry-1");
+      awaitListed(cluster, "entry-1", "j1", 3);
+      List<String> runsAfterKill = engine.runs().subList(3, engine.runs().size());
+      assertThat(runsAfterKill.stream().filter(r -> r.endsWith(" from 1")).toList()).isEmpty();
+      assertThat(results(cluster, "entry-1", "j1")).contains("\"versions\":[1]");
+    }
+  }
+
   @Test
   void entryWithoutStoreConnectionUsesItsPeers() throws IOException {
     try (GatewayCluster cluster = GatewayCluster.start(folder)) {
