--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -29,6 +29,7 @@
       CheckCommand.class,
       DemoCommand.class,
       StepsCommand.class,
+      CompareCommand.class,
       WarmUpCommand.class,
       ProfileCommand.class,
       HelpCommand.class,
