--- a/core/src/main/java/org/carobhoist/core/chart/ChartText.java
+++ b/core/src/main/java/org/carobhoist/core/chart/ChartText.java
@@ -28,7 +28,7 @@
    *
    * @param name the chart's name, for messages
    * @throws ChartException if a line is neither a section, a key with a value, nor a comment, or if
-   *     a section or a key in a section stands twice
+   *     a section, or a key in a section, is defined twice
    * @throws IOException if the text can't be read
    */
   static ChartText read(String name, Reader text) throws IOException {
@@ -60,7 +60,7 @@
 
   private static <T> void putOnce(Map<String, T> map, String key, T value, String where) {
     if (map.putIfAbsent(key, value) != null) {
-      throw new ChartException(where + " '" + key + "' stands twice");
+      throw new ChartException(where + " '" + key + "' is defined twice");
     }
   }
 
--- a/core/src/test/java/org/carobhoist/core/chart/ChartReaderTest.java
+++ b/core/src/test/java/org/carobhoist/core/chart/ChartReaderTest.java
@@ -73,11 +73,11 @@
   }
 
   @Test
-  void rejectsSectionOrKeyThatStandsTwice() {
+  void rejectsSectionOrKeyThatIsDefinedTwice() {
     assertThat(failure(HEADER + OFF + ON + OFF))
-        .isEqualTo("chart switch: line 10: section 'OFF' stands twice");
+        .isEqualTo("chart switch: line 10: section 'OFF' is defined twice");
     assertThat(failure(HEADER + OFF + ON + "FAIL = OFF\n"))
-        .isEqualTo("chart switch: line 10: key 'FAIL' stands twice");
+        .isEqualTo("chart switch: line 10: key 'FAIL' is defined twice");
   }
 
   private static String failure(String text) {
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorRole.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorRole.java
@@ -420,7 +420,21 @@
   @Override
   public CompletableFuture<Void> storeCheckpoints(
       List<TextCheckpoint> texts, List<ItemKey> obsolete) {
-    return checkpoints.store(texts, obsolete);
+    return checkpoints
+        .store(texts, obsolete)
+        .whenComplete(
+            (ok, failure) -> {
+              if (failure != null) {
+                EventLog.warn(
+                    LogEvent.UNFINISHED_TEXTS_UNSTORED,
+                    "texts",
+                    texts.size(),
+                    "deleted",
+                    obsolete.size(),
+                    "why",
+                    failure);
+              }
+            });
   }
 
   @Override
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -119,6 +119,8 @@
   UNFINISHED_TEXTS_READ(7209, "unfinished texts read"),
   /** A new coordinator couldn't read the unfinished texts. */
   UNFINISHED_TEXTS_UNREAD(7210, "unfinished texts not read"),
+  /** The coordinator couldn't store unfinished texts. */
+  UNFINISHED_TEXTS_UNSTORED(7211, "unfinished texts not stored"),
   /** An engine was ordered to load weights. */
   ENGINE_ORDERED(7301, "engine ordered to load weights"),
   /** An engine didn't accept an order. */
