Wait for the announcement in LinkFramesTest

Cause: a link counts as up before the announcement that follows it has been read, and without it the entry has no endpoint. All assertions are as before.

--- a/it/src/test/java/org/carobhoist/it/LinkFramesTest.java
+++ b/it/src/test/java/org/carobhoist/it/LinkFramesTest.java
@@ -43,6 +43,8 @@
     cluster.startEntry("entry-1", "centro-a");
     cluster.awaitReady();
     cluster.awaitLinks("entry-1", 2);
+    // A link is up before the sidecar's announcement has been read.
+    TestCluster.await("fake-1 is announced", () -> get("/announced").isPresent());
   }
 
   @AfterEach
@@ -69,7 +71,7 @@
   private void handleCall(Link link, CallStart start) {
     long call = start.getCall();
     switch (start.getPath()) {
-      case "/whole" -> sendComplete(link, call);
+      case "/announced", "/whole" -> sendComplete(link, call);
       case "/duplicate-head" -> {
         link.send(head(call));
         sendComplete(link, call);
