Wait until a suspended process has stopped in the tests

The failure itself was not reproduced. Change: pause() waits until each thread is in the stopped state, and KeyedCallsTest uses it in place of a signal of its own. No assertion is changed.

--- a/it/src/test/java/org/carobhoist/it/KeyedCallsTest.java
+++ b/it/src/test/java/org/carobhoist/it/KeyedCallsTest.java
@@ -100,13 +100,13 @@
    * read after the lease has expired; it must not run then.
    */
   private void leaseExpiresWhileSidecarIsSuspended(String key) throws IOException {
-    signal("-STOP");
+    cluster.process(SIDECAR).pause();
     cluster.platform().setLogDown(true);
     long end = System.nanoTime() + HomePolicy.DEFAULT.lease().plusSeconds(1).toNanos();
     AggregatedHttpResponse response = client.send("entry-1", key, "paused", SHORT_DEADLINE).join();
     assertThat(verdict(response)).isEqualTo("MAY_HAVE_RUN");
     TestCluster.await("pause outlasts the lease", () -> System.nanoTime() > end);
-    signal("-CONT");
+    cluster.process(SIDECAR).resume();
     TestCluster.await("lease has expired", () -> state().contains("\"leaseValid\":false"));
     cluster.awaitLinks("entry-1", 1);
     cluster.awaitLinks("entry-2", 1);
@@ -250,11 +250,6 @@
     return cluster.state(SIDECAR);
   }
 
-  private void signal(String name) throws IOException {
-    String pid = Long.toString(cluster.process(SIDECAR).pid());
-    new ProcessBuilder("kill", name, pid).start().onExit().join();
-  }
-
   private static void assertCompleted(AggregatedHttpResponse response, String body) {
     assertThat(verdict(response)).isEqualTo("COMPLETED");
     assertThat(response.contentUtf8()).isEqualTo("done " + body);
--- a/it/src/test/java/org/carobhoist/it/RoleProcess.java
+++ b/it/src/test/java/org/carobhoist/it/RoleProcess.java
@@ -6,6 +6,7 @@
 import java.nio.file.StandardOpenOption;
 import java.time.Instant;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
 
 /** A process of the binary under test, run in one of its roles. */
 final class RoleProcess {
@@ -13,6 +14,9 @@
   private static final Path BINARY = Path.of("..", "server", "target", "carobhoist");
   private static final long STOP_TIMEOUT_SECONDS = 30;
 
+  /** State of a stopped thread in its stat file. */
+  private static final char STOPPED = 'T';
+
   /**
    * Restores the default handling of SIGHUP. If the parent of the test run ignores the signal, the
    * JVM would inherit that and never receive it.
@@ -72,9 +76,32 @@
     signal("-HUP");
   }
 
-  /** Suspends the process with SIGSTOP. */
+  /**
+   * Suspends the process with SIGSTOP and waits until each of its threads has stopped, which takes
+   * until the thread is scheduled again.
+   */
   void pause() throws IOException {
     signal("-STOP");
+    TestCluster.await("process " + pid() + " is stopped", this::isStopped);
+  }
+
+  private boolean isStopped() {
+    Path threads = Path.of("/proc", Long.toString(pid()), "task");
+    try (Stream<Path> all = Files.list(threads)) {
+      return all.allMatch(RoleProcess::isStoppedThread);
+    } catch (IOException e) {
+      throw new AssertionError("threads of process " + pid() + " can't be listed", e);
+    }
+  }
+
+  private static boolean isStoppedThread(Path thread) {
+    try {
+      String status = Files.readString(thread.resolve("stat"));
+      // The state follows the thread's name, which stands in parentheses and may contain blanks.
+      return status.charAt(status.lastIndexOf(')') + 2) == STOPPED;
+    } catch (IOException e) {
+      return false;
+    }
   }
 
   /** Resumes a suspended process with SIGCONT. */
