Keep one series of probes where a store path is lost again at once

Found on rereading the change: since the next probe is scheduled before the result of the last is known, and a restored path left it scheduled. A path that was lost again within 400 ms then had two series of probes, with gaps of 4 ms in the new test, and each further loss one more. Restoring the path now cancels the next probe.

Second test: the lost page as the first call after the path is restored. It fails on the transport before ("/read" where "/page" is expected), where the first test of this waits for ever.

--- a/server/src/main/java/org/carobhoist/server/gateway/FailoverStoreTransport.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/FailoverStoreTransport.java
@@ -49,6 +49,7 @@
   private boolean verifying;
   private Duration verifiedUntil = Duration.ZERO;
   private Duration lastProbeSentAt = Duration.ZERO;
+  private Runnable cancelNextProbe = () -> {};
 
   /** A call with a large response on the direct path, and when it was sent. */
   private record LargeCall(StoreCall call, Duration sentAt) {}
@@ -193,7 +194,7 @@
         c ->
             c.completeExceptionally(
                 new IllegalStateException("direct path to the store given up")));
-    loop.after(PROBE_PERIOD, this::probe);
+    cancelNextProbe = loop.after(PROBE_PERIOD, this::probe);
   }
 
   /**
@@ -201,9 +202,6 @@
    * the end of an outage is noticed within that interval.
    */
   private void probe() {
-    if (!directPathDown) {
-      return;
-    }
     Duration previousSentAt = lastProbeSentAt;
     lastProbeSentAt = clock.elapsed();
     probeAll()
@@ -214,7 +212,7 @@
               }
             },
             loop);
-    loop.after(PROBE_PERIOD, this::probe);
+    cancelNextProbe = loop.after(PROBE_PERIOD, this::probe);
   }
 
   /**
@@ -225,6 +223,7 @@
    */
   private void restoreDirectPath(Duration lostProbeSentAt) {
     directPathDown = false;
+    cancelNextProbe.run();
     List<CompletableFuture<StoreReply>> lost =
         largeCalls.entrySet().stream()
             .filter(e -> e.getValue().sentAt().compareTo(lostProbeSentAt) <= 0)
--- a/server/src/test/java/org/carobhoist/server/gateway/FailoverStoreTransportTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/FailoverStoreTransportTest.java
@@ -25,7 +25,7 @@
   private final FailoverStoreTransport transport =
       new FailoverStoreTransport(this::send, List::of, List.of(PROBE), loop, SystemClock.create());
 
-  private record SentCall(StoreCall call, CompletableFuture<StoreReply> reply) {
+  private record SentCall(StoreCall call, CompletableFuture<StoreReply> reply, long sentNanos) {
 
     private void fail() {
       reply.completeExceptionally(new IllegalStateException("no answer"));
@@ -37,7 +37,7 @@
   }
 
   private CompletableFuture<StoreReply> send(StoreCall call) {
-    SentCall one = new SentCall(call, new CompletableFuture<>());
+    SentCall one = new SentCall(call, new CompletableFuture<>(), System.nanoTime());
     sent.add(one);
     return one.reply();
   }
@@ -116,4 +116,37 @@
     assertThat(page.join().status()).isEqualTo(200);
     assertThat(sent).isEmpty();
   }
+
+  @Test
+  void lostPageIsTheFirstCallAfterTheDirectPathIsRestored() throws InterruptedException {
+    start(call("/page", Duration.ofSeconds(5)));
+    next("/page");
+    start(call("/append", Duration.ofMillis(700)));
+    next("/append").fail();
+    next("/probe").fail();
+    next("/probe").fail();
+    next("/probe").reply().complete(new StoreReply(200, NO_CONTENT));
+    start(call("/read", Duration.ofMillis(700)));
+    next("/page");
+    next("/read");
+  }
+
+  @Test
+  void probesKeepTheirIntervalAfterThePathWasRestoredAndLostAgain() throws InterruptedException {
+    for (int i = 0; i < 2; i++) {
+      start(call("/append", Duration.ofMillis(700)));
+      next("/append").fail();
+      next("/probe").fail();
+      if (i == 0) {
+        next("/probe").reply().complete(new StoreReply(200, NO_CONTENT));
+      }
+    }
+    SentCall previous = next("/probe");
+    for (int i = 0; i < 2; i++) {
+      SentCall probe = next("/probe");
+      assertThat(probe.sentNanos() - previous.sentNanos())
+          .isAtLeast(Duration.ofMillis(400).toNanos());
+      previous = probe;
+    }
+  }
 }
