--- a/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
+++ b/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
@@ -18,7 +18,6 @@
 import org.carobhoist.core.common.Scheduler;
 import org.carobhoist.core.store.AppendOutcome;
 import org.carobhoist.core.store.KeyedRecord;
-import org.carobhoist.core.store.NewestPage;
 import org.carobhoist.core.store.ReadOutcome;
 import org.carobhoist.core.store.RecordStore;
 import org.carobhoist.core.store.Shard;
@@ -329,11 +328,11 @@
                 return CompletableFuture.completedFuture(null);
               }
               String first = state.firstMissingKey();
-              if (!page.more() || first.compareTo(lastKeyOf(page)) <= 0) {
+              if (!page.more() || first.compareTo(page.lastKey()) <= 0) {
                 return CompletableFuture.failedFuture(
                     StoreException.notRun(first + " is not in " + state.shard));
               }
-              return readByKey(maxKey(keyBefore(first), lastKeyOf(page)), state);
+              return readByKey(maxKey(keyBefore(first), page.lastKey()), state);
             });
   }
 
@@ -346,10 +345,6 @@
     return key.substring(0, key.length() - 1);
   }
 
-  private static String lastKeyOf(NewestPage page) {
-    return page.records().get(page.records().size() - 1).key();
-  }
-
   private static long lastOffsetOf(ReadOutcome.Batch batch) {
     return batch.records().get(batch.records().size() - 1).offset();
   }
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -235,20 +235,20 @@
     for (TextCheckpoint checkpoint : loaded) {
       checkpoints.onLoaded(checkpoint);
       ItemState state = items.get(checkpoint.key());
-      if (state != null && isImprovedBy(state, checkpoint.text())) {
-        state.replaceText(RunText.fromDelta(checkpoint.text()));
+      RunText stored = RunText.fromDelta(checkpoint.text());
+      if (state != null && isImprovedBy(state, stored)) {
+        state.replaceText(stored);
         restored++;
       }
     }
     return restored;
   }
 
-  private static boolean isImprovedBy(ItemState state, TextDelta stored) {
+  private static boolean isImprovedBy(ItemState state, RunText stored) {
     return state.phase() == Phase.WAITING
-        && stored.firstEventIndex() == 0
         && stored.eventCount() > state.text().eventCount()
-        && RunText.fromDelta(stored)
-            .fits(state.job().content().minVersion(), state.job().head().rules().singleVersion());
+        && stored.fits(
+            state.job().content().minVersion(), state.job().head().rules().singleVersion());
   }
 
   /** Called when a runner can't be reached any more; its items are placed again. */
--- a/core/src/main/java/org/carobhoist/core/store/NewestPage.java
+++ b/core/src/main/java/org/carobhoist/core/store/NewestPage.java
@@ -10,4 +10,14 @@
  * @param more whether another page follows after the last key
  * @param end the offset after the shard's last record at the time of this page
  */
-public record NewestPage(List<StoredRecord> records, boolean more, long end) {}
+public record NewestPage(List<StoredRecord> records, boolean more, long end) {
+
+  /**
+   * Returns the key after which the next page begins.
+   *
+   * @throws IndexOutOfBoundsException if the page has no records
+   */
+  public String lastKey() {
+    return records.get(records.size() - 1).key();
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/store/ShardTailer.java
+++ b/core/src/main/java/org/carobhoist/core/store/ShardTailer.java
@@ -367,7 +367,9 @@
     private void add(NewestPage page) {
       end = end == UNKNOWN ? page.end() : end;
       records.addAll(page.records());
-      page.records().stream().reduce((a, b) -> b).ifPresent(r -> lastKey = r.key());
+      if (!page.records().isEmpty()) {
+        lastKey = page.lastKey();
+      }
       pages++;
     }
 
--- a/server/src/main/java/org/carobhoist/server/app/CompareCommand.java
+++ b/server/src/main/java/org/carobhoist/server/app/CompareCommand.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.UUID;
 import java.util.concurrent.Callable;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
@@ -173,7 +174,8 @@
   }
 
   private Outcome play(Task task) throws IOException, InterruptedException {
-    String line = why + " [" + name(task) + ", " + System.nanoTime() + "]";
+    String id = UUID.randomUUID().toString();
+    String line = why + " [" + name(task) + ", play " + id + "]";
     run(
         task.folder(),
         List.of(
@@ -187,7 +189,7 @@
             "1",
             "--why",
             line));
-    return new Outcome(task, PlayJournal.find(task.folder().resolve("journal"), line));
+    return new Outcome(task, PlayJournal.find(task.folder().resolve("journal"), id));
   }
 
   private int run(Path folder, List<String> arguments) throws IOException, InterruptedException {
--- a/server/src/main/java/org/carobhoist/server/gateway/CheckpointStore.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CheckpointStore.java
@@ -57,10 +57,9 @@
         .newest(Topics.UNFINISHED_TEXTS, lastKey)
         .thenCompose(
             page -> {
-              List<StoredRecord> records = page.records();
-              records.forEach(r -> decode(r).ifPresent(loaded::add));
-              return page.more() && !records.isEmpty()
-                  ? loadAfter(records.get(records.size() - 1).key(), loaded)
+              page.records().forEach(r -> decode(r).ifPresent(loaded::add));
+              return page.more() && !page.records().isEmpty()
+                  ? loadAfter(page.lastKey(), loaded)
                   : CompletableFuture.completedFuture(loaded);
             });
   }
--- a/server/src/main/java/org/carobhoist/server/report/PlayJournal.java
+++ b/server/src/main/java/org/carobhoist/server/report/PlayJournal.java
@@ -30,13 +30,14 @@
   public record Play(String site, String problem, Map<String, Double> figures) {}
 
   /**
-   * Finds the entry of a play.
+   * Finds the entry of a play. Other entries aren't parsed, since plays beside it may be writing
+   * theirs.
    *
    * @param folder the journal
-   * @param why the line that was given for the play, which no other play has
+   * @param id an id that only the line given for this play contains
    * @throws IOException if the journal can't be read
    */
-  public static Optional<Play> find(Path folder, String why) throws IOException {
+  public static Optional<Play> find(Path folder, String id) throws IOException {
     if (!Files.isDirectory(folder)) {
       return Optional.empty();
     }
@@ -45,9 +46,9 @@
       entries = files.filter(f -> f.toString().endsWith(SUFFIX)).sorted().toList();
     }
     for (Path file : entries) {
-      JsonNode entry = JSON.readTree(Files.readString(file));
-      if (entry.path("why").asText().equals(why)) {
-        return Optional.of(play(entry));
+      String text = Files.readString(file);
+      if (text.contains(id)) {
+        return Optional.of(play(JSON.readTree(text)));
       }
     }
     return Optional.empty();
