Answer calls on the loop in FailoverStoreTransportTest

Cause: a race of the test. It takes a call from the queue and completes its reply before the transport has attached itself to that reply, so what the transport does on the answer can come after the test's next call. The transport isn't at fault: it attaches itself on the loop, in the same task that sends the call.

Change: three tests answer the call in a task of the loop, which runs after the task that sent it. The checks are the same, and none is left out.

--- a/server/src/test/java/org/carobhoist/server/gateway/FailoverStoreTransportTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/FailoverStoreTransportTest.java
@@ -46,6 +46,14 @@
     return loop.call(() -> transport.call(call)).thenCompose(reply -> reply);
   }
 
+  /**
+   * Answers a call on the loop: a call can be taken from the queue before the transport has
+   * attached itself to the reply, and what it does then must come before the next call of the test.
+   */
+  private void answer(SentCall one) {
+    loop.call(() -> one.reply().complete(new StoreReply(200, NO_CONTENT))).join();
+  }
+
   /** Returns the next call sent on the direct path, and checks its target. */
   private SentCall next(String target) throws InterruptedException {
     SentCall one = sent.take();
@@ -109,7 +117,7 @@
     SentCall probe = next("/probe");
     final CompletableFuture<StoreReply> page = start(call("/page", Duration.ofSeconds(5)));
     final SentCall pageSent = next("/page");
-    probe.reply().complete(new StoreReply(200, NO_CONTENT));
+    answer(probe);
     start(call("/read", Duration.ofMillis(700)));
     next("/read");
     pageSent.reply().complete(new StoreReply(200, NO_CONTENT));
@@ -125,7 +133,7 @@
     next("/append").fail();
     next("/probe").fail();
     next("/probe").fail();
-    next("/probe").reply().complete(new StoreReply(200, NO_CONTENT));
+    answer(next("/probe"));
     start(call("/read", Duration.ofMillis(700)));
     next("/page");
     next("/read");
@@ -138,7 +146,7 @@
       next("/append").fail();
       next("/probe").fail();
       if (i == 0) {
-        next("/probe").reply().complete(new StoreReply(200, NO_CONTENT));
+        answer(next("/probe"));
       }
     }
     SentCall previous = next("/probe");
