Admit no request that may outlast a process that stops

Cause: a draining process decided by the time of arrival alone whether to forward a request, and closed whatever was open at its end. Ruled out: the HTTP library's stop, which the gateway doesn't use, and connections that close too early (the requests sent before the signal are all answered).

Change: DrainDeadline, set once the platform has noticed the stop. A request whose time limit ends after it is refused with 503 and a short Retry-After; the check comes when the body is complete. Requests that are open at the end are answered by the process itself: an event STOP in the chart of requests, and 503 or 504 for job requests. The entry role had the same fault and uses the same class; its long polls are admitted by their wait.

Why it works: after the deadline is set nothing is forwarded that could be open at the end, and what was forwarded before is answered before the process exits.

--- a/core/src/main/java/org/carobhoist/core/request/RequestAction.java
+++ b/core/src/main/java/org/carobhoist/core/request/RequestAction.java
@@ -24,6 +24,8 @@
   CANCEL_REMOTE,
   /** Record that the deadline has passed. */
   NOTE_DEADLINE,
+  /** Record that the process stops. */
+  NOTE_STOPPING,
   /** Record that the caller cancelled the request or disconnected. */
   NOTE_CANCELLED,
   /** Record that no endpoint was usable. */
--- a/core/src/main/java/org/carobhoist/core/request/RequestEvent.java
+++ b/core/src/main/java/org/carobhoist/core/request/RequestEvent.java
@@ -30,6 +30,8 @@
   GIVE_UP,
   /** The caller's deadline has passed. */
   DEADLINE,
+  /** The process stops and no longer waits for the response. */
+  STOP,
   /** The caller cancelled the request or disconnected. */
   CANCEL
 }
--- a/core/src/main/java/org/carobhoist/core/request/RequestStateMachine.java
+++ b/core/src/main/java/org/carobhoist/core/request/RequestStateMachine.java
@@ -93,6 +93,11 @@
     stateMachine.fire(RequestEvent.DEADLINE);
   }
 
+  /** Called when the process stops and no longer waits for the response. */
+  public void onStop() {
+    stateMachine.fire(RequestEvent.STOP);
+  }
+
   /** Called when the caller has cancelled the request or disconnected. */
   public void onCancel() {
     stateMachine.fire(RequestEvent.CANCEL);
@@ -121,6 +126,7 @@
       case ABORT -> port.abort(finalRefusal());
       case CANCEL_REMOTE -> port.cancel(endpoint, attempt);
       case NOTE_DEADLINE -> note(RefusalReason.DEADLINE, "the deadline has passed");
+      case NOTE_STOPPING -> note(RefusalReason.DRAINING, "the process stops before the response");
       case NOTE_CANCELLED -> note(RefusalReason.CANCELLED, "the caller has gone away");
       case NOTE_NO_ENDPOINT -> noteNoEndpoint();
     }
--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -1,13 +1,16 @@
 package org.carobhoist.it;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
@@ -386,6 +389,43 @@
     }
   }
 
+  @Test
+  void plannedStopAnswersRequestsThatOutlastIt() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      PlatformServerStandIn server = cluster.addServer("s-1", "app", false);
+      server.setResponseDelay(20_000);
+      cluster.store().publish(2, "non_idempotent", Duration.ofSeconds(10));
+      cluster.awaitReady("entry-1");
+      Map<String, CompletableFuture<Integer>> statuses = new ConcurrentHashMap<>();
+      final Runnable send =
+          () -> {
+            String id = "caller-" + statuses.size();
+            statuses.put(
+                id,
+                cluster
+                    .sendAsync("entry-1", HttpMethod.POST, BOOK, "/seat", "x", id)
+                    .handle((response, failure) -> failure == null ? response.status().code() : 0));
+          };
+      send.run();
+      cluster.await("a request runs", () -> server.runs().size() == 1);
+      cluster.process("entry-1").requestStop();
+      cluster.await(
+          "a request is refused",
+          () -> {
+            send.run();
+            return statuses.values().stream().anyMatch(s -> s.getNow(-1) == 503);
+          });
+      cluster.await(
+          "every request has an answer",
+          () -> statuses.values().stream().allMatch(CompletableFuture::isDone));
+      statuses.forEach(
+          (id, status) -> {
+            boolean ran = server.runs().contains(id + " from 1");
+            assertWithMessage(id).that(status.join()).isEqualTo(ran ? 502 : 503);
+          });
+    }
+  }
+
   /** Sends one request after the other until one fails, and records the id of that one. */
   private static CompletableFuture<Void> sendUntilFailure(
       GatewayCluster cluster, String client, int number, Set<String> failed) {
--- a/it/src/test/java/org/carobhoist/it/PlannedStopTest.java
+++ b/it/src/test/java/org/carobhoist/it/PlannedStopTest.java
@@ -2,8 +2,12 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import com.linecorp.armeria.client.WebClient;
 import java.nio.file.Path;
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.carobhoist.standin.PlainServiceStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -62,6 +66,36 @@
     assertThat(load.stop()).isEmpty();
   }
 
+  @Test
+  void plannedStopOfEntryRefusesRequestsThatMayOutlastIt() {
+    first.setDelay(Duration.ofSeconds(15));
+    second.setDelay(Duration.ofSeconds(15));
+    final CompletableFuture<Integer> running = send("60000");
+    TestCluster.await("a request runs", () -> first.runs().size() + second.runs().size() == 1);
+    cluster.process("entry-1").requestStop();
+    List<CompletableFuture<Integer>> late = new ArrayList<>();
+    TestCluster.await(
+        "a request is refused",
+        () -> {
+          late.add(send("600000"));
+          return late.stream().anyMatch(status -> status.getNow(0) == 503);
+        });
+    assertThat(running.isDone()).isFalse();
+    assertThat(running.join()).isEqualTo(200);
+  }
+
+  /** Sends a request to the first entry and returns the status of its response. */
+  private CompletableFuture<Integer> send(String deadlineMillis) {
+    return WebClient.of("h1c://" + cluster.http("entry-1").getAuthority())
+        .prepare()
+        .get("/v1/services/reservas/seat")
+        .header("carobhoist-deadline-ms", deadlineMillis)
+        .responseTimeoutMillis(60_000)
+        .execute()
+        .aggregate()
+        .thenApply(response -> response.status().code());
+  }
+
   @Test
   void leavingEndpointGetsNoNewRequests() throws Exception {
     LoadGenerator load = LoadGenerator.start(cluster, LOAD_THREADS, "entry-1", "entry-2");
--- a/server/src/main/java/org/carobhoist/server/entry/CallContext.java
+++ b/server/src/main/java/org/carobhoist/server/entry/CallContext.java
@@ -2,6 +2,7 @@
 
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Zone;
+import org.carobhoist.core.request.DrainDeadline;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.server.metrics.RequestMetrics;
@@ -19,6 +20,7 @@
  * @param budget the entry's retry budget
  * @param keyRouter routes requests that carry an idempotency key
  * @param metrics records the outcomes of the calls
+ * @param drain limits which calls are admitted while the entry drains
  */
 record CallContext(
     DecisionLoop loop,
@@ -29,4 +31,5 @@
     Router router,
     RetryBudget budget,
     KeyRouter keyRouter,
-    RequestMetrics metrics) {}
+    RequestMetrics metrics,
+    DrainDeadline drain) {}
--- a/server/src/main/java/org/carobhoist/server/entry/CallRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/entry/CallRoutes.java
@@ -89,7 +89,12 @@
       return;
     }
     try {
-      EntryCall.start(context, factory.create(http), out);
+      CallRequest request = factory.create(http);
+      if (context.drain().admits(request.deadline())) {
+        EntryCall.start(context, request, out);
+      } else {
+        Problems.write(out, id, EntryService.DRAINING);
+      }
     } catch (RefusedException e) {
       Problems.write(out, id, e.refusal());
     }
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -55,6 +55,7 @@
   private final PromptPrefix prefix;
   private final Duration expiry;
   private Runnable cancelTimer = () -> {};
+  private Runnable removeFromDrain = () -> {};
   private Optional<RequestKey> key;
   private ResponseFrameValidator responseFrames = ResponseFrameValidator.create();
   private CallHead head;
@@ -116,6 +117,7 @@
             context.loop());
     Duration remaining = call.expiry.minus(context.clock().elapsed());
     call.cancelTimer = context.loop().after(remaining, call.run::onDeadline);
+    call.removeFromDrain = context.drain().add(call.run::onStop);
     call.run.start();
   }
 
@@ -221,6 +223,7 @@
 
   private void endCall(Verdict verdict) {
     cancelTimer.run();
+    removeFromDrain.run();
     release();
     Duration start = expiry.minus(request.deadline());
     Duration duration = context.clock().elapsed().minus(start);
--- a/server/src/main/java/org/carobhoist/server/entry/EntryService.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryService.java
@@ -17,6 +17,7 @@
 import org.carobhoist.core.common.RefusalReason;
 import org.carobhoist.core.common.RequestId;
 import org.carobhoist.core.profile.ConfigSyncPolicy;
+import org.carobhoist.core.request.DrainDeadline;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.core.routing.RouterPolicy;
@@ -59,6 +60,10 @@
   /** Time for the responses to requests accepted just before the entry began to refuse them. */
   private static final Duration LAST_RESPONSES_TIME_LIMIT = Duration.ofSeconds(5);
 
+  /** Refusal of requests that this entry, which drains, might not answer before it ends. */
+  static final Refusal DRAINING =
+      Refusal.notRun(RefusalReason.DRAINING, "the entry stops; another one serves");
+
   private final InstanceSettings settings;
   private final Incarnation incarnation = new Incarnation(UUID.randomUUID().toString());
   private final DecisionLoop loop = DecisionLoop.create("entry");
@@ -96,7 +101,8 @@
             RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST),
             new KeyRouter(clock, links, platform, new SecureRandom()),
             RequestMetrics.create(
-                metrics, service -> !links.directory().viewsOf(service).isEmpty()));
+                metrics, service -> !links.directory().viewsOf(service).isEmpty()),
+            DrainDeadline.create(clock));
     this.weights = new WeightRoutes(platform, loop);
     config.addRecordListener(weights);
     this.steps = new StepTable(context, random.split(), config.fold()::profileOrLast);
@@ -132,9 +138,10 @@
 
   /**
    * Shuts down gracefully: reports that it is not ready, waits until the load balancer has noticed,
-   * waits for the requests in flight, then stops. Requests that arrive while it drains are served,
-   * and their connections are closed after the response. Requests that arrive at the very end are
-   * refused, because stopping the HTTP server would break them off.
+   * waits for the requests in flight, then stops. Requests that arrive while it drains are served
+   * if they are certain to end before it does, and their connections are closed after the response.
+   * Others, and those that arrive at the very end, are refused, because stopping the HTTP server
+   * would break them off. Requests without a response at the end get one from this entry.
    */
   @Override
   public CompletableFuture<Void> stop() {
@@ -143,15 +150,21 @@
     CompletableFuture<Void> balancerNoticed = new CompletableFuture<>();
     loop.after(READINESS_NOTICE_TIME, () -> balancerNoticed.complete(null));
     return balancerNoticed
+        .thenRun(() -> context.drain().startIn(DRAIN_LIMIT.plus(LAST_RESPONSES_TIME_LIMIT)))
         .thenCompose(ok -> tracker.awaitIdle(loop, context.clock(), DRAIN_LIMIT, () -> true))
         .thenRun(tracker::refuseNewRequests)
-        .thenCompose(
-            ok -> tracker.awaitIdle(loop, context.clock(), LAST_RESPONSES_TIME_LIMIT, () -> true))
+        .thenCompose(ok -> awaitLastResponses())
+        .thenRun(context.drain()::answerOpenRequests)
+        .thenCompose(ok -> awaitLastResponses())
         .thenCompose(ok -> http.stop())
         .thenCompose(ok -> network.stop())
         .thenCompose(ok -> loop.stop());
   }
 
+  private CompletableFuture<Void> awaitLastResponses() {
+    return tracker.awaitIdle(loop, context.clock(), LAST_RESPONSES_TIME_LIMIT, () -> true);
+  }
+
   private Hello hello() {
     return Hello.newBuilder()
         .setInstance(settings.id().value())
@@ -183,9 +196,7 @@
   }
 
   private static HttpResponse refuse() {
-    RequestId id = new RequestId(UUID.randomUUID().toString());
-    return Problems.response(
-        id, Refusal.notRun(RefusalReason.DRAINING, "the entry stops; another one serves"));
+    return Problems.response(new RequestId(UUID.randomUUID().toString()), DRAINING);
   }
 
   private boolean isReady() {
--- a/server/src/main/java/org/carobhoist/server/entry/StepRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/entry/StepRoutes.java
@@ -75,6 +75,9 @@
   private CompletableFuture<HttpResponse> awaitPage(
       Profile profile, StepRequest request, Duration wait) {
     Duration bounded = wait.compareTo(MAX_WAIT) > 0 ? MAX_WAIT : wait;
+    if (!context.drain().admits(bounded)) {
+      return refuse(EntryService.DRAINING.reason(), EntryService.DRAINING.detail());
+    }
     return steps.request(profile, request, bounded).thenApply(this::toResponse);
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/ForwardContext.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ForwardContext.java
@@ -8,6 +8,7 @@
 import org.carobhoist.core.limit.BufferBudget;
 import org.carobhoist.core.membership.EndpointDirectory;
 import org.carobhoist.core.membership.RegisteredServers;
+import org.carobhoist.core.request.DrainDeadline;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.platform.CallHeaders;
@@ -26,7 +27,8 @@
     RetryBudget budget,
     UpstreamClients upstreams,
     BufferBudget buffers,
-    RequestMetrics metrics) {
+    RequestMetrics metrics,
+    DrainDeadline drain) {
 
   /** Records the load and the shutdown notice that a server reports in its response headers. */
   void onResponseHeaders(InstanceId endpoint, ResponseHeaders head) {
--- a/server/src/main/java/org/carobhoist/server/gateway/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ForwardedCall.java
@@ -7,6 +7,7 @@
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.HttpResponseWriter;
+import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -62,6 +63,7 @@
   private Attempt current;
   private Attempt completeAttempt;
   private Runnable cancelDeadline = () -> {};
+  private Runnable removeFromDrain = () -> {};
 
   private ForwardedCall(
       ForwardContext context, Route route, AggregatedHttpRequest request, HttpResponseWriter out) {
@@ -72,12 +74,16 @@
     this.out = out;
     this.id = CallHeaders.requestId(request.headers());
     this.startedAt = context.clock().elapsed();
-    Duration timeLimit = CallHeaders.deadline(request.headers()).orElse(route.timeout());
-    this.deadline = startedAt.plus(min(timeLimit, route.timeout()));
+    this.deadline = startedAt.plus(timeLimit(route, request.headers()));
     this.stateMachine =
         RequestStateMachine.create(this, route.retry(), context.budget(), route.isIdempotent());
   }
 
+  /** Returns the time until the client has its answer at the latest. */
+  static Duration timeLimit(Route route, RequestHeaders headers) {
+    return min(CallHeaders.deadline(headers).orElse(route.timeout()), route.timeout());
+  }
+
   /** Starts a call whose response is written to {@code out}. */
   static void start(
       ForwardContext context, Route route, AggregatedHttpRequest request, HttpResponseWriter out) {
@@ -90,6 +96,7 @@
             });
     out.whenComplete().whenComplete((ok, gone) -> context.loop().execute(call::release));
     call.cancelDeadline = context.loop().after(call.timeLeft(), call.stateMachine::onDeadline);
+    call.removeFromDrain = context.drain().add(call.stateMachine::onStop);
     call.stateMachine.start();
   }
 
@@ -187,6 +194,7 @@
 
   private void recordEnd(Verdict verdict, String reason) {
     cancelDeadline.run();
+    removeFromDrain.run();
     Duration duration = context.clock().elapsed().minus(startedAt);
     context.metrics().onEnd(service, verdict, duration);
     EventLog.info(
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -31,6 +31,7 @@
 import org.carobhoist.core.manifest.ManifestHolder;
 import org.carobhoist.core.membership.EndpointDirectory;
 import org.carobhoist.core.membership.RegisteredServers;
+import org.carobhoist.core.request.DrainDeadline;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.reward.RewardCallScheduler;
 import org.carobhoist.core.reward.RewardPolicy;
@@ -147,12 +148,6 @@
 
   private static final int UNAVAILABLE = 503;
 
-  /**
-   * Retry delay sent with requests that are refused at the end of the shutdown; other processes can
-   * serve them immediately.
-   */
-  private static final Duration RETRY_AFTER = Duration.ofMillis(50);
-
   /** Time for forwarded requests to finish after new ones are refused. */
   private static final Duration LAST_RESPONSES_TIME = Duration.ofMillis(900);
 
@@ -171,6 +166,7 @@
   private final EndpointDirectory directory = EndpointDirectory.create();
   private final JobRecordCodec codec = new ProtobufJobRecordCodec();
   private final ProcessMetrics metrics = ProcessMetrics.create(loop);
+  private final DrainDeadline drainDeadline = DrainDeadline.create(clock);
   private final RequestTracker traffic =
       RequestTracker.create(() -> this.draining, GatewayService::refuse);
   private final UpstreamClients upstreams = new UpstreamClients(clients);
@@ -350,9 +346,11 @@
   /**
    * Drains this process: releases the lease, reports not ready, lets runs and requests finish
    * within the grace period, hands the remaining runs back to the coordinator, and deletes its
-   * record. The last requests are refused instead of forwarded, so that a request that arrives
-   * while the process exits is known not to have run. The HTTP servers are not stopped, because the
-   * library would abort requests in flight after its own quiet period; they end with the process.
+   * record. Once the platform has noticed that it isn't ready, requests that might run beyond the
+   * grace period are refused instead of forwarded, so that they are known not to have run. Requests
+   * without a response at the end get one from this process. The HTTP servers are not stopped,
+   * because the library would abort requests in flight after its own quiet period; they end with
+   * the process.
    */
   @Override
   public CompletableFuture<Void> stop() {
@@ -367,17 +365,23 @@
           loop.after(READINESS_NOTICE_TIME, () -> noticed.complete(null));
         });
     return noticed
+        .thenRun(() -> drainDeadline.startIn(time.plus(LAST_RESPONSES_TIME)))
         .thenCompose(ok -> traffic.awaitIdle(loop, clock, time, () -> !runner.isBusy()))
         .thenCompose(ok -> endLastRequests())
         .thenCompose(ok -> unregister())
         .thenCompose(ok -> network.stop());
   }
 
-  /** Refuses new requests and waits for the responses to those already forwarded. */
+  /**
+   * Refuses new requests, waits for the responses to those already forwarded, and answers those
+   * that have none by then.
+   */
   private CompletableFuture<Void> endLastRequests() {
     traffic.refuseNewRequests();
     runner.stop();
-    return traffic.awaitIdle(loop, clock, LAST_RESPONSES_TIME, () -> true);
+    return traffic
+        .awaitIdle(loop, clock, LAST_RESPONSES_TIME, () -> true)
+        .thenRun(drainDeadline::answerOpenRequests);
   }
 
   /**
@@ -439,7 +443,8 @@
         RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST),
         upstreams,
         BufferBudget.create(RESPONSE_BUFFER_BYTES),
-        RequestMetrics.create(metrics, s -> !directory.viewsOf(s).isEmpty()));
+        RequestMetrics.create(metrics, s -> !directory.viewsOf(s).isEmpty()),
+        drainDeadline);
   }
 
   private Server httpServer() {
@@ -516,7 +521,9 @@
 
   private static HttpResponse refuse(HttpRequest request) {
     String id = CallHeaders.requestId(request.headers());
-    return HttpResponse.of(CallHeaders.localResponse(UNAVAILABLE, id, Optional.of(RETRY_AFTER)));
+    return HttpResponse.of(
+        CallHeaders.localResponse(
+            UNAVAILABLE, id, Optional.of(IngressRoutes.DRAINING_RETRY_AFTER)));
   }
 
   private static SocketAddressText addressText(InetSocketAddress address) {
--- a/server/src/main/java/org/carobhoist/server/gateway/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/IngressRoutes.java
@@ -34,6 +34,7 @@
   private static final int BODY_TOO_LARGE = 413;
   private static final int HEADERS_TOO_LARGE = 431;
   private static final int UNAVAILABLE = 503;
+  private static final int TIMEOUT = 504;
 
   private static final String TOO_LARGE = "larger than the manifest's limit";
 
@@ -45,6 +46,9 @@
 
   private static final Duration RETRY_AFTER = Duration.ofMillis(300);
 
+  /** Retry delay while this process drains; other processes can serve the request immediately. */
+  static final Duration DRAINING_RETRY_AFTER = Duration.ofMillis(50);
+
   private final ManifestHolder manifests;
   private final ForwardContext context;
   private final JobRequestHandler jobs;
@@ -95,7 +99,7 @@
 
   private static HttpResponse tooLarge(RequestHeaders headers, int status) {
     String id = CallHeaders.requestId(headers);
-    EventLog.info(LogEvent.CALL_REFUSED, "request", id, "status", status, "why", TOO_LARGE);
+    logRefused(id, status, TOO_LARGE);
     return localResponse(status, id);
   }
 
@@ -115,11 +119,14 @@
     if (call instanceof IngressCall.Routed) {
       route(ctx, http, out);
     } else if (call instanceof IngressCall.ReadResults r) {
-      answer(jobs.results(r.job(), r.from(), r.maxWait()), out);
+      answer(jobs.results(r.job(), r.from(), r.maxWait()), out, UNAVAILABLE);
     } else if (call instanceof IngressCall.ReadItem r) {
-      answer(jobs.item(r.job(), r.item()), out);
+      answer(jobs.item(r.job(), r.item()), out, UNAVAILABLE);
     } else if (call instanceof IngressCall.EndJob e) {
-      answer(jobs.end(e.job(), timeLimit(http.headers())), out);
+      Duration timeLimit = timeLimit(http.headers());
+      if (admit(CallHeaders.requestId(http.headers()), timeLimit, out)) {
+        answer(jobs.end(e.job(), timeLimit), out, TIMEOUT);
+      }
     }
   }
 
@@ -137,16 +144,43 @@
     } else if (id.isEmpty()) {
       refuse(out, id, BAD_REQUEST, "the request has no id");
     } else if (route.get().kind() == RouteKind.JOBS) {
-      byte[] body = http.content().array();
-      answer(jobs.submit(route.get(), id, body, timeLimit(http.headers())), out);
-    } else {
+      Duration timeLimit = timeLimit(http.headers());
+      if (admit(id, timeLimit, out)) {
+        answer(jobs.submit(route.get(), id, http.content().array(), timeLimit), out, TIMEOUT);
+      }
+    } else if (admit(id, ForwardedCall.timeLimit(route.get(), http.headers()), out)) {
       ForwardedCall.start(context, route.get(), http, out);
     }
   }
 
-  private void answer(CompletableFuture<AggregatedHttpResponse> response, HttpResponseWriter out) {
+  /** Refuses a request that this process, which drains, might not answer before it ends. */
+  private boolean admit(String id, Duration timeLimit, HttpResponseWriter out) {
+    if (context.drain().admits(timeLimit)) {
+      return true;
+    }
+    logRefused(id, UNAVAILABLE, "the process stops before the request's time limit");
+    out.write(CallHeaders.localResponse(UNAVAILABLE, id, Optional.of(DRAINING_RETRY_AFTER)));
+    out.close();
+    return false;
+  }
+
+  /**
+   * Writes a response when it is available.
+   *
+   * @param statusAtStop status of the response if the process stops before
+   */
+  private void answer(
+      CompletableFuture<AggregatedHttpResponse> response,
+      HttpResponseWriter out,
+      int statusAtStop) {
+    Runnable answered =
+        context.drain().add(() -> refuse(out, "", statusAtStop, "the process stops"));
     response.whenCompleteAsync(
         (http, failure) -> {
+          answered.run();
+          if (!out.isOpen()) {
+            return;
+          }
           if (failure != null) {
             EventLog.error(LogEvent.DECISION_FAILED, failure);
             out.close(failure);
@@ -166,12 +200,16 @@
   }
 
   private static void refuse(HttpResponseWriter out, String id, int status, String reason) {
-    EventLog.info(LogEvent.CALL_REFUSED, "request", id, "status", status, "why", reason);
+    logRefused(id, status, reason);
     Optional<Duration> after = status == UNAVAILABLE ? Optional.of(RETRY_AFTER) : Optional.empty();
     out.write(CallHeaders.localResponse(status, id, after));
     out.close();
   }
 
+  private static void logRefused(String id, int status, String reason) {
+    EventLog.info(LogEvent.CALL_REFUSED, "request", id, "status", status, "why", reason);
+  }
+
   private static HttpResponse localResponse(int status, String id) {
     return HttpResponse.of(CallHeaders.localResponse(status, id, Optional.empty()));
   }
--- a/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
@@ -1,5 +1,6 @@
 package org.carobhoist.standin;
 
+import java.time.Duration;
 import java.util.Arrays;
 import java.util.stream.Collectors;
 
@@ -15,6 +16,8 @@
   /** Maximum size of a request body that the manifest allows. */
   public static final int MAX_BODY_BYTES = 2_000_000;
 
+  private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(3);
+
   private static final String MANIFEST =
       "{\"version\":VERSION,\"routes\":["
           + "{\"name\":\"jobs\",\"host\":\"jobs.example\",\"path_prefix\":\"/\","
@@ -22,7 +25,7 @@
           + "\"timeout_ms\":10000,\"service\":\"lm\",\"max_attempts\":2,\"retention_s\":40,"
           + "\"deadline_ms\":7500},"
           + "{\"name\":\"book\",\"host\":\"book.example\",\"path_prefix\":\"/\",\"kind\":\"KIND\","
-          + "\"timeout_ms\":3000,\"service\":\"app\",\"max_attempts\":2}],"
+          + "\"timeout_ms\":TIMEOUT,\"service\":\"app\",\"max_attempts\":2}],"
           + "\"services\":[{\"name\":\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":8,"
           + "\"kv_cache_tokens\":100000,\"stride\":1,"
           + "\"models\":[{\"name\":\"m0\"},{\"name\":\"m1\"}]}}],"
@@ -39,7 +42,19 @@
    * @param kind the kind of the route for bookings
    */
   public static String manifest(long version, String kind) {
-    return MANIFEST.replace("VERSION", Long.toString(version)).replace("KIND", kind);
+    return manifest(version, kind, DEFAULT_TIMEOUT);
+  }
+
+  /**
+   * Returns a manifest as {@link #manifest(long, String)} does.
+   *
+   * @param timeout timeout of the route for bookings
+   */
+  public static String manifest(long version, String kind, Duration timeout) {
+    return MANIFEST
+        .replace("VERSION", Long.toString(version))
+        .replace("KIND", kind)
+        .replace("TIMEOUT", Long.toString(timeout.toMillis()));
   }
 
   /** Returns a job of items with the given ids for the model "m0". */
--- a/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
@@ -12,6 +12,7 @@
 import java.net.URI;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Base64;
@@ -92,7 +93,12 @@
     append(topic + "/0", List.of(record(key, value.getBytes(StandardCharsets.UTF_8))));
   }
 
-  /** Publishes a manifest; see {@link PlatformDocuments#manifest}. */
+  /** Publishes a manifest; see {@link PlatformDocuments#manifest(long, String, Duration)}. */
+  public void publish(long version, String kind, Duration timeout) {
+    put("keyed.op", "config", PlatformDocuments.manifest(version, kind, timeout));
+  }
+
+  /** Publishes a manifest; see {@link PlatformDocuments#manifest(long, String)}. */
   public void publish(long version, String kind) {
     put("keyed.op", "config", PlatformDocuments.manifest(version, kind));
   }
