Keep HTTP/2 connections open until their requests end in a planned stop

Cause: RequestTracker shuts the connection down with each request while the process drains. For HTTP/2 the HTTP library then sends GOAWAY and closes the connection at the end of its drain time (1 s by default), with streams still open. Traced by a test with 15 s of work: each request failed 2.0 s after the request that began the shutdown of its connection. Ruled out: the entry's own end (its process went on) and the client's time limit (60 s). HTTP/1 connections aren't affected: the same test passes on them.

Change: for HTTP/2 the drain time is longer than any stop.

Before: plannedStopOfEntryAbortsNoRequestOfHttp2Connection failed with ClosedSessionException. After: it passes, as do the rest of PlannedStopTest and RequestTrackerTest.

Why it works: GOAWAY still sends new streams elsewhere, but the library no longer ends the open ones; the entry waits for them, and answers what is left at the end of its drain.

--- a/it/src/test/java/org/carobhoist/it/PlannedStopTest.java
+++ b/it/src/test/java/org/carobhoist/it/PlannedStopTest.java
@@ -70,23 +70,35 @@
   void plannedStopOfEntryRefusesRequestsThatMayOutlastIt() {
     first.setDelay(Duration.ofSeconds(15));
     second.setDelay(Duration.ofSeconds(15));
-    final CompletableFuture<Integer> running = send("60000");
+    final CompletableFuture<Integer> running = send("h1c", "60000");
     TestCluster.await("a request runs", () -> first.runs().size() + second.runs().size() == 1);
     cluster.process("entry-1").requestStop();
     List<CompletableFuture<Integer>> late = new ArrayList<>();
     TestCluster.await(
         "a request is refused",
         () -> {
-          late.add(send("600000"));
+          late.add(send("h1c", "600000"));
           return late.stream().anyMatch(status -> status.getNow(0) == 503);
         });
     assertThat(running.isDone()).isFalse();
     assertThat(running.join()).isEqualTo(200);
   }
 
+  @Test
+  void plannedStopOfEntryAbortsNoRequestOfHttp2Connection() {
+    first.setDelay(Duration.ofSeconds(4));
+    second.setDelay(Duration.ofSeconds(4));
+    CompletableFuture<Integer> early = send("h2c", "60000");
+    TestCluster.await("a request runs", () -> first.runs().size() + second.runs().size() == 1);
+    cluster.process("entry-1").requestStop();
+    TestCluster.await("the entry drains", () -> !TestCluster.isReady(cluster.http("entry-1")));
+    assertThat(send("h2c", "60000").join()).isEqualTo(200);
+    assertThat(early.join()).isEqualTo(200);
+  }
+
   /** Sends a request to the first entry and returns the status of its response. */
-  private CompletableFuture<Integer> send(String deadlineMillis) {
-    return WebClient.of("h1c://" + cluster.http("entry-1").getAuthority())
+  private CompletableFuture<Integer> send(String protocol, String deadlineMillis) {
+    return WebClient.of(protocol + "://" + cluster.http("entry-1").getAuthority())
         .prepare()
         .get("/v1/services/reservas/seat")
         .header("carobhoist-deadline-ms", deadlineMillis)
--- a/server/src/main/java/org/carobhoist/server/runtime/RequestTracker.java
+++ b/server/src/main/java/org/carobhoist/server/runtime/RequestTracker.java
@@ -22,6 +22,12 @@
   /** Interval between two checks whether requests are still in flight. */
   private static final Duration IDLE_CHECK_PERIOD = Duration.ofMillis(200);
 
+  /**
+   * Time until an HTTP/2 connection closes after the client was told to open no more streams. The
+   * library then aborts the open streams, so it is longer than any stop.
+   */
+  private static final Duration MULTIPLEX_DRAIN_TIME = Duration.ofMinutes(10);
+
   private final AtomicInteger inFlight = new AtomicInteger();
   private final BooleanSupplier draining;
   private final Function<HttpRequest, HttpResponse> refusal;
@@ -48,7 +54,7 @@
   public HttpResponse serve(HttpService next, ServiceRequestContext ctx, HttpRequest req)
       throws Exception {
     if (draining.getAsBoolean()) {
-      ctx.initiateConnectionShutdown();
+      closeConnectionAfterResponse(ctx);
     }
     if (refusing) {
       return refusal.apply(req);
@@ -58,6 +64,14 @@
     return next.serve(ctx, req);
   }
 
+  private static void closeConnectionAfterResponse(ServiceRequestContext ctx) {
+    if (ctx.sessionProtocol().isMultiplex()) {
+      ctx.initiateConnectionShutdown(MULTIPLEX_DRAIN_TIME);
+    } else {
+      ctx.initiateConnectionShutdown();
+    }
+  }
+
   /** Refuses all requests that arrive from now on. */
   public void refuseNewRequests() {
     refusing = true;
