Keep texts that need a single weight version free of others

Cause, traced in the record of the case: the order of a run named a required version only if the text had events already, so a run without a prefix accepted a change in its middle; and loads were ordered (retain) without regard to such runs. Ruled out: texts joined from two runs (one run an item in the record) and reused results (checked by ItemResult.fits).

Change: the message that starts a run says whether the text needs a single version, and the runner ends the run at the first event of another one. An engine with such runs loads when they have ended; meanwhile it gets no new ones. The mode wait wasn't used: it would also stop items that may change versions.

Why it works: the check stands where events are added to a text, so no other way to change an engine's weights can put a second version into it; the hold on loads only saves the work.

--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -149,6 +149,11 @@
         .orElse(Duration.ZERO);
   }
 
+  /** Returns the number of an engine's runs of a model that a load would break off. */
+  public int singleVersionRunCountAt(InstanceId engine, String model) {
+    return (int) runsOf(engine, model).filter(JobCoordinator::needsSingleVersion).count();
+  }
+
   private Stream<ItemState> runsOf(InstanceId engine, String model) {
     EngineLoad load = engines.get(engine);
     return load == null
@@ -247,8 +252,7 @@
   private static boolean isImprovedBy(ItemState state, RunText stored) {
     return state.phase() == Phase.WAITING
         && stored.eventCount() > state.text().eventCount()
-        && stored.fits(
-            state.job().content().minVersion(), state.job().head().rules().singleVersion());
+        && stored.fits(state.job().content().minVersion(), needsSingleVersion(state));
   }
 
   /** Called when a runner can't be reached any more; its items are placed again. */
@@ -576,7 +580,13 @@
 
   private boolean isInRotation(ItemState state, EngineLoad e) {
     InstanceId engine = e.entry().announcement().instance();
-    return port.isInRotation(engine, state.job().content().model());
+    String model = state.job().content().model();
+    return port.isInRotation(engine, model)
+        && !(needsSingleVersion(state) && port.awaitsLoad(engine, model));
+  }
+
+  private static boolean needsSingleVersion(ItemState state) {
+    return state.job().head().rules().singleVersion();
   }
 
   private static boolean hasVersion(ItemState state, EngineLoad e) {
@@ -591,7 +601,7 @@
    * per text and the text already has events.
    */
   private static Optional<WeightVersion> requiredVersion(ItemState state) {
-    if (!state.job().head().rules().singleVersion()) {
+    if (!needsSingleVersion(state)) {
       return Optional.empty();
     }
     return state.text().versions().stream().findFirst();
@@ -615,6 +625,7 @@
             state.text().toDelta(),
             state.job().content().minVersion(),
             requiredVersion(state),
+            needsSingleVersion(state),
             Duration.between(wallTime, end));
     port.logDecision(
         Decision.PLACED,
--- a/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
+++ b/core/src/main/java/org/carobhoist/core/placement/PlacementPort.java
@@ -38,6 +38,12 @@
    */
   boolean isInRotation(InstanceId engine, String model);
 
+  /**
+   * Returns whether an engine is about to load another version of a model, as soon as its runs that
+   * need a single version have ended.
+   */
+  boolean awaitsLoad(InstanceId engine, String model);
+
   /** Returns the runners that are reachable and not shutting down. */
   Collection<Runner> runners();
 
--- a/core/src/main/java/org/carobhoist/core/placement/RunOrder.java
+++ b/core/src/main/java/org/carobhoist/core/placement/RunOrder.java
@@ -19,6 +19,7 @@
  * @param prefix the text generated so far, which the run continues
  * @param minVersion the oldest weight version allowed
  * @param requiredVersion the only weight version allowed, if the run is bound to one
+ * @param singleVersion whether all events of the text must have the same weight version
  * @param timeLeft time left until the item may be given up
  */
 public record RunOrder(
@@ -31,4 +32,5 @@
     TextDelta prefix,
     WeightVersion minVersion,
     Optional<WeightVersion> requiredVersion,
+    boolean singleVersion,
     Duration timeLeft) {}
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorTest.java
@@ -62,10 +62,12 @@
           service -> Optional.of(new EngineSpec(2, 100_000, 10, List.of("m"))));
   private List<JobItem> items = List.of();
   private WeightVersion minVersion = V6;
+  private boolean singleVersion;
 
   private static final class FakePort implements PlacementPort {
     private final List<ServerEntry> engines = new ArrayList<>();
     private final Set<InstanceId> loading = new HashSet<>();
+    private final Set<InstanceId> awaitingLoad = new HashSet<>();
     private final List<RunOrder> started = new ArrayList<>();
     private final List<InstanceId> assignedRunners = new ArrayList<>();
     private final List<Long> cancelled = new ArrayList<>();
@@ -89,6 +91,11 @@
       return !loading.contains(engine);
     }
 
+    @Override
+    public boolean awaitsLoad(InstanceId engine, String model) {
+      return awaitingLoad.contains(engine);
+    }
+
     @Override
     public Collection<Runner> runners() {
       return runners;
@@ -200,7 +207,7 @@
             "a.example",
             "jobs",
             clock.now(),
-            new JobRules(Duration.ofSeconds(7), Duration.ofSeconds(40), false),
+            new JobRules(Duration.ofSeconds(7), Duration.ofSeconds(40), singleVersion),
             3,
             jobItems.length);
     heads.put(head.id(), head);
@@ -391,6 +398,25 @@
     assertThat(port.last().engine().value()).isEqualTo("old");
   }
 
+  @Test
+  void singleVersionItemIsNotPlacedAtEngineThatAwaitsLoad() {
+    addEngine("e1", V6);
+    port.awaitingLoad.add(new InstanceId("e1"));
+    activate();
+    submit("j1", item("i1", 5));
+    advance(50);
+    assertThat(port.last().item().id()).isEqualTo(new ItemId("i1"));
+    assertThat(port.last().singleVersion()).isFalse();
+    singleVersion = true;
+    submit("j2", item("i2", 5));
+    advance(50);
+    assertThat(port.started).hasSize(1);
+    port.awaitingLoad.clear();
+    advance(50);
+    assertThat(port.last().item().id()).isEqualTo(new ItemId("i2"));
+    assertThat(port.last().singleVersion()).isTrue();
+  }
+
   @Test
   void logsWaitCausesOncePerSecond() {
     addEngine("old", new WeightVersion(5));
--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -33,6 +33,7 @@
 final class GatewayTest {
 
   private static final String JOBS = PlatformDocuments.JOBS_HOST;
+  private static final String SINGLE = PlatformDocuments.SINGLE_VERSION_HOST;
   private static final String BOOK = PlatformDocuments.BOOKINGS_HOST;
 
   @TempDir private Path folder;
@@ -472,6 +473,44 @@
     }
   }
 
+  @Test
+  void newVersionIsNotLoadedInTheMiddleOfSingleVersionTexts() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      final PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
+      engine.setEvents(60, 50);
+      cluster.awaitReady("entry-1");
+      cluster.post("entry-1", SINGLE, "/j", PlatformDocuments.job(1, "a", "b"), "j1");
+      cluster.await("both items run", () -> engine.runs().size() == 2);
+      cluster.store().publishWeightVersion("m0", 2);
+      cluster.post("entry-1", SINGLE, "/j", PlatformDocuments.job(2, "c"), "j2");
+      awaitListed(cluster, "entry-1", "j1", 2);
+      awaitListed(cluster, "entry-1", "j2", 1);
+      assertThat(results(cluster, "entry-1", "j1")).doesNotContain("\"versions\":[1,2]");
+      assertThat(results(cluster, "entry-1", "j2")).contains("\"versions\":[2]");
+      // Neither item of the first job began again.
+      assertThat(engine.runs()).containsExactly("a from 1", "b from 1", "c from 1");
+    }
+  }
+
+  @Test
+  void textOfSingleVersionContinuesElsewhereIfItsEngineChangesVersion() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      final PlatformServerStandIn first = cluster.addServer("e-1", "lm", true);
+      final PlatformServerStandIn second = cluster.addServer("e-2", "lm", true);
+      first.setEvents(100, 30);
+      second.setEvents(100, 30);
+      cluster.awaitReady("entry-1");
+      cluster.post("entry-1", SINGLE, "/j", PlatformDocuments.job(1, "a"), "j1");
+      cluster.await(
+          "the item has events", () -> first.lastSentEvent("a") + second.lastSentEvent("a") > 5);
+      PlatformServerStandIn changed = first.lastSentEvent("a") > 0 ? first : second;
+      changed.setVersion("m0", 2);
+      awaitListed(cluster, "entry-1", "j1", 1);
+      assertThat(results(cluster, "entry-1", "j1")).contains("\"versions\":[1]");
+      assertThat(first.runs().size() + second.runs().size()).isEqualTo(2);
+    }
+  }
+
   @Test
   void versionsOfEveryModelAreLoaded() throws IOException {
     try (GatewayCluster cluster = cluster()) {
--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorRole.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/CoordinatorRole.java
@@ -340,6 +340,11 @@
     return weights.isInRotation(engine, model);
   }
 
+  @Override
+  public boolean awaitsLoad(InstanceId engine, String model) {
+    return weights.awaitsLoad(engine, model);
+  }
+
   @Override
   public Collection<Runner> runners() {
     List<Runner> out = new ArrayList<>();
--- a/server/src/main/java/org/carobhoist/server/gateway/EngineWeightManager.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/EngineWeightManager.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -60,6 +61,7 @@
   private final Map<String, WeightVersion> newestVersions = new HashMap<>();
   private final LoadScheduler loadScheduler =
       LoadScheduler.create(MIN_CONCURRENT_LOADS, CONCURRENT_LOAD_FRACTION, SHORT_RUN_TIME);
+  private final Set<EngineSwap> awaitingRunEnds = new HashSet<>();
   private long fencedTerm = -1;
 
   /** Services that the rest of the process provides. */
@@ -68,6 +70,9 @@
     /** Returns the number of runs of a model on an engine. */
     int runCountAt(InstanceId engine, String model);
 
+    /** Returns the number of runs of a model on an engine that need a single version. */
+    int singleVersionRunCountAt(InstanceId engine, String model);
+
     /** Returns the longest expected remaining time of the runs of a model on an engine. */
     Duration longestRemainingTimeAt(InstanceId engine, String model);
 
@@ -174,6 +179,7 @@
 
   /** Advances all swaps; must be called several times a second while this process coordinates. */
   void tick() {
+    awaitingRunEnds.clear();
     swaps().forEach(EngineSwap::tick);
   }
 
@@ -187,8 +193,31 @@
     return engine == null || !(model.isEmpty() ? engine.isLoading() : engine.isLoading(model));
   }
 
-  /** Returns whether a swap may order its engine to load now. */
+  /**
+   * Returns whether an engine loads another version of a model as soon as its runs that need a
+   * single version have ended.
+   */
+  boolean awaitsLoad(InstanceId id, String model) {
+    EngineClient engine = engines.get(id);
+    return engine != null && awaitingRunEnds.contains(engine.swaps().get(model));
+  }
+
+  /**
+   * Returns whether a swap may order its engine to load now. Runs that need a single version end
+   * first, because the engine would continue them with the new weights.
+   */
   boolean mayLoad(EngineSwap swap) {
+    if (!isNextToLoad(swap)) {
+      return false;
+    }
+    if (environment.singleVersionRunCountAt(swap.engine().id(), swap.model()) > 0) {
+      awaitingRunEnds.add(swap);
+      return false;
+    }
+    return true;
+  }
+
+  private boolean isNextToLoad(EngineSwap swap) {
     if (!lease.mayIssueOrders() || lease.term() == fencedTerm || swap.engine().isLoading()) {
       return false;
     }
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -599,6 +599,11 @@
       return coordinator.jobs().runCountAt(engine, model);
     }
 
+    @Override
+    public int singleVersionRunCountAt(InstanceId engine, String model) {
+      return coordinator.jobs().singleVersionRunCountAt(engine, model);
+    }
+
     @Override
     public Duration longestRemainingTimeAt(InstanceId engine, String model) {
       return coordinator.jobs().longestRemainingTimeAt(engine, model);
--- a/server/src/main/java/org/carobhoist/server/gateway/ItemRun.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ItemRun.java
@@ -215,7 +215,9 @@
     boolean recentEnough = version.compareTo(order.minVersion()) >= 0;
     boolean allowed =
         order.requiredVersion().isEmpty() || order.requiredVersion().get().equals(version);
-    if (versionKnown && recentEnough && allowed) {
+    boolean unchanged =
+        !order.singleVersion() || text.versions().stream().allMatch(version::equals);
+    if (unchanged && versionKnown && recentEnough && allowed) {
       return true;
     }
     end(RunOutcome.MISPLACED, "the engine has an unsuitable weight version: " + version);
--- a/server/src/main/java/org/carobhoist/server/gateway/RunMapper.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/RunMapper.java
@@ -38,6 +38,7 @@
             .setPrefix(textMessage(order.prefix()))
             .setMinVersion(order.minVersion().number())
             .setOnlyVersion(order.requiredVersion().map(WeightVersion::number).orElse(0L))
+            .setSingleVersion(order.singleVersion())
             .setHost(order.host())
             .setPath(order.item().path())
             .setContent(ByteString.copyFrom(order.item().body()))
@@ -74,6 +75,7 @@
         delta(message.getPrefix()),
         new WeightVersion(message.getMinVersion()),
         Optional.of(message.getOnlyVersion()).filter(v -> v > 0).map(WeightVersion::new),
+        message.getSingleVersion(),
         Duration.ofMillis(message.getRemainingMillis()));
   }
 
--- a/server/src/main/java/org/carobhoist/server/link/proto/RunStart.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/RunStart.java
@@ -774,6 +774,55 @@
     bitField0_ = (bitField0_ & ~0x00000002);
   }
 
+  public static final int SINGLE_VERSION_FIELD_NUMBER = 16;
+  private boolean singleVersion_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether all events of the text must have the same version.
+   * </pre>
+   *
+   * <code>bool single_version = 16;</code>
+   *
+   * @return The singleVersion.
+   */
+  @java.lang.Override
+  public boolean getSingleVersion() {
+    return singleVersion_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether all events of the text must have the same version.
+   * </pre>
+   *
+   * <code>bool single_version = 16;</code>
+   *
+   * @param value The singleVersion to set.
+   */
+  private void setSingleVersion(boolean value) {
+
+    singleVersion_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether all events of the text must have the same version.
+   * </pre>
+   *
+   * <code>bool single_version = 16;</code>
+   */
+  private void clearSingleVersion() {
+
+    singleVersion_ = false;
+  }
+
   public static org.carobhoist.server.link.proto.RunStart parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -1656,6 +1705,57 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Whether all events of the text must have the same version.
+     * </pre>
+     *
+     * <code>bool single_version = 16;</code>
+     *
+     * @return The singleVersion.
+     */
+    @java.lang.Override
+    public boolean getSingleVersion() {
+      return instance.getSingleVersion();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether all events of the text must have the same version.
+     * </pre>
+     *
+     * <code>bool single_version = 16;</code>
+     *
+     * @param value The singleVersion to set.
+     * @return This builder for chaining.
+     */
+    public Builder setSingleVersion(boolean value) {
+      copyOnWrite();
+      instance.setSingleVersion(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Whether all events of the text must have the same version.
+     * </pre>
+     *
+     * <code>bool single_version = 16;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearSingleVersion() {
+      copyOnWrite();
+      instance.clearSingleVersion();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.RunStart)
   }
 
@@ -1695,11 +1795,12 @@
                 "content_",
                 "remainingMillis_",
                 "reward_",
+                "singleVersion_",
               };
           java.lang.String info =
-              "\u0000\u000f\u0000\u0001\u0001\u000f\u000f\u0000\u0001\u0000\u0001\u0002\u0002\u0002"
+              "\u0000\u0010\u0000\u0001\u0001\u0010\u0010\u0000\u0001\u0000\u0001\u0002\u0002\u0002"
                   + "\u0003\u0208\u0004\u0208\u0005\u0208\u0006\u0208\u0007\u1009\u0000\b\u0002\t\u0002"
-                  + "\n\u0208\u000b\u0208\f\u001b\r\n\u000e\u0002\u000f\u1009\u0001";
+                  + "\n\u0208\u000b\u0208\f\u001b\r\n\u000e\u0002\u000f\u1009\u0001\u0010\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/RunStartOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/RunStartOrBuilder.java
@@ -203,4 +203,17 @@
    * @return The reward.
    */
   org.carobhoist.server.link.proto.RewardCall getReward();
+
+  /**
+   *
+   *
+   * <pre>
+   * Whether all events of the text must have the same version.
+   * </pre>
+   *
+   * <code>bool single_version = 16;</code>
+   *
+   * @return The singleVersion.
+   */
+  boolean getSingleVersion();
 }
--- a/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
@@ -10,6 +10,9 @@
   /** Host name of the route for jobs. */
   public static final String JOBS_HOST = "jobs.example";
 
+  /** Host name of the route for jobs whose texts need a single weight version. */
+  public static final String SINGLE_VERSION_HOST = "single.example";
+
   /** Host name of the route for bookings. */
   public static final String BOOKINGS_HOST = "book.example";
 
@@ -24,6 +27,10 @@
           + "\"kind\":\"rollout\","
           + "\"timeout_ms\":10000,\"service\":\"lm\",\"max_attempts\":2,\"retention_s\":40,"
           + "\"deadline_ms\":7500},"
+          + "{\"name\":\"single\",\"host\":\"single.example\",\"path_prefix\":\"/\","
+          + "\"kind\":\"rollout\",\"single_version\":true,"
+          + "\"timeout_ms\":10000,\"service\":\"lm\",\"max_attempts\":2,\"retention_s\":40,"
+          + "\"deadline_ms\":7500},"
           + "{\"name\":\"book\",\"host\":\"book.example\",\"path_prefix\":\"/\",\"kind\":\"KIND\","
           + "\"timeout_ms\":TIMEOUT,\"service\":\"app\",\"max_attempts\":2}],"
           + "\"services\":[{\"name\":\"app\"},{\"name\":\"lm\",\"engine\":{\"slots\":8,"
--- a/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
@@ -128,6 +128,12 @@
     return versions.getOrDefault(model, 0L);
   }
 
+  /** Changes the version of a model as a late order does; running streams continue under it. */
+  public synchronized void setVersion(String model, long version) {
+    acceptedOrders++;
+    versions.put(model, version);
+  }
+
   /** Returns how many orders were rejected because they expected another sequence number. */
   public synchronized int conflicts() {
     return conflicts;
@@ -207,18 +213,26 @@
   private HttpResponse stream(ServiceRequestContext ctx, RequestHeaders headers, int from) {
     HttpResponseWriter out = HttpResponse.streaming();
     String id = headers.get(REQUEST_ID, "");
+    String model = headers.get(MODEL, "");
+    long version = version(model);
     ResponseHeaders head =
         head(200, id)
-            .add(WEIGHT_VERSIONS, Long.toString(version(headers.get(MODEL, ""))))
+            .add(WEIGHT_VERSIONS, Long.toString(version))
             .contentType(MediaType.EVENT_STREAM)
             .build();
     out.write(head);
-    sendNext(ctx, out, id, from, takeAbortAfterEvents());
+    sendNext(ctx, out, id, model, version, from, takeAbortAfterEvents());
     return out;
   }
 
   private void sendNext(
-      ServiceRequestContext ctx, HttpResponseWriter out, String id, int number, int eventsLeft) {
+      ServiceRequestContext ctx,
+      HttpResponseWriter out,
+      String id,
+      String model,
+      long lastVersion,
+      int number,
+      int eventsLeft) {
     if (!out.isOpen()) {
       return;
     }
@@ -231,10 +245,12 @@
       return;
     }
     recordSent(id, number);
-    out.write(HttpData.ofUtf8("id: " + number + "\ndata: " + id + "-" + number + "\n\n"));
+    long version = version(model);
+    String change = version == lastVersion ? "" : WEIGHT_VERSIONS + ": " + version + "\n";
+    out.write(HttpData.ofUtf8(change + "id: " + number + "\ndata: " + id + "-" + number + "\n\n"));
     ctx.eventLoop()
         .schedule(
-            () -> sendNext(ctx, out, id, number + 1, eventsLeft - 1),
+            () -> sendNext(ctx, out, id, model, version, number + 1, eventsLeft - 1),
             eventMillis(),
             TimeUnit.MILLISECONDS);
   }
