Send a request with a known id on a connection of its own

A server had answered twice, the second time late, where the next answer on the connection is expected.

Cause: the echoed id is checked, but a copy of the answer to an earlier sending of the same request has the same id. Reproduced by a stand-in that repeats each answer, beside a client that sends each request three times; traced there: the copy is the first thing on the pooled connection. Ruled out: copies that reach other requests (lateSecondResponseReachesNoOtherRequest passed before) and the gateway's own retries, which never go to the same server.

Change: UpstreamClients keeps the ids sent to each address for 60 s; a request whose id is among them gets a connection that serves one request. This covers clients that send again, reward calls, and items that come back to an engine. Buffered responses with another id close their connection, which was one answer behind in the pool otherwise. Orders to engines, which bear no id, have a connection each; reports must bear none.

Before: lateSecondResponseReachesNoRequestThatIsSentAgain failed ('body 0 sent 0' for 'body 0 sent 1'), lateSecondFailureOfRewardCallIsNotCountedAsAnotherAttempt failed (dead). After: both pass, with the rest of GatewayOddServersTest and GatewayRewardsTest.

Why it works: on a connection that serves one request there is no earlier answer that could be repeated.

--- a/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
@@ -111,6 +111,42 @@
     }
   }
 
+  @Test
+  void lateSecondResponseReachesNoRequestThatIsSentAgain() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addMisbehavingServer("s-1", "app", Misbehavior.LATE_SECOND_ANSWER);
+      cluster.awaitReady("entry-1");
+      int completeResponses = 0;
+      for (int i = 0; i < 40; i++) {
+        for (int sending = 0; sending < 3; sending++) {
+          String body = "body " + i + " sent " + sending;
+          AggregatedHttpResponse response = cluster.post("entry-1", BOOK, "/seat", body, "r" + i);
+          if (response.status().code() == 200) {
+            assertThat(response.contentUtf8()).isEqualTo(body);
+            completeResponses++;
+          }
+        }
+      }
+      assertThat(completeResponses).isAtLeast(40);
+    }
+  }
+
+  @Test
+  void lateSecondFailureOfRewardCallIsNotCountedAsAnotherAttempt() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addMisbehavingServer("s-1", "app", Misbehavior.LATE_SECOND_FAILURE);
+      cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      // One call at a time, so that the second response to a call meets its next attempt.
+      for (String item : List.of("a", "b", "c")) {
+        String job = "j" + item;
+        cluster.post("entry-1", JOBS, "/j", PlatformDocuments.scoredJob(1, item), job);
+        cluster.awaitListed("entry-1", job, 1);
+        assertThat(cluster.results("entry-1", job)).doesNotContain("\"dead\"");
+      }
+    }
+  }
+
   @ParameterizedTest
   @EnumSource(
       names = {
--- a/server/src/main/java/org/carobhoist/server/gateway/EngineClient.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/EngineClient.java
@@ -2,6 +2,7 @@
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpRequest;
+import com.linecorp.armeria.common.HttpResponse;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -89,7 +90,7 @@
 
   /** Requests the engine's report on a model; passes an empty value to the callback on failure. */
   void requestReport(String model, Consumer<Optional<EngineOrders.Report>> callback) {
-    call(EngineOrders.reportRequest(id))
+    aggregate(upstreams.sendBuffered(address, EngineOrders.reportRequest(id), CALL_TIMEOUT))
         .thenApply(reply -> EngineOrders.report(reply.content().array(), model))
         .whenCompleteAsync(
             (report, failure) -> {
@@ -119,7 +120,7 @@
     HttpRequest request =
         EngineOrders.loadRequest(
             id, model, version, EngineOrders.Mode.RETAIN, holder, fence, expected);
-    call(request)
+    aggregate(upstreams.sendOnNewConnection(address, request, CALL_TIMEOUT))
         .whenCompleteAsync(
             (reply, failure) -> {
               int status = failure == null ? reply.status().code() : 0;
@@ -145,9 +146,8 @@
             loop);
   }
 
-  private CompletableFuture<AggregatedHttpResponse> call(HttpRequest request) {
-    return upstreams
-        .sendBuffered(address, request, CALL_TIMEOUT)
+  private CompletableFuture<AggregatedHttpResponse> aggregate(HttpResponse response) {
+    return response
         .aggregate()
         .thenApplyAsync(
             reply -> {
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -1,6 +1,7 @@
 package org.carobhoist.server.gateway;
 
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryBuilder;
 import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
@@ -161,7 +162,9 @@
   private final EventLoopGroup thread = EventLoopGroups.newEventLoopGroup(1, "gateway");
   private final DecisionLoop loop = DecisionLoop.on(thread.next());
   private final Clock clock = SuspendAwareClock.create();
-  private final ClientFactory clients = clientFactory();
+  private final ClientFactory clients = clientFactory().build();
+  private final ClientFactory singleUseClients =
+      clientFactory().maxNumRequestsPerConnection(1).build();
   private final ManifestHolder manifests = ManifestHolder.create();
   private final EndpointDirectory directory = EndpointDirectory.create();
   private final JobRecordCodec codec = new ProtobufJobRecordCodec();
@@ -169,7 +172,7 @@
   private final DrainDeadline drainDeadline = DrainDeadline.create(clock);
   private final RequestTracker traffic =
       RequestTracker.create(() -> this.draining, GatewayService::refuse);
-  private final UpstreamClients upstreams = new UpstreamClients(clients);
+  private final UpstreamClients upstreams = new UpstreamClients(clients, singleUseClients, clock);
   private final List<ShardTailer> tails = new ArrayList<>();
   private final List<ShardTailer> jobTails = new ArrayList<>();
   private final PeerMesh mesh;
@@ -420,15 +423,14 @@
     return awaited ? Duration.ZERO : JOB_READ_PAUSE;
   }
 
-  private ClientFactory clientFactory() {
+  private ClientFactoryBuilder clientFactory() {
     return ClientFactory.builder()
         .workerGroup(thread, false)
         .connectTimeout(CONNECT_TIMEOUT)
         .idleTimeout(SERVER_IDLE_TIME)
         .useHttp1Pipelining(false)
         .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, ConnectionResetHandler::addTo)
-        .preferHttp1(true)
-        .build();
+        .preferHttp1(true);
   }
 
   private ForwardContext forwardContext() {
--- a/server/src/main/java/org/carobhoist/server/gateway/UpstreamClients.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/UpstreamClients.java
@@ -10,10 +10,16 @@
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.request.RecentRequests;
+import org.carobhoist.platform.CallHeaders;
 
 /**
  * HTTP clients for the servers, one per address. The connections are pooled in the client factory.
  * The least recently used clients are evicted.
+ *
+ * <p>A request whose id was sent to the same server lately gets a connection of its own: on a
+ * pooled one, a late second response to the earlier request would pass for its response.
  */
 final class UpstreamClients {
 
@@ -23,35 +29,62 @@
   /** Maximum size of a response that is aggregated; reports and scores are a few KiB. */
   private static final long MAX_RESPONSE_BYTES = 1 << 20;
 
+  /**
+   * How long the ids of sent requests are kept. A pooled connection is used again within half of
+   * that or closed, and a late response comes with its next use.
+   */
+  private static final Duration SENT_IDS_LIFETIME = Duration.ofSeconds(60);
+
+  /** Maximum number of ids kept, of about 200 bytes each; that is 60 s of 130 requests a second. */
+  private static final int MAX_SENT_IDS = 8_192;
+
   private static final int INITIAL_CAPACITY = 64;
   private static final float LOAD_FACTOR = 0.75f;
 
-  private final ClientFactory factory;
-  private final Map<String, WebClient> clients =
-      new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
-        @Override
-        protected boolean removeEldestEntry(Map.Entry<String, WebClient> eldest) {
-          return size() > MAX_CLIENTS;
-        }
-      };
-
-  UpstreamClients(ClientFactory factory) {
-    this.factory = factory;
+  private final ClientFactory pooled;
+  private final ClientFactory singleUse;
+  private final Map<String, WebClient> pooledClients = clientCache();
+  private final Map<String, WebClient> singleUseClients = clientCache();
+  private final RecentRequests sentRequests;
+
+  /**
+   * Creates clients without connections.
+   *
+   * @param pooled factory whose connections serve many requests
+   * @param singleUse factory whose connections serve one request each
+   */
+  UpstreamClients(ClientFactory pooled, ClientFactory singleUse, Clock clock) {
+    this.pooled = pooled;
+    this.singleUse = singleUse;
+    this.sentRequests = RecentRequests.create(clock, SENT_IDS_LIFETIME, MAX_SENT_IDS);
   }
 
   /**
-   * Sends a request of this process's own, such as an order to an engine or a reward call, whose
-   * response is aggregated.
+   * Sends a request of this process's own, such as a reward call, whose response is aggregated. If
+   * the response is to another request, it fails and its connection is closed, because the response
+   * to this request follows on it.
    *
    * @param timeout time until the response must be complete; zero for no timeout
    */
   HttpResponse sendBuffered(String address, HttpRequest request, Duration timeout) {
-    RequestOptions options =
-        RequestOptions.builder()
-            .responseTimeout(timeout)
-            .maxResponseLength(MAX_RESPONSE_BYTES)
-            .build();
-    return clients.computeIfAbsent(address, this::client).execute(request, options);
+    String id = CallHeaders.requestId(request.headers());
+    HttpResponse response = client(address, request).execute(request, bufferedOptions(timeout));
+    return response.peekHeaders(
+        headers -> {
+          if (!CallHeaders.matchesRequest(headers, id)) {
+            response.abort(new IllegalStateException("the response belongs to another request"));
+          }
+        });
+  }
+
+  /**
+   * Sends a request without an id, whose response can't be told from others, on a connection of its
+   * own. The response is aggregated.
+   *
+   * @param timeout time until the response must be complete; zero for no timeout
+   */
+  HttpResponse sendOnNewConnection(String address, HttpRequest request, Duration timeout) {
+    return client(singleUseClients, singleUse, address).execute(request, bufferedOptions(timeout));
   }
 
   /**
@@ -60,15 +93,42 @@
    * @param timeout time until the response must be complete; zero for no timeout
    */
   HttpResponse sendStreaming(String address, HttpRequest request, Duration timeout) {
-    WebClient client = clients.computeIfAbsent(address, this::client);
     RequestOptions options = RequestOptions.builder().responseTimeout(timeout).build();
-    return client.execute(request, options);
+    return client(address, request).execute(request, options);
+  }
+
+  private WebClient client(String address, HttpRequest request) {
+    String id = CallHeaders.requestId(request.headers());
+    boolean repeated = !id.isEmpty() && sentRequests.add(address, id);
+    return repeated
+        ? client(singleUseClients, singleUse, address)
+        : client(pooledClients, pooled, address);
+  }
+
+  private static WebClient client(
+      Map<String, WebClient> clients, ClientFactory factory, String address) {
+    return clients.computeIfAbsent(
+        address,
+        key ->
+            WebClient.builder(SessionProtocol.H1C, Endpoint.parse(key))
+                .factory(factory)
+                .maxResponseLength(0)
+                .build());
   }
 
-  private WebClient client(String address) {
-    return WebClient.builder(SessionProtocol.H1C, Endpoint.parse(address))
-        .factory(factory)
-        .maxResponseLength(0)
+  private static RequestOptions bufferedOptions(Duration timeout) {
+    return RequestOptions.builder()
+        .responseTimeout(timeout)
+        .maxResponseLength(MAX_RESPONSE_BYTES)
         .build();
   }
+
+  private static Map<String, WebClient> clientCache() {
+    return new LinkedHashMap<>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+      @Override
+      protected boolean removeEldestEntry(Map.Entry<String, WebClient> eldest) {
+        return size() > MAX_CLIENTS;
+      }
+    };
+  }
 }
--- a/standin/src/main/java/org/carobhoist/standin/MisbehavingServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/MisbehavingServerStandIn.java
@@ -9,6 +9,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -35,6 +36,8 @@
     NO_LENGTH_AND_RESET,
     /** Sends a second response to the previous request once the next request is read. */
     LATE_SECOND_ANSWER,
+    /** Like {@link #LATE_SECOND_ANSWER}; the first request with an id fails with status 500. */
+    LATE_SECOND_FAILURE,
     /** The header section never ends. */
     ENDLESS_HEAD,
     /** Sends blank lines forever where the status line belongs. */
@@ -150,6 +153,14 @@
         out.write(responseWithLength(id, body));
         yield true;
       }
+      case LATE_SECOND_FAILURE -> {
+        out.write(pendingResponses.getOrDefault(connection, new byte[0]));
+        int status = Collections.frequency(runs, id) == 1 ? 500 : 200;
+        byte[] response = responseWithLength(status, id, body);
+        pendingResponses.put(connection, response);
+        out.write(response);
+        yield true;
+      }
       case ENDLESS_HEAD -> sendEndlessly(out, "HTTP/1.1 200 OK\r\n", "x-filler: more\r\n");
       case ENDLESS_BLANKS -> sendEndlessly(out, "", "\r\n\r\n\r\n\r\n");
       case ENDLESS_BODY -> sendEndlessly(out, text(head(id, "")), "more and more ");
@@ -206,7 +217,11 @@
   }
 
   private byte[] responseWithLength(String id, byte[] body) {
-    byte[] head = head(id, "content-length: " + body.length + "\r\n");
+    return responseWithLength(200, id, body);
+  }
+
+  private byte[] responseWithLength(int status, String id, byte[] body) {
+    byte[] head = head(status, id, "content-length: " + body.length + "\r\n");
     byte[] all = new byte[head.length + body.length];
     System.arraycopy(head, 0, all, 0, head.length);
     System.arraycopy(body, 0, all, head.length, body.length);
@@ -214,8 +229,14 @@
   }
 
   private byte[] head(String id, String framing) {
+    return head(200, id, framing);
+  }
+
+  private byte[] head(int status, String id, String framing) {
     String head =
-        "HTTP/1.1 200 OK\r\n"
+        "HTTP/1.1 "
+            + status
+            + " Status\r\n"
             + REQUEST_ID
             + ": "
             + id
