Give each request of a sidecar to its endpoint a connection of its own

Cause: a sidecar shares connections to its endpoint among requests, and the answers of endpoints bear no id that could be checked.

Change: the connections of EndpointClient serve one request each. The endpoint is on the same machine, so a connection costs little. Not measured beyond the tests.

Before: lateSecondResponseOfEndpointReachesNoOtherRequest failed (an empty string for 'booking 0'). After: it passes, with WholePathTest, RolloutFaultsTest, KeyedCallsTest and WeightSwapTest.

Why it works: a second answer comes on a connection that no other request uses.

--- a/it/src/test/java/org/carobhoist/it/WholePathTest.java
+++ b/it/src/test/java/org/carobhoist/it/WholePathTest.java
@@ -5,11 +5,14 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.MediaType;
+import java.net.URI;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
 import java.util.stream.IntStream;
 import org.carobhoist.standin.EngineStandIn;
+import org.carobhoist.standin.MisbehavingServerStandIn;
+import org.carobhoist.standin.MisbehavingServerStandIn.Misbehavior;
 import org.carobhoist.standin.PlainServiceStandIn;
 import org.carobhoist.trainer.StepPageMessage;
 import org.carobhoist.trainer.StepRequestMessage;
@@ -50,6 +53,29 @@
     }
   }
 
+  @Test
+  void lateSecondResponseOfEndpointReachesNoOtherRequest() throws Exception {
+    MisbehavingServerStandIn endpoint =
+        MisbehavingServerStandIn.start("plain-1", Misbehavior.LATE_SECOND_ANSWER);
+    try (TestCluster cluster = TestCluster.start(folder)) {
+      cluster.startEntry("entry-1", "centro-a");
+      URI uri = URI.create("http://" + endpoint.address());
+      cluster.startSidecar("plain-1", "centro-a", "reservas", "plain", uri);
+      cluster.awaitReady();
+      cluster.awaitLinks("entry-1", 1);
+      for (int i = 0; i < 20; i++) {
+        AggregatedHttpResponse response =
+            WebClient.of(cluster.http("entry-1"))
+                .post("/v1/services/reservas/bookings", "booking " + i)
+                .aggregate()
+                .join();
+        assertThat(response.contentUtf8()).isEqualTo("booking " + i);
+      }
+    } finally {
+      endpoint.stop();
+    }
+  }
+
   private static void callPlain(TestCluster cluster, PlainServiceStandIn plain) {
     AggregatedHttpResponse response =
         WebClient.of(cluster.http("entry-1"))
--- a/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
@@ -1,5 +1,6 @@
 package org.carobhoist.server.sidecar;
 
+import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -17,15 +18,23 @@
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 
-/** HTTP client of the endpoint beside this sidecar. */
+/**
+ * HTTP client of the endpoint beside this sidecar. Responses of endpoints bear no request id, so
+ * each request has a connection of its own: on a shared one, a late second response to an earlier
+ * request would pass for the response to the next.
+ */
 final class EndpointClient {
 
+  private static final ClientFactory SINGLE_USE_CONNECTIONS =
+      ClientFactory.builder().maxNumRequestsPerConnection(1).build();
+
   private final WebClient client;
   private final Executor loop;
 
   private EndpointClient(URI url, Executor loop) {
     this.client =
         WebClient.builder("h1c://" + url.getAuthority())
+            .factory(SINGLE_USE_CONNECTIONS)
             .responseTimeoutMillis(0)
             .maxResponseLength(0)
             .build();
