Fail the response of an endpoint that resets its connection

Cause: a body without a length ends with its connection, and the HTTP codec takes any end as such. The gateway has a handler for this; the sidecar's connections had none.

Change: the handler is in server.runtime, and EndpointClient adds it to its connections.

Before: responseThatEndpointCutsIsNotCompleted failed for NO_LENGTH_AND_RESET (a complete 200). After: it passes, with the other ways to cut a response: in the head by close and by reset, before the blank line that ends it, and in a chunk, none of which failed before.

Why it works: the codec is gone before it learns of the end, so the response can't be completed by it.

--- a/it/src/test/java/org/carobhoist/it/WholePathTest.java
+++ b/it/src/test/java/org/carobhoist/it/WholePathTest.java
@@ -20,6 +20,8 @@
 import org.carobhoist.trainer.TrainerClient;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Guards against a broken end-to-end path for a client request or a training step. */
 final class WholePathTest {
@@ -76,6 +78,35 @@
     }
   }
 
+  @ParameterizedTest
+  @EnumSource(
+      names = {
+        "CUT_HEAD",
+        "RESET_HEAD",
+        "CUT_BEFORE_BLANK_LINE",
+        "NO_LENGTH_AND_RESET",
+        "CUT_CHUNK"
+      })
+  void responseThatEndpointCutsIsNotCompleted(Misbehavior misbehavior) throws Exception {
+    MisbehavingServerStandIn endpoint = MisbehavingServerStandIn.start("plain-1", misbehavior);
+    try (TestCluster cluster = TestCluster.start(folder)) {
+      cluster.startEntry("entry-1", "centro-a");
+      URI uri = URI.create("http://" + endpoint.address());
+      cluster.startSidecar("plain-1", "centro-a", "reservas", "plain", uri);
+      cluster.awaitReady();
+      cluster.awaitLinks("entry-1", 1);
+      boolean complete =
+          WebClient.of(cluster.http("entry-1"))
+              .post("/v1/services/reservas/bookings", "a long booking")
+              .aggregate()
+              .handle((response, failure) -> failure == null && response.status().code() == 200)
+              .join();
+      assertThat(complete).isFalse();
+    } finally {
+      endpoint.stop();
+    }
+  }
+
   private static void callPlain(TestCluster cluster, PlainServiceStandIn plain) {
     AggregatedHttpResponse response =
         WebClient.of(cluster.http("entry-1"))
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -61,6 +61,7 @@
 import org.carobhoist.server.metrics.Metric;
 import org.carobhoist.server.metrics.ProcessMetrics;
 import org.carobhoist.server.metrics.RequestMetrics;
+import org.carobhoist.server.runtime.ConnectionResetHandler;
 import org.carobhoist.server.runtime.DecisionLoop;
 import org.carobhoist.server.runtime.RequestTracker;
 import org.carobhoist.server.runtime.Service;
--- a/server/src/main/java/org/carobhoist/server/gateway/ConnectionResetHandler.java
+++ b/server/src/main/java/org/carobhoist/server/runtime/ConnectionResetHandler.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.runtime;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -11,14 +11,14 @@
  * is marked by the end of its connection, and the HTTP codec accepts any end as such. Therefore
  * this handler removes the codec before it is notified of an end that follows an I/O error.
  */
-final class ConnectionResetHandler extends ChannelInboundHandlerAdapter {
+public final class ConnectionResetHandler extends ChannelInboundHandlerAdapter {
 
   private boolean reset;
 
   private ConnectionResetHandler() {}
 
   /** Adds this handler in front of the codec of a new connection. */
-  static void addTo(ChannelPipeline pipeline) {
+  public static void addTo(ChannelPipeline pipeline) {
     pipeline.addFirst(new ConnectionResetHandler());
   }
 
--- a/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
@@ -1,6 +1,7 @@
 package org.carobhoist.server.sidecar;
 
 import com.linecorp.armeria.client.ClientFactory;
+import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -15,6 +16,7 @@
 import java.util.concurrent.Executor;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.server.runtime.ConnectionResetHandler;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 
@@ -26,7 +28,10 @@
 final class EndpointClient {
 
   private static final ClientFactory SINGLE_USE_CONNECTIONS =
-      ClientFactory.builder().maxNumRequestsPerConnection(1).build();
+      ClientFactory.builder()
+          .maxNumRequestsPerConnection(1)
+          .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, ConnectionResetHandler::addTo)
+          .build();
 
   private final WebClient client;
   private final Executor loop;
--- a/standin/src/main/java/org/carobhoist/standin/MisbehavingServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/MisbehavingServerStandIn.java
@@ -8,6 +8,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
 import java.util.Collections;
 import java.util.HashMap;
@@ -22,7 +23,7 @@
 /**
  * Stand-in for a server of the users' platform whose HTTP/1.1 responses are malformed or endless in
  * ways that no HTTP library would produce. It writes to the socket directly and echoes request
- * bodies.
+ * bodies. Health checks of a sidecar are answered well.
  */
 public final class MisbehavingServerStandIn {
 
@@ -38,6 +39,16 @@
     LATE_SECOND_ANSWER,
     /** Like {@link #LATE_SECOND_ANSWER}; the first request with an id fails with status 500. */
     LATE_SECOND_FAILURE,
+    /** Closes the connection in the middle of the header section. */
+    CUT_HEAD,
+    /** Resets the connection in the middle of the header section. */
+    RESET_HEAD,
+    /** Closes the connection after the last header, before the blank line. */
+    CUT_BEFORE_BLANK_LINE,
+    /** Closes the connection in the middle of the second event of a stream without a length. */
+    CUT_EVENT,
+    /** Closes the connection in the middle of the second event of a chunked stream. */
+    CUT_CHUNK,
     /** The header section never ends. */
     ENDLESS_HEAD,
     /** Sends blank lines forever where the status line belongs. */
@@ -55,6 +66,15 @@
   private static final int FILLERS_PER_WRITE = 256;
   private static final long TRICKLE_MILLIS = 100;
 
+  private static final Charset ASCII = StandardCharsets.US_ASCII;
+  private static final String EVENT_STREAM =
+      "content-type: text/event-stream\r\ncarobhoist-weight-versions: 1\r\n";
+  private static final String FIRST_EVENT = "id: 1\ndata: first\n\n";
+  private static final String HALF_EVENT = "id: 2\ndata: sec";
+
+  /** Key of the request line among the headers. */
+  private static final String REQUEST_LINE = "";
+
   private static final String REQUEST_ID = "carobhoist-request-id";
 
   private final String instance;
@@ -139,8 +159,12 @@
     Map<String, String> headers = readHead(in);
     byte[] body = in.readNBytes(Integer.parseInt(headers.getOrDefault("content-length", "0")));
     String id = headers.getOrDefault(REQUEST_ID, "");
-    runs.add(id);
     OutputStream out = connection.getOutputStream();
+    if (headers.get(REQUEST_LINE).startsWith("GET /load ")) {
+      out.write(responseWithLength(id, "{}".getBytes(ASCII)));
+      return true;
+    }
+    runs.add(id);
     return switch (misbehavior) {
       case SECOND_ANSWER -> {
         out.write(responseWithLength(id, body));
@@ -161,6 +185,31 @@
         out.write(response);
         yield true;
       }
+      case CUT_HEAD -> {
+        out.write((text(head(id, "")).stripTrailing() + "\r\ncontent-len").getBytes(ASCII));
+        yield false;
+      }
+      case RESET_HEAD -> {
+        out.write((text(head(id, "")).stripTrailing() + "\r\ncontent-len").getBytes(ASCII));
+        out.flush();
+        connection.setSoLinger(true, 0);
+        yield false;
+      }
+      case CUT_BEFORE_BLANK_LINE -> {
+        out.write((text(head(id, "")).stripTrailing() + "\r\n").getBytes(ASCII));
+        yield false;
+      }
+      case CUT_EVENT -> {
+        out.write(head(id, EVENT_STREAM));
+        out.write((FIRST_EVENT + HALF_EVENT).getBytes(ASCII));
+        yield false;
+      }
+      case CUT_CHUNK -> {
+        out.write(head(id, EVENT_STREAM + "transfer-encoding: chunked\r\n"));
+        String chunk = Integer.toHexString(FIRST_EVENT.length()) + "\r\n" + FIRST_EVENT + "\r\n";
+        out.write((chunk + "40\r\n" + HALF_EVENT).getBytes(ASCII));
+        yield false;
+      }
       case ENDLESS_HEAD -> sendEndlessly(out, "HTTP/1.1 200 OK\r\n", "x-filler: more\r\n");
       case ENDLESS_BLANKS -> sendEndlessly(out, "", "\r\n\r\n\r\n\r\n");
       case ENDLESS_BODY -> sendEndlessly(out, text(head(id, "")), "more and more ");
@@ -190,8 +239,8 @@
 
   /** Sends filler until a write fails because the client has closed the connection. */
   private boolean sendEndlessly(OutputStream out, String begin, String filler) throws IOException {
-    out.write(begin.getBytes(StandardCharsets.US_ASCII));
-    byte[] block = filler.repeat(FILLERS_PER_WRITE).getBytes(StandardCharsets.US_ASCII);
+    out.write(begin.getBytes(ASCII));
+    byte[] block = filler.repeat(FILLERS_PER_WRITE).getBytes(ASCII);
     while (true) {
       out.write(block);
       fillerBytes.addAndGet(block.length);
@@ -213,7 +262,7 @@
   }
 
   private static String text(byte[] bytes) {
-    return new String(bytes, StandardCharsets.US_ASCII);
+    return new String(bytes, ASCII);
   }
 
   private byte[] responseWithLength(String id, byte[] body) {
@@ -245,12 +294,13 @@
             + "\r\n"
             + framing
             + "\r\n";
-    return head.getBytes(StandardCharsets.US_ASCII);
+    return head.getBytes(ASCII);
   }
 
   private static Map<String, String> readHead(InputStream in) throws IOException {
     Map<String, String> headers = new HashMap<>();
     String line = readLine(in);
+    headers.put(REQUEST_LINE, line);
     while (!line.isEmpty()) {
       int colon = line.indexOf(':');
       if (colon > 0) {
