Break off event streams that end in the middle of an event

Cause: any orderly close ends a body without a length, and nothing looked at whether the events were whole; at the gateway and, on the related path, at the sidecar.

Change: EventStreamPosition follows the lines of a stream; a stream that ends within an event is broken off.

Before: brokenStreamIsNeitherCompletedNorMixedWithTheErrorOfAnotherServer and responseThatEndpointCutsIsNotCompleted failed for CUT_EVENT. After: both pass for all ways to cut.

Why it works: an event is complete only with the blank line after it, so the end of a whole stream always comes between two events.

--- a/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
@@ -179,6 +179,79 @@
     }
   }
 
+  @ParameterizedTest
+  @EnumSource(names = {"CUT_HEAD", "RESET_HEAD", "CUT_BEFORE_BLANK_LINE"})
+  void responseCutInItsHeadIsNotPassedOnAsComplete(Misbehavior misbehavior) throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.publish(2, "non_idempotent");
+      cluster.addMisbehavingServer("s-1", "app", misbehavior);
+      cluster.awaitReady("entry-1");
+      for (int i = 0; i < 5; i++) {
+        AggregatedHttpResponse response = cluster.post("entry-1", BOOK, "/seat", "x", "r" + i);
+        assertThat(response.status().code()).isAnyOf(502, 503);
+      }
+      assertThat(cluster.process("entry-1").isAlive()).isTrue();
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"CUT_HEAD", "RESET_HEAD", "CUT_BEFORE_BLANK_LINE", "CUT_EVENT", "CUT_CHUNK"})
+  void brokenStreamIsNeitherCompletedNorMixedWithTheErrorOfAnotherServer(Misbehavior misbehavior)
+      throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.publish(2, "streaming");
+      cluster.addMisbehavingServer("s-1", "app", misbehavior);
+      cluster.addServer("s-2", "app", false).setForcedStatus(500);
+      cluster.awaitReady("entry-1");
+      cluster.await(
+          "the manifest has been applied",
+          () -> cluster.logUnchecked("entry-1").contains("event=7501"));
+      for (int i = 0; i < 12; i++) {
+        String response = readUntilClose(cluster.clientPort("entry-1"), "r" + i);
+        assertThat(response.split("HTTP/1.1", -1)).hasLength(2);
+        if (response.startsWith("HTTP/1.1 200")) {
+          assertThat(response).contains("data: first");
+          assertThat(response).doesNotContain("\r\n0\r\n\r\n");
+          assertThat(response).doesNotContain("stamp-of-s-2");
+        }
+      }
+    }
+  }
+
+  /** Sends a request on a new connection and returns all bytes that come until it closes. */
+  private static String readUntilClose(int port, String id) throws IOException {
+    try (Socket client = new Socket("127.0.0.1", port)) {
+      client.setSoTimeout((int) TIMEOUT.toMillis());
+      String request =
+          "POST /seat HTTP/1.1\r\nhost: "
+              + BOOK
+              + "\r\ncarobhoist-request-id: "
+              + id
+              + "\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+      client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      return new String(client.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+    }
+  }
+
+  @ParameterizedTest
+  @EnumSource(names = {"CUT_HEAD", "RESET_HEAD", "CUT_BEFORE_BLANK_LINE", "CUT_EVENT", "CUT_CHUNK"})
+  void itemsOfEngineThatBreaksOffHaveTheWholeTextOfAnother(Misbehavior misbehavior)
+      throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addMisbehavingServer("e-1", "lm", misbehavior, true);
+      cluster.addServer("e-2", "lm", true);
+      cluster.awaitReady("entry-1");
+      cluster.post("entry-1", JOBS, "/j", PlatformDocuments.job(1, "a", "b", "c"), "j1");
+      cluster.awaitListed("entry-1", "j1", 3);
+      String results = cluster.results("entry-1", "j1");
+      assertThat(results).doesNotContain("dead");
+      for (String item : List.of("a", "b", "c")) {
+        String last = item + "-2\\n" + item + "-3\\n" + item + "-4\"";
+        assertWithMessage(results).that(results).contains(last);
+      }
+    }
+  }
+
   @Test
   void endlessStreamIsSubjectToBackpressureOfItsClient() throws IOException {
     try (GatewayCluster cluster = cluster()) {
--- a/it/src/test/java/org/carobhoist/it/WholePathTest.java
+++ b/it/src/test/java/org/carobhoist/it/WholePathTest.java
@@ -85,6 +85,7 @@
         "RESET_HEAD",
         "CUT_BEFORE_BLANK_LINE",
         "NO_LENGTH_AND_RESET",
+        "CUT_EVENT",
         "CUT_CHUNK"
       })
   void responseThatEndpointCutsIsNotCompleted(Misbehavior misbehavior) throws Exception {
--- a/server/src/main/java/org/carobhoist/server/gateway/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ForwardedCall.java
@@ -23,6 +23,7 @@
 import org.carobhoist.core.manifest.Route;
 import org.carobhoist.core.manifest.RouteKind;
 import org.carobhoist.core.membership.ServerEntry;
+import org.carobhoist.core.request.EventStreamPosition;
 import org.carobhoist.core.request.RequestEvent;
 import org.carobhoist.core.request.RequestPort;
 import org.carobhoist.core.request.RequestState;
@@ -253,6 +254,7 @@
     private ResponseHeaders responseHeaders;
     private Runnable cancelTimeout = () -> {};
     private final BufferBudget.Buffer buffer = context.buffers().open(this::onTooLarge);
+    private final EventStreamPosition position = EventStreamPosition.atStart();
     private boolean ended;
 
     private Attempt(InstanceId endpoint, int number) {
@@ -347,6 +349,7 @@
         }
       } else if (part instanceof HttpData data && responseHeaders != null && !data.isEmpty()) {
         if (isStreaming()) {
+          position.advance(data.array());
           out.write(data);
         } else {
           body.add(data);
@@ -373,6 +376,12 @@
       }
     }
 
+    private boolean isCutEventStream() {
+      return isStreaming()
+          && CallHeaders.isEventStream(responseHeaders)
+          && !position.isBetweenEvents();
+    }
+
     private void refuse(ResponseHeaders headers) {
       markEnded();
       response.abort();
@@ -403,6 +412,10 @@
         fail("the answer has no head");
         return;
       }
+      if (isCutEventStream()) {
+        fail("the stream ends in the middle of an event");
+        return;
+      }
       markEnded();
       context.router().onSuccess(service, endpoint, context.clock().elapsed().minus(sentAt));
       boolean failed = responseHeaders.status().code() >= SERVER_ERROR;
--- a/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
@@ -16,6 +16,8 @@
 import java.util.concurrent.Executor;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
+import org.carobhoist.core.request.EventStreamPosition;
+import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.server.runtime.ConnectionResetHandler;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
@@ -83,6 +85,8 @@
 
     private final EndpointSink sink;
     private final Executor loop;
+    private final EventStreamPosition position = EventStreamPosition.atStart();
+    private boolean eventStream;
 
     private SinkSubscriber(EndpointSink sink, Executor loop) {
       this.sink = sink;
@@ -98,10 +102,12 @@
     public void onNext(HttpObject part) {
       if (part instanceof ResponseHeaders headers) {
         if (!headers.status().isInformational()) {
+          eventStream = CallHeaders.isEventStream(headers);
           loop.execute(() -> sink.onHead(headers));
         }
       } else if (part instanceof HttpData data && !data.isEmpty()) {
         byte[] content = data.array();
+        position.advance(content);
         loop.execute(() -> sink.onData(content));
       }
     }
@@ -113,6 +119,10 @@
 
     @Override
     public void onComplete() {
+      if (eventStream && !position.isBetweenEvents()) {
+        onError(new IllegalStateException("the stream ends in the middle of an event"));
+        return;
+      }
       loop.execute(sink::onEnd);
     }
   }
