--- a/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
@@ -252,6 +252,38 @@
     }
   }
 
+  @Test
+  void oddEntriesInTheRegistryStopNeitherRequestsNorItemsNorItsReaders() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addServer("s-1", "app", false);
+      cluster.addServer("e-1", "lm", true);
+      cluster.awaitReady("entry-1");
+      int number = 0;
+      for (String address : List.of("?:9080", "10.0.0.1:65536", "10.0.0.1:99999999999", "a b:80")) {
+        for (String service : List.of("app", "lm")) {
+          String models =
+              service.equals("lm") ? ",\"models\":[{\"name\":\"m0\",\"version\":1}]" : "";
+          String entry = PlatformDocuments.serverEntry(service, address, "a", "ready", 1, models);
+          cluster.store().put("keyed.servers", "odd-" + number++, entry);
+          String large = entry.replace("\"sequence\":1", "\"sequence\":" + "9".repeat(900));
+          cluster.store().put("keyed.servers", "odd-" + number++, large);
+        }
+      }
+      cluster.store().put("keyed.servers", "odd-" + number++, "[".repeat(100_000));
+      String nested = "{\"service\":" + "{\"a\":".repeat(40_000);
+      cluster.store().put("keyed.servers", "odd-" + number, nested);
+      final PlatformServerStandIn second = cluster.addServer("s-2", "app", false);
+      for (int i = 0; i < 40 || second.runs().isEmpty(); i++) {
+        assertThat(cluster.post("entry-1", BOOK, "/seat", "x", "r" + i).status().code())
+            .isEqualTo(200);
+      }
+      cluster.post("entry-1", JOBS, "/j", PlatformDocuments.job(1, "a", "b", "c"), "j1");
+      cluster.awaitListed("entry-1", "j1", 3);
+      assertThat(cluster.log("entry-1")).doesNotContain("event=1004");
+      assertThat(cluster.process("entry-1").isAlive()).isTrue();
+    }
+  }
+
   @Test
   void endlessStreamIsSubjectToBackpressureOfItsClient() throws IOException {
     try (GatewayCluster cluster = cluster()) {
--- a/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformDocuments.java
@@ -112,7 +112,7 @@
    *
    * @param models further JSON fields, with a leading comma; empty for a plain service
    */
-  static String serverEntry(
+  public static String serverEntry(
       String service, String address, String zone, String state, long sequence, String models) {
     return "{\"service\":\""
         + service
