--- a/core/src/main/java/org/carobhoist/core/request/EventStreamPosition.java
+++ b/core/src/main/java/org/carobhoist/core/request/EventStreamPosition.java
@@ -22,7 +22,7 @@
   /** Moves behind the given bytes of the stream. */
   public void advance(byte[] bytes) {
     for (byte b : bytes) {
-      advance(b);
+      onByte(b);
     }
   }
 
@@ -31,7 +31,7 @@
     return !inEvent;
   }
 
-  private void advance(byte b) {
+  private void onByte(byte b) {
     boolean secondOfLineEnd = b == '\n' && afterCarriageReturn;
     afterCarriageReturn = b == '\r';
     if (secondOfLineEnd) {
--- a/it/src/test/java/org/carobhoist/it/PlannedStopTest.java
+++ b/it/src/test/java/org/carobhoist/it/PlannedStopTest.java
@@ -88,7 +88,7 @@
   void plannedStopOfEntryAbortsNoRequestOfHttp2Connection() {
     first.setDelay(Duration.ofSeconds(4));
     second.setDelay(Duration.ofSeconds(4));
-    CompletableFuture<Integer> early = send("h2c", "60000");
+    final CompletableFuture<Integer> early = send("h2c", "60000");
     TestCluster.await("a request runs", () -> first.runs().size() + second.runs().size() == 1);
     cluster.process("entry-1").requestStop();
     TestCluster.await("the entry drains", () -> !TestCluster.isReady(cluster.http("entry-1")));
--- a/server/src/main/java/org/carobhoist/server/gateway/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/IngressRoutes.java
@@ -116,16 +116,17 @@
       ServiceRequestContext ctx,
       AggregatedHttpRequest http,
       HttpResponseWriter out) {
+    String id = CallHeaders.requestId(http.headers());
     if (call instanceof IngressCall.Routed) {
       route(ctx, http, out);
     } else if (call instanceof IngressCall.ReadResults r) {
-      answer(jobs.results(r.job(), r.from(), r.maxWait()), out, UNAVAILABLE);
+      answer(jobs.results(r.job(), r.from(), r.maxWait()), id, out, UNAVAILABLE);
     } else if (call instanceof IngressCall.ReadItem r) {
-      answer(jobs.item(r.job(), r.item()), out, UNAVAILABLE);
+      answer(jobs.item(r.job(), r.item()), id, out, UNAVAILABLE);
     } else if (call instanceof IngressCall.EndJob e) {
       Duration timeLimit = timeLimit(http.headers());
-      if (admit(CallHeaders.requestId(http.headers()), timeLimit, out)) {
-        answer(jobs.end(e.job(), timeLimit), out, TIMEOUT);
+      if (admit(id, timeLimit, out)) {
+        answer(jobs.end(e.job(), timeLimit), id, out, TIMEOUT);
       }
     }
   }
@@ -146,7 +147,8 @@
     } else if (route.get().kind() == RouteKind.JOBS) {
       Duration timeLimit = timeLimit(http.headers());
       if (admit(id, timeLimit, out)) {
-        answer(jobs.submit(route.get(), id, http.content().array(), timeLimit), out, TIMEOUT);
+        byte[] body = http.content().array();
+        answer(jobs.submit(route.get(), id, body, timeLimit), id, out, TIMEOUT);
       }
     } else if (admit(id, ForwardedCall.timeLimit(route.get(), http.headers()), out)) {
       ForwardedCall.start(context, route.get(), http, out);
@@ -171,10 +173,11 @@
    */
   private void answer(
       CompletableFuture<AggregatedHttpResponse> response,
+      String id,
       HttpResponseWriter out,
       int statusAtStop) {
     Runnable answered =
-        context.drain().add(() -> refuse(out, "", statusAtStop, "the process stops"));
+        context.drain().add(() -> refuse(out, id, statusAtStop, "the process stops"));
     response.whenCompleteAsync(
         (http, failure) -> {
           answered.run();
--- a/server/src/main/java/org/carobhoist/server/gateway/UpstreamClients.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/UpstreamClients.java
@@ -13,6 +13,8 @@
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.request.RecentRequests;
 import org.carobhoist.platform.CallHeaders;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
 
 /**
  * HTTP clients for the servers, one per address. The connections are pooled in the client factory.
@@ -99,10 +101,11 @@
 
   private WebClient client(String address, HttpRequest request) {
     String id = CallHeaders.requestId(request.headers());
-    boolean repeated = !id.isEmpty() && sentRequests.add(address, id);
-    return repeated
-        ? client(singleUseClients, singleUse, address)
-        : client(pooledClients, pooled, address);
+    if (id.isEmpty() || !sentRequests.add(address, id)) {
+      return client(pooledClients, pooled, address);
+    }
+    EventLog.info(LogEvent.REQUEST_ID_REPEATED, "request", id, "address", address);
+    return client(singleUseClients, singleUse, address);
   }
 
   private static WebClient client(
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -79,6 +79,8 @@
   ATTEMPT_FAILED(7002, "attempt failed"),
   /** A call was refused before any attempt. */
   CALL_REFUSED(7003, "call refused"),
+  /** A request is sent on a connection of its own, because its server had its id before. */
+  REQUEST_ID_REPEATED(7004, "request sent to its server again"),
   /** A job was accepted and is in the store. */
   JOB_ACCEPTED(7101, "job accepted"),
   /** A job was refused, or it is unknown whether the store has it. */
