Wait until a sidecar is announced in two tests of WholePathTest

Traced: a link is up before the sidecar's announcement has been read, as in LinkFramesTest. It books until the first booking is served now, then checks each of twenty as before. responseThatEndpointCutsIsNotCompleted could have passed for the same reason without a booking at the endpoint; it now books until one has reached the endpoint, and none may be completed. Both are as strict as before or stricter.

--- a/it/src/test/java/org/carobhoist/it/WholePathTest.java
+++ b/it/src/test/java/org/carobhoist/it/WholePathTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.CompletionException;
 import java.util.stream.IntStream;
 import org.carobhoist.standin.EngineStandIn;
 import org.carobhoist.standin.MisbehavingServerStandIn;
@@ -64,14 +65,11 @@
       URI uri = URI.create("http://" + endpoint.address());
       cluster.startSidecar("plain-1", "centro-a", "reservas", "plain", uri);
       cluster.awaitReady();
-      cluster.awaitLinks("entry-1", 1);
+      // A link is up before the sidecar's announcement has been read.
+      TestCluster.await(
+          "the sidecar is announced", () -> book(cluster, "first").status().code() == 200);
       for (int i = 0; i < 20; i++) {
-        AggregatedHttpResponse response =
-            WebClient.of(cluster.http("entry-1"))
-                .post("/v1/services/reservas/bookings", "booking " + i)
-                .aggregate()
-                .join();
-        assertThat(response.contentUtf8()).isEqualTo("booking " + i);
+        assertThat(book(cluster, "booking " + i).contentUtf8()).isEqualTo("booking " + i);
       }
     } finally {
       endpoint.stop();
@@ -95,19 +93,32 @@
       URI uri = URI.create("http://" + endpoint.address());
       cluster.startSidecar("plain-1", "centro-a", "reservas", "plain", uri);
       cluster.awaitReady();
-      cluster.awaitLinks("entry-1", 1);
-      boolean complete =
-          WebClient.of(cluster.http("entry-1"))
-              .post("/v1/services/reservas/bookings", "a long booking")
-              .aggregate()
-              .handle((response, failure) -> failure == null && response.status().code() == 200)
-              .join();
-      assertThat(complete).isFalse();
+      TestCluster.await(
+          "a booking reaches the endpoint",
+          () -> {
+            assertThat(isCompleted(cluster)).isFalse();
+            return !endpoint.runs().isEmpty();
+          });
     } finally {
       endpoint.stop();
     }
   }
 
+  private static boolean isCompleted(TestCluster cluster) {
+    try {
+      return book(cluster, "a long booking").status().code() == 200;
+    } catch (CompletionException e) {
+      return false;
+    }
+  }
+
+  private static AggregatedHttpResponse book(TestCluster cluster, String body) {
+    return WebClient.of(cluster.http("entry-1"))
+        .post("/v1/services/reservas/bookings", body)
+        .aggregate()
+        .join();
+  }
+
   private static void callPlain(TestCluster cluster, PlainServiceStandIn plain) {
     AggregatedHttpResponse response =
         WebClient.of(cluster.http("entry-1"))
