Add failing tests of responses that are joined with the next

A server that sends the beginning of a second response and keeps the connection joins it with its next response: the status is that of the first, id, stamp and body are those of the second.

--- a/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
@@ -51,6 +51,8 @@
   /** Enough that some of them meet the connection that carried them first. */
   private static final int IDS_SENT_AGAIN = 240;
 
+  private static final int REQUESTS_WITH_CUTS = 240;
+
   private static final Duration TIMEOUT = Duration.ofSeconds(60);
 
   @TempDir private Path folder;
@@ -170,6 +172,42 @@
     }
   }
 
+  @Test
+  void responseThatBreaksOffDoesNotTurnTheNextFailureIntoSuccess() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      cluster.addMisbehavingServer("s-1", "app", Misbehavior.CUT_LATE_SECOND_ANSWER);
+      cluster.awaitReady("entry-1");
+      int completeResponses = 0;
+      for (int i = 0; i < REQUESTS_WITH_CUTS; i++) {
+        String body = (i % 2 == 0 ? "serve " : "fail ") + i;
+        AggregatedHttpResponse response = cluster.post("entry-1", BOOK, "/seat", body, "r" + i);
+        if (response.status().code() == 200) {
+          assertThat(response.contentUtf8()).isEqualTo("serve " + i);
+          completeResponses++;
+        }
+      }
+      assertThat(completeResponses).isAtLeast(REQUESTS_WITH_CUTS / 4);
+    }
+  }
+
+  @Test
+  void secondResponseIsNotPassedOnAsTheEndOfABody() throws IOException {
+    try (GatewayCluster cluster = cluster()) {
+      final MisbehavingServerStandIn server =
+          cluster.addMisbehavingServer("s-1", "app", Misbehavior.SECOND_ANSWER_IN_BODY);
+      cluster.addServer("s-2", "app", false);
+      cluster.awaitReady("entry-1");
+      String filler = "x".repeat(400);
+      for (int i = 0; i < 20 || server.runs().isEmpty(); i++) {
+        AggregatedHttpResponse response =
+            cluster.post("entry-1", BOOK, "/seat", filler + i, "r" + i);
+        if (response.status().code() == 200) {
+          assertThat(response.contentUtf8()).isEqualTo(filler + i);
+        }
+      }
+    }
+  }
+
   @Test
   void lateSecondFailureOfRewardCallIsNotCountedAsAnotherAttempt() throws IOException {
     try (GatewayCluster cluster = cluster()) {
--- a/standin/src/main/java/org/carobhoist/standin/MisbehavingServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/MisbehavingServerStandIn.java
@@ -41,6 +41,13 @@
     SECOND_ANSWER_BEFORE_SAME_ID,
     /** Like {@link #LATE_SECOND_ANSWER}; the first request with an id fails with status 500. */
     LATE_SECOND_FAILURE,
+    /**
+     * Like {@link #LATE_SECOND_ANSWER}, but the second response is broken off within its head, each
+     * one byte later than the one before. Requests whose body begins with "fail" fail with 500.
+     */
+    CUT_LATE_SECOND_ANSWER,
+    /** Breaks off the body, then sends the whole response on the same connection. */
+    SECOND_ANSWER_IN_BODY,
     /** Closes the connection in the middle of the header section. */
     CUT_HEAD,
     /** Resets the connection in the middle of the header section. */
@@ -84,6 +91,7 @@
   private final ServerSocket socket;
   private final Queue<String> runs = new ConcurrentLinkedQueue<>();
   private final AtomicInteger openConnections = new AtomicInteger();
+  private final AtomicInteger cuts = new AtomicInteger();
   private final AtomicLong fillerBytes = new AtomicLong();
   private final Map<Socket, byte[]> pendingResponses = new ConcurrentHashMap<>();
   private final Map<Socket, Map<String, byte[]>> pendingResponsesById = new ConcurrentHashMap<>();
@@ -200,6 +208,21 @@
         out.write(response);
         yield true;
       }
+      case CUT_LATE_SECOND_ANSWER -> {
+        byte[] pending = pendingResponses.getOrDefault(connection, new byte[0]);
+        out.write(
+            pending, 0, pending.length == 0 ? 0 : 1 + cuts.getAndIncrement() % pending.length);
+        int status = text(body).startsWith("fail") ? 500 : 200;
+        pendingResponses.put(connection, head(status, id, "content-length: 0\r\n"));
+        out.write(responseWithLength(status, id, body));
+        yield true;
+      }
+      case SECOND_ANSWER_IN_BODY -> {
+        byte[] response = responseWithLength(id, body);
+        out.write(response, 0, response.length - body.length / 2);
+        out.write(response);
+        yield true;
+      }
       case CUT_HEAD -> {
         out.write((text(head(id, "")).stripTrailing() + "\r\ncontent-len").getBytes(ASCII));
         yield false;
