Pass on no response whose head is joined with an earlier one

Cause: a boundary between two messages was believed because the fields after it fit. A server begins a second response, stops within its head and keeps the connection; the beginning waits in the decoder. The next response follows it without a boundary: the status comes from the first, while id, stamp and body, which the id check looks at, come from the second.

A status line always begins a head and is sent whole, so a joined head has one in another place than its first: in the reason phrase, in a header's value, or in a line that isn't a header, which the decoder rejects. Such heads, heads that name request or server twice, and all that can't be decoded are refused, those of informational responses too. A connection on which bytes come while nothing is awaited is closed at once, before the codec keeps them; this alone would not be enough, since the beginning may come after the next request was sent.

Ruled out: ids used twice (no 7004 in the record, unique ids in the tests), a whole second response (its id differs).

ResponseMatchingHandlerTest cuts a head after each of its bytes.

--- a/server/src/main/java/org/carobhoist/server/gateway/JoinedHeads.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/JoinedHeads.java
@@ -20,10 +20,13 @@
 
   private JoinedHeads() {}
 
-  /** Returns why a head is not that of a single response; empty if no reason was found. */
+  /**
+   * Returns what shows that a head is joined of several; empty if nothing does. Heads that couldn't
+   * be decoded are not examined.
+   */
   static Optional<String> findDefect(HttpResponse response) {
     if (response.decoderResult().isFailure()) {
-      return Optional.of("malformed: " + response.decoderResult().cause());
+      return Optional.empty();
     }
     HttpVersion version = response.protocolVersion();
     if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
--- a/server/src/main/java/org/carobhoist/server/gateway/ResponseMatchingHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ResponseMatchingHandler.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelPipeline;
 import io.netty.channel.ChannelPromise;
+import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpRequest;
@@ -25,9 +26,9 @@
 import org.carobhoist.server.log.LogEvent;
 
 /**
- * Passes on only responses that bear the id of the request that awaits one. Any other response
- * means that the connection is out of step, so it is closed before a further request can be sent on
- * it, and the request that awaits its response fails.
+ * Passes on only responses that bear the id of the request that awaits one and are not joined with
+ * an earlier response. Any other response means that the connection is out of step, so it is closed
+ * before a further request can be sent on it, and the request that awaits its response fails.
  */
 final class ResponseMatchingHandler extends ChannelDuplexHandler {
 
@@ -113,20 +114,34 @@
   }
 
   private void checkResponse(ChannelHandlerContext ctx, HttpResponse response) {
-    String id = CallHeaders.requestId(response.headers());
     status = response.status().code();
     informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     informationalCount += informational ? 1 : 0;
-    boolean expected =
-        informational
-            ? informationalCount <= MAX_INFORMATIONAL_RESPONSES
-            : connection.isAwaited(id);
-    if (expected) {
-      JoinedHeads.findDefect(response).ifPresent(d -> logJoined(d));
+    String id = CallHeaders.requestId(response.headers());
+    Optional<String> defect = JoinedHeads.findDefect(response);
+    if (defect.isPresent()) {
+      logJoined(defect.get());
+      closeOutOfStep(ctx);
+    } else if (response.decoderResult().isFailure() || !isExpected(id)) {
+      logUnexpected(id, response.decoderResult());
+      closeOutOfStep(ctx);
+    } else {
       body = bodyDetector(id);
-      return;
     }
+  }
+
+  private boolean isExpected(String id) {
+    return informational
+        ? informationalCount <= MAX_INFORMATIONAL_RESPONSES
+        : connection.isAwaited(id);
+  }
+
+  private void closeOutOfStep(ChannelHandlerContext ctx) {
     outOfStep = true;
+    ctx.close();
+  }
+
+  private void logUnexpected(String id, DecoderResult result) {
     EventLog.warn(
         LogEvent.RESPONSE_UNEXPECTED,
         "request",
@@ -134,14 +149,15 @@
         "response",
         id,
         "status",
-        response.status().code(),
+        status,
         "malformed",
-        response.decoderResult().isFailure(),
+        result.isFailure(),
+        "why",
+        result.isFailure() ? result.cause() : "",
         "address",
         connection.address(),
         "connection",
         connection);
-    ctx.close();
   }
 
   private Optional<EmbeddedResponseDetector> bodyDetector(String id) {
--- a/server/src/main/java/org/carobhoist/server/gateway/UnawaitedBytesHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/UnawaitedBytesHandler.java
@@ -30,6 +30,9 @@
           connection.address(),
           "connection",
           connection);
+      bytes.release();
+      ctx.close();
+      return;
     }
     ctx.fireChannelRead(message);
   }
--- a/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
@@ -1,6 +1,7 @@
 package org.carobhoist.server.gateway;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
@@ -15,6 +16,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import org.carobhoist.core.request.CarriedRequestIds;
 import org.junit.jupiter.api.Test;
 
@@ -25,12 +27,19 @@
   private static final String REQUEST_ID = "carobhoist-request-id";
   private static final String INFORMATIONAL = "HTTP/1.1 103 Early Hints\r\n\r\n";
 
+  private static final String EARLY_HINTS =
+      "HTTP/1.1 103 Early Hints\r\nlink: </style.css>; rel=preload\r\n";
+
   private final CarriedRequestIds ids = CarriedRequestIds.create();
   private final EmbeddedChannel channel =
       new EmbeddedChannel(new ResponseMatchingHandler(ids.open("a:1")));
 
   private EmbeddedChannel wire() {
-    return new EmbeddedChannel(new HttpClientCodec(), new ResponseMatchingHandler(ids.open("a:1")));
+    CarriedRequestIds.Connection connection = ids.open("a:1");
+    return new EmbeddedChannel(
+        new UnawaitedBytesHandler(connection),
+        new HttpClientCodec(),
+        new ResponseMatchingHandler(connection));
   }
 
   private static HttpRequest request(String id) {
@@ -93,9 +102,71 @@
   }
 
   private static ByteBuf bytes(int status, String id) {
-    String head =
-        "HTTP/1.1 " + status + " Status\r\n" + REQUEST_ID + ": " + id + "\r\ncontent-length: 1";
-    return Unpooled.copiedBuffer(head + "\r\n\r\nx", ASCII);
+    return Unpooled.copiedBuffer(head(status, id) + "x", ASCII);
+  }
+
+  @Test
+  void responseThatBreaksOffInItsHeadIsNotJoinedWithTheNext() {
+    for (String lineEnd : List.of("\r\n", "\n")) {
+      String cutHead = head(200, "r1").replace("\r\n", lineEnd);
+      for (int cut = 1; cut < cutHead.length(); cut++) {
+        EmbeddedChannel wire = wire();
+        wire.writeOutbound(request("r2"));
+        wire.writeInbound(Unpooled.copiedBuffer(cutHead.substring(0, cut), ASCII));
+        wire.writeInbound(bytes(500, "r2"));
+        assertWithMessage(cutHead.substring(0, cut)).that(statuses(wire)).doesNotContain(200);
+      }
+    }
+  }
+
+  @Test
+  void informationalResponseThatBreaksOffIsNotJoinedWithTheNext() {
+    for (int cut = 1; cut < EARLY_HINTS.length(); cut++) {
+      EmbeddedChannel wire = wire();
+      wire.writeOutbound(request("r2"));
+      wire.writeInbound(Unpooled.copiedBuffer(EARLY_HINTS.substring(0, cut), ASCII));
+      wire.writeInbound(bytes(200, "r2"));
+      assertWithMessage(EARLY_HINTS.substring(0, cut)).that(statuses(wire)).isEmpty();
+      assertThat(wire.isOpen()).isFalse();
+    }
+  }
+
+  @Test
+  void bytesWithoutRequestCloseTheConnectionBeforeTheNextOne() {
+    EmbeddedChannel wire = wire();
+    wire.writeOutbound(request("r1"));
+    wire.writeInbound(bytes(200, "r1"));
+    assertThat(wire.isOpen()).isTrue();
+    wire.writeInbound(Unpooled.copiedBuffer("H", ASCII));
+    assertThat(wire.isOpen()).isFalse();
+  }
+
+  @Test
+  void passesOnHeadersThatNameAProtocol() {
+    EmbeddedChannel wire = wire();
+    wire.writeOutbound(request("r1"));
+    String via =
+        head(200, "r1").strip() + "\r\nvia: HTTP/1.1 proxy-200\r\nserver: x HTTP/2\r\n\r\nx";
+    wire.writeInbound(Unpooled.copiedBuffer(via, ASCII));
+    assertThat(statuses(wire)).containsExactly(200);
+    assertThat(wire.isOpen()).isTrue();
+  }
+
+  private static List<Integer> statuses(EmbeddedChannel wire) {
+    return wire.inboundMessages().stream()
+        .filter(HttpResponse.class::isInstance)
+        .map(response -> ((HttpResponse) response).status().code())
+        .toList();
+  }
+
+  private static String head(int status, String id) {
+    return "HTTP/1.1 "
+        + status
+        + " Status\r\n"
+        + REQUEST_ID
+        + ": "
+        + id
+        + "\r\ncarobhoist-server-stamp: 3e1b.07\r\ncontent-length: 1\r\n\r\n";
   }
 
   @Test
