Pass on no body that is filled with a second response

A body that holds a status line, followed by the awaited request's id as a header of that head, is now refused: no server has reason to send the head of its own response in its body. If the body ends within what may be such a head, its end is held until the read is complete. When something that is no response follows in that read, the body's last bytes belong to it. A whole response that follows a body still leaves the body valid, and closes the connection.

What remains: a second response without the id, and a rest that comes in a later read when fewer bytes than a head with its id are in the body.

--- a/server/src/main/java/org/carobhoist/server/gateway/ResponseMatchingHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ResponseMatchingHandler.java
@@ -44,6 +44,7 @@
   private boolean outOfStep;
   private int status;
   private Optional<EmbeddedResponseDetector> body = Optional.empty();
+  private LastHttpContent heldEnd;
 
   /** Creates a handler that is to be placed behind the HTTP codec. */
   ResponseMatchingHandler(CarriedRequestIds.Connection connection) {
@@ -97,23 +98,62 @@
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     if (message instanceof HttpResponse response && !outOfStep) {
+      checkEndBefore(ctx, response);
       checkResponse(ctx, response);
     }
+    if (message instanceof HttpContent content && !outOfStep) {
+      checkBody(ctx, content);
+    }
     if (outOfStep) {
       ReferenceCountUtil.release(message);
+    } else if (message instanceof LastHttpContent end && !informational) {
+      onEnd(ctx, end);
+    } else {
+      ctx.fireChannelRead(message);
+    }
+  }
+
+  /** Holds the end of a body whose last bytes may belong to a second response. */
+  private void onEnd(ChannelHandlerContext ctx, LastHttpContent end) {
+    heldEnd = end;
+    if (body.isEmpty() || !body.get().isInHead()) {
+      passEnd(ctx);
+    }
+  }
+
+  private void passEnd(ChannelHandlerContext ctx) {
+    LastHttpContent end = heldEnd;
+    heldEnd = null;
+    connection.onResponseEnd();
+    informationalCount = 0;
+    ctx.fireChannelRead(end);
+  }
+
+  /** Decides on an end that is held: what can't be decoded goes on with the body's last bytes. */
+  private void checkEndBefore(ChannelHandlerContext ctx, HttpResponse next) {
+    if (heldEnd == null) {
       return;
     }
-    if (message instanceof HttpContent content && body.isPresent()) {
-      checkBody(content);
+    if (next.decoderResult().isSuccess()) {
+      passEnd(ctx);
+      return;
     }
-    if (message instanceof LastHttpContent && !informational) {
-      connection.onResponseEnd();
-      informationalCount = 0;
+    logJoined("a second response from the end of the body on");
+    closeOutOfStep(ctx);
+  }
+
+  @Override
+  public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (heldEnd != null) {
+      passEnd(ctx);
     }
-    ctx.fireChannelRead(message);
+    ctx.fireChannelReadComplete();
   }
 
   private void checkResponse(ChannelHandlerContext ctx, HttpResponse response) {
+    if (outOfStep) {
+      return;
+    }
     status = response.status().code();
     informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     informationalCount += informational ? 1 : 0;
@@ -138,6 +178,8 @@
 
   private void closeOutOfStep(ChannelHandlerContext ctx) {
     outOfStep = true;
+    ReferenceCountUtil.release(heldEnd);
+    heldEnd = null;
     ctx.close();
   }
 
@@ -166,10 +208,10 @@
         : Optional.of(EmbeddedResponseDetector.forRequest(id));
   }
 
-  private void checkBody(HttpContent content) {
-    if (body.get().feed(content.content())) {
+  private void checkBody(ChannelHandlerContext ctx, HttpContent content) {
+    if (body.isPresent() && body.get().feed(content.content())) {
       logJoined("a second response in the body");
-      body = Optional.empty();
+      closeOutOfStep(ctx);
     }
   }
 
@@ -190,6 +232,9 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
+    if (heldEnd != null) {
+      passEnd(ctx);
+    }
     connection.close();
     ctx.fireChannelInactive();
   }
--- a/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -131,6 +132,60 @@
     }
   }
 
+  @Test
+  void bodyThatBreaksOffIsNotFilledByTheSecondResponse() {
+    String response = head(200, "r1", 300) + "b".repeat(300);
+    int headLength = response.length() - 300;
+    for (int cut = headLength; cut < response.length(); cut++) {
+      EmbeddedChannel wire = wire();
+      wire.writeOutbound(request("r1"));
+      wire.writeInbound(Unpooled.copiedBuffer(response.substring(0, cut) + response, ASCII));
+      assertWithMessage("cut at %s", cut - headLength).that(ends(wire)).isEqualTo(0);
+      assertThat(wire.isOpen()).isFalse();
+    }
+  }
+
+  @Test
+  void bodyIsPassedOnIfTheSecondResponseFollowsIt() {
+    for (String end : List.of("", "H", "HTTP/1.1 200 OK\r\n", "HTTP/1.")) {
+      String response = head(200, "r1", 10 + end.length()) + "b".repeat(10) + end;
+      for (String extra : List.of("", response)) {
+        EmbeddedChannel wire = wire();
+        wire.writeOutbound(request("r1"));
+        wire.writeInbound(Unpooled.copiedBuffer(response + extra, ASCII));
+        assertWithMessage(end).that(ends(wire)).isEqualTo(1);
+        assertThat(wire.isOpen()).isEqualTo(extra.isEmpty());
+      }
+    }
+  }
+
+  @Test
+  void secondResponseAfterBodyWithoutLengthIsNotPartOfIt() {
+    String withoutLength = "HTTP/1.1 200 Status\r\n" + REQUEST_ID + ": r1\r\n\r\nbody";
+    EmbeddedChannel wire = wire();
+    wire.writeOutbound(request("r1"));
+    for (byte b : (withoutLength + withoutLength).getBytes(ASCII)) {
+      wire.pipeline().fireChannelRead(Unpooled.wrappedBuffer(new byte[] {b}));
+    }
+    wire.finish();
+    assertThat(ends(wire)).isEqualTo(0);
+  }
+
+  @Test
+  void bodyMayHoldResponsesToOtherRequests() {
+    String body =
+        head(200, "r2", 0) + head(500, "r3", 0) + "GET / HTTP/1.1\r\n" + REQUEST_ID + ": r1\r\n";
+    EmbeddedChannel wire = wire();
+    wire.writeOutbound(request("r1"));
+    wire.writeInbound(Unpooled.copiedBuffer(head(200, "r1", body.length()) + body, ASCII));
+    assertThat(ends(wire)).isEqualTo(1);
+    assertThat(wire.isOpen()).isTrue();
+  }
+
+  private static long ends(EmbeddedChannel wire) {
+    return wire.inboundMessages().stream().filter(LastHttpContent.class::isInstance).count();
+  }
+
   @Test
   void bytesWithoutRequestCloseTheConnectionBeforeTheNextOne() {
     EmbeddedChannel wire = wire();
@@ -160,13 +215,19 @@
   }
 
   private static String head(int status, String id) {
+    return head(status, id, 1);
+  }
+
+  private static String head(int status, String id, int bodyLength) {
     return "HTTP/1.1 "
         + status
         + " Status\r\n"
         + REQUEST_ID
         + ": "
         + id
-        + "\r\ncarobhoist-server-stamp: 3e1b.07\r\ncontent-length: 1\r\n\r\n";
+        + "\r\ncarobhoist-server-stamp: 3e1b.07\r\ncontent-length: "
+        + bodyLength
+        + "\r\n\r\n";
   }
 
   @Test
