Give servers that are out of step a connection for each request

A server that was out of step is likely to be so again, so only such a server gets it, until it has not been out of step for as long as idle connections are kept (30 s): by then those that may hold the beginning of a response have closed. 7008 is written when it begins.

A server that closes its connection within a head is not out of step.

--- a/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayOddServersTest.java
@@ -186,12 +186,12 @@
           completeResponses++;
         }
       }
-      assertThat(completeResponses).isAtLeast(REQUESTS_WITH_CUTS / 4);
+      assertThat(completeResponses).isAtLeast(REQUESTS_WITH_CUTS / 2 - 1);
     }
   }
 
   @Test
-  void secondResponseIsNotPassedOnAsTheEndOfABody() throws IOException {
+  void secondResponseIsNotPassedOnAsEndOfBody() throws IOException {
     try (GatewayCluster cluster = cluster()) {
       final MisbehavingServerStandIn server =
           cluster.addMisbehavingServer("s-1", "app", Misbehavior.SECOND_ANSWER_IN_BODY);
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -34,6 +34,7 @@
 import org.carobhoist.core.membership.EndpointDirectory;
 import org.carobhoist.core.membership.RegisteredServers;
 import org.carobhoist.core.request.CarriedRequestIds;
+import org.carobhoist.core.request.ConnectionReusePolicy;
 import org.carobhoist.core.request.DrainDeadline;
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.reward.RewardCallScheduler;
@@ -169,6 +170,8 @@
   private final DecisionLoop loop = DecisionLoop.on(thread.next());
   private final Clock clock = SuspendAwareClock.create();
   private final CarriedRequestIds carriedIds = CarriedRequestIds.create();
+  private final ConnectionReusePolicy connectionReuse =
+      ConnectionReusePolicy.create(clock, SERVER_IDLE_TIME);
   private final ClientFactory clients =
       clientFactory().maxNumRequestsPerConnection(MAX_REQUESTS_PER_CONNECTION).build();
   private final ClientFactory singleUseClients =
@@ -181,7 +184,7 @@
   private final RequestTracker traffic =
       RequestTracker.create(() -> this.draining, GatewayService::refuse);
   private final UpstreamClients upstreams =
-      new UpstreamClients(clients, singleUseClients, carriedIds);
+      new UpstreamClients(clients, singleUseClients, carriedIds, connectionReuse);
   private final List<ShardTailer> tails = new ArrayList<>();
   private final List<ShardTailer> jobTails = new ArrayList<>();
   private final PeerMesh mesh;
@@ -443,10 +446,17 @@
   }
 
   private void customize(ChannelPipeline pipeline) {
-    ResponseMatchingHandler.addTo(pipeline, carriedIds);
+    ResponseMatchingHandler.addTo(pipeline, carriedIds, this::onOutOfStep);
     ConnectionResetHandler.addTo(pipeline);
   }
 
+  private void onOutOfStep(String address) {
+    if (connectionReuse.onOutOfStep(address)) {
+      EventLog.info(
+          LogEvent.CONNECTIONS_NOT_REUSED, "address", address, "ms", SERVER_IDLE_TIME.toMillis());
+    }
+  }
+
   private ForwardContext forwardContext() {
     return new ForwardContext(
         loop,
--- a/server/src/main/java/org/carobhoist/server/gateway/ResponseMatchingHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ResponseMatchingHandler.java
@@ -20,6 +20,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import java.util.function.Consumer;
 import org.carobhoist.core.request.CarriedRequestIds;
 import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.server.log.EventLog;
@@ -39,6 +40,7 @@
   private static final int MAX_INFORMATIONAL_RESPONSES = 32;
 
   private final CarriedRequestIds.Connection connection;
+  private final Consumer<String> outOfStepListener;
   private boolean informational;
   private int informationalCount;
   private boolean outOfStep;
@@ -46,14 +48,25 @@
   private Optional<EmbeddedResponseDetector> body = Optional.empty();
   private LastHttpContent heldEnd;
 
-  /** Creates a handler that is to be placed behind the HTTP codec. */
-  ResponseMatchingHandler(CarriedRequestIds.Connection connection) {
+  /**
+   * Creates a handler that is to be placed behind the HTTP codec.
+   *
+   * @param outOfStepListener receives the server's address if the connection is out of step
+   */
+  ResponseMatchingHandler(
+      CarriedRequestIds.Connection connection, Consumer<String> outOfStepListener) {
     this.connection = connection;
+    this.outOfStepListener = outOfStepListener;
   }
 
-  /** Adds the handler to a new connection as soon as the connection has its HTTP codec. */
-  static void addTo(ChannelPipeline pipeline, CarriedRequestIds ids) {
-    pipeline.addFirst(new Installer(ids));
+  /**
+   * Adds the handler to a new connection as soon as the connection has its HTTP codec.
+   *
+   * @param outOfStepListener receives the addresses of servers whose connections are out of step
+   */
+  static void addTo(
+      ChannelPipeline pipeline, CarriedRequestIds ids, Consumer<String> outOfStepListener) {
+    pipeline.addFirst(new Installer(ids, outOfStepListener));
   }
 
   /** Returns the name of a connection in the log, or an empty string if it isn't established. */
@@ -122,10 +135,10 @@
   }
 
   private void passEnd(ChannelHandlerContext ctx) {
-    LastHttpContent end = heldEnd;
-    heldEnd = null;
     connection.onResponseEnd();
     informationalCount = 0;
+    LastHttpContent end = heldEnd;
+    heldEnd = null;
     ctx.fireChannelRead(end);
   }
 
@@ -180,6 +193,10 @@
     outOfStep = true;
     ReferenceCountUtil.release(heldEnd);
     heldEnd = null;
+    // A head that ends with its connection is that of a server that broke off, not out of step.
+    if (ctx.channel().isActive()) {
+      outOfStepListener.accept(connection.address());
+    }
     ctx.close();
   }
 
@@ -243,9 +260,11 @@
   private static final class Installer extends ChannelInboundHandlerAdapter {
 
     private final CarriedRequestIds ids;
+    private final Consumer<String> outOfStepListener;
 
-    private Installer(CarriedRequestIds ids) {
+    private Installer(CarriedRequestIds ids, Consumer<String> outOfStepListener) {
       this.ids = ids;
+      this.outOfStepListener = outOfStepListener;
     }
 
     @Override
@@ -260,8 +279,10 @@
         }
         CarriedRequestIds.Connection connection = ids.open(canonicalAddress(server));
         ctx.channel().attr(CONNECTION).set(connection);
-        pipeline.addBefore(codec.name(), null, new UnawaitedBytesHandler(connection));
-        pipeline.addAfter(codec.name(), null, new ResponseMatchingHandler(connection));
+        pipeline.addBefore(
+            codec.name(), null, new UnawaitedBytesHandler(connection, outOfStepListener));
+        pipeline.addAfter(
+            codec.name(), null, new ResponseMatchingHandler(connection, outOfStepListener));
         pipeline.remove(this);
       }
       ctx.fireUserEventTriggered(event);
--- a/server/src/main/java/org/carobhoist/server/gateway/UnawaitedBytesHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/UnawaitedBytesHandler.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import java.util.function.Consumer;
 import org.carobhoist.core.request.CarriedRequestIds;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
@@ -14,9 +15,17 @@
 final class UnawaitedBytesHandler extends ChannelInboundHandlerAdapter {
 
   private final CarriedRequestIds.Connection connection;
+  private final Consumer<String> outOfStepListener;
 
-  UnawaitedBytesHandler(CarriedRequestIds.Connection connection) {
+  /**
+   * Creates a handler for one connection.
+   *
+   * @param outOfStepListener receives the server's address if the connection is out of step
+   */
+  UnawaitedBytesHandler(
+      CarriedRequestIds.Connection connection, Consumer<String> outOfStepListener) {
     this.connection = connection;
+    this.outOfStepListener = outOfStepListener;
   }
 
   @Override
@@ -31,6 +40,7 @@
           "connection",
           connection);
       bytes.release();
+      outOfStepListener.accept(connection.address());
       ctx.close();
       return;
     }
--- a/server/src/main/java/org/carobhoist/server/gateway/UpstreamClients.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/UpstreamClients.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.carobhoist.core.request.CarriedRequestIds;
+import org.carobhoist.core.request.ConnectionReusePolicy;
 import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
@@ -24,7 +25,8 @@
  *
  * <p>A request whose id an open connection to the server has carried gets a connection of its own:
  * on a pooled one, a late second response to the earlier request would pass for its response. The
- * same holds for ids that there is no room to remember.
+ * same holds for ids that there is no room to remember, and for servers to which no connection is
+ * reused.
  */
 final class UpstreamClients {
 
@@ -48,6 +50,7 @@
   private final Map<String, WebClient> pooledClients = clientCache();
   private final Map<String, WebClient> singleUseClients = clientCache();
   private final CarriedRequestIds carriedIds;
+  private final ConnectionReusePolicy reuse;
 
   /**
    * Creates clients without connections.
@@ -55,11 +58,17 @@
    * @param pooled factory whose connections serve many requests
    * @param singleUse factory whose connections serve one request each
    * @param carriedIds ids that the connections of both factories have carried
+   * @param reuse decides which servers get requests on pooled connections
    */
-  UpstreamClients(ClientFactory pooled, ClientFactory singleUse, CarriedRequestIds carriedIds) {
+  UpstreamClients(
+      ClientFactory pooled,
+      ClientFactory singleUse,
+      CarriedRequestIds carriedIds,
+      ConnectionReusePolicy reuse) {
     this.pooled = pooled;
     this.singleUse = singleUse;
     this.carriedIds = carriedIds;
+    this.reuse = reuse;
   }
 
   /**
@@ -97,7 +106,11 @@
 
   private WebClient client(String address, HttpRequest request) {
     String id = CallHeaders.requestId(request.headers());
-    if (carriedIds.isCarried(ResponseMatchingHandler.canonicalAddress(address), id)) {
+    String canonicalAddress = ResponseMatchingHandler.canonicalAddress(address);
+    if (!reuse.mayReuse(canonicalAddress)) {
+      return client(singleUseClients, singleUse, address);
+    }
+    if (carriedIds.isCarried(canonicalAddress, id)) {
       EventLog.info(LogEvent.REQUEST_ID_REPEATED, "request", id, "address", address);
       return client(singleUseClients, singleUse, address);
     }
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -87,6 +87,8 @@
   BYTES_UNAWAITED(7006, "bytes without a request"),
   /** A response consists of parts of several responses. */
   RESPONSE_JOINED(7007, "joined responses"),
+  /** Each request to a server gets a connection of its own for some time. */
+  CONNECTIONS_NOT_REUSED(7008, "connections not reused"),
   /** A job was accepted and is in the store. */
   JOB_ACCEPTED(7101, "job accepted"),
   /** A job was refused, or it is unknown whether the store has it. */
--- a/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.LastHttpContent;
 import java.nio.charset.Charset;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.List;
 import org.carobhoist.core.request.CarriedRequestIds;
 import org.junit.jupiter.api.Test;
@@ -32,15 +33,16 @@
       "HTTP/1.1 103 Early Hints\r\nlink: </style.css>; rel=preload\r\n";
 
   private final CarriedRequestIds ids = CarriedRequestIds.create();
+  private final List<String> outOfStep = new ArrayList<>();
   private final EmbeddedChannel channel =
-      new EmbeddedChannel(new ResponseMatchingHandler(ids.open("a:1")));
+      new EmbeddedChannel(new ResponseMatchingHandler(ids.open("a:1"), outOfStep::add));
 
   private EmbeddedChannel wire() {
     CarriedRequestIds.Connection connection = ids.open("a:1");
     return new EmbeddedChannel(
-        new UnawaitedBytesHandler(connection),
+        new UnawaitedBytesHandler(connection, outOfStep::add),
         new HttpClientCodec(),
-        new ResponseMatchingHandler(connection));
+        new ResponseMatchingHandler(connection, outOfStep::add));
   }
 
   private static HttpRequest request(String id) {
@@ -194,10 +196,21 @@
     assertThat(wire.isOpen()).isTrue();
     wire.writeInbound(Unpooled.copiedBuffer("H", ASCII));
     assertThat(wire.isOpen()).isFalse();
+    assertThat(outOfStep).containsExactly("a:1");
   }
 
   @Test
-  void passesOnHeadersThatNameAProtocol() {
+  void serverThatClosesTheConnectionWithinHeadIsNotOutOfStep() {
+    EmbeddedChannel wire = wire();
+    wire.writeOutbound(request("r1"));
+    wire.writeInbound(Unpooled.copiedBuffer(head(200, "r1").substring(0, 60), ASCII));
+    wire.close();
+    assertThat(statuses(wire)).isEmpty();
+    assertThat(outOfStep).isEmpty();
+  }
+
+  @Test
+  void passesOnHeadersThatNameProtocols() {
     EmbeddedChannel wire = wire();
     wire.writeOutbound(request("r1"));
     String via =
