Create single-use connections in one place

EndpointClient and HttpScorer each had a client factory whose connections serve one request, for servers whose responses bear no id. SingleUseConnections has it now, so that further clients of this kind need none of their own.

The scorer's connections get the handler for resets with it: a score without a length whose connection is reset fails, and is asked for again with its idempotency key, where it was taken as complete before. The gateway's factory stays apart, since it shares the gateway's thread and its handlers.

--- a/server/src/main/java/org/carobhoist/server/logservice/HttpScorer.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/HttpScorer.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -18,6 +17,7 @@
 import java.util.concurrent.CompletionException;
 import org.carobhoist.core.rollout.AttemptKey;
 import org.carobhoist.core.rollout.FinishedSample;
+import org.carobhoist.server.runtime.SingleUseConnections;
 
 /**
  * Calls a scorer with {@code POST} requests, with one {@code Idempotency-Key} per attempt.
@@ -28,9 +28,6 @@
 
   private static final ObjectMapper JSON = new ObjectMapper();
 
-  private static final ClientFactory SINGLE_USE_CONNECTIONS =
-      ClientFactory.builder().maxNumRequestsPerConnection(1).build();
-
   private final WebClient client;
   private final String path;
 
@@ -46,7 +43,7 @@
     String path = url.getRawPath().isEmpty() ? "/" : url.getRawPath();
     WebClient client =
         WebClient.builder(url.getScheme() + "://" + url.getAuthority())
-            .factory(SINGLE_USE_CONNECTIONS)
+            .factory(SingleUseConnections.factory())
             .build();
     return new HttpScorer(client, path);
   }
--- a/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/EndpointClient.java
@@ -1,7 +1,6 @@
 package org.carobhoist.server.sidecar;
 
 import com.linecorp.armeria.client.ClientFactory;
-import com.linecorp.armeria.client.ClientFactoryOptions;
 import com.linecorp.armeria.client.RequestOptions;
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.client.WebClient;
@@ -12,18 +11,15 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
-import io.netty.channel.ChannelPipeline;
 import java.net.URI;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import java.util.function.Consumer;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
 import org.carobhoist.core.request.EventStreamPosition;
 import org.carobhoist.platform.CallHeaders;
-import org.carobhoist.server.runtime.ConnectionResetHandler;
-import org.carobhoist.server.runtime.InboundByteLimit;
+import org.carobhoist.server.runtime.SingleUseConnections;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 
@@ -44,15 +40,8 @@
    */
   private static final long MAX_REPLY_CONNECTION_BYTES = 2 * MAX_REPLY_BYTES;
 
-  private static final ClientFactory SINGLE_USE_CONNECTIONS =
-      singleUseConnections(ConnectionResetHandler::addTo);
-
-  private static final ClientFactory BOUNDED_SINGLE_USE_CONNECTIONS =
-      singleUseConnections(
-          pipeline -> {
-            ConnectionResetHandler.addTo(pipeline);
-            InboundByteLimit.addTo(pipeline, MAX_REPLY_CONNECTION_BYTES);
-          });
+  private static final ClientFactory BOUNDED_CONNECTIONS =
+      SingleUseConnections.boundedFactory(MAX_REPLY_CONNECTION_BYTES);
 
   /** Maximum number of parts of a response that a sink keeps before no more are read. */
   private static final int MAX_KEPT_PARTS = 16;
@@ -62,18 +51,11 @@
   private final Executor loop;
 
   private EndpointClient(URI url, Executor loop) {
-    this.client = client(url, SINGLE_USE_CONNECTIONS);
-    this.bounded = client(url, BOUNDED_SINGLE_USE_CONNECTIONS);
+    this.client = client(url, SingleUseConnections.factory());
+    this.bounded = client(url, BOUNDED_CONNECTIONS);
     this.loop = loop;
   }
 
-  private static ClientFactory singleUseConnections(Consumer<ChannelPipeline> customizer) {
-    return ClientFactory.builder()
-        .maxNumRequestsPerConnection(1)
-        .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, customizer)
-        .build();
-  }
-
   private static WebClient client(URI url, ClientFactory factory) {
     return WebClient.builder("h1c://" + url.getAuthority())
         .factory(factory)
