Send each request to the platform on a connection of its own

Cause: HttpPlatform used the default client factory, which keeps connections, and the platform's responses bear no id. A late second response was taken for the next one. The beginning of one was joined with the next: a 304 that breaks off hides the new list that follows it.

Checking the heads, as gateways do, was ruled out: a whole second response can't be told from the awaited one. On a connection of its own there is no earlier response.

--- a/server/src/main/java/org/carobhoist/server/logservice/HttpPlatform.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/HttpPlatform.java
@@ -25,8 +25,13 @@
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Zone;
 import org.carobhoist.core.membership.ListedInstance;
+import org.carobhoist.server.runtime.SingleUseConnections;
 
-/** HTTP client of the platform's log and instance list. */
+/**
+ * HTTP client of the platform's log and instance list. Responses of the platform bear no request
+ * id, so each request has a connection of its own: on a shared one, a late second response would
+ * pass for the response to the next request.
+ */
 public final class HttpPlatform implements PlatformLog, InstanceList {
 
   private static final Duration CALL_TIMEOUT = Duration.ofSeconds(3);
@@ -45,6 +50,7 @@
   private HttpPlatform(URI url) {
     this.client =
         WebClient.builder("h1c://" + url.getAuthority())
+            .factory(SingleUseConnections.factory())
             .maxResponseLength(MAX_RESPONSE_BYTES)
             .build();
   }
--- a/server/src/test/java/org/carobhoist/server/logservice/HttpPlatformTest.java
+++ b/server/src/test/java/org/carobhoist/server/logservice/HttpPlatformTest.java
@@ -1,20 +1,31 @@
 package org.carobhoist.server.logservice;
 
 import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
 
 import java.io.IOException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.carobhoist.standin.EndlessServerStandIn;
+import org.carobhoist.standin.RepeatingServerStandIn;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-/** Checks that responses of the platform are bounded. */
+/** Checks that responses of the platform are bounded, and that each one is to its own request. */
 final class HttpPlatformTest {
 
   private static final long MAX_ENDLESS_BYTES = 64L << 20;
 
+  private static final byte[] RECORD = {1};
+  private static final byte[] NOT_MODIFIED =
+      RepeatingServerStandIn.response("304 Not Modified\r\netag: \"1\"", "");
+  private static final String LIST =
+      "[{\"instance\":{\"value\":\"s-1\"},\"role\":\"sidecar\",\"zone\":{\"value\":\"a\"},"
+          + "\"host\":\"127.0.0.1\",\"port\":1,\"leaving\":false}]";
+
   @ParameterizedTest
   @EnumSource(
       value = EndlessServerStandIn.Part.class,
@@ -43,4 +54,44 @@
         .isNotNull();
     server.stop();
   }
+
+  @Test
+  void lateSecondResponseIsNotTheOffsetOfTheNextAppend() throws IOException {
+    AtomicInteger appends = new AtomicInteger();
+    RepeatingServerStandIn server =
+        RepeatingServerStandIn.start(
+            request ->
+                RepeatingServerStandIn.response(
+                    "200 OK", "{\"offset\":" + appends.incrementAndGet() + "}"),
+            length -> length);
+    HttpPlatform platform = HttpPlatform.at(server.uri());
+    for (long i = 1; i <= 3; i++) {
+      assertThat(platform.append(RECORD).orTimeout(20, TimeUnit.SECONDS).join()).isEqualTo(i);
+    }
+    server.stop();
+  }
+
+  @Test
+  void responseThatBreaksOffDoesNotHideTheNextInstanceList() throws IOException {
+    for (int cut = 1; cut < NOT_MODIFIED.length; cut++) {
+      int copyLength = cut;
+      AtomicInteger requests = new AtomicInteger();
+      RepeatingServerStandIn server =
+          RepeatingServerStandIn.start(
+              request ->
+                  switch (requests.incrementAndGet()) {
+                    case 1 -> RepeatingServerStandIn.response("200 OK\r\netag: \"1\"", "[]");
+                    case 2 -> NOT_MODIFIED;
+                    default -> RepeatingServerStandIn.response("200 OK\r\netag: \"2\"", LIST);
+                  },
+              length -> length == NOT_MODIFIED.length ? copyLength : 0);
+      HttpPlatform platform = HttpPlatform.at(server.uri());
+      assertThat(platform.read().orTimeout(20, TimeUnit.SECONDS).join()).isEmpty();
+      assertThat(platform.read().orTimeout(20, TimeUnit.SECONDS).join()).isEmpty();
+      assertWithMessage("cut after %s bytes", cut)
+          .that(platform.read().orTimeout(20, TimeUnit.SECONDS).join())
+          .hasSize(1);
+      server.stop();
+    }
+  }
 }
