Read each report of an engine on a connection of its own

The poll of a load ends the load on the first report that isn't busy, so one from before the order can end it early.

Cause: reports bear no request id, and went over pooled connections, while orders have had connections of their own. Asking engines for an id was ruled out before: none echoes it.

RepliesWithoutIdTest.lateSecondReportIsNotTheNextReport failed before (order count 1 for 2) and passes now: on a connection of its own a report has no earlier response. Cut reports no longer come before items either.

The cost is a connection for each report: one for each 250 ms of a load, and one where an engine's version is read.

--- a/server/src/main/java/org/carobhoist/server/gateway/EngineClient.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/EngineClient.java
@@ -90,7 +90,7 @@
 
   /** Requests the engine's report on a model; passes an empty value to the callback on failure. */
   void requestReport(String model, Consumer<Optional<EngineOrders.Report>> callback) {
-    aggregate(upstreams.sendBuffered(address, EngineOrders.reportRequest(id), CALL_TIMEOUT))
+    aggregate(upstreams.sendOnNewConnection(address, EngineOrders.reportRequest(id), CALL_TIMEOUT))
         .thenApply(reply -> EngineOrders.report(reply.content().array(), model))
         .whenCompleteAsync(
             (report, failure) -> {
--- a/server/src/test/java/org/carobhoist/server/gateway/RepliesWithoutIdTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/RepliesWithoutIdTest.java
@@ -192,4 +192,13 @@
         .join()
         .map(response -> response.status().code());
   }
+
+  @Test
+  void lateSecondReportIsNotTheNextReport() throws IOException {
+    RepeatingServerStandIn server = engine(Integer.MAX_VALUE);
+    for (long i = 1; i <= 3; i++) {
+      assertThat(report(server)).hasValue(i);
+    }
+    server.stop();
+  }
 }
