--- a/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
@@ -75,7 +75,7 @@
   @Test
   void passesOnTheResponseAfterInformationalOnes() {
     EmbeddedChannel wire = wire();
-    wire.writeOutbound(request("r1"));
+    send(wire, "r1");
     ByteBuf informational = Unpooled.copiedBuffer(INFORMATIONAL.repeat(3), ASCII);
     assertThat(wire.writeInbound(informational, bytes(200, "r1"))).isTrue();
     assertThat(wire.isOpen()).isTrue();
@@ -86,7 +86,7 @@
   @Test
   void endlessInformationalResponsesCloseTheConnection() {
     EmbeddedChannel wire = wire();
-    wire.writeOutbound(request("r1"));
+    send(wire, "r1");
     wire.writeInbound(Unpooled.copiedBuffer(INFORMATIONAL.repeat(1_000), ASCII));
     assertThat(wire.isOpen()).isFalse();
     assertThat(wire.inboundMessages().size()).isLessThan(100);
@@ -95,10 +95,10 @@
   @Test
   void lateSecondResponseClosesTheConnectionEvenIfReadTogetherWithTheNext() {
     EmbeddedChannel wire = wire();
-    wire.writeOutbound(request("r1"));
+    send(wire, "r1");
     assertThat(wire.writeInbound(bytes(200, "r1"))).isTrue();
     wire.releaseInbound();
-    wire.writeOutbound(request("r2"));
+    send(wire, "r2");
     assertThat(wire.writeInbound(Unpooled.wrappedBuffer(bytes(200, "r1"), bytes(500, "r2"))))
         .isFalse();
     assertThat(wire.isOpen()).isFalse();
@@ -116,7 +116,7 @@
         String next = head(500, "r2").replace("HTTP/1.1 ", protocol) + "x";
         for (int cut = 1; cut < cutHead.length(); cut++) {
           EmbeddedChannel wire = wire();
-          wire.writeOutbound(request("r2"));
+          send(wire, "r2");
           wire.pipeline().fireChannelRead(ascii(cutHead.substring(0, cut)));
           wire.pipeline().fireChannelRead(ascii(next));
           assertWithMessage(cutHead.substring(0, cut) + next)
@@ -131,7 +131,7 @@
   void informationalResponseThatBreaksOffIsNotJoinedWithTheNext() {
     for (int cut = 1; cut < EARLY_HINTS.length(); cut++) {
       EmbeddedChannel wire = wire();
-      wire.writeOutbound(request("r2"));
+      send(wire, "r2");
       wire.writeInbound(Unpooled.copiedBuffer(EARLY_HINTS.substring(0, cut), ASCII));
       wire.writeInbound(bytes(200, "r2"));
       assertWithMessage(EARLY_HINTS.substring(0, cut)).that(statuses(wire)).isEmpty();
@@ -145,7 +145,7 @@
     int headLength = response.length() - 300;
     for (int cut = headLength; cut < response.length(); cut++) {
       EmbeddedChannel wire = wire();
-      wire.writeOutbound(request("r1"));
+      send(wire, "r1");
       wire.writeInbound(Unpooled.copiedBuffer(response.substring(0, cut) + response, ASCII));
       assertWithMessage("cut at %s", cut - headLength).that(ends(wire)).isEqualTo(0);
       assertThat(wire.isOpen()).isFalse();
@@ -165,7 +165,7 @@
     int headEnd = response.indexOf("\r\n\r\n") + 4;
     for (int cut = headEnd; cut < response.length(); cut++) {
       EmbeddedChannel wire = wire();
-      wire.writeOutbound(request("r1"));
+      send(wire, "r1");
       wire.pipeline().fireChannelRead(ascii(response.substring(0, cut) + response));
       assertWithMessage("cut at %s", cut).that(ends(wire)).isEqualTo(0);
     }
@@ -176,9 +176,9 @@
     String response = head(200, "r2", 300) + "b".repeat(300);
     for (int cut = response.length() - 300; cut < response.length(); cut++) {
       EmbeddedChannel wire = wire();
-      wire.writeOutbound(request("r1"));
+      send(wire, "r1");
       wire.writeInbound(bytes(200, "r1"));
-      wire.writeOutbound(request("r2"));
+      send(wire, "r2");
       wire.releaseInbound();
       wire.pipeline().fireChannelRead(ascii(response.substring(0, cut) + head(500, "r1", 400)));
       assertWithMessage("cut at %s", cut).that(ends(wire)).isEqualTo(0);
@@ -191,7 +191,7 @@
       String response = head(200, "r1", 10 + end.length()) + "b".repeat(10) + end;
       for (String extra : List.of("", response)) {
         EmbeddedChannel wire = wire();
-        wire.writeOutbound(request("r1"));
+        send(wire, "r1");
         wire.writeInbound(ascii(response + extra));
         assertWithMessage(end).that(ends(wire)).isEqualTo(1);
         assertThat(wire.isOpen()).isEqualTo(extra.isEmpty());
@@ -203,7 +203,7 @@
   void secondResponseAfterBodyWithoutLengthIsNotPartOfIt() {
     String withoutLength = "HTTP/1.1 200 Status\r\n" + REQUEST_ID + ": r1\r\n\r\nbody";
     EmbeddedChannel wire = wire();
-    wire.writeOutbound(request("r1"));
+    send(wire, "r1");
     for (byte b : (withoutLength + withoutLength).getBytes(ASCII)) {
       wire.pipeline().fireChannelRead(Unpooled.wrappedBuffer(new byte[] {b}));
     }
@@ -216,7 +216,7 @@
     String body =
         head(200, "r2", 0) + head(500, "r3", 0) + "GET / HTTP/1.1\r\n" + REQUEST_ID + ": r1\r\n";
     EmbeddedChannel wire = wire();
-    wire.writeOutbound(request("r1"));
+    send(wire, "r1");
     wire.writeInbound(Unpooled.copiedBuffer(head(200, "r1", body.length()) + body, ASCII));
     assertThat(ends(wire)).isEqualTo(1);
     assertThat(wire.isOpen()).isTrue();
@@ -229,7 +229,7 @@
   @Test
   void bytesWithoutRequestCloseTheConnectionBeforeTheNextOne() {
     EmbeddedChannel wire = wire();
-    wire.writeOutbound(request("r1"));
+    send(wire, "r1");
     wire.writeInbound(bytes(200, "r1"));
     assertThat(wire.isOpen()).isTrue();
     wire.writeInbound(Unpooled.copiedBuffer("H", ASCII));
@@ -240,7 +240,7 @@
   @Test
   void serverThatClosesTheConnectionWithinHeadIsNotOutOfStep() {
     EmbeddedChannel wire = wire();
-    wire.writeOutbound(request("r1"));
+    send(wire, "r1");
     wire.writeInbound(Unpooled.copiedBuffer(head(200, "r1").substring(0, 60), ASCII));
     wire.close();
     assertThat(statuses(wire)).isEmpty();
@@ -250,7 +250,7 @@
   @Test
   void passesOnHeadersThatNameProtocols() {
     EmbeddedChannel wire = wire();
-    wire.writeOutbound(request("r1"));
+    send(wire, "r1");
     String via =
         head(200, "r1").strip() + "\r\nvia: HTTP/1.1 200.proxy\r\nserver: x HTTP/2\r\n\r\nx";
     wire.writeInbound(Unpooled.copiedBuffer(via, ASCII));
@@ -271,12 +271,17 @@
   @Test
   void protocolIsNeverSwitched() {
     EmbeddedChannel wire = wire();
-    wire.writeOutbound(request("r1"));
+    send(wire, "r1");
     wire.writeInbound(ascii("HTTP/1.1 101 Switching Protocols\r\n\r\n"));
     assertThat(statuses(wire)).isEmpty();
     assertThat(wire.isOpen()).isFalse();
   }
 
+  private static void send(EmbeddedChannel wire, String id) {
+    wire.writeOutbound(request(id));
+    wire.releaseOutbound();
+  }
+
   private static ByteBuf ascii(String text) {
     return Unpooled.copiedBuffer(text, ASCII);
   }
