Hold bodies that may hold another head until it is known what follows them

Replies of the store bear no id, and records may hold any bytes, so neither an id nor a status line in the body shows it.

What follows the body does: the rest of the head that filled it comes in the same read. The end of a body that may hold a head was held only if it ended within one, and was passed on if the codec made no message of the rest, which takes a line end. Now it is held if a status line, an id or a stamp is anywhere in it, and what was received last is compared with the body's last bytes, so that a rest without a line end counts too. A whole response that follows still leaves the body valid.

--- a/core/src/main/java/org/carobhoist/core/request/CarriedRequestIds.java
+++ b/core/src/main/java/org/carobhoist/core/request/CarriedRequestIds.java
@@ -93,11 +93,6 @@
       return ids.contains(id);
     }
 
-    /** Returns whether this connection has carried a request with any id. */
-    public boolean hasCarriedIds() {
-      return !ids.isEmpty();
-    }
-
     /** Returns whether a request was sent whose response has not ended. */
     public boolean isAwaiting() {
       return awaited.isPresent();
--- a/server/src/main/java/org/carobhoist/server/gateway/EmbeddedResponseDetector.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/EmbeddedResponseDetector.java
@@ -24,9 +24,11 @@
 
   private final Predicate<String> isCarried;
   private String line = "";
+  private String lastBytes = "";
   private boolean statusSeen;
   private boolean idSeen;
   private boolean stampSeen;
+  private boolean suspicious;
   private boolean found;
 
   private EmbeddedResponseDetector(Predicate<String> isCarried) {
@@ -44,19 +46,33 @@
 
   /** Reads the next part of the body, and returns whether another head was found by now. */
   boolean feed(ByteBuf part) {
-    String text = line + part.toString(StandardCharsets.ISO_8859_1);
+    String added = part.toString(StandardCharsets.ISO_8859_1);
+    String text = line + added;
     int begin = 0;
     for (int end = text.indexOf('\n'); end >= 0; end = text.indexOf('\n', begin)) {
       onLine(text.substring(Math.max(begin, end - MAX_LINE_LENGTH), end));
       begin = end + 1;
     }
     line = text.substring(Math.max(begin, text.length() - MAX_LINE_LENGTH));
+    lastBytes = end(lastBytes + end(added));
     return found;
   }
 
-  /** Returns whether the body so far ends within what may be the head of another response. */
-  boolean isInHead() {
-    return statusSeen || idSeen || stampSeen || endsWithStatusLine();
+  /**
+   * Returns whether the body so far may contain another head that can't be told from other text.
+   * What follows the body on the connection decides on it.
+   */
+  boolean isSuspicious() {
+    return suspicious || endsWithStatusLine();
+  }
+
+  /** Returns the last bytes of the body so far, as one character each. */
+  String lastBytes() {
+    return lastBytes;
+  }
+
+  private static String end(String text) {
+    return text.substring(Math.max(0, text.length() - UnawaitedBytesHandler.MAX_TAIL_LENGTH));
   }
 
   private void onLine(String text) {
@@ -69,6 +85,7 @@
     statusSeen |= StatusLines.isIn(text);
     stampSeen |= CallHeaders.isStampLine(text);
     idSeen |= CallHeaders.requestIdInLine(text).filter(isCarried).isPresent();
+    suspicious |= statusSeen || stampSeen || idSeen;
     found |= idSeen && (statusSeen || stampSeen);
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/ResponseMatchingHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ResponseMatchingHandler.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
+import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.AttributeKey;
 import io.netty.util.NetUtil;
@@ -43,6 +44,8 @@
 
   private final CarriedRequestIds.Connection connection;
   private final OutOfStepListener listener;
+  private final UnawaitedBytesHandler received;
+  private boolean lengthKnown;
   private boolean informational;
   private int informationalCount;
   private boolean outOfStep;
@@ -53,10 +56,15 @@
   /**
    * Creates a handler that is to be placed behind the HTTP codec.
    *
+   * @param received handler in front of the codec
    * @param listener notified if the connection is out of step
    */
-  ResponseMatchingHandler(CarriedRequestIds.Connection connection, OutOfStepListener listener) {
+  ResponseMatchingHandler(
+      CarriedRequestIds.Connection connection,
+      UnawaitedBytesHandler received,
+      OutOfStepListener listener) {
     this.connection = connection;
+    this.received = received;
     this.listener = listener;
     this.body = newDetector();
   }
@@ -127,7 +135,7 @@
     } else if (message instanceof LastHttpContent end && !informational) {
       heldEnd = end;
       // What is read next tells whether the last bytes belong to a second response.
-      if (!body.isInHead()) {
+      if (!body.isSuspicious()) {
         passHeldEnd(ctx);
       }
     } else {
@@ -149,6 +157,9 @@
 
   @Override
   public void channelReadComplete(ChannelHandlerContext ctx) {
+    if (heldEnd != null && lengthKnown && !received.hasReceivedLast(body.lastBytes())) {
+      refuseJoined(ctx, "more bytes after the end of the body");
+    }
     passHeldEnd(ctx);
     ctx.fireChannelReadComplete();
   }
@@ -157,6 +168,7 @@
     status = response.status().code();
     informational = response.status().codeClass() == HttpStatusClass.INFORMATIONAL;
     informationalCount += informational ? 1 : 0;
+    lengthKnown = HttpUtil.isContentLengthSet(response);
     String id = CallHeaders.requestId(response.headers());
     Optional<String> defect = JoinedHeads.findDefect(response);
     if (defect.isPresent()) {
@@ -176,7 +188,7 @@
   private void checkContent(ChannelHandlerContext ctx, HttpContent content) {
     if (content.decoderResult().isFailure()) {
       refuseJoined(ctx, "a malformed body: " + content.decoderResult().cause());
-    } else if (connection.hasCarriedIds() && body.feed(content.content())) {
+    } else if (body.feed(content.content())) {
       refuseJoined(ctx, "a second response in the body");
     } else if (content instanceof LastHttpContent end
         && CallHeaders.hasIdentity(end.trailingHeaders())) {
@@ -264,8 +276,10 @@
         }
         CarriedRequestIds.Connection connection = ids.open(canonicalAddress(server));
         ctx.channel().attr(CONNECTION).set(connection);
-        pipeline.addBefore(codec.name(), null, new UnawaitedBytesHandler(connection, listener));
-        pipeline.addAfter(codec.name(), null, new ResponseMatchingHandler(connection, listener));
+        UnawaitedBytesHandler received = new UnawaitedBytesHandler(connection, listener);
+        pipeline.addBefore(codec.name(), null, received);
+        pipeline.addAfter(
+            codec.name(), null, new ResponseMatchingHandler(connection, received, listener));
         pipeline.remove(this);
       }
       ctx.fireUserEventTriggered(event);
--- a/server/src/main/java/org/carobhoist/server/gateway/UnawaitedBytesHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/UnawaitedBytesHandler.java
@@ -20,8 +20,12 @@
 
   private static final int MAX_STATUS_LINE_LENGTH = 64;
 
+  /** Number of bytes that are kept of what was received last. */
+  static final int MAX_TAIL_LENGTH = 64;
+
   private final CarriedRequestIds.Connection connection;
   private final OutOfStepListener listener;
+  private String tail = "";
 
   /**
    * Creates a handler for one connection.
@@ -51,9 +55,24 @@
       ctx.close();
       return;
     }
+    if (message instanceof ByteBuf bytes) {
+      int kept = Math.min(bytes.readableBytes(), MAX_TAIL_LENGTH);
+      String text =
+          tail + bytes.toString(bytes.writerIndex() - kept, kept, StandardCharsets.ISO_8859_1);
+      tail = text.substring(Math.max(0, text.length() - MAX_TAIL_LENGTH));
+    }
     ctx.fireChannelRead(message);
   }
 
+  /**
+   * Returns whether the bytes received so far end with a text.
+   *
+   * @param text at most {@link #MAX_TAIL_LENGTH} characters, one for each byte
+   */
+  boolean hasReceivedLast(String text) {
+    return tail.endsWith(text);
+  }
+
   /** Returns whether the bytes are blank, an informational response, or the notice of a timeout. */
   private static boolean isHarmless(ByteBuf bytes) {
     int length = Math.min(bytes.readableBytes(), MAX_STATUS_LINE_LENGTH);
--- a/server/src/test/java/org/carobhoist/server/gateway/EmbeddedResponseDetectorTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/EmbeddedResponseDetectorTest.java
@@ -39,7 +39,6 @@
   @Test
   void ignoresHeadsOfOtherConnections() {
     assertThat(feed(HEAD.replace("r1", "r2"))).isFalse();
-    assertThat(detector.isInHead()).isFalse();
   }
 
   @Test
@@ -53,16 +52,16 @@
   }
 
   @Test
-  void tellsWhetherTheBodyEndsWithinHead() {
+  void bodyWithWhatMayBeHeadIsSuspicious() {
     feed("text ");
-    assertThat(detector.isInHead()).isFalse();
+    assertThat(detector.isSuspicious()).isFalse();
     feed("H");
-    assertThat(detector.isInHead()).isTrue();
+    assertThat(detector.isSuspicious()).isTrue();
     feed("ello\n");
-    assertThat(detector.isInHead()).isFalse();
+    assertThat(detector.isSuspicious()).isFalse();
     feed("HTTP/1.1 200 OK\r\n");
-    assertThat(detector.isInHead()).isTrue();
-    feed("\r\n");
-    assertThat(detector.isInHead()).isFalse();
+    assertThat(detector.isSuspicious()).isTrue();
+    feed("\r\nmore");
+    assertThat(detector.isSuspicious()).isTrue();
   }
 }
--- a/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
@@ -34,15 +34,19 @@
 
   private final CarriedRequestIds ids = CarriedRequestIds.create();
   private final List<String> outOfStep = new ArrayList<>();
+  private final CarriedRequestIds.Connection connection = ids.open("a:1");
   private final EmbeddedChannel channel =
-      new EmbeddedChannel(new ResponseMatchingHandler(ids.open("a:1"), outOfStep::add));
+      new EmbeddedChannel(
+          new ResponseMatchingHandler(
+              connection, new UnawaitedBytesHandler(connection, outOfStep::add), outOfStep::add));
 
   private EmbeddedChannel wire() {
-    CarriedRequestIds.Connection connection = ids.open("a:1");
+    CarriedRequestIds.Connection newConnection = ids.open("a:1");
+    UnawaitedBytesHandler received = new UnawaitedBytesHandler(newConnection, outOfStep::add);
     return new EmbeddedChannel(
-        new UnawaitedBytesHandler(connection, outOfStep::add),
+        received,
         new HttpClientCodec(),
-        new ResponseMatchingHandler(connection, outOfStep::add));
+        new ResponseMatchingHandler(newConnection, received, outOfStep::add));
   }
 
   private static HttpRequest request(String id) {
