Keep the texts of a test shorter than the wait of a load for them

A load waits 3 s at most for texts that need a single version; the test's texts took 60 sleeps of 50 ms, 3.0 s and more, and were broken off, as the bound says, when the machine was slower.

Shown on with events of 58 ms: the same failure, 1 of 1. With events of 30 ms the texts take 1.8 s. The check is as strict as before: with 30 ms and a load that doesn't wait, the test fails with both items run again (1 of 1).

--- a/it/src/test/java/org/carobhoist/it/GatewayTest.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayTest.java
@@ -595,7 +595,7 @@
   void newVersionIsNotLoadedInTheMiddleOfSingleVersionTexts() throws IOException {
     try (GatewayCluster cluster = cluster()) {
       final PlatformServerStandIn engine = cluster.addServer("e-1", "lm", true);
-      engine.setEvents(60, 50);
+      engine.setEvents(60, 30);
       cluster.awaitReady("entry-1");
       cluster.post("entry-1", SINGLE, "/j", PlatformDocuments.job(1, "a", "b"), "j1");
       cluster.await("both items run", () -> engine.runs().size() == 2);
