Begin items again when no usable engine has the version of their text

Cause: the text of a waiting item was kept while any engine of the service had its version or an older one. That engine might await its load, be loading, have its order answered late, follow other models, not serve the model at all, or be full of long runs. Nothing limited the wait, so an item could stay without an engine while others were idle.

Change: a waiting item whose text has had no new event for 2 s (PlacementPolicy.maxVersionWait) begins again if that lets it run now and no engine can continue it.

--- a/core/src/main/java/org/carobhoist/core/placement/ItemState.java
+++ b/core/src/main/java/org/carobhoist/core/placement/ItemState.java
@@ -29,6 +29,7 @@
   private InstanceId runner;
   private EngineLoad engine;
   private Duration changedAt = Duration.ZERO;
+  private Duration textChangedAt = Duration.ZERO;
   private boolean cancelling;
   private InstanceId publisher;
 
@@ -64,8 +65,14 @@
     return text;
   }
 
-  void replaceText(RunText newText) {
+  void replaceText(RunText newText, Duration now) {
     text = newText;
+    textChangedAt = now;
+  }
+
+  /** Returns when the item last received an event, or its text was replaced. */
+  Duration textChangedAt() {
+    return textChangedAt;
   }
 
   Phase phase() {
@@ -111,6 +118,11 @@
     changedAt = now;
   }
 
+  void markTextChanged(Duration now) {
+    changedAt = now;
+    textChangedAt = now;
+  }
+
   void markCancelling(Duration now) {
     cancelling = true;
     changedAt = now;
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -151,7 +151,7 @@
 
   /** Returns the number of an engine's runs of a model that a load would break off. */
   public int singleVersionRunCountAt(InstanceId engine, String model) {
-    return (int) runsOf(engine, model).filter(JobCoordinator::needsSingleVersion).count();
+    return (int) runsOf(engine, model).filter(VersionConstraint::needsSingleVersion).count();
   }
 
   private Stream<ItemState> runsOf(InstanceId engine, String model) {
@@ -242,7 +242,7 @@
       ItemState state = items.get(checkpoint.key());
       RunText stored = RunText.fromDelta(checkpoint.text());
       if (state != null && isImprovedBy(state, stored)) {
-        state.replaceText(stored);
+        state.replaceText(stored, clock.elapsed());
         restored++;
       }
     }
@@ -252,7 +252,8 @@
   private static boolean isImprovedBy(ItemState state, RunText stored) {
     return state.phase() == Phase.WAITING
         && stored.eventCount() > state.text().eventCount()
-        && stored.fits(state.job().content().minVersion(), needsSingleVersion(state));
+        && stored.fits(
+            state.job().content().minVersion(), VersionConstraint.needsSingleVersion(state));
   }
 
   /** Called when a runner can't be reached any more; its items are placed again. */
@@ -320,7 +321,7 @@
       port.reuse(job, item, result, ReusableOutputs.hasValidScore(other.get(), item));
       return;
     }
-    reusableOutputs.takeText(job, item).ifPresent(state::replaceText);
+    reusableOutputs.takeText(job, item).ifPresent(text -> state.replaceText(text, clock.elapsed()));
     if (state.text().isComplete()) {
       port.logDecision(Decision.REUSED, job.id(), item.id(), "versions", state.text().versions());
       state.clearRun(Phase.DONE, clock.elapsed());
@@ -337,7 +338,7 @@
       return;
     }
     if (wanted && report.outcome() == RunOutcome.FINISHED && report.text().firstEventIndex() == 0) {
-      state.replaceText(RunText.fromDelta(report.text()));
+      state.replaceText(RunText.fromDelta(report.text()), clock.elapsed());
       state.text().markComplete();
       state.markDone(runner, clock.elapsed());
       return;
@@ -351,7 +352,7 @@
       port.cancel(runner, report.run());
       return;
     }
-    state.replaceText(RunText.fromDelta(report.text()));
+    state.replaceText(RunText.fromDelta(report.text()), clock.elapsed());
     state.startRun(report.run(), runner, engine.get(), clock.elapsed());
     runs.put(report.run(), state);
   }
@@ -369,7 +370,7 @@
     int events = state.text().eventCount() - before;
     if (events > 0) {
       state.engine().onProgress(events, now.minus(state.changedAt()), now);
-      state.markChanged(now);
+      state.markTextChanged(now);
     }
     return true;
   }
@@ -536,7 +537,7 @@
     int tokensPerEvent = pool.stream().mapToInt(EngineLoad::tokensPerEvent).findFirst().orElse(1);
     List<ItemState> unplaced = new ArrayList<>();
     for (ItemState state : placer.order(waiting, tokensPerEvent)) {
-      dropTextOfUnservedVersion(state, pool);
+      dropTextIfUnservable(state, pool, now);
       Optional<EngineLoad> engine = placer.chooseEngine(state, pool, allowed(state), now);
       if (engine.isPresent()) {
         start(state, engine.get(), runnerFor(engine.get(), runners), now, wallTime);
@@ -563,7 +564,7 @@
     WaitCause nearest = WaitCause.NO_ENGINE;
     for (EngineLoad e : pool) {
       WaitCause cause =
-          !hasVersion(state, e)
+          !VersionConstraint.allows(state, e)
               ? WaitCause.VERSION
               : !isInRotation(state, e)
                   ? WaitCause.LOADING
@@ -576,48 +577,25 @@
   }
 
   private Predicate<EngineLoad> allowed(ItemState state) {
-    return e -> isInRotation(state, e) && hasVersion(state, e);
+    return e -> isInRotation(state, e) && VersionConstraint.allows(state, e);
+  }
+
+  /** Returns which engines may run an item from its first event. */
+  private Predicate<EngineLoad> allowedFromStart(ItemState state) {
+    return e -> isInRotation(state, e) && VersionConstraint.allowsFromStart(state, e);
   }
 
   private boolean isInRotation(ItemState state, EngineLoad e) {
     InstanceId engine = e.entry().announcement().instance();
     String model = state.job().content().model();
     return port.isInRotation(engine, model)
-        && !(needsSingleVersion(state) && port.awaitsLoad(engine, model));
-  }
-
-  private static boolean needsSingleVersion(ItemState state) {
-    return state.job().head().rules().singleVersion();
-  }
-
-  private static boolean hasVersion(ItemState state, EngineLoad e) {
-    String model = state.job().content().model();
-    Optional<WeightVersion> required = requiredVersion(state);
-    return (model.isEmpty() || e.version(model).compareTo(state.job().content().minVersion()) >= 0)
-        && (required.isEmpty() || e.version(model).equals(required.get()));
+        && !(VersionConstraint.needsSingleVersion(state) && port.awaitsLoad(engine, model));
   }
 
-  /**
-   * Returns the version that the next run must use; empty unless the job requires a single version
-   * per text and the text already has events.
-   */
-  private static Optional<WeightVersion> requiredVersion(ItemState state) {
-    if (!needsSingleVersion(state)) {
-      return Optional.empty();
-    }
-    return state.text().versions().stream().findFirst();
-  }
-
-  /**
-   * Drops the text of an item that needs a single version if no engine has the version of the text
-   * any more: engines only load newer versions, so no run could ever continue it. The item begins
-   * again under the version of its next engine.
-   */
-  private void dropTextOfUnservedVersion(ItemState state, Collection<EngineLoad> pool) {
-    Optional<WeightVersion> required = requiredVersion(state);
-    String model = state.job().content().model();
-    if (required.isEmpty()
-        || pool.stream().anyMatch(e -> e.version(model).compareTo(required.get()) <= 0)) {
+  /** Drops the text of a waiting item that it can't continue soon; the item begins again. */
+  private void dropTextIfUnservable(ItemState state, Collection<EngineLoad> pool, Duration now) {
+    Optional<WeightVersion> required = VersionConstraint.requiredVersion(state);
+    if (required.isEmpty() || !mustBeginAgain(state, pool, now)) {
       return;
     }
     port.logDecision(
@@ -627,8 +605,20 @@
         "version",
         required.get(),
         "events",
-        state.text().eventCount());
-    state.replaceText(RunText.empty());
+        state.text().eventCount(),
+        "waited",
+        now.minus(state.textChangedAt()).toMillis());
+    state.replaceText(RunText.empty(), now);
+  }
+
+  private boolean mustBeginAgain(ItemState state, Collection<EngineLoad> pool, Duration now) {
+    if (!VersionConstraint.isVersionReachable(state, pool)) {
+      return true;
+    }
+    boolean waitedTooLong = now.minus(state.textChangedAt()).compareTo(policy.maxVersionWait()) > 0;
+    return waitedTooLong
+        && placer.chooseEngine(state, pool, allowed(state), now).isEmpty()
+        && placer.chooseEngine(state, pool, allowedFromStart(state), now).isPresent();
   }
 
   private void start(
@@ -648,8 +638,8 @@
             entry.address(),
             state.text().toDelta(),
             state.job().content().minVersion(),
-            requiredVersion(state),
-            needsSingleVersion(state),
+            VersionConstraint.requiredVersion(state),
+            VersionConstraint.needsSingleVersion(state),
             Duration.between(wallTime, end));
     port.logDecision(
         Decision.PLACED,
--- a/core/src/main/java/org/carobhoist/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/carobhoist/core/placement/PlacementPolicy.java
@@ -18,6 +18,8 @@
  *     misplaced
  * @param publishTimeout time after which the coordinator publishes a result that its runner hasn't
  *     published
+ * @param maxVersionWait time without a new event after which a waiting item whose text is bound to
+ *     a version begins again, if that lets it run now and nothing else does
  * @param scoreTimeout the same for a result that needs a reward call first, which may be repeated
  */
 public record PlacementPolicy(
@@ -30,6 +32,7 @@
     Duration refusalPause,
     Duration failurePause,
     Duration publishTimeout,
+    Duration maxVersionWait,
     Duration scoreTimeout) {
 
   /** The policy that every coordinator uses. */
@@ -44,5 +47,6 @@
           Duration.ofMillis(200),
           Duration.ofMillis(800),
           Duration.ofMillis(2_500),
+          Duration.ofMillis(2_000),
           Duration.ofMillis(5_000));
 }
