Add messages for accounts, usage reports and measured capacities

Cause: the parts that docs/design/2026-12-accounts-and-load.md describes exchange these messages. They are added together so that the generated code changes once. Nothing sends them yet; frames of a kind that a process doesn't know are dropped with a log line, as before. BoundTextTest follows the linter (distance between a variable and its use).

--- a/core/src/test/java/org/carobhoist/core/placement/BoundTextTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/BoundTextTest.java
@@ -7,7 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.carobhoist.core.common.InstanceId;
-import org.carobhoist.core.job.Job;
+import org.carobhoist.core.job.ItemId;
+import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.membership.ServerEntry;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -33,17 +34,16 @@
   }
 
   /** Starts an item at the only engine, breaks its run off, and updates that engine to V7. */
-  private Job bindTextToV6() {
+  private void bindTextToV6() {
     addEngine("e1", V6);
     activate();
-    Job job = submit("j1", item("i1", 9));
+    submit("j1", item("i1", 9));
     advance(50);
     RunOrder first = port.last();
     assertThat(first.engine()).isEqualTo(E1);
     coordinator.onReport(report(first, events(0, 4, V6), RunOutcome.RUNNING));
     coordinator.onEngineVersion(E1, "m", V7);
     coordinator.onReport(report(first, TextDelta.NONE, RunOutcome.MISPLACED));
-    return job;
   }
 
   /** Advances the time until a run of the item has been ordered at the given engine. */
@@ -129,13 +129,13 @@
 
   @Test
   void newCoordinatorDoesNotKeepStoredTextBound() {
-    final Job job = bindTextToV6();
+    bindTextToV6();
     addEngine("e2", V6);
     port.awaitingLoad.add(E2);
     coordinator.deactivate();
     coordinator.activate(2);
     coordinator.onEngineVersion(E1, "m", V7);
-    ItemKey key = new ItemKey(job.id(), item("i1", 9).id());
+    ItemKey key = new ItemKey(new JobId("j1"), new ItemId("i1"));
     coordinator.onCheckpointsLoaded(List.of(new TextCheckpoint(key, events(0, 4, V6))));
     advance(50);
     port.engines.set(0, withVersion(port.engines.get(0)));
--- a/server/src/main/java/org/carobhoist/server/link/proto/JobRecord.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/JobRecord.java
@@ -25,6 +25,7 @@
     host_ = "";
     route_ = "";
     content_ = com.google.protobuf.ByteString.EMPTY;
+    account_ = "";
   }
 
   public static final int CHUNK_FIELD_NUMBER = 1;
@@ -442,6 +443,89 @@
     content_ = getDefaultInstance().getContent();
   }
 
+  public static final int ACCOUNT_FIELD_NUMBER = 13;
+  private java.lang.String account_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account that submitted the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 13;</code>
+   *
+   * @return The account.
+   */
+  @java.lang.Override
+  public java.lang.String getAccount() {
+    return account_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account that submitted the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 13;</code>
+   *
+   * @return The bytes for account.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getAccountBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(account_);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account that submitted the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 13;</code>
+   *
+   * @param value The account to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setAccount(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+
+    account_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account that submitted the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 13;</code>
+   */
+  private void clearAccount() {
+
+    account_ = getDefaultInstance().getAccount();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account that submitted the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 13;</code>
+   *
+   * @param value The bytes for account to set.
+   */
+  private void setAccountBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    account_ = value.toStringUtf8();
+  }
+
   public static org.carobhoist.server.link.proto.JobRecord parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -1006,6 +1090,91 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Client account that submitted the job; empty if it has none.
+     * </pre>
+     *
+     * <code>string account = 13;</code>
+     *
+     * @return The account.
+     */
+    @java.lang.Override
+    public java.lang.String getAccount() {
+      return instance.getAccount();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Client account that submitted the job; empty if it has none.
+     * </pre>
+     *
+     * <code>string account = 13;</code>
+     *
+     * @return The bytes for account.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getAccountBytes() {
+      return instance.getAccountBytes();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Client account that submitted the job; empty if it has none.
+     * </pre>
+     *
+     * <code>string account = 13;</code>
+     *
+     * @param value The account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccount(java.lang.String value) {
+      copyOnWrite();
+      instance.setAccount(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Client account that submitted the job; empty if it has none.
+     * </pre>
+     *
+     * <code>string account = 13;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearAccount() {
+      copyOnWrite();
+      instance.clearAccount();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Client account that submitted the job; empty if it has none.
+     * </pre>
+     *
+     * <code>string account = 13;</code>
+     *
+     * @param value The bytes for account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setAccountBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.JobRecord)
   }
 
@@ -1040,11 +1209,12 @@
                 "singleVersion_",
                 "total_",
                 "content_",
+                "account_",
               };
           java.lang.String info =
-              "\u0000\f\u0000\u0000\u0001\f\f\u0000\u0000\u0000\u0001\u0004\u0002\u0004\u0003\u0208"
+              "\u0000\r\u0000\u0000\u0001\r\r\u0000\u0000\u0000\u0001\u0004\u0002\u0004\u0003\u0208"
                   + "\u0004\u0208\u0005\u0208\u0006\u0002\u0007\u0002\b\u0002\t\u0004\n\u0007\u000b\u0004"
-                  + "\f\n";
+                  + "\f\n\r\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/JobRecordOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/JobRecordOrBuilder.java
@@ -115,4 +115,30 @@
    * @return The content.
    */
   com.google.protobuf.ByteString getContent();
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account that submitted the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 13;</code>
+   *
+   * @return The account.
+   */
+  java.lang.String getAccount();
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account that submitted the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 13;</code>
+   *
+   * @return The bytes for account.
+   */
+  com.google.protobuf.ByteString getAccountBytes();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/LinkFrame.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/LinkFrame.java
@@ -48,6 +48,10 @@
     STORE_RELAY(28),
     STORE_RELAY_REPLY(29),
     JOB_NOTICE(30),
+    USAGE_REPORT(31),
+    USAGE_ACK(32),
+    LATENCY_REPORT(33),
+    CAPACITY_UPDATE(34),
     BODY_NOT_SET(0);
     private final int value;
 
@@ -125,6 +129,14 @@
           return STORE_RELAY_REPLY;
         case 30:
           return JOB_NOTICE;
+        case 31:
+          return USAGE_REPORT;
+        case 32:
+          return USAGE_ACK;
+        case 33:
+          return LATENCY_REPORT;
+        case 34:
+          return CAPACITY_UPDATE;
         case 0:
           return BODY_NOT_SET;
         default:
@@ -1641,6 +1653,206 @@
     }
   }
 
+  public static final int USAGE_REPORT_FIELD_NUMBER = 31;
+
+  /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+  @java.lang.Override
+  public boolean hasUsageReport() {
+    return bodyCase_ == 31;
+  }
+
+  /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+  @java.lang.Override
+  public org.carobhoist.server.link.proto.UsageReport getUsageReport() {
+    if (bodyCase_ == 31) {
+      return (org.carobhoist.server.link.proto.UsageReport) body_;
+    }
+    return org.carobhoist.server.link.proto.UsageReport.getDefaultInstance();
+  }
+
+  /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setUsageReport(org.carobhoist.server.link.proto.UsageReport value) {
+    value.getClass(); // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 31;
+  }
+
+  /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeUsageReport(org.carobhoist.server.link.proto.UsageReport value) {
+    value.getClass(); // minimal bytecode null check
+    if (bodyCase_ == 31
+        && body_ != org.carobhoist.server.link.proto.UsageReport.getDefaultInstance()) {
+      body_ =
+          org.carobhoist.server.link.proto.UsageReport.newBuilder(
+                  (org.carobhoist.server.link.proto.UsageReport) body_)
+              .mergeFrom(value)
+              .buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 31;
+  }
+
+  /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+  private void clearUsageReport() {
+    if (bodyCase_ == 31) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int USAGE_ACK_FIELD_NUMBER = 32;
+
+  /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+  @java.lang.Override
+  public boolean hasUsageAck() {
+    return bodyCase_ == 32;
+  }
+
+  /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+  @java.lang.Override
+  public org.carobhoist.server.link.proto.UsageAck getUsageAck() {
+    if (bodyCase_ == 32) {
+      return (org.carobhoist.server.link.proto.UsageAck) body_;
+    }
+    return org.carobhoist.server.link.proto.UsageAck.getDefaultInstance();
+  }
+
+  /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setUsageAck(org.carobhoist.server.link.proto.UsageAck value) {
+    value.getClass(); // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 32;
+  }
+
+  /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeUsageAck(org.carobhoist.server.link.proto.UsageAck value) {
+    value.getClass(); // minimal bytecode null check
+    if (bodyCase_ == 32
+        && body_ != org.carobhoist.server.link.proto.UsageAck.getDefaultInstance()) {
+      body_ =
+          org.carobhoist.server.link.proto.UsageAck.newBuilder(
+                  (org.carobhoist.server.link.proto.UsageAck) body_)
+              .mergeFrom(value)
+              .buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 32;
+  }
+
+  /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+  private void clearUsageAck() {
+    if (bodyCase_ == 32) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int LATENCY_REPORT_FIELD_NUMBER = 33;
+
+  /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+  @java.lang.Override
+  public boolean hasLatencyReport() {
+    return bodyCase_ == 33;
+  }
+
+  /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+  @java.lang.Override
+  public org.carobhoist.server.link.proto.LatencyReport getLatencyReport() {
+    if (bodyCase_ == 33) {
+      return (org.carobhoist.server.link.proto.LatencyReport) body_;
+    }
+    return org.carobhoist.server.link.proto.LatencyReport.getDefaultInstance();
+  }
+
+  /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setLatencyReport(org.carobhoist.server.link.proto.LatencyReport value) {
+    value.getClass(); // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 33;
+  }
+
+  /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeLatencyReport(org.carobhoist.server.link.proto.LatencyReport value) {
+    value.getClass(); // minimal bytecode null check
+    if (bodyCase_ == 33
+        && body_ != org.carobhoist.server.link.proto.LatencyReport.getDefaultInstance()) {
+      body_ =
+          org.carobhoist.server.link.proto.LatencyReport.newBuilder(
+                  (org.carobhoist.server.link.proto.LatencyReport) body_)
+              .mergeFrom(value)
+              .buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 33;
+  }
+
+  /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+  private void clearLatencyReport() {
+    if (bodyCase_ == 33) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int CAPACITY_UPDATE_FIELD_NUMBER = 34;
+
+  /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+  @java.lang.Override
+  public boolean hasCapacityUpdate() {
+    return bodyCase_ == 34;
+  }
+
+  /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+  @java.lang.Override
+  public org.carobhoist.server.link.proto.CapacityUpdate getCapacityUpdate() {
+    if (bodyCase_ == 34) {
+      return (org.carobhoist.server.link.proto.CapacityUpdate) body_;
+    }
+    return org.carobhoist.server.link.proto.CapacityUpdate.getDefaultInstance();
+  }
+
+  /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setCapacityUpdate(org.carobhoist.server.link.proto.CapacityUpdate value) {
+    value.getClass(); // minimal bytecode null check
+    body_ = value;
+    bodyCase_ = 34;
+  }
+
+  /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void mergeCapacityUpdate(org.carobhoist.server.link.proto.CapacityUpdate value) {
+    value.getClass(); // minimal bytecode null check
+    if (bodyCase_ == 34
+        && body_ != org.carobhoist.server.link.proto.CapacityUpdate.getDefaultInstance()) {
+      body_ =
+          org.carobhoist.server.link.proto.CapacityUpdate.newBuilder(
+                  (org.carobhoist.server.link.proto.CapacityUpdate) body_)
+              .mergeFrom(value)
+              .buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 34;
+  }
+
+  /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+  private void clearCapacityUpdate() {
+    if (bodyCase_ == 34) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.carobhoist.server.link.proto.LinkFrame parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -2967,6 +3179,169 @@
       return this;
     }
 
+    /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+    @java.lang.Override
+    public boolean hasUsageReport() {
+      return instance.hasUsageReport();
+    }
+
+    /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+    @java.lang.Override
+    public org.carobhoist.server.link.proto.UsageReport getUsageReport() {
+      return instance.getUsageReport();
+    }
+
+    /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+    public Builder setUsageReport(org.carobhoist.server.link.proto.UsageReport value) {
+      copyOnWrite();
+      instance.setUsageReport(value);
+      return this;
+    }
+
+    /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+    public Builder setUsageReport(
+        org.carobhoist.server.link.proto.UsageReport.Builder builderForValue) {
+      copyOnWrite();
+      instance.setUsageReport(builderForValue.build());
+      return this;
+    }
+
+    /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+    public Builder mergeUsageReport(org.carobhoist.server.link.proto.UsageReport value) {
+      copyOnWrite();
+      instance.mergeUsageReport(value);
+      return this;
+    }
+
+    /** <code>.carobhoist.link.UsageReport usage_report = 31;</code> */
+    public Builder clearUsageReport() {
+      copyOnWrite();
+      instance.clearUsageReport();
+      return this;
+    }
+
+    /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+    @java.lang.Override
+    public boolean hasUsageAck() {
+      return instance.hasUsageAck();
+    }
+
+    /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+    @java.lang.Override
+    public org.carobhoist.server.link.proto.UsageAck getUsageAck() {
+      return instance.getUsageAck();
+    }
+
+    /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+    public Builder setUsageAck(org.carobhoist.server.link.proto.UsageAck value) {
+      copyOnWrite();
+      instance.setUsageAck(value);
+      return this;
+    }
+
+    /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+    public Builder setUsageAck(org.carobhoist.server.link.proto.UsageAck.Builder builderForValue) {
+      copyOnWrite();
+      instance.setUsageAck(builderForValue.build());
+      return this;
+    }
+
+    /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+    public Builder mergeUsageAck(org.carobhoist.server.link.proto.UsageAck value) {
+      copyOnWrite();
+      instance.mergeUsageAck(value);
+      return this;
+    }
+
+    /** <code>.carobhoist.link.UsageAck usage_ack = 32;</code> */
+    public Builder clearUsageAck() {
+      copyOnWrite();
+      instance.clearUsageAck();
+      return this;
+    }
+
+    /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+    @java.lang.Override
+    public boolean hasLatencyReport() {
+      return instance.hasLatencyReport();
+    }
+
+    /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+    @java.lang.Override
+    public org.carobhoist.server.link.proto.LatencyReport getLatencyReport() {
+      return instance.getLatencyReport();
+    }
+
+    /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+    public Builder setLatencyReport(org.carobhoist.server.link.proto.LatencyReport value) {
+      copyOnWrite();
+      instance.setLatencyReport(value);
+      return this;
+    }
+
+    /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+    public Builder setLatencyReport(
+        org.carobhoist.server.link.proto.LatencyReport.Builder builderForValue) {
+      copyOnWrite();
+      instance.setLatencyReport(builderForValue.build());
+      return this;
+    }
+
+    /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+    public Builder mergeLatencyReport(org.carobhoist.server.link.proto.LatencyReport value) {
+      copyOnWrite();
+      instance.mergeLatencyReport(value);
+      return this;
+    }
+
+    /** <code>.carobhoist.link.LatencyReport latency_report = 33;</code> */
+    public Builder clearLatencyReport() {
+      copyOnWrite();
+      instance.clearLatencyReport();
+      return this;
+    }
+
+    /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+    @java.lang.Override
+    public boolean hasCapacityUpdate() {
+      return instance.hasCapacityUpdate();
+    }
+
+    /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+    @java.lang.Override
+    public org.carobhoist.server.link.proto.CapacityUpdate getCapacityUpdate() {
+      return instance.getCapacityUpdate();
+    }
+
+    /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+    public Builder setCapacityUpdate(org.carobhoist.server.link.proto.CapacityUpdate value) {
+      copyOnWrite();
+      instance.setCapacityUpdate(value);
+      return this;
+    }
+
+    /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+    public Builder setCapacityUpdate(
+        org.carobhoist.server.link.proto.CapacityUpdate.Builder builderForValue) {
+      copyOnWrite();
+      instance.setCapacityUpdate(builderForValue.build());
+      return this;
+    }
+
+    /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+    public Builder mergeCapacityUpdate(org.carobhoist.server.link.proto.CapacityUpdate value) {
+      copyOnWrite();
+      instance.mergeCapacityUpdate(value);
+      return this;
+    }
+
+    /** <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code> */
+    public Builder clearCapacityUpdate() {
+      copyOnWrite();
+      instance.clearCapacityUpdate();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.LinkFrame)
   }
 
@@ -3021,14 +3396,18 @@
                 org.carobhoist.server.link.proto.StoreRelay.class,
                 org.carobhoist.server.link.proto.StoreRelayReply.class,
                 org.carobhoist.server.link.proto.JobNotice.class,
+                org.carobhoist.server.link.proto.UsageReport.class,
+                org.carobhoist.server.link.proto.UsageAck.class,
+                org.carobhoist.server.link.proto.LatencyReport.class,
+                org.carobhoist.server.link.proto.CapacityUpdate.class,
               };
           java.lang.String info =
-              "\u0000\u001e\u0001\u0000\u0001\u001e\u001e\u0000\u0000\u0000\u0001<\u0000\u0002<"
-                  + "\u0000\u0003<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000"
-                  + "\t<\u0000\n<\u0000\u000b<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010"
-                  + "<\u0000\u0011<\u0000\u0012<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000"
-                  + "\u0017<\u0000\u0018<\u0000\u0019<\u0000\u001a<\u0000\u001b<\u0000\u001c<\u0000\u001d"
-                  + "<\u0000\u001e<\u0000";
+              "\u0000\"\u0001\u0000\u0001\"\"\u0000\u0000\u0000\u0001<\u0000\u0002<\u0000\u0003"
+                  + "<\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<"
+                  + "\u0000\u000b<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011"
+                  + "<\u0000\u0012<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000\u0017<\u0000"
+                  + "\u0018<\u0000\u0019<\u0000\u001a<\u0000\u001b<\u0000\u001c<\u0000\u001d<\u0000\u001e"
+                  + "<\u0000\u001f<\u0000 <\u0000!<\u0000\"<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/LinkFrameOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/LinkFrameOrBuilder.java
@@ -431,5 +431,61 @@
    */
   org.carobhoist.server.link.proto.JobNotice getJobNotice();
 
+  /**
+   * <code>.carobhoist.link.UsageReport usage_report = 31;</code>
+   *
+   * @return Whether the usageReport field is set.
+   */
+  boolean hasUsageReport();
+
+  /**
+   * <code>.carobhoist.link.UsageReport usage_report = 31;</code>
+   *
+   * @return The usageReport.
+   */
+  org.carobhoist.server.link.proto.UsageReport getUsageReport();
+
+  /**
+   * <code>.carobhoist.link.UsageAck usage_ack = 32;</code>
+   *
+   * @return Whether the usageAck field is set.
+   */
+  boolean hasUsageAck();
+
+  /**
+   * <code>.carobhoist.link.UsageAck usage_ack = 32;</code>
+   *
+   * @return The usageAck.
+   */
+  org.carobhoist.server.link.proto.UsageAck getUsageAck();
+
+  /**
+   * <code>.carobhoist.link.LatencyReport latency_report = 33;</code>
+   *
+   * @return Whether the latencyReport field is set.
+   */
+  boolean hasLatencyReport();
+
+  /**
+   * <code>.carobhoist.link.LatencyReport latency_report = 33;</code>
+   *
+   * @return The latencyReport.
+   */
+  org.carobhoist.server.link.proto.LatencyReport getLatencyReport();
+
+  /**
+   * <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code>
+   *
+   * @return Whether the capacityUpdate field is set.
+   */
+  boolean hasCapacityUpdate();
+
+  /**
+   * <code>.carobhoist.link.CapacityUpdate capacity_update = 34;</code>
+   *
+   * @return The capacityUpdate.
+   */
+  org.carobhoist.server.link.proto.CapacityUpdate getCapacityUpdate();
+
   public org.carobhoist.server.link.proto.LinkFrame.BodyCase getBodyCase();
 }
--- a/server/src/main/java/org/carobhoist/server/link/proto/RunStart.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/RunStart.java
@@ -21,6 +21,7 @@
     path_ = "";
     headers_ = emptyProtobufList();
     content_ = com.google.protobuf.ByteString.EMPTY;
+    account_ = "";
   }
 
   private int bitField0_;
@@ -823,6 +824,89 @@
     singleVersion_ = false;
   }
 
+  public static final int ACCOUNT_FIELD_NUMBER = 17;
+  private java.lang.String account_;
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account of the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 17;</code>
+   *
+   * @return The account.
+   */
+  @java.lang.Override
+  public java.lang.String getAccount() {
+    return account_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account of the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 17;</code>
+   *
+   * @return The bytes for account.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getAccountBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(account_);
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account of the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 17;</code>
+   *
+   * @param value The account to set.
+   */
+  @java.lang.SuppressWarnings("ReturnValueIgnored")
+  private void setAccount(java.lang.String value) {
+    value.getClass(); // minimal bytecode null check
+
+    account_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account of the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 17;</code>
+   */
+  private void clearAccount() {
+
+    account_ = getDefaultInstance().getAccount();
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account of the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 17;</code>
+   *
+   * @param value The bytes for account to set.
+   */
+  private void setAccountBytes(com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    account_ = value.toStringUtf8();
+  }
+
   public static org.carobhoist.server.link.proto.RunStart parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -1756,6 +1840,91 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * Client account of the job; empty if it has none.
+     * </pre>
+     *
+     * <code>string account = 17;</code>
+     *
+     * @return The account.
+     */
+    @java.lang.Override
+    public java.lang.String getAccount() {
+      return instance.getAccount();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Client account of the job; empty if it has none.
+     * </pre>
+     *
+     * <code>string account = 17;</code>
+     *
+     * @return The bytes for account.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getAccountBytes() {
+      return instance.getAccountBytes();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Client account of the job; empty if it has none.
+     * </pre>
+     *
+     * <code>string account = 17;</code>
+     *
+     * @param value The account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccount(java.lang.String value) {
+      copyOnWrite();
+      instance.setAccount(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Client account of the job; empty if it has none.
+     * </pre>
+     *
+     * <code>string account = 17;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearAccount() {
+      copyOnWrite();
+      instance.clearAccount();
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * Client account of the job; empty if it has none.
+     * </pre>
+     *
+     * <code>string account = 17;</code>
+     *
+     * @param value The bytes for account to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAccountBytes(com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setAccountBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.RunStart)
   }
 
@@ -1796,11 +1965,13 @@
                 "remainingMillis_",
                 "reward_",
                 "singleVersion_",
+                "account_",
               };
           java.lang.String info =
-              "\u0000\u0010\u0000\u0001\u0001\u0010\u0010\u0000\u0001\u0000\u0001\u0002\u0002\u0002"
+              "\u0000\u0011\u0000\u0001\u0001\u0011\u0011\u0000\u0001\u0000\u0001\u0002\u0002\u0002"
                   + "\u0003\u0208\u0004\u0208\u0005\u0208\u0006\u0208\u0007\u1009\u0000\b\u0002\t\u0002"
-                  + "\n\u0208\u000b\u0208\f\u001b\r\n\u000e\u0002\u000f\u1009\u0001\u0010\u0007";
+                  + "\n\u0208\u000b\u0208\f\u001b\r\n\u000e\u0002\u000f\u1009\u0001\u0010\u0007\u0011"
+                  + "\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/RunStartOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/RunStartOrBuilder.java
@@ -216,4 +216,30 @@
    * @return The singleVersion.
    */
   boolean getSingleVersion();
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account of the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 17;</code>
+   *
+   * @return The account.
+   */
+  java.lang.String getAccount();
+
+  /**
+   *
+   *
+   * <pre>
+   * Client account of the job; empty if it has none.
+   * </pre>
+   *
+   * <code>string account = 17;</code>
+   *
+   * @return The bytes for account.
+   */
+  com.google.protobuf.ByteString getAccountBytes();
 }
