Move the classes of the gateway to a package for each area

Cause: 33 classes of the gateway role lay in one package, and new parts would have added to it.

Change: moves only, to ingress, upstream, job, coordination, peer and store; GatewayService stays and wires them. What another package uses is public now, with Javadoc where the linter asks for it. Tests change in their package and imports only.

--- a/server/src/main/java/org/carobhoist/server/gateway/CoordinatorRole.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.coordination;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -43,6 +43,13 @@
 import org.carobhoist.core.placement.TextDelta;
 import org.carobhoist.core.placement.WaitCause;
 import org.carobhoist.platform.JobJson;
+import org.carobhoist.server.gateway.job.CheckpointStore;
+import org.carobhoist.server.gateway.job.CompletedTextPublisher;
+import org.carobhoist.server.gateway.job.ItemRunner;
+import org.carobhoist.server.gateway.job.ProtobufJobRecordCodec;
+import org.carobhoist.server.gateway.job.ResultPublisher;
+import org.carobhoist.server.gateway.job.RunMapper;
+import org.carobhoist.server.gateway.peer.PeerMesh;
 import org.carobhoist.server.link.proto.LinkFrame;
 import org.carobhoist.server.link.proto.RunCancel;
 import org.carobhoist.server.link.proto.RunnerAttach;
@@ -55,7 +62,7 @@
  * Coordinator role of this process. While the process holds the lease, it assigns items to runners
  * and engines, and orders the engines to load new weight versions.
  */
-final class CoordinatorRole implements PlacementPort, LeaseListener, JobListener {
+public final class CoordinatorRole implements PlacementPort, LeaseListener, JobListener {
 
   /**
    * Time for which a process that handed the lease over because it was too slow doesn't acquire it
@@ -90,7 +97,8 @@
   private boolean stopping;
   private boolean deletingJob;
 
-  CoordinatorRole(
+  /** Creates the role of a process that doesn't hold the lease. */
+  public CoordinatorRole(
       InstanceId self,
       Zone zone,
       int milliCores,
@@ -122,23 +130,25 @@
     this.jobs = JobCoordinator.create(view, this, PlacementPolicy.DEFAULT, clock, this::engineSpec);
   }
 
-  void begin(LeaseManager leaseManager, EngineWeightManager weightManager) {
+  /** Starts to compete for the lease. */
+  public void begin(LeaseManager leaseManager, EngineWeightManager weightManager) {
     lease = leaseManager;
     weights = weightManager;
     loop.every(LeaseManager.TICK, lease::tick);
   }
 
   /** Releases the lease, if held, and doesn't acquire it again because this process is stopping. */
-  void stop() {
+  public void stop() {
     stopping = true;
     lease.retire(mesh.heir());
   }
 
-  boolean isActive() {
+  public boolean isActive() {
     return active;
   }
 
-  JobCoordinator jobs() {
+  /** Returns the placement of items, which is active while this process coordinates. */
+  public JobCoordinator jobs() {
     return jobs;
   }
 
@@ -196,14 +206,14 @@
   }
 
   /** Called when a link to a peer has been established. */
-  void onPeerUp(InstanceId peer) {
+  public void onPeerUp(InstanceId peer) {
     if (active) {
       attach(peer);
     }
   }
 
   /** Called when a peer has become unreachable or its record has been deleted. */
-  void onPeerLost(InstanceId peer, String why) {
+  public void onPeerLost(InstanceId peer, String why) {
     EventLog.info(LogEvent.PEER_LOST, "peer", peer, "why", why);
     leavingPeers.remove(peer);
     if (active) {
@@ -212,7 +222,7 @@
   }
 
   /** Handles a frame from a peer that runs items for this coordinator. */
-  void onFrame(InstanceId peer, LinkFrame frame) {
+  public void onFrame(InstanceId peer, LinkFrame frame) {
     if (!active) {
       return;
     }
@@ -238,7 +248,7 @@
   }
 
   /** Called when a server has been unregistered or is shutting down. */
-  void onServerGone(InstanceId server) {
+  public void onServerGone(InstanceId server) {
     weights.onEngineGone(server);
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/EngineClient.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineClient.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.coordination;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpRequest;
@@ -16,6 +16,7 @@
 import org.carobhoist.core.swap.SwapState;
 import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.platform.EngineOrders;
+import org.carobhoist.server.gateway.upstream.UpstreamClients;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 
@@ -24,7 +25,7 @@
  * the engine has accepted, so that an order that arrives late has no effect. The swaps of all
  * models of the engine share that counter.
  */
-final class EngineClient {
+public final class EngineClient {
 
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
 
@@ -43,7 +44,7 @@
    * @param startedAtMillis when the engine started
    * @param leavingListener called when the engine has reported that it is shutting down
    */
-  EngineClient(
+  public EngineClient(
       InstanceId id,
       String address,
       long startedAtMillis,
@@ -89,7 +90,7 @@
   }
 
   /** Requests the engine's report on a model; passes an empty value to the callback on failure. */
-  void requestReport(String model, Consumer<Optional<EngineOrders.Report>> callback) {
+  public void requestReport(String model, Consumer<Optional<EngineOrders.Report>> callback) {
     aggregate(upstreams.sendOnNewConnection(address, EngineOrders.reportRequest(id), CALL_TIMEOUT))
         .thenApply(reply -> EngineOrders.report(reply.content().array(), model))
         .whenCompleteAsync(
--- a/server/src/main/java/org/carobhoist/server/gateway/EngineSwap.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineSwap.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.coordination;
 
 import java.time.Duration;
 import java.util.Collection;
--- a/server/src/main/java/org/carobhoist/server/gateway/EngineWeightManager.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineWeightManager.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.coordination;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -19,13 +19,14 @@
 import org.carobhoist.core.swap.LoadScheduler;
 import org.carobhoist.core.swap.ModelAssignment;
 import org.carobhoist.core.swap.SwapState;
+import org.carobhoist.server.gateway.upstream.UpstreamClients;
 import org.carobhoist.server.runtime.DecisionLoop;
 
 /**
  * Keeps the weights of all engines at the newest versions set by their trainers while this process
  * coordinates. {@link LoadScheduler} decides when an engine may load.
  */
-final class EngineWeightManager {
+public final class EngineWeightManager {
 
   /** Engines that may always load at the same time; more of them make each load slower. */
   private static final int MIN_CONCURRENT_LOADS = 2;
@@ -70,7 +71,7 @@
   private long fencedTerm = -1;
 
   /** Services that the rest of the process provides. */
-  interface Environment {
+  public interface Environment {
 
     /** Returns the number of runs of a model on an engine. */
     int runCountAt(InstanceId engine, String model);
@@ -94,7 +95,8 @@
     void onEngineLeaving(InstanceId engine);
   }
 
-  EngineWeightManager(
+  /** Creates a manager without engines. */
+  public EngineWeightManager(
       InstanceId self,
       DecisionLoop loop,
       Clock clock,
@@ -110,7 +112,7 @@
   }
 
   /** Called when a trainer has set a version of a model; older versions are ignored. */
-  void onVersionSet(String model, WeightVersion version) {
+  public void onVersionSet(String model, WeightVersion version) {
     WeightVersion known = newestVersions.get(model);
     if (known == null || known.compareTo(version) < 0) {
       newestVersions.put(model, version);
--- a/server/src/main/java/org/carobhoist/server/gateway/ProtobufLeaseCodec.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/ProtobufLeaseCodec.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.coordination;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Optional;
@@ -9,7 +9,7 @@
 import org.carobhoist.server.link.proto.LeaseRecord;
 
 /** Encodes lease records as protobuf. */
-final class ProtobufLeaseCodec implements LeaseCodec {
+public final class ProtobufLeaseCodec implements LeaseCodec {
 
   @Override
   public byte[] encode(LeaseEntry entry) {
--- a/server/src/main/java/org/carobhoist/server/gateway/ForwardContext.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardContext.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.ingress;
 
 import com.linecorp.armeria.common.ResponseHeaders;
 import java.util.random.RandomGenerator;
@@ -12,11 +12,12 @@
 import org.carobhoist.core.request.RetryBudget;
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.platform.CallHeaders;
+import org.carobhoist.server.gateway.upstream.UpstreamClients;
 import org.carobhoist.server.metrics.RequestMetrics;
 import org.carobhoist.server.runtime.DecisionLoop;
 
 /** Shared dependencies of forwarded calls and reward calls. */
-record ForwardContext(
+public record ForwardContext(
     DecisionLoop loop,
     Clock clock,
     Zone zone,
@@ -31,7 +32,7 @@
     DrainDeadline drain) {
 
   /** Records the load and the shutdown notice that a server reports in its response headers. */
-  void onResponseHeaders(InstanceId endpoint, ResponseHeaders head) {
+  public void onResponseHeaders(InstanceId endpoint, ResponseHeaders head) {
     CallHeaders.load(head).ifPresent(n -> directory.onLoad(endpoint, n));
     if (CallHeaders.isLeaving(head)) {
       servers.onLeavingReported(endpoint);
--- a/server/src/main/java/org/carobhoist/server/gateway/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.ingress;
 
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.common.AggregatedHttpRequest;
@@ -30,6 +30,7 @@
 import org.carobhoist.core.routing.EndpointView;
 import org.carobhoist.core.routing.RouteQuery;
 import org.carobhoist.platform.CallHeaders;
+import org.carobhoist.server.gateway.upstream.Exchange;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 import org.reactivestreams.Subscriber;
--- a/server/src/main/java/org/carobhoist/server/gateway/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.ingress;
 
 import com.linecorp.armeria.common.AggregatedHttpRequest;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
@@ -22,11 +22,12 @@
 import org.carobhoist.core.manifest.RouteKind;
 import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.platform.IngressCall;
+import org.carobhoist.server.gateway.job.JobRequestHandler;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 
 /** Serves the requests of clients and the readiness checks of the platform. */
-final class IngressRoutes implements HttpService {
+public final class IngressRoutes implements HttpService {
 
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
@@ -47,14 +48,15 @@
   private static final Duration RETRY_AFTER = Duration.ofMillis(300);
 
   /** Retry delay while this process drains; other processes can serve the request immediately. */
-  static final Duration DRAINING_RETRY_AFTER = Duration.ofMillis(50);
+  public static final Duration DRAINING_RETRY_AFTER = Duration.ofMillis(50);
 
   private final ManifestHolder manifests;
   private final ForwardContext context;
   private final JobRequestHandler jobs;
   private final BooleanSupplier ready;
 
-  IngressRoutes(
+  /** Creates the service for the requests of clients. */
+  public IngressRoutes(
       ManifestHolder manifests,
       ForwardContext context,
       JobRequestHandler jobs,
--- a/server/src/main/java/org/carobhoist/server/gateway/CheckpointStore.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/CheckpointStore.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.job;
 
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
@@ -13,6 +13,7 @@
 import org.carobhoist.core.store.KeyedRecord;
 import org.carobhoist.core.store.RecordStore;
 import org.carobhoist.core.store.StoredRecord;
+import org.carobhoist.server.gateway.store.Topics;
 import org.carobhoist.server.link.proto.RunText;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
@@ -21,7 +22,7 @@
  * Keeps the unfinished texts of items in a shard of the store that nobody follows. Only a process
  * that becomes coordinator reads it.
  */
-final class CheckpointStore {
+public final class CheckpointStore {
 
   private static final String KIND = "unfinished";
   private static final String SEPARATOR = "/";
@@ -29,12 +30,13 @@
 
   private final RecordStore store;
 
-  CheckpointStore(RecordStore store) {
+  /** Creates a store of unfinished texts in the records of the platform's store. */
+  public CheckpointStore(RecordStore store) {
     this.store = store;
   }
 
   /** Stores texts in place of older ones, and deletes those of other items. */
-  CompletableFuture<Void> store(List<TextCheckpoint> texts, List<ItemKey> obsolete) {
+  public CompletableFuture<Void> store(List<TextCheckpoint> texts, List<ItemKey> obsolete) {
     List<KeyedRecord> records = new ArrayList<>();
     texts.forEach(
         c ->
@@ -47,7 +49,7 @@
   }
 
   /** Reads all texts. */
-  CompletableFuture<List<TextCheckpoint>> load() {
+  public CompletableFuture<List<TextCheckpoint>> load() {
     return loadAfter("", new ArrayList<>());
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/CompletedTextPublisher.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/CompletedTextPublisher.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.job;
 
 import java.time.Duration;
 import java.util.HashMap;
@@ -19,13 +19,14 @@
  * and its score becomes part of the result. A text is kept until any process has published a result
  * of its item, or until its job has ended.
  */
-final class CompletedTextPublisher implements JobListener {
+public final class CompletedTextPublisher implements JobListener {
 
   private final RewardCallScheduler rewardCalls;
   private final ResultPublisher publisher;
   private final Map<RewardKey, Runnable> callbacks = new HashMap<>();
 
-  CompletedTextPublisher(RewardCallScheduler rewardCalls, ResultPublisher publisher) {
+  /** Creates a publisher that scores texts by reward calls before it publishes them. */
+  public CompletedTextPublisher(RewardCallScheduler rewardCalls, ResultPublisher publisher) {
     this.rewardCalls = rewardCalls;
     this.publisher = publisher;
   }
@@ -37,7 +38,7 @@
    * @param timeLeft time until the item may be given up
    * @param done runs once a result of the item has been published or its job has ended
    */
-  void publish(JobId job, JobItem item, RunText text, Duration timeLeft, Runnable done) {
+  public void publish(JobId job, JobItem item, RunText text, Duration timeLeft, Runnable done) {
     RewardKey key = new RewardKey(job, item.id());
     Runnable previous = callbacks.get(key);
     if (previous != null) {
--- a/server/src/main/java/org/carobhoist/server/gateway/ItemRun.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/ItemRun.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.job;
 
 import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.common.HttpData;
@@ -14,6 +14,7 @@
 import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.platform.EngineEvent;
 import org.carobhoist.platform.EngineEventParser;
+import org.carobhoist.server.gateway.upstream.UpstreamClients;
 import org.reactivestreams.Subscriber;
 import org.reactivestreams.Subscription;
 
--- a/server/src/main/java/org/carobhoist/server/gateway/ItemRunner.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/ItemRunner.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.job;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -16,6 +16,7 @@
 import org.carobhoist.core.placement.RunOutcome;
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.core.placement.TextDelta;
+import org.carobhoist.server.gateway.upstream.UpstreamClients;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 import org.carobhoist.server.runtime.DecisionLoop;
@@ -25,7 +26,7 @@
  * it has seen, continues its runs while there is none, and publishes the results of its runs
  * itself.
  */
-final class ItemRunner implements ItemRun.Listener {
+public final class ItemRunner implements ItemRun.Listener {
 
   /** Interval between two progress reports of a run. */
   private static final Duration REPORT_PERIOD = Duration.ofMillis(150);
@@ -44,7 +45,7 @@
   private boolean reportScheduled;
 
   /** Sends messages to the coordinator. */
-  interface CoordinatorLink {
+  public interface CoordinatorLink {
 
     /** Sends the reports of all runs, and whether this runner is shutting down. */
     void sendState(long term, List<RunReport> runs, boolean leaving);
@@ -56,7 +57,8 @@
     void sendJobNotice(JobHead head, byte[] submitted);
   }
 
-  ItemRunner(
+  /** Creates a runner without runs. */
+  public ItemRunner(
       DecisionLoop loop,
       Clock clock,
       UpstreamClients upstreams,
@@ -70,17 +72,17 @@
   }
 
   /** Returns the number of runs. */
-  int runCount() {
+  public int runCount() {
     return runs.size();
   }
 
   /** Returns whether there are active runs or completed texts that aren't published yet. */
-  boolean isBusy() {
+  public boolean isBusy() {
     return !runs.isEmpty() || !unpublished.isEmpty();
   }
 
   /** Called when a coordinator attaches to this runner; one with a lower term is ignored. */
-  void onAttach(long messageTerm, CoordinatorLink link) {
+  public void onAttach(long messageTerm, CoordinatorLink link) {
     if (messageTerm < term) {
       EventLog.info(LogEvent.OLD_TERM_IGNORED, "term", messageTerm, "known", term);
       return;
@@ -91,7 +93,7 @@
   }
 
   /** Starts a run; an order of another term than the current one is ignored. */
-  void onStart(long messageTerm, RunOrder order) {
+  public void onStart(long messageTerm, RunOrder order) {
     if (messageTerm != term) {
       EventLog.info(LogEvent.OLD_TERM_IGNORED, "term", messageTerm, "known", term);
       return;
@@ -117,7 +119,7 @@
   }
 
   /** Cancels a run; an order of another term than the current one is ignored. */
-  void onCancel(long messageTerm, long number) {
+  public void onCancel(long messageTerm, long number) {
     ItemRun run = runs.get(number);
     if (messageTerm == term && run != null) {
       run.cancel();
@@ -125,7 +127,7 @@
   }
 
   /** Sends a job that can't be stored yet to the coordinator for an early start, once per term. */
-  void runEarly(JobHead head, byte[] submitted) {
+  public void runEarly(JobHead head, byte[] submitted) {
     if (coordinator.isPresent()
         && !Long.valueOf(term).equals(lastNoticeTerms.put(head.id(), term))) {
       coordinator.get().sendJobNotice(head, submitted);
@@ -133,7 +135,7 @@
   }
 
   /** Cancels all runs of a job that has ended. */
-  void onJobEnded(JobId job) {
+  public void onJobEnded(JobId job) {
     lastNoticeTerms.remove(job);
     List.copyOf(runs.values()).stream()
         .filter(r -> r.order().job().equals(job))
@@ -141,13 +143,13 @@
   }
 
   /** Reports to the coordinator that this runner accepts no more runs. */
-  void stopAcceptingRuns() {
+  public void stopAcceptingRuns() {
     leaving = true;
     coordinator.ifPresent(this::sendState);
   }
 
   /** Cancels all runs and reports their texts so far to the coordinator. */
-  void stop() {
+  public void stop() {
     List.copyOf(runs.values()).forEach(ItemRun::cancel);
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/JobRequestHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/JobRequestHandler.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.job;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -44,7 +44,7 @@
  * from the local view of it. A job is acknowledged once the store has it. The response is 404 only
  * after everything that the store holds has been read; if that isn't possible it is 503.
  */
-final class JobRequestHandler implements JobListener {
+public final class JobRequestHandler implements JobListener {
 
   /** Maximum size of the results in one page. */
   private static final int PAGE_BYTES = 1_000_000;
@@ -95,7 +95,7 @@
    * @param visibilityDelay time after which a result that any process has returned must be visible
    * @param runEarly starts a job that the store hasn't accepted at the first attempt
    */
-  JobRequestHandler(
+  public JobRequestHandler(
       RecordStore store,
       JobView view,
       List<ShardTailer> tails,
@@ -117,7 +117,7 @@
   }
 
   /** Submits a job; responds with 202 once it is stored, or 504 if that isn't confirmed in time. */
-  CompletableFuture<AggregatedHttpResponse> submit(
+  public CompletableFuture<AggregatedHttpResponse> submit(
       Route route, String id, byte[] body, Duration timeLimit) {
     JobHead head;
     try {
@@ -144,7 +144,7 @@
   }
 
   /** Returns a page of results, and waits for the next result if there is none yet. */
-  CompletableFuture<AggregatedHttpResponse> results(JobId id, int from, Duration timeLimit) {
+  public CompletableFuture<AggregatedHttpResponse> results(JobId id, int from, Duration timeLimit) {
     Duration startedAt = clock.elapsed();
     return find(id)
         .thenCompose(
@@ -156,7 +156,7 @@
   }
 
   /** Returns the body of an item of a job that hasn't ended. */
-  CompletableFuture<AggregatedHttpResponse> item(JobId id, ItemId item) {
+  public CompletableFuture<AggregatedHttpResponse> item(JobId id, ItemId item) {
     Duration startedAt = clock.elapsed();
     return find(id)
         .thenApply(
@@ -174,7 +174,7 @@
   /**
    * Ends a job; responds with 200 once the end is stored, or 504 if that isn't confirmed in time.
    */
-  CompletableFuture<AggregatedHttpResponse> end(JobId id, Duration timeLimit) {
+  public CompletableFuture<AggregatedHttpResponse> end(JobId id, Duration timeLimit) {
     Duration startedAt = clock.elapsed();
     return find(id)
         .thenCompose(
@@ -186,7 +186,7 @@
   }
 
   /** Returns whether a client waits for results of a job in a shard. */
-  boolean hasReader(int shard) {
+  public boolean hasReader(int shard) {
     return readers.keySet().stream().anyMatch(id -> view.shardOf(id) == shard);
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/ProtobufJobRecordCodec.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/ProtobufJobRecordCodec.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.job;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -26,7 +26,7 @@
  * Encodes job records as protobuf. A key has the form {@code kind/job/rest}, where the rest is the
  * chunk index of a submitted job, the item id of a result, or empty for the end of a job.
  */
-final class ProtobufJobRecordCodec implements JobRecordCodec {
+public final class ProtobufJobRecordCodec implements JobRecordCodec {
 
   /** Maximum bytes of a job in one record; the store accepts 256 KiB including key and header. */
   private static final int CHUNK_BYTES = 200 * 1024;
@@ -115,12 +115,13 @@
   }
 
   /** Encodes a job that isn't stored yet as a message to the coordinator. */
-  static org.carobhoist.server.link.proto.JobRecord noticeMessage(JobHead head, byte[] submitted) {
+  public static org.carobhoist.server.link.proto.JobRecord noticeMessage(
+      JobHead head, byte[] submitted) {
     return message(head, 0, 1, ByteString.copyFrom(submitted));
   }
 
   /** Decodes the head of a job. */
-  static JobHead head(JobId id, org.carobhoist.server.link.proto.JobRecord message) {
+  public static JobHead head(JobId id, org.carobhoist.server.link.proto.JobRecord message) {
     JobRules rules =
         new JobRules(
             Duration.ofMillis(message.getDeadlineMillis()),
--- a/server/src/main/java/org/carobhoist/server/gateway/ResultPublisher.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/ResultPublisher.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.job;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -22,7 +22,7 @@
 import org.carobhoist.server.log.LogEvent;
 
 /** Publishes results in the store, once per item even if several processes have a result of it. */
-final class ResultPublisher {
+public final class ResultPublisher {
 
   /** Delay of an append, to batch several results in it. */
   private static final Duration LINGER = Duration.ofMillis(15);
@@ -34,7 +34,8 @@
   private final ResultEntries entries;
   private final List<OrderedAppender> appenders = new ArrayList<>();
 
-  ResultPublisher(
+  /** Creates a publisher that stores results in the job shards, which the given tails read. */
+  public ResultPublisher(
       RecordStore store,
       List<ShardTailer> tails,
       JobView view,
@@ -52,7 +53,7 @@
   }
 
   /** Publishes a result; the future is false if the item has one already or its job has ended. */
-  CompletableFuture<Boolean> publish(JobId job, ItemResult result) {
+  public CompletableFuture<Boolean> publish(JobId job, ItemResult result) {
     String key = codec.resultRecord(job, result).key();
     return entries
         .write(job, result, () -> view.appendTiming(key) != AppendTiming.NEVER)
@@ -61,12 +62,12 @@
   }
 
   /** Returns results with their page entries; fails if one can't be read now. */
-  CompletableFuture<List<ItemResult>> load(List<ItemResult> results) {
+  public CompletableFuture<List<ItemResult>> load(List<ItemResult> results) {
     return entries.load(results);
   }
 
   /** Logs a read of result entries from the store that was made to serve a client. */
-  static void logRead(EntryReadStatistics read) {
+  public static void logRead(EntryReadStatistics read) {
     EventLog.info(
         LogEvent.ENTRIES_READ,
         "shard",
@@ -86,7 +87,7 @@
   }
 
   /** Deletes all records of a job; it disappears from the view once the store has done so. */
-  CompletableFuture<AppendOutcome> delete(Job job) {
+  public CompletableFuture<AppendOutcome> delete(Job job) {
     ShardTailer tail = tails.get(view.shardOf(job.id()));
     return entries
         .delete(job)
@@ -95,7 +96,7 @@
   }
 
   /** Returns the number of results that have not been appended to the store yet. */
-  int pendingCount() {
+  public int pendingCount() {
     return appenders.stream().mapToInt(OrderedAppender::pendingCount).sum();
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/RewardCallSender.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/RewardCallSender.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.job;
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpData;
@@ -29,6 +29,7 @@
 import org.carobhoist.core.routing.EndpointView;
 import org.carobhoist.core.routing.RouteQuery;
 import org.carobhoist.platform.CallHeaders;
+import org.carobhoist.server.gateway.ingress.ForwardContext;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 
@@ -36,7 +37,7 @@
  * Sends this process's reward calls to services. They use the same routes, router and load
  * information as forwarded client requests.
  */
-final class RewardCallSender implements RewardPort {
+public final class RewardCallSender implements RewardPort {
 
   private static final int SERVER_ERROR = 500;
 
@@ -49,13 +50,14 @@
   private record Attempt(
       ServiceName service, InstanceId endpoint, Duration sentAt, HttpResponse response) {}
 
-  RewardCallSender(ForwardContext context, ManifestHolder manifests) {
+  /** Creates a sender of reward calls. */
+  public RewardCallSender(ForwardContext context, ManifestHolder manifests) {
     this.context = context;
     this.manifests = manifests;
   }
 
   /** Sets the receiver of the responses. */
-  void setRewardCalls(RewardCallScheduler newRewardCalls) {
+  public void setRewardCalls(RewardCallScheduler newRewardCalls) {
     rewardCalls = newRewardCalls;
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/RunMapper.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/RunMapper.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.job;
 
 import com.google.protobuf.ByteString;
 import java.time.Duration;
@@ -22,11 +22,12 @@
 import org.carobhoist.server.link.proto.RunText;
 
 /** Converts run orders and run reports to and from the messages between coordinator and runner. */
-final class RunMapper {
+public final class RunMapper {
 
   private RunMapper() {}
 
-  static RunStart startMessage(long term, RunOrder order) {
+  /** Encodes the order to start a run, for a runner in another process. */
+  public static RunStart startMessage(long term, RunOrder order) {
     RunStart.Builder out =
         RunStart.newBuilder()
             .setTerm(term)
@@ -50,7 +51,8 @@
     return out.build();
   }
 
-  static RunOrder order(RunStart message) {
+  /** Decodes the order to start a run. */
+  public static RunOrder order(RunStart message) {
     List<JobItem.Header> headers =
         message.getHeadersList().stream()
             .map(h -> new JobItem.Header(h.getName(), h.getValue()))
@@ -79,7 +81,9 @@
         Duration.ofMillis(message.getRemainingMillis()));
   }
 
-  static org.carobhoist.server.link.proto.RunReport reportMessage(long term, RunReport report) {
+  /** Encodes the progress or the end of a run. */
+  public static org.carobhoist.server.link.proto.RunReport reportMessage(
+      long term, RunReport report) {
     return org.carobhoist.server.link.proto.RunReport.newBuilder()
         .setTerm(term)
         .setRun(report.run())
@@ -93,7 +97,8 @@
         .build();
   }
 
-  static RunReport report(org.carobhoist.server.link.proto.RunReport message) {
+  /** Decodes the progress or the end of a run. */
+  public static RunReport report(org.carobhoist.server.link.proto.RunReport message) {
     RunOutcome[] outcomes = RunOutcome.values();
     int outcome = message.getOutcomeValue();
     return new RunReport(
--- a/server/src/main/java/org/carobhoist/server/gateway/PeerLinkHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerLinkHandler.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.peer;
 
 import com.google.protobuf.ByteString;
 import java.time.Duration;
@@ -7,6 +7,10 @@
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.platform.StoreCall;
 import org.carobhoist.platform.StoreReply;
+import org.carobhoist.server.gateway.job.ItemRunner;
+import org.carobhoist.server.gateway.job.ProtobufJobRecordCodec;
+import org.carobhoist.server.gateway.job.RunMapper;
+import org.carobhoist.server.gateway.store.FailoverStoreTransport;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
 import org.carobhoist.server.link.proto.JobNotice;
@@ -24,14 +28,15 @@
  * that peers opened it answers their pings, relays their store calls, and passes the orders of the
  * coordinator to the runner.
  */
-final class PeerLinkHandler implements LinkListener {
+public final class PeerLinkHandler implements LinkListener {
 
   private final DecisionLoop loop;
   private final PeerMesh mesh;
   private final ItemRunner runner;
   private final FailoverStoreTransport storeTransport;
 
-  PeerLinkHandler(
+  /** Creates a handler for the links of this process. */
+  public PeerLinkHandler(
       DecisionLoop loop, PeerMesh mesh, ItemRunner runner, FailoverStoreTransport storeTransport) {
     this.loop = loop;
     this.mesh = mesh;
--- a/server/src/main/java/org/carobhoist/server/gateway/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.peer;
 
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
@@ -43,7 +43,7 @@
  * peers, through which they reach the store when it rejects their own calls, and to further peers
  * while the store rejects the calls of those as well.
  */
-final class PeerMesh implements TailListener {
+public final class PeerMesh implements TailListener {
 
   /** Interval at which all links are checked. */
   private static final Duration CHECK_PERIOD = Duration.ofMillis(250);
@@ -70,7 +70,7 @@
   private long lastCallNumber;
 
   /** Receives the events of peers. */
-  interface PeerListener {
+  public interface PeerListener {
 
     /** Called when a link that this process opened has been established. */
     void onUp(InstanceId peer);
@@ -119,7 +119,8 @@
   /** A store call that a peer makes on behalf of this process. */
   private record RelayedCall(Peer peer, CompletableFuture<StoreReply> reply) {}
 
-  PeerMesh(InstanceId self, DecisionLoop loop, Clock clock, PeerListener listener) {
+  /** Creates a mesh without peers. */
+  public PeerMesh(InstanceId self, DecisionLoop loop, Clock clock, PeerListener listener) {
     this.self = self;
     this.loop = loop;
     this.clock = clock;
@@ -131,7 +132,7 @@
    *
    * @param reachesStore whether this process reaches the store directly
    */
-  void start(LinkNetwork links, BooleanSupplier reachesStore) {
+  public void start(LinkNetwork links, BooleanSupplier reachesStore) {
     network = links;
     directPathUp = reachesStore;
     loop.every(CHECK_PERIOD, this::checkLinks);
@@ -164,14 +165,14 @@
   }
 
   /** Sets whether to link all gateways, or only those that are used as a path to the store. */
-  void linkAll(boolean all) {
+  public void linkAll(boolean all) {
     linkAllPeers = all;
     chooseRelays();
     checkLinks();
   }
 
   /** Returns the linked peers with their zones and CPU capacities. */
-  Map<InstanceId, PlacementPort.Runner> linkedPeers() {
+  public Map<InstanceId, PlacementPort.Runner> linkedPeers() {
     Map<InstanceId, PlacementPort.Runner> out = new HashMap<>();
     peers.values().stream().filter(p -> p.link != null).forEach(p -> out.put(p.id, runner(p)));
     return out;
@@ -182,7 +183,7 @@
   }
 
   /** Returns transports to the store through those relay peers that reach it. */
-  List<StoreTransport> relayTransports() {
+  public List<StoreTransport> relayTransports() {
     return peers.values().stream()
         .filter(p -> p.shouldLink && p.reachesStore())
         .sorted(Comparator.comparing(p -> p.id))
@@ -191,7 +192,7 @@
   }
 
   /** Sends a frame to a peer; drops it if there is no link. */
-  void send(InstanceId id, LinkFrame frame) {
+  public void send(InstanceId id, LinkFrame frame) {
     Peer peer = peers.get(id);
     if (peer != null && peer.link != null) {
       peer.link.send(frame);
@@ -202,7 +203,7 @@
    * Returns the preferred next holder of the lease: of the linked peers that reach the store, the
    * one with the most CPU.
    */
-  Optional<InstanceId> heir() {
+  public Optional<InstanceId> heir() {
     Comparator<Peer> byCores = Comparator.comparing(p -> p.node.getMilliCores());
     return peers.values().stream()
         .filter(Peer::reachesStore)
@@ -211,7 +212,7 @@
   }
 
   /** Returns whether the given incarnation of a process is known to have ended. */
-  boolean hasEnded(InstanceId id, Incarnation incarnation) {
+  public boolean hasEnded(InstanceId id, Incarnation incarnation) {
     Peer peer = peers.get(id);
     if (peer == null || peer.node == null) {
       return false;
--- a/server/src/main/java/org/carobhoist/server/gateway/FailoverStoreTransport.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/store/FailoverStoreTransport.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.store;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -27,7 +27,7 @@
  * path is restored, if a probe that was sent after them has been lost: the store was silent then,
  * and their responses won't come.
  */
-final class FailoverStoreTransport implements StoreTransport {
+public final class FailoverStoreTransport implements StoreTransport {
 
   /** Interval between probes of a failed path; also how long a successful probe remains valid. */
   private static final Duration PROBE_PERIOD = Duration.ofMillis(400);
@@ -60,7 +60,7 @@
    * @param peers transports through peers that reach the store, in order of preference
    * @param probes cheap calls without side effects, each to another shard
    */
-  FailoverStoreTransport(
+  public FailoverStoreTransport(
       StoreTransport direct,
       Supplier<List<StoreTransport>> peers,
       List<StoreCall> probes,
@@ -77,7 +77,7 @@
   }
 
   /** Returns whether this process reaches the store directly. */
-  boolean isDirectPathUp() {
+  public boolean isDirectPathUp() {
     return !directPathDown;
   }
 
@@ -96,7 +96,7 @@
   }
 
   /** Makes a call on behalf of a peer; it is never relayed to a further peer. */
-  CompletableFuture<StoreReply> callForPeer(StoreCall call) {
+  public CompletableFuture<StoreReply> callForPeer(StoreCall call) {
     return callDirect(call);
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/LoggingTailListener.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/store/LoggingTailListener.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.store;
 
 import org.carobhoist.core.store.Shard;
 import org.carobhoist.core.store.ShardScan;
@@ -9,12 +9,13 @@
 import org.carobhoist.server.log.LogEvent;
 
 /** Logs scans and read failures of a shard, and delegates all events to another listener. */
-final class LoggingTailListener implements TailListener {
+public final class LoggingTailListener implements TailListener {
 
   private final Shard shard;
   private final TailListener delegate;
 
-  LoggingTailListener(Shard shard, TailListener delegate) {
+  /** Creates a listener that logs the events of a shard and passes them on. */
+  public LoggingTailListener(Shard shard, TailListener delegate) {
     this.shard = shard;
     this.delegate = delegate;
   }
--- a/server/src/main/java/org/carobhoist/server/gateway/OperatorRecordListener.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/store/OperatorRecordListener.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.store;
 
 import java.util.Optional;
 import java.util.function.BiConsumer;
@@ -13,12 +13,13 @@
 import org.carobhoist.server.log.LogEvent;
 
 /** Handles the manifests that operators write and the weight versions that trainers set. */
-final class OperatorRecordListener implements TailListener {
+public final class OperatorRecordListener implements TailListener {
 
   private final ManifestHolder manifests;
   private final BiConsumer<String, WeightVersion> versionListener;
 
-  OperatorRecordListener(
+  /** Creates a listener of the records that operators and trainers write. */
+  public OperatorRecordListener(
       ManifestHolder manifests, BiConsumer<String, WeightVersion> versionListener) {
     this.manifests = manifests;
     this.versionListener = versionListener;
--- a/server/src/main/java/org/carobhoist/server/gateway/ServerChangeListener.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/store/ServerChangeListener.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.store;
 
 import java.util.function.Consumer;
 import org.carobhoist.core.common.InstanceId;
@@ -9,11 +9,12 @@
 import org.carobhoist.server.log.LogEvent;
 
 /** Logs changes in the registry of servers, and reports servers that no longer accept work. */
-final class ServerChangeListener implements ServerListener {
+public final class ServerChangeListener implements ServerListener {
 
   private final Consumer<InstanceId> unavailableListener;
 
-  ServerChangeListener(Consumer<InstanceId> unavailableListener) {
+  /** Creates a listener that logs changes and reports servers that are no longer available. */
+  public ServerChangeListener(Consumer<InstanceId> unavailableListener) {
     this.unavailableListener = unavailableListener;
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/Exchange.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/upstream/Exchange.java
@@ -1,11 +1,11 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.upstream;
 
 import com.linecorp.armeria.client.ClientRequestContext;
 import com.linecorp.armeria.common.HttpResponse;
 import java.util.Optional;
 
 /** A request that is sent to a server, with its response. */
-final class Exchange {
+public final class Exchange {
 
   private final HttpResponse response;
   private final Optional<ClientRequestContext> context;
@@ -20,7 +20,8 @@
     this.context = context;
   }
 
-  HttpResponse response() {
+  /** Returns the response, whose parts arrive as the server sends them. */
+  public HttpResponse response() {
     return response;
   }
 
@@ -28,7 +29,7 @@
    * Returns the connection that carries the request, and how many requests it has carried, for the
    * log; an empty string before the request has a connection.
    */
-  String connection() {
+  public String connection() {
     return context
         .map(c -> c.log().partial().channel())
         .map(ResponseMatchingHandler::connectionName)
--- a/server/src/main/java/org/carobhoist/server/gateway/OutOfStepListener.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/upstream/OutOfStepListener.java
@@ -1,7 +1,7 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.upstream;
 
 /** Receives which servers sent bytes that were no awaited response. */
-interface OutOfStepListener {
+public interface OutOfStepListener {
 
   /**
    * Called when a connection is closed because its server is out of step.
--- a/server/src/main/java/org/carobhoist/server/gateway/ResponseMatchingHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/upstream/ResponseMatchingHandler.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.upstream;
 
 import com.linecorp.armeria.client.Endpoint;
 import io.netty.channel.Channel;
@@ -31,7 +31,7 @@
  * an earlier response. Any other response means that the connection is out of step, so it is closed
  * before a further request can be sent on it, and the request that awaits its response fails.
  */
-final class ResponseMatchingHandler extends ChannelDuplexHandler {
+public final class ResponseMatchingHandler extends ChannelDuplexHandler {
 
   private static final AttributeKey<CarriedRequestIds.Connection> CONNECTION =
       AttributeKey.valueOf(ResponseMatchingHandler.class, "connection");
@@ -74,7 +74,8 @@
    *
    * @param listener notified if the connection is out of step
    */
-  static void addTo(ChannelPipeline pipeline, CarriedRequestIds ids, OutOfStepListener listener) {
+  public static void addTo(
+      ChannelPipeline pipeline, CarriedRequestIds ids, OutOfStepListener listener) {
     pipeline.addFirst(new Installer(ids, listener));
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/StatusLines.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/upstream/StatusLines.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.upstream;
 
 import java.util.regex.Pattern;
 
--- a/server/src/main/java/org/carobhoist/server/gateway/UnawaitedBytesHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/upstream/UnawaitedBytesHandler.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.upstream;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
--- a/server/src/main/java/org/carobhoist/server/gateway/UpstreamClients.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/upstream/UpstreamClients.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.upstream;
 
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.ClientRequestContextCaptor;
@@ -28,7 +28,7 @@
  * same holds for ids that there is no room to remember, and for servers to which no connection is
  * reused.
  */
-final class UpstreamClients {
+public final class UpstreamClients {
 
   /** Maximum number of clients; a client is small, and an installation has hundreds of servers. */
   private static final int MAX_CLIENTS = 1_024;
@@ -60,7 +60,7 @@
    * @param carriedIds ids that the connections of both factories have carried
    * @param reuse decides which servers get requests on pooled connections
    */
-  UpstreamClients(
+  public UpstreamClients(
       ClientFactory pooled,
       ClientFactory singleUse,
       CarriedRequestIds carriedIds,
@@ -76,7 +76,7 @@
    *
    * @param timeout time until the response must be complete; zero for no timeout
    */
-  HttpResponse sendBuffered(String address, HttpRequest request, Duration timeout) {
+  public HttpResponse sendBuffered(String address, HttpRequest request, Duration timeout) {
     return client(address, request).execute(request, bufferedOptions(timeout));
   }
 
@@ -86,7 +86,7 @@
    *
    * @param timeout time until the response must be complete; zero for no timeout
    */
-  HttpResponse sendOnNewConnection(String address, HttpRequest request, Duration timeout) {
+  public HttpResponse sendOnNewConnection(String address, HttpRequest request, Duration timeout) {
     return client(singleUseClients, singleUse, address).execute(request, bufferedOptions(timeout));
   }
 
@@ -95,7 +95,7 @@
    *
    * @param timeout time until the response must be complete; zero for no timeout
    */
-  Exchange sendStreaming(String address, HttpRequest request, Duration timeout) {
+  public Exchange sendStreaming(String address, HttpRequest request, Duration timeout) {
     RequestOptions options = RequestOptions.builder().responseTimeout(timeout).build();
     WebClient client = client(address, request);
     try (ClientRequestContextCaptor captor = Clients.newContextCaptor()) {
--- a/server/src/test/java/org/carobhoist/server/gateway/RawPeer.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/peer/RawPeer.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.peer;
 
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
--- a/server/src/test/java/org/carobhoist/server/gateway/FailoverStoreTransportTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/store/FailoverStoreTransportTest.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.store;
 
 import static com.google.common.truth.Truth.assertThat;
 
--- a/server/src/test/java/org/carobhoist/server/gateway/RepliesWithoutIdTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/store/RepliesWithoutIdTest.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.store;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -29,6 +29,9 @@
 import org.carobhoist.platform.EngineOrders;
 import org.carobhoist.platform.StoreCall;
 import org.carobhoist.platform.StoreReply;
+import org.carobhoist.server.gateway.coordination.EngineClient;
+import org.carobhoist.server.gateway.upstream.ResponseMatchingHandler;
+import org.carobhoist.server.gateway.upstream.UpstreamClients;
 import org.carobhoist.server.runtime.ConnectionResetHandler;
 import org.carobhoist.server.runtime.DecisionLoop;
 import org.carobhoist.server.runtime.SuspendAwareClock;
--- a/server/src/test/java/org/carobhoist/server/gateway/ResponseMatchingHandlerTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/upstream/ResponseMatchingHandlerTest.java
@@ -1,4 +1,4 @@
-package org.carobhoist.server.gateway;
+package org.carobhoist.server.gateway.upstream;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
