Take no refused connection for the end of the lease holder's process

Its peers took the refused connection for the end of its process, took the lease within 0.3 s and issued orders at once, while the former holder still issued orders in its own term; after the cut both took the lease from each other several times a second.

Cause: PeerMesh.hasEnded counted a refused connection as proof. A path that resets connections refuses those to a running process as well, and the mark stayed until the next successful connection.

Change: only the record of a newer incarnation proves an end. A refused connection still lets the items of that runner be placed again at once, since an item may run twice.

Evidence: PeerMeshTest.refusedConnectionDoesNotProveThatTheProcessHasEnded failed before (expected to be false). connectTimeoutIsNotTreatedAsEndOfTheProcess is renamed; it checks the same classification of failures.

--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
@@ -91,7 +91,6 @@
     private boolean linkFailed;
     private RelayPeers.Path storePath = RelayPeers.Path.UNKNOWN;
     private boolean reportedUp;
-    private boolean connectionRefused;
     private Duration lastReceivedAt = Duration.ZERO;
     private Duration lastPingAt = Duration.ZERO;
     private Duration lastAttemptAt = Duration.ZERO;
@@ -211,13 +210,16 @@
         .map(p -> p.id);
   }
 
-  /** Returns whether the given incarnation of a process is known to have ended. */
+  /**
+   * Returns whether the given incarnation of a process is known to have ended, because a newer one
+   * has written its record. A refused connection doesn't prove it: a path that resets connections
+   * refuses those to a process that is still running.
+   */
   public boolean hasEnded(InstanceId id, Incarnation incarnation) {
     Peer peer = peers.get(id);
-    if (peer == null || peer.node == null) {
-      return false;
-    }
-    return peer.connectionRefused || !peer.node.getIncarnation().equals(incarnation.value());
+    return peer != null
+        && peer.node != null
+        && !peer.node.getIncarnation().equals(incarnation.value());
   }
 
   /** Called when a link that this process opened has been established. */
@@ -227,7 +229,6 @@
       link.close();
       return;
     }
-    peer.connectionRefused = false;
     peer.linkFailed = false;
     peer.link = link;
     peer.reportedUp = true;
@@ -264,7 +265,6 @@
     boolean restarted =
         peer.node != null && !peer.node.getIncarnation().equals(node.getIncarnation());
     peer.node = node;
-    peer.connectionRefused &= !restarted;
     peer.linkFailed &= !restarted;
     if (restarted && peer.link != null) {
       peer.closeLink();
@@ -354,15 +354,14 @@
       return;
     }
     peer.linkFailed = true;
-    peer.connectionRefused = isRefusal(failure);
-    if (peer.connectionRefused && peer.reportedUp) {
+    if (isRefusal(failure) && peer.reportedUp) {
       reportLost(peer, "connection refused");
     }
   }
 
   /**
-   * Returns whether the peer's host refused the connection. Then no process listens there: the peer
-   * has ended, and all its runs with it. A timeout doesn't prove that.
+   * Returns whether the connection was refused at once. Then the peer has probably ended, and its
+   * items are placed again without waiting for the silence timeout; an item may run twice.
    */
   static boolean isRefusal(Throwable failure) {
     return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
--- a/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.settings.SocketAddressText;
 import org.carobhoist.core.store.StoredRecord;
@@ -49,6 +50,7 @@
   private final BlockingQueue<String> ups = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> downs = new LinkedBlockingQueue<>();
   private final BlockingQueue<String> pongs = new LinkedBlockingQueue<>();
+  private final BlockingQueue<String> lost = new LinkedBlockingQueue<>();
   private final LinkNetwork network =
       LinkNetwork.create(
           new SocketAddressText("127.0.0.1", 0),
@@ -192,7 +194,9 @@
     }
 
     @Override
-    public void onLost(InstanceId peer, String why) {}
+    public void onLost(InstanceId peer, String why) {
+      lost.add(peer.value() + ": " + why);
+    }
 
     @Override
     public void onFrame(InstanceId peer, LinkFrame frame) {}
@@ -229,8 +233,31 @@
     }
   }
 
+  /** Guards against two holders of the lease: a path that resets connections refuses them too. */
+  @Test
+  void refusedConnectionDoesNotProveThatTheProcessHasEnded() throws Exception {
+    start(SuspendAwareClock.create());
+    StoredRecord peerRecord;
+    try (RawPeer peer = new RawPeer("peer")) {
+      peerRecord = peer.record(0);
+      putRecord(peerRecord);
+      try (Socket link = peer.accept()) {
+        peer.sayHello(link);
+        assertThat(next(ups)).isEqualTo("peer");
+      }
+    }
+    assertThat(next(lost)).isEqualTo("peer: connection refused");
+    Incarnation refused = new Incarnation("peer-1");
+    InstanceId peer = new InstanceId("peer");
+    assertThat(loop.call(() -> mesh.hasEnded(peer, refused)).join()).isFalse();
+    NodeRecord restarted =
+        NodeRecord.parseFrom(peerRecord.value()).toBuilder().setIncarnation("peer-2").build();
+    putRecord(new StoredRecord(1, "peer", restarted.toByteArray()));
+    assertThat(loop.call(() -> mesh.hasEnded(peer, refused)).join()).isTrue();
+  }
+
   @Test
-  void connectTimeoutIsNotTreatedAsEndOfTheProcess() {
+  void connectTimeoutIsNotTreatedAsRefusal() {
     assertThat(PeerMesh.isRefusal(new ConnectException("Connection refused"))).isTrue();
     assertThat(PeerMesh.isRefusal(new ConnectTimeoutException("timed out"))).isFalse();
     assertThat(PeerMesh.isRefusal(new NoRouteToHostException("no route"))).isFalse();
