Identify clients by the accounts of the manifest

Cause: every request was accepted, a server got the client's Authorization header, and any client that knew the id of a job could read or end it.

The id of a job with an account contains a digest of the account, so that other accounts can't name the job, and is no longer than an id without, since a key of the store has 255 bytes. Texts and results are reused within an account only. Items reach engines with the account of their job.

--- a/core/src/main/java/org/carobhoist/core/job/JobHead.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobHead.java
@@ -1,6 +1,8 @@
 package org.carobhoist.core.job;
 
 import java.time.Instant;
+import java.util.Optional;
+import org.carobhoist.core.account.AccountName;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.manifest.JobRules;
 
@@ -15,6 +17,7 @@
  * @param rules the route's rules for jobs
  * @param maxAttempts number of failures after which an item is given up
  * @param itemCount number of items
+ * @param account the account that submitted it; empty if it was submitted without one
  */
 public record JobHead(
     JobId id,
@@ -24,7 +27,32 @@
     Instant acceptedAt,
     JobRules rules,
     int maxAttempts,
-    int itemCount) {
+    int itemCount,
+    Optional<AccountName> account) {
+
+  /**
+   * Checks that the id belongs to the account.
+   *
+   * @throws IllegalArgumentException if it doesn't
+   */
+  public JobHead {
+    if (account.isPresent() ? !id.isScopedTo(account.get()) : id.isScoped()) {
+      throw new IllegalArgumentException("job " + id + " doesn't belong to its account");
+    }
+  }
+
+  /** Creates the head of a job that was submitted without an account. */
+  public JobHead(
+      JobId id,
+      ServiceName service,
+      String host,
+      String route,
+      Instant acceptedAt,
+      JobRules rules,
+      int maxAttempts,
+      int itemCount) {
+    this(id, service, host, route, acceptedAt, rules, maxAttempts, itemCount, Optional.empty());
+  }
 
   /** Returns whether the retention time has expired, so that items may be given up. */
   public boolean isExpired(Instant now) {
--- a/core/src/main/java/org/carobhoist/core/job/JobItem.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobItem.java
@@ -53,6 +53,12 @@
     this(id, group, path, headers, body, promptTokens, maxTokens, expectedTokens, Optional.empty());
   }
 
+  /** Returns this item with other headers. */
+  public JobItem withHeaders(List<Header> newHeaders) {
+    return new JobItem(
+        id, group, path, newHeaders, body, promptTokens, maxTokens, expectedTokens, reward);
+  }
+
   /** Returns this item with the request that scores its text. */
   public JobItem withReward(RewardRequest request) {
     return new JobItem(
--- a/core/src/main/java/org/carobhoist/core/manifest/Manifest.java
+++ b/core/src/main/java/org/carobhoist/core/manifest/Manifest.java
@@ -6,6 +6,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
+import org.carobhoist.core.account.Account;
+import org.carobhoist.core.account.AccountName;
+import org.carobhoist.core.account.Accounts;
+import org.carobhoist.core.account.RequestPriority;
 import org.carobhoist.core.common.ServiceName;
 
 /** One version of the routes, services and limits that operators publish; immutable. */
@@ -17,26 +22,38 @@
   private final long version;
   private final Map<ServiceName, ServiceSpec> services;
   private final Limits limits;
+  private final Optional<Accounts> accounts;
   private final Map<String, List<Route>> byHost = new HashMap<>();
 
   private Manifest(
-      long version, List<Route> routes, Map<ServiceName, ServiceSpec> services, Limits limits) {
+      long version,
+      List<Route> routes,
+      Map<ServiceName, ServiceSpec> services,
+      Limits limits,
+      Optional<Accounts> accounts) {
     this.version = version;
     this.services = services;
     this.limits = limits;
+    this.accounts = accounts;
     routes.stream()
         .sorted(LONGEST_PREFIX_FIRST)
         .forEach(r -> byHost.computeIfAbsent(r.host(), k -> new ArrayList<>()).add(r));
   }
 
   /**
-   * Returns a manifest.
+   * Returns a manifest without accounts.
    *
    * @param version version of the manifest; a manifest with a higher version replaces it
    */
   public static Manifest of(
       long version, List<Route> routes, Map<ServiceName, ServiceSpec> services, Limits limits) {
-    return new Manifest(version, routes, Map.copyOf(services), limits);
+    return new Manifest(version, routes, Map.copyOf(services), limits, Optional.empty());
+  }
+
+  /** Returns this manifest with accounts. */
+  public Manifest withAccounts(Accounts newAccounts) {
+    List<Route> routes = byHost.values().stream().flatMap(List::stream).toList();
+    return new Manifest(version, routes, services, limits, Optional.of(newAccounts));
   }
 
   /** Returns the version. */
@@ -49,6 +66,21 @@
     return limits;
   }
 
+  /** Returns the client accounts; empty if accounts are disabled. */
+  public Optional<Accounts> accounts() {
+    return accounts;
+  }
+
+  /** Returns the priority of a request to a route, by an account or without one. */
+  public RequestPriority priority(Route route, Optional<AccountName> account) {
+    OptionalInt ofAccount =
+        accounts
+            .flatMap(all -> account.flatMap(all::find))
+            .map(Account::priority)
+            .orElse(OptionalInt.empty());
+    return RequestPriority.of(ofAccount, route.priority());
+  }
+
   /** Returns all services. */
   public Map<ServiceName, ServiceSpec> services() {
     return services;
--- a/core/src/main/java/org/carobhoist/core/manifest/Route.java
+++ b/core/src/main/java/org/carobhoist/core/manifest/Route.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.random.RandomGenerator;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.request.RetryPolicy;
@@ -19,6 +20,9 @@
  * @param retry policy for the number of endpoints that a request may be sent to
  * @param resumable whether a broken stream may be continued at another endpoint
  * @param jobRules rules for its jobs; empty for other kinds
+ * @param acceptsAnonymous whether requests without a known key are accepted
+ * @param priority urgency of its requests, 0 is the most urgent; empty if not stated
+ * @param targetLatency latency that its requests should have; empty if not stated
  */
 public record Route(
     String name,
@@ -29,18 +33,24 @@
     List<Split> splits,
     RetryPolicy retry,
     boolean resumable,
-    Optional<JobRules> jobRules) {
+    Optional<JobRules> jobRules,
+    boolean acceptsAnonymous,
+    OptionalInt priority,
+    Optional<Duration> targetLatency) {
 
   /**
-   * Checks that there is at least one service.
+   * Checks that there is at least one service and that the priority isn't negative.
    *
-   * @throws IllegalArgumentException if there is none
+   * @throws IllegalArgumentException if one of these conditions isn't met
    */
   public Route {
     splits = List.copyOf(splits);
     if (splits.isEmpty()) {
       throw new IllegalArgumentException("route " + name + " has no service");
     }
+    if (priority.isPresent() && priority.getAsInt() < 0) {
+      throw new IllegalArgumentException("route " + name + " has a negative priority");
+    }
   }
 
   /** Returns whether a request that may have run can be sent again. */
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -218,7 +218,7 @@
     for (ItemState state : List.copyOf(items.values())) {
       if (state.job().id().equals(job.id())) {
         items.remove(new ItemKey(job.id(), state.item().id()));
-        reusableOutputs.keep(state.item().id(), state.text());
+        reusableOutputs.keep(state.job(), state.item().id(), state.text());
         endRun(state, Phase.DONE);
       }
     }
@@ -640,7 +640,8 @@
             state.job().content().minVersion(),
             VersionConstraint.requiredVersion(state),
             VersionConstraint.needsSingleVersion(state),
-            Duration.between(wallTime, end));
+            Duration.between(wallTime, end),
+            state.job().head().account());
     port.logDecision(
         Decision.PLACED,
         state.job().id(),
--- a/core/src/main/java/org/carobhoist/core/placement/ReusableOutputs.java
+++ b/core/src/main/java/org/carobhoist/core/placement/ReusableOutputs.java
@@ -10,7 +10,7 @@
 /**
  * Output of earlier jobs for an item that is submitted again: a result that can be published
  * unchanged, a complete text that only needs the score of the new job's reward call, or the
- * beginning of a text.
+ * beginning of a text. Only jobs of one account, or jobs without an account, share outputs.
  */
 final class ReusableOutputs {
 
@@ -22,19 +22,20 @@
   }
 
   /** Keeps the text of an item whose job has ended, for reuse by a later job. */
-  void keep(ItemId item, RunText text) {
-    cache.put(item, text);
+  void keep(Job job, ItemId item, RunText text) {
+    cache.put(key(job, item), text);
   }
 
   /**
-   * Returns another job of the same service whose result for the item satisfies the version
-   * constraints of the given job.
+   * Returns another job of the same account and service whose result for the item satisfies the
+   * version constraints of the given job.
    */
   Optional<Job> findJobWithResult(Job job, JobItem item) {
     WeightVersion minVersion = job.content().minVersion();
     boolean singleVersion = job.head().rules().singleVersion();
     return view.jobs().stream()
         .filter(j -> j != job && j.isContentComplete())
+        .filter(j -> j.head().account().equals(job.head().account()))
         .filter(j -> j.head().service().equals(job.head().service()))
         .filter(j -> j.result(item.id()).filter(r -> r.fits(minVersion, singleVersion)).isPresent())
         .findFirst();
@@ -47,7 +48,11 @@
   Optional<RunText> takeText(Job job, JobItem item) {
     WeightVersion minVersion = job.content().minVersion();
     boolean singleVersion = job.head().rules().singleVersion();
-    return cache.take(item.id()).filter(t -> t.fits(minVersion, singleVersion));
+    return cache.take(key(job, item.id())).filter(t -> t.fits(minVersion, singleVersion));
+  }
+
+  private static TextCache.Key key(Job job, ItemId item) {
+    return new TextCache.Key(job.head().account(), item);
   }
 
   /**
--- a/core/src/main/java/org/carobhoist/core/placement/RunOrder.java
+++ b/core/src/main/java/org/carobhoist/core/placement/RunOrder.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.carobhoist.core.account.AccountName;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.job.JobId;
@@ -21,6 +22,7 @@
  * @param requiredVersion the only weight version allowed, if the run is bound to one
  * @param singleVersion whether all events of the text must have the same weight version
  * @param timeLeft time left until the item may be given up
+ * @param account the job's account, if it has one
  */
 public record RunOrder(
     long run,
@@ -33,4 +35,23 @@
     WeightVersion minVersion,
     Optional<WeightVersion> requiredVersion,
     boolean singleVersion,
-    Duration timeLeft) {}
+    Duration timeLeft,
+    Optional<AccountName> account) {
+
+  /** Returns this order with another form of its item. */
+  public RunOrder withItem(JobItem newItem) {
+    return new RunOrder(
+        run,
+        job,
+        newItem,
+        host,
+        engine,
+        address,
+        prefix,
+        minVersion,
+        requiredVersion,
+        singleVersion,
+        timeLeft,
+        account);
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/placement/TextCache.java
+++ b/core/src/main/java/org/carobhoist/core/placement/TextCache.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.carobhoist.core.account.AccountName;
 import org.carobhoist.core.job.ItemId;
 
 /**
@@ -17,18 +18,26 @@
    */
   private static final int CAPACITY = 1_024;
 
-  private final Map<ItemId, RunText> texts =
+  private final Map<Key, RunText> texts =
       new LinkedHashMap<>() {
         private static final long serialVersionUID = 1L;
 
         @Override
-        protected boolean removeEldestEntry(Map.Entry<ItemId, RunText> eldest) {
+        protected boolean removeEldestEntry(Map.Entry<Key, RunText> eldest) {
           return size() > CAPACITY;
         }
       };
 
+  /**
+   * Identifies the text of an item across the jobs of an account.
+   *
+   * @param account the account; empty for jobs without one
+   * @param item the item
+   */
+  record Key(Optional<AccountName> account, ItemId item) {}
+
   /** Stores a text unless it has no events or one with at least as many events is stored. */
-  void put(ItemId item, RunText text) {
+  void put(Key item, RunText text) {
     RunText cached = texts.get(item);
     if (text.eventCount() > 0 && (cached == null || cached.eventCount() < text.eventCount())) {
       texts.remove(item);
@@ -37,7 +46,7 @@
   }
 
   /** Removes and returns the text of an item. */
-  Optional<RunText> take(ItemId item) {
+  Optional<RunText> take(Key item) {
     return Optional.ofNullable(texts.remove(item));
   }
 }
--- a/core/src/test/java/org/carobhoist/core/job/PlainRecords.java
+++ b/core/src/test/java/org/carobhoist/core/job/PlainRecords.java
@@ -40,7 +40,10 @@
   @Override
   public JobRecord decode(StoredRecord stored) {
     String[] parts = stored.key().split("/");
-    JobId job = new JobId(parts[1]);
+    JobId job =
+        parts[0].equals("job")
+            ? JobId.parse(stored.key().substring("job/".length()))
+            : new JobId(parts[1]);
     return switch (parts[0]) {
       case "job" ->
           stored.isTombstone()
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorFixture.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorFixture.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.account.AccountName;
 import org.carobhoist.core.common.EndpointKind;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
@@ -195,19 +196,27 @@
   }
 
   Job submit(String id, JobItem... jobItems) {
+    return submit(id, Optional.empty(), jobItems);
+  }
+
+  /** Submits a job of an account, or one without an account. */
+  Job submit(String id, Optional<AccountName> account, JobItem... jobItems) {
     items = List.of(jobItems);
+    JobId jobId = new JobId(id);
     JobHead head =
         new JobHead(
-            new JobId(id),
+            account.map(jobId::scopedTo).orElse(jobId),
             SERVICE,
             "a.example",
             "jobs",
             clock.now(),
             new JobRules(Duration.ofSeconds(7), Duration.ofSeconds(40), singleVersion),
             3,
-            jobItems.length);
+            jobItems.length,
+            account);
     heads.put(head.id(), head);
-    view.shardListener(0).onRecord(new StoredRecord(heads.size(), "job/" + id, new byte[] {1}));
+    view.shardListener(0)
+        .onRecord(new StoredRecord(heads.size(), "job/" + head.id(), new byte[] {1}));
     Job job = view.job(head.id()).orElseThrow();
     job.content();
     coordinator.onAccepted(job);
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -225,6 +225,7 @@
   private final JobRequestHandler jobs;
   private final EngineWeightManager weights;
   private final LeaseManager lease;
+  private final ShardTailer operatorTail;
   private final LinkNetwork network;
   private final Server http;
   private final Server admin;
@@ -335,7 +336,11 @@
     this.weights =
         new EngineWeightManager(
             boot.node(), loop, clock, upstreams, lease, new EngineEnvironment(leaseTail));
-    tail(Topics.OPERATORS, new OperatorRecordListener(manifests, weights::onVersionSet), READ_WAIT);
+    this.operatorTail =
+        tail(
+            Topics.OPERATORS,
+            new OperatorRecordListener(manifests, weights::onVersionSet),
+            READ_WAIT);
     Duration registryReadPause = boot.bounds().drain().dividedBy(REGISTRY_PAUSES_PER_DRAIN);
     tail(Topics.SERVERS, servers, READ_WAIT, () -> registryReadPause);
     tail(Topics.NODES, mesh, READ_WAIT, () -> NODE_READ_PAUSE);
@@ -500,7 +505,8 @@
   }
 
   private Server httpServer() {
-    IngressRoutes routes = new IngressRoutes(manifests, context, jobs, this::isReady);
+    IngressRoutes routes =
+        new IngressRoutes(manifests, context, jobs, this::isReady, operatorTail::isFailing);
     var builder = Server.builder().http(boot.clientAddress());
     if (!boot.readinessAddress().equals(boot.clientAddress())) {
       builder.http(boot.readinessAddress());
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
@@ -234,7 +234,7 @@
         }
       }
       case JOB_NOTICE -> {
-        JobId job = new JobId(frame.getJobNotice().getJob());
+        JobId job = JobId.parse(frame.getJobNotice().getJob());
         var message = frame.getJobNotice().getRecord();
         runEarly(ProtobufJobRecordCodec.head(job, message), message.getContent().toByteArray());
       }
@@ -372,7 +372,8 @@
   }
 
   @Override
-  public void start(InstanceId id, RunOrder order) {
+  public void start(InstanceId id, RunOrder placed) {
+    RunOrder order = ItemIdentity.withoutForgedAccount(placed, manifests.current());
     if (id.equals(self)) {
       runner.onStart(lease.term(), order);
     } else {
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
@@ -13,6 +13,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.carobhoist.core.account.AccountName;
+import org.carobhoist.core.account.ClientIdentity;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
@@ -48,11 +50,9 @@
   /** Fraction of the remaining time that an attempt may take if a further attempt is allowed. */
   private static final double ATTEMPT_SHARE = 0.4;
 
-  /** Retry delay that is sent to the client with refusals of requests that have not run. */
-  private static final Duration RETRY_AFTER = Duration.ofMillis(100);
-
   private final ForwardContext context;
   private final Route route;
+  private final ClientIdentity client;
   private final ServiceName service;
   private final AggregatedHttpRequest request;
   private final HttpResponseWriter out;
@@ -67,9 +67,14 @@
   private Runnable removeFromDrain = () -> {};
 
   private ForwardedCall(
-      ForwardContext context, Route route, AggregatedHttpRequest request, HttpResponseWriter out) {
+      ForwardContext context,
+      Route route,
+      ClientIdentity client,
+      AggregatedHttpRequest request,
+      HttpResponseWriter out) {
     this.context = context;
     this.route = route;
+    this.client = client;
     this.service = route.selectService(context.random());
     this.request = request;
     this.out = out;
@@ -87,8 +92,12 @@
 
   /** Starts a call whose response is written to {@code out}. */
   static void start(
-      ForwardContext context, Route route, AggregatedHttpRequest request, HttpResponseWriter out) {
-    ForwardedCall call = new ForwardedCall(context, route, request, out);
+      ForwardContext context,
+      Route route,
+      ClientIdentity client,
+      AggregatedHttpRequest request,
+      HttpResponseWriter out) {
+    ForwardedCall call = new ForwardedCall(context, route, client, request, out);
     out.whenComplete()
         .exceptionally(
             gone -> {
@@ -161,7 +170,7 @@
       recordEnd(Verdict.MAY_HAVE_RUN, "the server's own failure");
       return;
     }
-    out.write(CallHeaders.localResponse(status(refusal), id, retryAfter(refusal)));
+    out.write(RefusalResponse.headers(refusal, id));
     out.close();
     recordEnd(refusal.verdict(), refusal.reason() + ": " + refusal.detail());
   }
@@ -205,6 +214,8 @@
         id,
         "route",
         route.name(),
+        "account",
+        client.account().map(AccountName::value).orElse(""),
         "endpoint",
         last == null ? "" : last.endpoint,
         "connection",
@@ -228,23 +239,6 @@
     return timeLeft.isNegative() ? Duration.ZERO : timeLeft;
   }
 
-  /**
-   * Returns the status of a refusal. 429 and 503 mean that the request has not run and never will;
-   * with other statuses it may have run.
-   */
-  private static int status(Refusal refusal) {
-    boolean notRun = refusal.verdict() == Verdict.NOT_RUN;
-    return switch (refusal.reason()) {
-      case DEADLINE, CANCELLED -> notRun ? 503 : 504;
-      case OVERLOADED -> notRun ? 429 : 502;
-      default -> notRun ? 503 : 502;
-    };
-  }
-
-  private static Optional<Duration> retryAfter(Refusal refusal) {
-    return refusal.verdict() == Verdict.NOT_RUN ? Optional.of(RETRY_AFTER) : Optional.empty();
-  }
-
   private static Duration min(Duration a, Duration b) {
     return a.compareTo(b) < 0 ? a : b;
   }
@@ -274,7 +268,8 @@
       Duration timeLeft = timeLeft();
       HttpRequest toServer =
           HttpRequest.of(
-              CallHeaders.forward(request.headers(), endpoint, timeLeft, ""), request.content());
+              CallHeaders.forward(request.headers(), client, endpoint, timeLeft, ""),
+              request.content());
       exchange = context.upstreams().sendStreaming(server.address(), toServer, Duration.ZERO);
       exchange.response().subscribe(this);
       boolean mayRetry = route.isIdempotent() && number < route.retry().maxAttempts();
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
@@ -15,6 +15,8 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.carobhoist.core.account.AccessDecision;
+import org.carobhoist.core.account.ClientIdentity;
 import org.carobhoist.core.manifest.Limits;
 import org.carobhoist.core.manifest.Manifest;
 import org.carobhoist.core.manifest.ManifestHolder;
@@ -31,12 +33,14 @@
 
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
+  private static final int UNAUTHORIZED = 401;
   private static final int NOT_FOUND = 404;
   private static final int BODY_TOO_LARGE = 413;
   private static final int HEADERS_TOO_LARGE = 431;
   private static final int UNAVAILABLE = 503;
   private static final int TIMEOUT = 504;
 
+  private static final String NO_MANIFEST = "no manifest is known yet";
   private static final String TOO_LARGE = "larger than the manifest's limit";
 
   /** Bytes of the colon, the space and the line end of a header on the wire. */
@@ -54,17 +58,25 @@
   private final ForwardContext context;
   private final JobRequestHandler jobs;
   private final BooleanSupplier ready;
+  private final BooleanSupplier manifestStale;
 
-  /** Creates the service for the requests of clients. */
+  /**
+   * Creates the service for the requests of clients.
+   *
+   * @param manifestStale returns whether the newest manifest may not be known, because the store
+   *     can't be read
+   */
   public IngressRoutes(
       ManifestHolder manifests,
       ForwardContext context,
       JobRequestHandler jobs,
-      BooleanSupplier ready) {
+      BooleanSupplier ready,
+      BooleanSupplier manifestStale) {
     this.manifests = manifests;
     this.context = context;
     this.jobs = jobs;
     this.ready = ready;
+    this.manifestStale = manifestStale;
   }
 
   @Override
@@ -128,14 +140,37 @@
     String id = CallHeaders.requestId(http.headers());
     if (call instanceof IngressCall.Routed) {
       route(ctx, http, out);
-    } else if (call instanceof IngressCall.ReadResults r) {
-      answer(jobs.results(r.job(), r.from(), r.maxWait()), id, out, UNAVAILABLE);
+      return;
+    }
+    Optional<Manifest> manifest = manifests.current();
+    if (manifest.isEmpty()) {
+      refuse(out, id, UNAVAILABLE, NO_MANIFEST);
+      return;
+    }
+    Optional<ClientIdentity> accepted =
+        accept(
+            AccessDecision.forJob(
+                manifest.get().accounts(),
+                CallHeaders.credentials(http.headers()),
+                manifestStale.getAsBoolean()),
+            id,
+            out);
+    if (accepted.isPresent()) {
+      callJob(call, accepted.get(), http, out);
+    }
+  }
+
+  private void callJob(
+      IngressCall call, ClientIdentity client, AggregatedHttpRequest http, HttpResponseWriter out) {
+    String id = CallHeaders.requestId(http.headers());
+    if (call instanceof IngressCall.ReadResults r) {
+      answer(jobs.results(r.job(), client, r.from(), r.maxWait()), id, out, UNAVAILABLE);
     } else if (call instanceof IngressCall.ReadItem r) {
-      answer(jobs.item(r.job(), r.item()), id, out, UNAVAILABLE);
+      answer(jobs.item(r.job(), client, r.item()), id, out, UNAVAILABLE);
     } else if (call instanceof IngressCall.EndJob e) {
       Duration timeLimit = timeLimit(http.headers());
       if (admit(id, timeLimit, out)) {
-        answer(jobs.end(e.job(), timeLimit), id, out, TIMEOUT);
+        answer(jobs.end(e.job(), client, timeLimit), id, out, TIMEOUT);
       }
     }
   }
@@ -145,22 +180,50 @@
     String id = CallHeaders.requestId(http.headers());
     Optional<Manifest> manifest = manifests.current();
     if (manifest.isEmpty()) {
-      refuse(out, id, UNAVAILABLE, "no manifest is known yet");
+      refuse(out, id, UNAVAILABLE, NO_MANIFEST);
       return;
     }
     Optional<Route> route = manifest.get().findRoute(CallHeaders.host(http.headers()), ctx.path());
     if (route.isEmpty()) {
       refuse(out, id, NOT_FOUND, "no route in version " + manifest.get().version());
-    } else if (id.isEmpty()) {
+      return;
+    }
+    AccessDecision access =
+        AccessDecision.forRoute(
+            manifest.get().accounts(),
+            route.get().acceptsAnonymous(),
+            CallHeaders.credentials(http.headers()),
+            manifestStale.getAsBoolean());
+    accept(access, id, out).ifPresent(client -> run(route.get(), client, http, out));
+  }
+
+  /** Returns the identity of the client if its request is accepted; refuses the request if not. */
+  private static Optional<ClientIdentity> accept(
+      AccessDecision decision, String id, HttpResponseWriter out) {
+    if (decision instanceof AccessDecision.Accepted a) {
+      return Optional.of(a.identity());
+    }
+    if (decision instanceof AccessDecision.Unauthorized u) {
+      refuse(out, id, UNAUTHORIZED, u.reason());
+    } else if (decision instanceof AccessDecision.Unsure u) {
+      refuse(out, id, UNAVAILABLE, u.reason());
+    }
+    return Optional.empty();
+  }
+
+  private void run(
+      Route route, ClientIdentity client, AggregatedHttpRequest http, HttpResponseWriter out) {
+    String id = CallHeaders.requestId(http.headers());
+    if (id.isEmpty()) {
       refuse(out, id, BAD_REQUEST, "the request has no id");
-    } else if (route.get().kind() == RouteKind.JOBS) {
+    } else if (route.kind() == RouteKind.JOBS) {
       Duration timeLimit = timeLimit(http.headers());
       if (admit(id, timeLimit, out)) {
         byte[] body = http.content().array();
-        answer(jobs.submit(route.get(), id, body, timeLimit), id, out, TIMEOUT);
+        answer(jobs.submit(route, id, client, body, timeLimit), id, out, TIMEOUT);
       }
-    } else if (admit(id, ForwardedCall.timeLimit(route.get(), http.headers()), out)) {
-      ForwardedCall.start(context, route.get(), http, out);
+    } else if (admit(id, ForwardedCall.timeLimit(route, http.headers()), out)) {
+      ForwardedCall.start(context, route, client, http, out);
     }
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/job/CheckpointStore.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/CheckpointStore.java
@@ -26,7 +26,6 @@
 
   private static final String KIND = "unfinished";
   private static final String SEPARATOR = "/";
-  private static final int KEY_PARTS = 3;
 
   private final RecordStore store;
 
@@ -71,12 +70,15 @@
   }
 
   private static Optional<TextCheckpoint> decode(StoredRecord stored) {
-    String[] parts = stored.key().split(SEPARATOR, KEY_PARTS);
-    if (stored.isTombstone() || parts.length < KEY_PARTS) {
+    // The job's id contains a separator if the job has an account, the other parts don't.
+    int jobStart = stored.key().indexOf(SEPARATOR) + 1;
+    int jobEnd = stored.key().lastIndexOf(SEPARATOR);
+    if (stored.isTombstone() || jobStart > jobEnd) {
       return Optional.empty();
     }
     try {
-      ItemKey key = new ItemKey(new JobId(parts[1]), new ItemId(parts[2]));
+      JobId job = JobId.parse(stored.key().substring(jobStart, jobEnd));
+      ItemKey key = new ItemKey(job, new ItemId(stored.key().substring(jobEnd + 1)));
       RunText text = RunText.parseFrom(stored.value());
       return Optional.of(new TextCheckpoint(key, RunMapper.delta(text)));
     } catch (InvalidProtocolBufferException e) {
--- a/server/src/main/java/org/carobhoist/server/gateway/job/ItemRun.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/ItemRun.java
@@ -69,7 +69,8 @@
     Duration left = order.timeLeft().isNegative() ? Duration.ofMillis(1) : order.timeLeft();
     HttpRequest request =
         HttpRequest.of(
-            CallHeaders.forItem(order.item(), order.host(), order.engine(), left, text.lastId()),
+            CallHeaders.forItem(
+                order.item(), order.account(), order.host(), order.engine(), left, text.lastId()),
             HttpData.wrap(order.item().body()));
     response = upstreams.sendStreaming(order.address(), request, left).response();
     response.subscribe(this);
--- a/server/src/main/java/org/carobhoist/server/gateway/job/JobRequestHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/JobRequestHandler.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
+import org.carobhoist.core.account.ClientIdentity;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Verdict;
 import org.carobhoist.core.job.ItemId;
@@ -74,6 +75,7 @@
   private static final int OK = 200;
   private static final int ACCEPTED = 202;
   private static final int BAD_REQUEST = 400;
+  private static final int UNAUTHORIZED = 401;
   private static final int NOT_FOUND = 404;
   private static final int UNAVAILABLE = 503;
   private static final int TIMEOUT = 504;
@@ -118,20 +120,21 @@
 
   /** Submits a job; responds with 202 once it is stored, or 504 if that isn't confirmed in time. */
   public CompletableFuture<AggregatedHttpResponse> submit(
-      Route route, String id, byte[] body, Duration timeLimit) {
+      Route route, String id, ClientIdentity client, byte[] body, Duration timeLimit) {
     JobHead head;
     try {
       JobContent content = JobJson.decode(body);
       head =
           new JobHead(
-              new JobId(id),
+              jobId(new JobId(id), client),
               route.splits().get(0).service(),
               route.host(),
               route.name(),
               clock.now(),
               route.jobRules().orElseThrow(),
               route.retry().maxAttempts(),
-              content.items().size());
+              content.items().size(),
+              client.account());
     } catch (IllegalArgumentException e) {
       EventLog.info(LogEvent.JOB_REFUSED, "job", id, "status", BAD_REQUEST, "why", e.getMessage());
       return completed(emptyResponse(BAD_REQUEST, id));
@@ -140,30 +143,32 @@
     Supplier<Boolean> known = () -> view.job(head.id()).isPresent();
     Runnable early = () -> runEarly.accept(head, body);
     return persist(head.id(), records, known, timeLimit, early)
-        .thenApply(verdict -> answerSubmit(head, verdict));
+        .thenApply(verdict -> answerSubmit(head, id, verdict));
   }
 
   /** Returns a page of results, and waits for the next result if there is none yet. */
-  public CompletableFuture<AggregatedHttpResponse> results(JobId id, int from, Duration timeLimit) {
+  public CompletableFuture<AggregatedHttpResponse> results(
+      JobId id, ClientIdentity client, int from, Duration timeLimit) {
     Duration startedAt = clock.elapsed();
-    return find(id)
+    return find(id, client)
         .thenCompose(
             found ->
                 found.isEmpty()
-                    ? completed(emptyResponse(NOT_FOUND, ""))
+                    ? completed(notFound(client))
                     : awaitResults(found.get(), from, timeLimit))
         .exceptionally(failure -> unavailable("results", id, startedAt, failure));
   }
 
   /** Returns the body of an item of a job that hasn't ended. */
-  public CompletableFuture<AggregatedHttpResponse> item(JobId id, ItemId item) {
+  public CompletableFuture<AggregatedHttpResponse> item(
+      JobId id, ClientIdentity client, ItemId item) {
     Duration startedAt = clock.elapsed();
-    return find(id)
+    return find(id, client)
         .thenApply(
             found -> {
               Optional<JobItem> known = found.filter(j -> !j.isEnded()).flatMap(j -> j.item(item));
               return known.isEmpty()
-                  ? emptyResponse(NOT_FOUND, "")
+                  ? found.isEmpty() ? notFound(client) : emptyResponse(NOT_FOUND, "")
                   : AggregatedHttpResponse.of(
                       CallHeaders.localResponse(OK, "", Optional.empty()),
                       HttpData.wrap(known.get().body()));
@@ -174,14 +179,13 @@
   /**
    * Ends a job; responds with 200 once the end is stored, or 504 if that isn't confirmed in time.
    */
-  public CompletableFuture<AggregatedHttpResponse> end(JobId id, Duration timeLimit) {
+  public CompletableFuture<AggregatedHttpResponse> end(
+      JobId id, ClientIdentity client, Duration timeLimit) {
     Duration startedAt = clock.elapsed();
-    return find(id)
+    return find(id, client)
         .thenCompose(
             found ->
-                found.isEmpty()
-                    ? completed(emptyResponse(NOT_FOUND, ""))
-                    : endInStore(found.get(), timeLimit))
+                found.isEmpty() ? completed(notFound(client)) : endInStore(found.get(), timeLimit))
         .exceptionally(failure -> unavailable("end", id, startedAt, failure));
   }
 
@@ -205,7 +209,7 @@
     wakeReaders(job);
   }
 
-  private AggregatedHttpResponse answerSubmit(JobHead head, Verdict verdict) {
+  private AggregatedHttpResponse answerSubmit(JobHead head, String id, Verdict verdict) {
     int status = verdict == Verdict.COMPLETED ? ACCEPTED : TIMEOUT;
     EventLog.info(
         status == ACCEPTED ? LogEvent.JOB_ACCEPTED : LogEvent.JOB_REFUSED,
@@ -217,7 +221,7 @@
         status,
         "ms",
         Duration.between(head.acceptedAt(), clock.now()).toMillis());
-    return emptyResponse(status, head.id().value());
+    return emptyResponse(status, id);
   }
 
   private CompletableFuture<AggregatedHttpResponse> endInStore(Job job, Duration timeLimit) {
@@ -290,6 +294,33 @@
     return AggregatedHttpResponse.of(headers, HttpData.wrap(body));
   }
 
+  /** Returns the internal id of a job that a client names by {@code id}. */
+  private static JobId jobId(JobId id, ClientIdentity client) {
+    return client.account().map(id::scopedTo).orElse(id);
+  }
+
+  /** Returns the response for a job that doesn't exist or that the client has no access to. */
+  private static AggregatedHttpResponse notFound(ClientIdentity client) {
+    boolean needsKey = client.accountsEnabled() && client.account().isEmpty();
+    return emptyResponse(needsKey ? UNAUTHORIZED : NOT_FOUND, "");
+  }
+
+  /**
+   * Finds a job that a client has access to: one of its account, or else one without an account.
+   * The result is empty only if the store has neither.
+   */
+  private CompletableFuture<Optional<Job>> find(JobId id, ClientIdentity client) {
+    JobId own = jobId(id, client);
+    if (own.equals(id) || view.job(own).isPresent()) {
+      return find(own);
+    }
+    // Both searches run at the same time, so that together they take no longer than one.
+    CompletableFuture<Optional<Job>> withoutAccount = find(id);
+    return find(own)
+        .thenCompose(
+            found -> found.isPresent() ? CompletableFuture.completedFuture(found) : withoutAccount);
+  }
+
   /** Finds a job; the result is empty only if the store has no job with that id. */
   private CompletableFuture<Optional<Job>> find(JobId id) {
     Optional<Job> known = view.job(id);
--- a/server/src/main/java/org/carobhoist/server/gateway/job/ProtobufJobRecordCodec.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/ProtobufJobRecordCodec.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.stream.Collectors;
+import org.carobhoist.core.account.AccountName;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.job.EntryLocation;
@@ -24,7 +25,8 @@
 
 /**
  * Encodes job records as protobuf. A key has the form {@code kind/job/rest}, where the rest is the
- * chunk index of a submitted job, the item id of a result, or empty for the end of a job.
+ * chunk index of a submitted job, the item id of a result, or empty for the end of a job. The job's
+ * id contains a slash if the job has an account, the other parts don't.
  */
 public final class ProtobufJobRecordCodec implements JobRecordCodec {
 
@@ -91,7 +93,7 @@
   @Override
   public JobRecord decode(StoredRecord stored) {
     String[] parts = split(stored.key());
-    JobId job = new JobId(parts[1]);
+    JobId job = JobId.parse(parts[1]);
     if (stored.isTombstone()) {
       return parts[0].equals(ACCEPTED) ? new JobRecord.Deleted(job) : new JobRecord.KeyDeleted(job);
     }
@@ -111,7 +113,7 @@
   @Override
   public JobRecordCodec.ResultKey parseResultKey(String key) {
     String[] parts = split(key);
-    return new JobRecordCodec.ResultKey(new JobId(parts[1]), new ItemId(parts[2]));
+    return new JobRecordCodec.ResultKey(JobId.parse(parts[1]), new ItemId(parts[2]));
   }
 
   /** Encodes a job that isn't stored yet as a message to the coordinator. */
@@ -135,7 +137,8 @@
         Instant.ofEpochMilli(message.getAcceptedMillis()),
         rules,
         message.getMaxAttempts(),
-        message.getTotal());
+        message.getTotal(),
+        RunMapper.account(message.getAccount()));
   }
 
   private static org.carobhoist.server.link.proto.JobRecord message(
@@ -150,6 +153,7 @@
         .setSingleVersion(head.rules().singleVersion())
         .setMaxAttempts(head.maxAttempts())
         .setTotal(head.itemCount())
+        .setAccount(head.account().map(AccountName::value).orElse(""))
         .setChunk(chunk)
         .setChunks(chunks)
         .setContent(content)
@@ -191,10 +195,13 @@
   }
 
   private static String[] split(String key) {
-    String[] parts = key.split("/", 3);
-    if (parts.length != 3) {
+    int jobStart = key.indexOf('/') + 1;
+    int jobEnd = key.lastIndexOf('/');
+    if (jobStart > jobEnd) {
       throw new IllegalArgumentException("record key does not have three parts: " + key);
     }
-    return parts;
+    return new String[] {
+      key.substring(0, jobStart - 1), key.substring(jobStart, jobEnd), key.substring(jobEnd + 1)
+    };
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/job/RunMapper.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/RunMapper.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.stream.Collectors;
+import org.carobhoist.core.account.AccountName;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.RequestId;
 import org.carobhoist.core.common.WeightVersion;
@@ -44,6 +45,7 @@
             .setPath(order.item().path())
             .setContent(ByteString.copyFrom(order.item().body()))
             .setRemainingMillis(order.timeLeft().toMillis());
+    order.account().ifPresent(a -> out.setAccount(a.value()));
     order.item().reward().ifPresent(r -> out.setReward(rewardMessage(r)));
     for (JobItem.Header h : order.item().headers()) {
       out.addHeaders(Header.newBuilder().setName(h.name()).setValue(h.value()));
@@ -69,7 +71,7 @@
             0);
     return new RunOrder(
         message.getRun(),
-        new JobId(message.getJob()),
+        JobId.parse(message.getJob()),
         message.hasReward() ? item.withReward(reward(message.getReward())) : item,
         message.getHost(),
         new InstanceId(message.getEngine()),
@@ -78,7 +80,8 @@
         new WeightVersion(message.getMinVersion()),
         Optional.of(message.getOnlyVersion()).filter(v -> v > 0).map(WeightVersion::new),
         message.getSingleVersion(),
-        Duration.ofMillis(message.getRemainingMillis()));
+        Duration.ofMillis(message.getRemainingMillis()),
+        account(message.getAccount()));
   }
 
   /** Encodes the progress or the end of a run. */
@@ -103,7 +106,7 @@
     int outcome = message.getOutcomeValue();
     return new RunReport(
         message.getRun(),
-        new JobId(message.getJob()),
+        JobId.parse(message.getJob()),
         new ItemId(message.getItem()),
         new InstanceId(message.getEngine()),
         delta(message.getText()),
@@ -112,6 +115,10 @@
         message.getEngineLeaves());
   }
 
+  static Optional<AccountName> account(String name) {
+    return name.isEmpty() ? Optional.empty() : Optional.of(new AccountName(name));
+  }
+
   private static RewardCall rewardMessage(RewardRequest request) {
     return RewardCall.newBuilder()
         .setId(request.id().value())
--- a/server/src/test/java/org/carobhoist/server/gateway/job/JobRequestHandlerTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/job/JobRequestHandlerTest.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.carobhoist.core.account.ClientIdentity;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.job.ItemId;
 import org.carobhoist.core.job.JobId;
@@ -30,6 +31,7 @@
 final class JobRequestHandlerTest {
 
   private static final JobId JOB = new JobId("j1");
+  private static final ClientIdentity CLIENT = ClientIdentity.ACCOUNTS_DISABLED;
   private static final Duration TIME_LIMIT = Duration.ofSeconds(5);
 
   /** Long enough for a busy machine; fails the test if there is no response. */
@@ -97,8 +99,8 @@
   @Test
   void unknownJobsAreNotReportedMissingBeforeTheShardHasBeenRead() {
     loop.execute(tail::start);
-    assertThat(status(() -> handler.results(JOB, 0, Duration.ZERO))).isEqualTo(503);
-    assertThat(status(() -> handler.item(JOB, new ItemId("i1")))).isEqualTo(503);
-    assertThat(status(() -> handler.end(JOB, TIME_LIMIT))).isEqualTo(503);
+    assertThat(status(() -> handler.results(JOB, CLIENT, 0, Duration.ZERO))).isEqualTo(503);
+    assertThat(status(() -> handler.item(JOB, CLIENT, new ItemId("i1")))).isEqualTo(503);
+    assertThat(status(() -> handler.end(JOB, CLIENT, TIME_LIMIT))).isEqualTo(503);
   }
 }
