Cancel requests at servers as soon as their client's connection closes

Cause: a forwarded call learned of it from the end of its response, which the HTTP library reports about a second late.

Change: the call also listens to the end of the client's connection (ClientConnection) and removes the listener when it has ended, so that kept connections don't collect listeners.

--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
@@ -8,6 +8,7 @@
 import com.linecorp.armeria.common.HttpResponseWriter;
 import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
+import com.linecorp.armeria.server.ServiceRequestContext;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -92,6 +93,7 @@
 
   /** Starts a call whose response is written to {@code out}. */
   static void start(
+      ServiceRequestContext ctx,
       ForwardContext context,
       Route route,
       ClientIdentity client,
@@ -104,7 +106,14 @@
               context.loop().execute(call::onClientGone);
               return null;
             });
-    out.whenComplete().whenComplete((ok, gone) -> context.loop().execute(call::release));
+    Runnable connectionOpen =
+        ClientConnection.onClosed(ctx, () -> context.loop().execute(call::onClientGone));
+    out.whenComplete()
+        .whenComplete(
+            (ok, gone) -> {
+              connectionOpen.run();
+              context.loop().execute(call::release);
+            });
     call.cancelDeadline = context.loop().after(call.timeLeft(), call.stateMachine::onDeadline);
     call.removeFromDrain = context.drain().add(call.stateMachine::onStop);
     call.stateMachine.start();
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
@@ -194,7 +194,7 @@
             route.get().acceptsAnonymous(),
             CallHeaders.credentials(http.headers()),
             manifestStale.getAsBoolean());
-    accept(access, id, out).ifPresent(client -> run(route.get(), client, http, out));
+    accept(access, id, out).ifPresent(client -> run(ctx, route.get(), client, http, out));
   }
 
   /** Returns the identity of the client if its request is accepted; refuses the request if not. */
@@ -212,7 +212,11 @@
   }
 
   private void run(
-      Route route, ClientIdentity client, AggregatedHttpRequest http, HttpResponseWriter out) {
+      ServiceRequestContext ctx,
+      Route route,
+      ClientIdentity client,
+      AggregatedHttpRequest http,
+      HttpResponseWriter out) {
     String id = CallHeaders.requestId(http.headers());
     if (id.isEmpty()) {
       refuse(out, id, BAD_REQUEST, "the request has no id");
@@ -223,7 +227,7 @@
         answer(jobs.submit(route, id, client, body, timeLimit), id, out, TIMEOUT);
       }
     } else if (admit(id, ForwardedCall.timeLimit(route, http.headers()), out)) {
-      ForwardedCall.start(context, route, client, http, out);
+      ForwardedCall.start(ctx, context, route, client, http, out);
     }
   }
 
