--- a/it/src/test/java/org/carobhoist/it/GatewayCluster.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayCluster.java
@@ -3,6 +3,7 @@
 import com.linecorp.armeria.client.WebClient;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpMethod;
+import com.linecorp.armeria.common.RequestHeaders;
 import java.io.IOException;
 import java.nio.file.Path;
 import java.time.Duration;
@@ -217,6 +218,11 @@
     return clients.get(entry).send(method, host, path, body, id);
   }
 
+  CompletableFuture<AggregatedHttpResponse> sendAsync(
+      String entry, RequestHeaders headers, String body) {
+    return clients.get(entry).send(headers, body);
+  }
+
   /** Waits for a condition; a failed request counts as not fulfilled. */
   void await(String what, BooleanSupplier condition) {
     TestCluster.await(what, () -> isFulfilled(condition));
--- a/standin/src/main/java/org/carobhoist/standin/PlatformClient.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformClient.java
@@ -43,6 +43,11 @@
             .add("carobhoist-deadline-ms", DEADLINE_MILLIS)
             .add("carobhoist-wait-ms", MAX_WAIT_MILLIS)
             .build();
+    return send(headers, body);
+  }
+
+  /** Sends a request with the given headers. */
+  public CompletableFuture<AggregatedHttpResponse> send(RequestHeaders headers, String body) {
     return client.execute(HttpRequest.of(headers, HttpData.ofUtf8(body))).aggregate();
   }
 
--- a/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/PlatformServerStandIn.java
@@ -37,6 +37,7 @@
   private final boolean engine;
   private final StandInServer server = new StandInServer(this::routes);
   private final List<String> runs = new ArrayList<>();
+  private final List<RequestHeaders> received = new ArrayList<>();
   private final Map<String, Integer> lastSent = new HashMap<>();
   private long eventMillis = 5;
   private int eventCount = 4;
@@ -118,6 +119,11 @@
     return List.copyOf(runs);
   }
 
+  /** Returns the headers of the requests with the given id that ran, oldest first. */
+  public synchronized List<RequestHeaders> received(String id) {
+    return received.stream().filter(h -> h.get(REQUEST_ID, "").equals(id)).toList();
+  }
+
   /** Returns the number of the last event sent for an item; 0 if none was. */
   public synchronized int lastSentEvent(String id) {
     return lastSent.getOrDefault(id, 0);
@@ -195,7 +201,7 @@
       return HttpResponse.of(out.build());
     }
     int from = Integer.parseInt(headers.get("last-event-id", "0")) + 1;
-    recordRun(id + " from " + from);
+    recordRun(id + " from " + from, headers);
     if (fails(headers.path())) {
       return HttpResponse.of(head(500, id).build());
     }
@@ -279,8 +285,9 @@
     lastSent.put(id, number);
   }
 
-  private synchronized void recordRun(String run) {
+  private synchronized void recordRun(String run, RequestHeaders headers) {
     runs.add(run);
+    received.add(headers);
   }
 
   private synchronized int forcedStatus() {
