Hold the bodies of requests within one memory budget

Cause: each body was collected whole, and nothing limited how many were. Bodies that stop short, with a length or chunked, and incomplete job submissions ended the process. The limit on responses was a constant, not from the heap. Change: one BufferBudget for each gateway, computed from its heap and direct memory, counts bodies and responses. BodyAdmission decides which bodies are read on; the others are paused, or refused with 503 or 408 and "Connection: close". A job counts four times its body. Small bodies don't wait and aren't refused because of large ones. Result: UntrustedClientsTest on the code before (36 MB heap, 40 clients with bodies of 2 MB): bodiesWithDeclaredLengthThatStopShort, chunkedBodiesThatStopShort and jobSubmissionsThatStopShort failed, the process was gone; endlessMalformedLines, endlessHeadLine and endlessEmptyLines passed. All six pass now, one run each. GatewayOddServersTest, PlannedStopTest and ApiPageTest pass.

--- a/core/src/main/java/org/carobhoist/core/limit/BufferBudget.java
+++ b/core/src/main/java/org/carobhoist/core/limit/BufferBudget.java
@@ -2,12 +2,13 @@
 
 import java.util.Comparator;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 
 /**
- * Limits the memory that a process uses to buffer incomplete responses, over all of them. When the
- * limit is exceeded, the largest buffer is discarded: a response that never ends outgrows the
- * others, which continue.
+ * Limits the memory that a process uses to buffer requests and responses, over all of them. When
+ * the limit is exceeded, the largest buffer that may be discarded is: a response that never ends
+ * outgrows the others, which continue.
  */
 public final class BufferBudget {
 
@@ -38,16 +39,33 @@
     return new Buffer(onDiscard);
   }
 
+  /** Returns the most bytes that all buffers together may hold. */
+  public long limitBytes() {
+    return limitBytes;
+  }
+
+  /** Returns the number of bytes that may be added without discarding a buffer. */
+  public long freeBytes() {
+    return Math.max(0, limitBytes - heldBytes);
+  }
+
   /** Returns the number of bytes in all buffers. */
   public long heldBytes() {
     return heldBytes;
   }
 
-  /** Counts the buffered bytes of one response. */
+  private Optional<Buffer> largest() {
+    return buffers.stream()
+        .filter(b -> !b.kept)
+        .max(Comparator.comparingLong((Buffer b) -> b.sizeBytes));
+  }
+
+  /** Counts the buffered bytes of one request or response. */
   public final class Buffer {
 
     private final Runnable onDiscard;
     private long sizeBytes;
+    private boolean kept;
 
     private Buffer(Runnable onDiscard) {
       this.onDiscard = onDiscard;
@@ -59,13 +77,28 @@
       sizeBytes += bytes;
       heldBytes += bytes;
       while (heldBytes > limitBytes) {
-        Buffer largest =
-            buffers.stream().max(Comparator.comparingLong(b -> b.sizeBytes)).orElseThrow();
-        largest.close();
-        largest.onDiscard.run();
+        Optional<Buffer> largest = largest();
+        if (largest.isEmpty()) {
+          return;
+        }
+        largest.get().close();
+        largest.get().onDiscard.run();
       }
     }
 
+    /** Returns the number of bytes that this buffer counts. */
+    public long sizeBytes() {
+      return sizeBytes;
+    }
+
+    /**
+     * Keeps this buffer even if the limit is exceeded, from when its request may be sent to a
+     * server: a request that may have run can't be refused as not run.
+     */
+    public void keep() {
+      kept = true;
+    }
+
     /** Removes the bytes of this buffer from the budget; may be called more than once. */
     public void close() {
       if (buffers.remove(this)) {
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -29,7 +29,6 @@
 import org.carobhoist.core.job.ResultEntries;
 import org.carobhoist.core.lease.LeaseManager;
 import org.carobhoist.core.lease.LeasePolicy;
-import org.carobhoist.core.limit.BufferBudget;
 import org.carobhoist.core.manifest.ManifestHolder;
 import org.carobhoist.core.membership.EndpointDirectory;
 import org.carobhoist.core.membership.RegisteredServers;
@@ -57,6 +56,7 @@
 import org.carobhoist.server.gateway.coordination.CoordinatorRole;
 import org.carobhoist.server.gateway.coordination.EngineWeightManager;
 import org.carobhoist.server.gateway.coordination.ProtobufLeaseCodec;
+import org.carobhoist.server.gateway.ingress.ClientLimits;
 import org.carobhoist.server.gateway.ingress.ForwardContext;
 import org.carobhoist.server.gateway.ingress.IngressRoutes;
 import org.carobhoist.server.gateway.job.CheckpointStore;
@@ -158,9 +158,6 @@
   /** Idle timeout of client connections, longer than any manifest requires. */
   private static final Duration CLIENT_IDLE_TIME = Duration.ofMinutes(10);
 
-  /** Memory for incomplete responses in bytes; a fifth of the heap set in the deployment file. */
-  private static final long RESPONSE_BUFFER_BYTES = 22L << 20;
-
   /**
    * Maximum size of a request's headers, above what any manifest allows; {@link IngressRoutes}
    * enforces the limit of the manifest.
@@ -206,6 +203,7 @@
   private final EndpointDirectory directory = EndpointDirectory.create();
   private final JobRecordCodec codec = new ProtobufJobRecordCodec();
   private final ProcessMetrics metrics = ProcessMetrics.create(loop);
+  private final ClientLimits limits = ClientLimits.create(loop, clock);
   private final DrainDeadline drainDeadline = DrainDeadline.create(clock);
   private final RequestTracker traffic =
       RequestTracker.create(() -> this.draining, GatewayService::refuse);
@@ -357,6 +355,7 @@
   @Override
   public CompletableFuture<Void> start() {
     addGauges();
+    limits.start(metrics);
     metrics.start();
     return network
         .start()
@@ -494,13 +493,14 @@
         servers,
         RetryBudget.create(RETRIES_PER_REQUEST, RETRY_BURST),
         upstreams,
-        BufferBudget.create(RESPONSE_BUFFER_BYTES),
+        limits.budget(),
         RequestMetrics.create(metrics, s -> !directory.viewsOf(s).isEmpty()),
         drainDeadline);
   }
 
   private Server httpServer() {
-    IngressRoutes routes = new IngressRoutes(manifests, context, jobs, this::isReady);
+    IngressRoutes routes =
+        new IngressRoutes(manifests, context, jobs, this::isReady, limits.bodies());
     var builder = Server.builder().http(boot.clientAddress());
     if (!boot.readinessAddress().equals(boot.clientAddress())) {
       builder.http(boot.readinessAddress());
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.carobhoist.core.limit.BodyRefusal;
 import org.carobhoist.core.manifest.Limits;
 import org.carobhoist.core.manifest.Manifest;
 import org.carobhoist.core.manifest.ManifestHolder;
@@ -25,6 +26,8 @@
 import org.carobhoist.server.gateway.job.JobRequestHandler;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
+import org.carobhoist.server.runtime.BodyRefusedException;
+import org.carobhoist.server.runtime.RequestBodyReader;
 
 /** Serves the requests of clients and the readiness checks of the platform. */
 public final class IngressRoutes implements HttpService {
@@ -32,6 +35,7 @@
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
+  private static final int REQUEST_TIMEOUT = 408;
   private static final int BODY_TOO_LARGE = 413;
   private static final int HEADERS_TOO_LARGE = 431;
   private static final int UNAVAILABLE = 503;
@@ -45,6 +49,15 @@
   /** Time that submitting or ending a job may take if the client sends no deadline. */
   private static final Duration DEFAULT_TIME_LIMIT = Duration.ofSeconds(5);
 
+  /** Limit of a body while no manifest is known; such a request is refused after its body. */
+  private static final long MAX_BODY_BYTES = 1 << 20;
+
+  /** A job is held as the body, its decoded items, their records and the call to the store. */
+  private static final int JOB_FACTOR = 4;
+
+  /** Bodies up to this size are counted once, without a search for their route. */
+  private static final int SMALL_BODY_BYTES = 16_384;
+
   private static final Duration RETRY_AFTER = Duration.ofMillis(300);
 
   /** Retry delay while this process drains; other processes can serve the request immediately. */
@@ -54,17 +67,20 @@
   private final ForwardContext context;
   private final JobRequestHandler jobs;
   private final BooleanSupplier ready;
+  private final RequestBodyReader bodies;
 
   /** Creates the service for the requests of clients. */
   public IngressRoutes(
       ManifestHolder manifests,
       ForwardContext context,
       JobRequestHandler jobs,
-      BooleanSupplier ready) {
+      BooleanSupplier ready,
+      RequestBodyReader bodies) {
     this.manifests = manifests;
     this.context = context;
     this.jobs = jobs;
     this.ready = ready;
+    this.bodies = bodies;
   }
 
   @Override
@@ -82,13 +98,14 @@
     if (limits.isPresent() && bytes(req.headers()) > limits.get().headerBytes()) {
       return tooLarge(req.headers(), HEADERS_TOO_LARGE);
     }
-    limits.ifPresent(l -> ctx.setMaxRequestLength(l.bodyBytes()));
     HttpResponseWriter out = HttpResponse.streaming();
     String id = CallHeaders.requestId(req.headers());
     Runnable bodyEnded =
         context.drain().add(() -> refuseAtStop(out, id, "the process stops before the body ends"));
-    req.aggregate()
-        .whenCompleteAsync(
+    long maxBytes = limits.map(Limits::bodyBytes).orElse(MAX_BODY_BYTES);
+    bodies
+        .read(req, maxBytes, processingFactor(ctx, req), out.whenComplete())
+        .whenComplete(
             (http, failure) -> {
               bodyEnded.run();
               if (!out.isOpen()) {
@@ -96,16 +113,41 @@
               }
               if (failure == null) {
                 dispatch(call, ctx, http, out);
-              } else if (failure instanceof ContentTooLargeException) {
-                refuse(out, id, BODY_TOO_LARGE, TOO_LARGE);
               } else {
-                out.close(failure);
+                refuseBody(ctx, out, id, failure);
               }
-            },
-            context.loop());
+            });
     return out;
   }
 
+  /** Refuses a request whose body wasn't received; its connection can't carry another one. */
+  private static void refuseBody(
+      ServiceRequestContext ctx, HttpResponseWriter out, String id, Throwable failure) {
+    ctx.initiateConnectionShutdown();
+    if (failure instanceof ContentTooLargeException) {
+      refuse(out, id, BODY_TOO_LARGE, TOO_LARGE);
+    } else if (failure instanceof BodyRefusedException refused) {
+      int status = refused.refusal() == BodyRefusal.SLOW ? REQUEST_TIMEOUT : UNAVAILABLE;
+      refuse(out, id, status, failure.getMessage());
+    } else {
+      out.close(failure);
+    }
+  }
+
+  /** Returns the memory that processing a request takes, as a multiple of its body. */
+  private int processingFactor(ServiceRequestContext ctx, HttpRequest req) {
+    long declared = req.headers().contentLength();
+    if (declared >= 0 && declared <= SMALL_BODY_BYTES) {
+      return 1;
+    }
+    return manifests
+        .current()
+        .flatMap(m -> m.findRoute(CallHeaders.host(req.headers()), ctx.path()))
+        .filter(r -> r.kind() == RouteKind.JOBS)
+        .map(r -> JOB_FACTOR)
+        .orElse(1);
+  }
+
   private static HttpResponse tooLarge(RequestHeaders headers, int status) {
     String id = CallHeaders.requestId(headers);
     logRefused(id, status, TOO_LARGE);
--- a/server/src/main/java/org/carobhoist/server/metrics/Metric.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/Metric.java
@@ -36,6 +36,12 @@
   ITEMS_WAITING("carobhoist.items.waiting", "", "items of jobs that wait for an engine"),
   /** Reward calls that have not ended. */
   REWARD_CALLS("carobhoist.reward.calls", "", "reward calls that have not ended"),
+  /** Bytes held for requests and responses in transit. */
+  HELD_BYTES("carobhoist.held", "bytes", "bytes held for requests and responses in transit"),
+  /** Pauses of the reception of a body, because memory was short. */
+  BODY_PAUSES("carobhoist.body.pauses", "", "pauses of the reception of a body"),
+  /** Requests refused because their body was not received to its end, by cause. */
+  BODY_REFUSALS("carobhoist.body.refusals", "", "bodies that were not received to their end"),
   /** Log lines dropped because the output didn't keep up and the queue was full. */
   LOG_DROPPED("carobhoist.log.dropped", "", "lines of the log left out, the queue being full"),
   /** Log events, by number. */
--- a/server/src/main/java/org/carobhoist/server/metrics/ProcessMetrics.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/ProcessMetrics.java
@@ -51,6 +51,11 @@
     taggedGauge(metric, Tags.empty(), value);
   }
 
+  /** Adds one of several gauges with the same name, which is read on the decision loop. */
+  public void gauge(Metric metric, String tag, String tagValue, Supplier<Number> value) {
+    taggedGauge(metric, Tags.of(tag, tagValue), value);
+  }
+
   /** Returns the registry, for counters and timers. */
   PrometheusMeterRegistry registry() {
     return registry;
