Release the content of a job when it has ended

Cause: every process kept all bytes of every job, and the coordinator the decoded items besides, until the job was deleted 120 s after its acceptance, whether it had ended or not.

Change: JobView releases the content of a job when it ends. Its results, which must stay readable, are kept apart from it.

JobViewTest.contentOfEndedJobIsNotKept checks what is kept; the code before had nothing to check it with and kept the bytes by construction. Jobs that are never ended are still kept whole until they expire.

--- a/core/src/main/java/org/carobhoist/core/job/Job.java
+++ b/core/src/main/java/org/carobhoist/core/job/Job.java
@@ -16,6 +16,9 @@
  */
 public final class Job {
 
+  /** Replaces a part of the content that is known but no longer needed. */
+  private static final byte[] RELEASED = new byte[0];
+
   private final JobHead head;
   private final JobDecoder decoder;
   private final byte[][] chunks;
@@ -73,8 +76,15 @@
     return !ended && results.size() < head.itemCount();
   }
 
-  /** Returns the content as submitted; decodes it on the first call. */
+  /**
+   * Returns the content as submitted; decodes it on the first call.
+   *
+   * @throws IllegalStateException if the job has ended, since its content is no longer kept then
+   */
   public JobContent content() {
+    if (ended) {
+      throw new IllegalStateException("job " + id() + " has ended, its content is not kept");
+    }
     if (content == null) {
       ByteArrayOutputStream bytes = new ByteArrayOutputStream();
       Arrays.stream(chunks).forEach(bytes::writeBytes);
@@ -83,8 +93,11 @@
     return content;
   }
 
-  /** Returns the item of the job with the given id. */
+  /** Returns the item of the job with the given id; empty if the job has ended. */
   public Optional<JobItem> item(ItemId id) {
+    if (ended) {
+      return Optional.empty();
+    }
     if (items == null) {
       items = new HashMap<>();
       content().items().forEach(i -> items.put(i.id(), i));
@@ -95,7 +108,7 @@
   /** Adds a part of the content; returns whether that completed the content. */
   boolean addChunk(int chunk, byte[] bytes) {
     boolean wasKnown = chunks[chunk] != null;
-    chunks[chunk] = bytes;
+    chunks[chunk] = ended ? RELEASED : bytes;
     return !wasKnown && isContentComplete();
   }
 
@@ -125,4 +138,21 @@
     ended = true;
     return !wasEnded;
   }
+
+  /**
+   * Releases the content of a job that has ended. Its results must stay readable for a long time,
+   * but nothing needs the bodies of its items any more.
+   */
+  void releaseContent() {
+    for (int i = 0; i < chunks.length; i++) {
+      chunks[i] = chunks[i] == null ? null : RELEASED;
+    }
+    content = null;
+    items = null;
+  }
+
+  /** Returns the size of the content that is kept. */
+  long contentBytes() {
+    return Arrays.stream(chunks).filter(c -> c != null).mapToLong(c -> c.length).sum();
+  }
 }
--- a/core/src/main/java/org/carobhoist/core/job/JobView.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobView.java
@@ -113,7 +113,7 @@
 
   private void accept(JobRecord.Accepted a) {
     Job job = jobs.computeIfAbsent(a.job(), id -> new Job(a.head(), a.chunks(), decoder));
-    if (job.addChunk(a.chunk(), a.content())) {
+    if (job.addChunk(a.chunk(), a.content()) && !job.isEnded()) {
       listeners.forEach(l -> l.onAccepted(job));
     }
   }
@@ -129,6 +129,7 @@
   private void end(Job job) {
     if (job.end()) {
       listeners.forEach(l -> l.onEnded(job));
+      job.releaseContent();
     }
   }
 
--- a/core/src/test/java/org/carobhoist/core/job/JobViewTest.java
+++ b/core/src/test/java/org/carobhoist/core/job/JobViewTest.java
@@ -155,4 +155,19 @@
     shard.onRecord(stored(2, "end/j1"));
     assertThat(view.appendTiming("result/j1/b")).isEqualTo(AppendTiming.NEVER);
   }
+
+  /** Guards against a heap that fills up with the bodies of jobs that nobody reads any more. */
+  @Test
+  void contentOfEndedJobIsNotKept() {
+    shard.onRecord(stored(1, "job/j1"));
+    Job job = view.job(JOB).orElseThrow();
+    assertThat(job.contentBytes()).isGreaterThan(0L);
+    shard.onRecord(stored(2, "end/j1"));
+    assertThat(job.contentBytes()).isEqualTo(0);
+    assertThat(view.job(JOB)).isPresent();
+    assertThat(job.item(new ItemId("i1"))).isEmpty();
+    shard.onRecord(stored(3, "job/j1"));
+    assertThat(job.contentBytes()).isEqualTo(0);
+    assertThat(events.seen).containsExactly("accepted", "ended").inOrder();
+  }
 }
