Share measured capacities between gateways

Cause: a gateway sees about 0.3 requests per second and endpoint, too few to tell a slow endpoint from a fast one, and each gateway had to find out by itself that an endpoint fails. Change: gateways send LatencyReport to the coordinator, which merges the sums and sends CapacityUpdate to all, both at most every 0.5 s and with at most 7 endpoints. An endpoint that fails for two gateways is avoided by all. Without a coordinator the last update fades within 8 s. Real processes learn each other's latencies in both directions (GatewayCapacityTest). EventCatalogueTest, ApiPageTest, PeerMeshTest, GatewayStartTest and four methods of GatewayTest pass (requests, coordinator killed, entry without a store, planned stop).

--- a/it/src/test/java/org/carobhoist/it/GatewayCluster.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayCluster.java
@@ -195,6 +195,11 @@
     return adminClients.get(entry).get("/state").aggregate().join().contentUtf8();
   }
 
+  /** Returns the metrics page of an entry. */
+  String metrics(String entry) {
+    return adminClients.get(entry).get("/metrics").aggregate().join().contentUtf8();
+  }
+
   /** Returns the other entry of a cluster with two entries. */
   static String otherEntry(String entry) {
     return entry.equals("entry-1") ? "entry-2" : "entry-1";
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -16,6 +16,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
@@ -56,6 +57,8 @@
 import org.carobhoist.platform.JobJson;
 import org.carobhoist.platform.ServerEntryJson;
 import org.carobhoist.platform.StoreCall;
+import org.carobhoist.server.gateway.capacity.CapacityExchange;
+import org.carobhoist.server.gateway.capacity.CapacityMonitor;
 import org.carobhoist.server.gateway.coordination.CoordinatorRole;
 import org.carobhoist.server.gateway.coordination.EngineWeightManager;
 import org.carobhoist.server.gateway.coordination.ProtobufLeaseCodec;
@@ -186,6 +189,9 @@
   /** Part of the grace period that is reserved for the last steps of the shutdown. */
   private static final Duration SHUTDOWN_RESERVE = Duration.ofMillis(1_600);
 
+  /** Interval between two updates of the gauges of endpoints. */
+  private static final Duration CAPACITY_GAUGE_PERIOD = Duration.ofSeconds(2);
+
   private static final Duration NODE_RECORD_RETRY_DELAY = Duration.ofMillis(300);
 
   private final BootSettings boot;
@@ -228,6 +234,7 @@
   private final JobRequestHandler jobs;
   private final EngineWeightManager weights;
   private final LeaseManager lease;
+  private final CapacityExchange capacityExchange;
   private final LinkNetwork network;
   private final Server http;
   private final Server admin;
@@ -342,11 +349,13 @@
     Duration registryReadPause = boot.bounds().drain().dividedBy(REGISTRY_PAUSES_PER_DRAIN);
     tail(Topics.SERVERS, servers, READ_WAIT, () -> registryReadPause);
     tail(Topics.NODES, mesh, READ_WAIT, () -> NODE_READ_PAUSE);
+    this.capacityExchange =
+        new CapacityExchange(boot.node(), clock, capacities, directory, new CapacityCoordination());
     this.network =
         LinkNetwork.create(
             addressText(boot.peerAddress()),
             hello(),
-            new PeerLinkHandler(loop, mesh, runner, storeTransport),
+            new PeerLinkHandler(loop, mesh, runner, storeTransport, capacityExchange),
             thread);
     this.http = httpServer();
     this.admin = adminServer(publisher);
@@ -373,6 +382,8 @@
     tails.stream().filter(t -> !jobTails.contains(t)).forEach(ShardTailer::start);
     startSequentially(jobTails.iterator());
     coordinator.begin(lease, weights);
+    loop.every(CapacityExchange.PERIOD, capacityExchange::tick);
+    loop.every(CAPACITY_GAUGE_PERIOD, new CapacityMonitor(capacities, directory, metrics)::tick);
     writeNodeRecord();
     EventLog.info(
         LogEvent.STARTED, "role", "gateway", "instance", boot.node(), "incarnation", incarnation);
@@ -628,6 +639,7 @@
 
     @Override
     public void onUp(InstanceId peer) {
+      capacityExchange.onPeerUp();
       coordinator.onPeerUp(peer);
     }
 
@@ -638,7 +650,34 @@
 
     @Override
     public void onFrame(InstanceId peer, LinkFrame frame) {
-      coordinator.onFrame(peer, frame);
+      if (frame.hasLatencyReport()) {
+        capacityExchange.onReport(peer, frame.getLatencyReport());
+      } else {
+        coordinator.onFrame(peer, frame);
+      }
+    }
+  }
+
+  private final class CapacityCoordination implements CapacityExchange.Coordination {
+
+    @Override
+    public boolean isActive() {
+      return coordinator.isActive();
+    }
+
+    @Override
+    public long term() {
+      return lease.term();
+    }
+
+    @Override
+    public Set<InstanceId> peers() {
+      return mesh.linkedPeers().keySet();
+    }
+
+    @Override
+    public void send(InstanceId peer, LinkFrame frame) {
+      mesh.send(peer, frame);
     }
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerLinkHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerLinkHandler.java
@@ -7,6 +7,7 @@
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.platform.StoreCall;
 import org.carobhoist.platform.StoreReply;
+import org.carobhoist.server.gateway.capacity.CapacityExchange;
 import org.carobhoist.server.gateway.job.ItemRunner;
 import org.carobhoist.server.gateway.job.ProtobufJobRecordCodec;
 import org.carobhoist.server.gateway.job.RunMapper;
@@ -34,14 +35,20 @@
   private final PeerMesh mesh;
   private final ItemRunner runner;
   private final FailoverStoreTransport storeTransport;
+  private final CapacityExchange capacities;
 
   /** Creates a handler for the links of this process. */
   public PeerLinkHandler(
-      DecisionLoop loop, PeerMesh mesh, ItemRunner runner, FailoverStoreTransport storeTransport) {
+      DecisionLoop loop,
+      PeerMesh mesh,
+      ItemRunner runner,
+      FailoverStoreTransport storeTransport,
+      CapacityExchange capacities) {
     this.loop = loop;
     this.mesh = mesh;
     this.runner = runner;
     this.storeTransport = storeTransport;
+    this.capacities = capacities;
   }
 
   @Override
@@ -74,8 +81,11 @@
     switch (frame.getBodyCase()) {
       case PING -> link.send(pong());
       case STORE_RELAY -> relay(link, frame.getStoreRelay());
-      case RUNNER_ATTACH ->
-          runner.onAttach(frame.getRunnerAttach().getTerm(), new RemoteCoordinator(link));
+      case RUNNER_ATTACH -> {
+        runner.onAttach(frame.getRunnerAttach().getTerm(), new RemoteCoordinator(link));
+        capacities.onAttach(frame.getRunnerAttach().getTerm(), link::send);
+      }
+      case CAPACITY_UPDATE -> capacities.onUpdate(frame.getCapacityUpdate());
       case RUN_START ->
           runner.onStart(frame.getRunStart().getTerm(), RunMapper.order(frame.getRunStart()));
       case RUN_CANCEL ->
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -153,6 +153,8 @@
   MEMBER_WRITE_FAILED(7405, "membership record not written"),
   /** This process is too slow to coordinate and hands the lease over. */
   LEASE_HANDED_OVER(7406, "coordinator lease handed over"),
+  /** The estimated limit of an endpoint changed by a third or more. */
+  CAPACITY_CHANGED(7407, "endpoint limit changed"),
   /** A manifest took effect. */
   MANIFEST_IN_FORCE(7501, "manifest applied"),
   /** A shard of the store can't be read. */
--- a/server/src/main/java/org/carobhoist/server/metrics/Metric.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/Metric.java
@@ -36,6 +36,12 @@
   ITEMS_WAITING("carobhoist.items.waiting", "", "items of jobs that wait for an engine"),
   /** Reward calls that have not ended. */
   REWARD_CALLS("carobhoist.reward.calls", "", "reward calls that have not ended"),
+  /** Estimated limit of each endpoint; 0 if it fails its requests. */
+  CAPACITY_LIMIT(
+      "carobhoist.capacity.limit", "", "requests in progress above which an endpoint slows down"),
+  /** Expected latency of each endpoint below its limit; 0 if unknown. */
+  CAPACITY_LATENCY(
+      "carobhoist.capacity.latency", "seconds", "expected latency of an endpoint below its limit"),
   /** Log lines dropped because the output didn't keep up and the queue was full. */
   LOG_DROPPED("carobhoist.log.dropped", "", "lines of the log left out, the queue being full"),
   /** Log events, by number. */
--- a/server/src/main/java/org/carobhoist/server/metrics/ProcessMetrics.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/ProcessMetrics.java
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
+import io.micrometer.core.instrument.MultiGauge;
 import io.micrometer.core.instrument.Tags;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
@@ -51,6 +52,14 @@
     taggedGauge(metric, Tags.empty(), value);
   }
 
+  /** Adds a gauge with a set of tagged series that its owner replaces on the decision loop. */
+  public MultiGauge multiGauge(Metric metric) {
+    return MultiGauge.builder(metric.id())
+        .description(metric.meaning())
+        .baseUnit(metric.unit().isEmpty() ? null : metric.unit())
+        .register(registry);
+  }
+
   /** Returns the registry, for counters and timers. */
   PrometheusMeterRegistry registry() {
     return registry;
