--- a/server/src/main/java/org/carobhoist/server/metrics/Metric.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/Metric.java
@@ -42,6 +42,12 @@
   BODY_PAUSES("carobhoist.body.pauses", "", "pauses of the reception of a body"),
   /** Requests refused because their body was not received to its end, by cause. */
   BODY_REFUSALS("carobhoist.body.refusals", "", "bodies that were not received to their end"),
+  /** Estimated limit of each endpoint; 0 if it fails its requests. */
+  CAPACITY_LIMIT(
+      "carobhoist.capacity.limit", "", "requests in progress above which an endpoint slows down"),
+  /** Expected latency of each endpoint below its limit; 0 if unknown. */
+  CAPACITY_LATENCY(
+      "carobhoist.capacity.latency", "seconds", "expected latency of an endpoint below its limit"),
   /** Log lines dropped because the output didn't keep up and the queue was full. */
   LOG_DROPPED("carobhoist.log.dropped", "", "lines of the log left out, the queue being full"),
   /** Log events, by number. */
