Move a run only after the waiting items have been placed

Cause: moveRunExpectedToEndLast ran before place in a tick. A slot that became free since the last tick counted as the target of a move, the run was cancelled, and then a waiting item took the slot. The cancelled item lost its slot, waited behind others, and the next free slot cancelled the next run.

Change: the move is decided after the placement, so only slots that no waiting item can use are targets. The order of the waiting items is unchanged.

RunMoveTest.waitingItemTakesSlotInsteadOfMovedRun fails on the former code (a run is cancelled) and passes now. JobCoordinatorTest and BoundTextTest pass.

--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -303,6 +303,7 @@
     publishOverdue(now);
     if (now.compareTo(placementStartsAt) >= 0) {
       place(now, wallTime);
+      moveRunExpectedToEndLast(now);
       checkpoints.tick(items);
     }
   }
@@ -427,7 +428,7 @@
     return wallTime.isAfter(job.head().acceptedAt().plus(PROVISIONAL_TIMEOUT));
   }
 
-  /** Cancels runs that are silent, or whose engine is slow while a faster one has room. */
+  /** Cancels runs that are silent. */
   private void checkRuns(Duration now) {
     for (ItemState state : List.copyOf(runs.values())) {
       Duration sinceChange = now.minus(state.changedAt());
@@ -441,7 +442,6 @@
         cancel(state, "silent", now);
       }
     }
-    moveRunExpectedToEndLast(now);
   }
 
   private Duration silenceTimeout(ItemState state) {
@@ -453,7 +453,8 @@
   /**
    * Cancels the run that is expected to end last, if moving its item to a faster engine saves
    * enough time. The item is placed again after the cancellation. At most one run is moved per
-   * tick.
+   * tick. Must be called after the waiting items have been placed, which otherwise take the slot
+   * that the run is to move to.
    */
   private void moveRunExpectedToEndLast(Duration now) {
     Optional<ItemState> lastToEnd =
