Limit the lines of request heads and the connections of clients

Cause: a line of 4 bytes in a head took some hundred bytes of memory and only the bytes of a head were limited; heads had no time limit, and connections weren't limited in number. Change: RequestHeadHandler counts lines and blank bytes before the codec parses them (431, 400), counts incomplete heads in the memory budget (503) and limits their time (408). ClientConnections limits the open connections and closes the one that has been without a request for longest. A connection whose response isn't read for 15 s is closed. The ports of clients, readiness and metrics of the gateway role have these limits.

--- a/it/src/test/java/org/carobhoist/it/UntrustedClientsTest.java
+++ b/it/src/test/java/org/carobhoist/it/UntrustedClientsTest.java
@@ -26,15 +26,19 @@
   /** Bodies of 40 clients exceed the heap twice. */
   private static final int CLIENTS = 40;
 
+  /** Parsed lines of 80 heads exceed the heap twice, at 250 bytes for a line of 4 bytes. */
+  private static final int HEAD_CLIENTS = 80;
+
   private static final int BODY_BYTES = PlatformDocuments.MAX_BODY_BYTES;
   private static final int MISSING_BYTES = 10;
+  private static final int HEAD_BYTES = 16_000;
   private static final int ENDLESS_BYTES = 2_000_000;
 
   /** Heap, direct memory, metaspace and code cache of the launcher together have 148 MB. */
   private static final long MAX_RESIDENT_KILOBYTES = 180_000;
 
   /** The clients' connections, and those of the process at rest with a margin. */
-  private static final int MAX_DESCRIPTORS = 3 * CLIENTS + 100;
+  private static final int MAX_DESCRIPTORS = 3 * HEAD_CLIENTS + 100;
 
   @TempDir private Path folder;
 
@@ -68,6 +72,11 @@
     clients.open(CLIENTS, port, head, "[", BODY_BYTES - MISSING_BYTES);
   }
 
+  private static void headsOfShortLines(UntrustedClients clients, int port) throws IOException {
+    String start = "GET / HTTP/1.1\r\nhost: " + BOOK + "\r\n";
+    clients.open(HEAD_CLIENTS, port, start, "a:\r\n", HEAD_BYTES);
+  }
+
   private static void malformedLines(UntrustedClients clients, int port) throws IOException {
     String start = "GET / HTTP/1.1\r\nhost: " + BOOK + "\r\n";
     clients.open(CLIENTS, port, start, " \t\r\n:\r\n\u0001\r\n", ENDLESS_BYTES);
@@ -96,6 +105,11 @@
     assertSurvives(UntrustedClientsTest::jobBodies);
   }
 
+  @Test
+  void headsOfVeryManyShortLines() throws Exception {
+    assertSurvives(UntrustedClientsTest::headsOfShortLines);
+  }
+
   @Test
   void endlessMalformedLines() throws Exception {
     assertSurvives(UntrustedClientsTest::malformedLines);
@@ -111,6 +125,17 @@
     assertSurvives(UntrustedClientsTest::emptyLines);
   }
 
+  @Test
+  void allKindsAtOnce() throws Exception {
+    assertSurvives(
+        (clients, port) -> {
+          declaredBodies(clients, port);
+          chunkedBodies(clients, port);
+          headsOfShortLines(clients, port);
+          emptyLines(clients, port);
+        });
+  }
+
   private void assertSurvives(Load load) throws Exception {
     try (GatewayCluster cluster = GatewayCluster.start(folder)) {
       cluster.startEntry(ENTRY);
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -203,7 +203,7 @@
   private final EndpointDirectory directory = EndpointDirectory.create();
   private final JobRecordCodec codec = new ProtobufJobRecordCodec();
   private final ProcessMetrics metrics = ProcessMetrics.create(loop);
-  private final ClientLimits limits = ClientLimits.create(loop, clock);
+  private final ClientLimits limits = ClientLimits.create(loop, clock, manifests);
   private final DrainDeadline drainDeadline = DrainDeadline.create(clock);
   private final RequestTracker traffic =
       RequestTracker.create(() -> this.draining, GatewayService::refuse);
@@ -505,7 +505,8 @@
     if (!boot.readinessAddress().equals(boot.clientAddress())) {
       builder.http(boot.readinessAddress());
     }
-    return builder
+    return limits
+        .applyTo(builder)
         .workerGroup(thread, false)
         .requestTimeoutMillis(0)
         .maxRequestLength(0)
@@ -523,6 +524,7 @@
     StateDump dump = StateDump.of(loop, List.of(new GatewayState(publisher)));
     var builder = Server.builder().http(boot.adminAddress()).workerGroup(thread, false);
     AdminRoutes.create(this::isReady, metrics, dump).addTo(builder);
+    limits.applyTo(builder);
     return builder.disableServerHeader().build();
   }
 
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -89,6 +89,8 @@
   RESPONSE_JOINED(7007, "joined responses"),
   /** Each request to a server gets a connection of its own for some time. */
   CONNECTIONS_NOT_REUSED(7008, "connections not reused"),
+  /** A connection of a client is closed because of a limit. */
+  CONNECTION_REFUSED(7009, "client connection closed"),
   /** A job was accepted and is in the store. */
   JOB_ACCEPTED(7101, "job accepted"),
   /** A job was refused, or it is unknown whether the store has it. */
--- a/server/src/main/java/org/carobhoist/server/metrics/Metric.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/Metric.java
@@ -42,6 +42,10 @@
   BODY_PAUSES("carobhoist.body.pauses", "", "pauses of the reception of a body"),
   /** Requests refused because their body was not received to its end, by cause. */
   BODY_REFUSALS("carobhoist.body.refusals", "", "bodies that were not received to their end"),
+  /** Open connections of clients. */
+  CONNECTIONS("carobhoist.connections", "", "open connections of clients"),
+  /** Connections closed because of a limit, by cause. */
+  CONNECTION_REFUSALS("carobhoist.connection.refusals", "", "connections closed for a limit"),
   /** Log lines dropped because the output didn't keep up and the queue was full. */
   LOG_DROPPED("carobhoist.log.dropped", "", "lines of the log left out, the queue being full"),
   /** Log events, by number. */
--- a/server/src/test/java/org/carobhoist/server/settings/SettingsPageTest.java
+++ b/server/src/test/java/org/carobhoist/server/settings/SettingsPageTest.java
@@ -34,6 +34,22 @@
       allowed range, as far as they apply, and the process exits with 2. If there are syntax errors,
       only these are printed. `carobhoist check FILE` runs the same checks without starting or
       publishing anything.
+
+      The gateway role has no INI document. Its limits for clients are fixed; docs/design/client-limits.md gives the
+      reasons.
+
+      | limit | value | above it |
+      |---|---|---|
+      | bytes held for requests and responses | 3/8 of the heap, at most 7/8 of the direct memory | bodies wait, then 503 |
+      | wait of a body for memory | 5 s | 503 |
+      | rate of a body that isn't paused | 1,024 bytes in 15 s | 408 |
+      | lines of a head, or of trailers | 256 | 431 |
+      | blank bytes before a head | 64 | 400 |
+      | time for a head | `header_timeout_ms` of the manifest, 3 s without one | 408 |
+      | open connections | one for each 64 KiB of heap | the longest without a request is closed |
+      | open connections of one address | half of that | the same |
+      | response that isn't read | 15 s without progress | the connection is closed |
+      | HTTP/2 requests in progress on a connection | 256 | the client must wait |
       """;
 
   @Test
