--- a/server/src/main/java/org/carobhoist/server/metrics/Metric.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/Metric.java
@@ -48,6 +48,10 @@
   /** Expected latency of each endpoint below its limit; 0 if unknown. */
   CAPACITY_LATENCY(
       "carobhoist.capacity.latency", "seconds", "expected latency of an endpoint below its limit"),
+  /** Open connections of clients. */
+  CONNECTIONS("carobhoist.connections", "", "open connections of clients"),
+  /** Connections closed because of a limit, by cause. */
+  CONNECTION_REFUSALS("carobhoist.connection.refusals", "", "connections closed for a limit"),
   /** Log lines dropped because the output didn't keep up and the queue was full. */
   LOG_DROPPED("carobhoist.log.dropped", "", "lines of the log left out, the queue being full"),
   /** Log events, by number. */
