--- /dev/null
+++ b/core/src/main/java/org/carobhoist/core/account/package-info.java
@@ -0,0 +1,2 @@
+/** Client accounts. */
+package org.carobhoist.core.account;
--- a/core/src/test/java/org/carobhoist/core/chart/ChartPageTest.java
+++ b/core/src/test/java/org/carobhoist/core/chart/ChartPageTest.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.stream.Stream;
+import org.carobhoist.core.duty.DutyCaller;
 import org.carobhoist.core.membership.EndpointLifecycle;
 import org.carobhoist.core.request.RequestStateMachine;
 import org.carobhoist.core.reward.RewardCallScheduler;
@@ -30,7 +31,8 @@
           EndpointLifecycle.chart(),
           RewardCallScheduler.chart(),
           StepCoordinator.sampleChart(),
-          SwapCoordinator.chart());
+          SwapCoordinator.chart(),
+          DutyCaller.chart());
 
   @Test
   void pageMatchesChartFiles() throws IOException {
