--- a/core/src/main/java/org/carobhoist/core/account/AccountName.java
+++ b/core/src/main/java/org/carobhoist/core/account/AccountName.java
@@ -8,7 +8,7 @@
  *
  * @param value the name; 1 to 100 printable ASCII characters without a space at either end
  */
-public record AccountName(String value) {
+public record AccountName(String value) implements Comparable<AccountName> {
 
   private static final Pattern WELL_FORMED = Pattern.compile("[!-~]([ -~]{0,98}[!-~])?");
 
@@ -24,6 +24,11 @@
     }
   }
 
+  @Override
+  public int compareTo(AccountName other) {
+    return value.compareTo(other.value);
+  }
+
   @Override
   public String toString() {
     return value;
