--- a/core/src/main/java/org/carobhoist/core/capacity/LatencySums.java
+++ b/core/src/main/java/org/carobhoist/core/capacity/LatencySums.java
@@ -45,7 +45,8 @@
         failures + other.failures);
   }
 
+  /** Returns the mean latency, at least 1 ns, since a peer may report any sum. */
   double meanNanos() {
-    return (double) sum.toNanos() / samples;
+    return Math.max(1, (double) sum.toNanos() / samples);
   }
 }
