Keep the ids of the items of ended jobs that were decoded

Cause: the release of the content of ended jobs hid from StepGroups which groups had been submitted before. Change: an ended job keeps the ids of its items if this process had decoded them; StepGroups asks for those.

--- a/core/src/main/java/org/carobhoist/core/placement/StepGroups.java
+++ b/core/src/main/java/org/carobhoist/core/placement/StepGroups.java
@@ -106,7 +106,7 @@
     for (Job other : view.jobs()) {
       if (mayShareItems(other, job)) {
         job.content().items().stream()
-            .filter(i -> !i.group().isEmpty() && other.item(i.id()).isPresent())
+            .filter(i -> !i.group().isEmpty() && other.hasItem(i.id()))
             .forEach(i -> out.add(i.group()));
       }
     }
