Accept keys whose header a Connection header names

Cause: a Connection header may name Authorization as meant for the next hop only, which is this process. The HTTP library drops such a header before a request is dispatched, so a valid key was answered with 401.

Change: ConnectionOptionHandler, behind the library's codec, moves the header to an internal name that is never forwarded. The line of a request that is refused for its key names the version of the manifest.

--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -57,6 +57,7 @@
 import org.carobhoist.server.gateway.coordination.CoordinatorRole;
 import org.carobhoist.server.gateway.coordination.EngineWeightManager;
 import org.carobhoist.server.gateway.coordination.ProtobufLeaseCodec;
+import org.carobhoist.server.gateway.ingress.ConnectionOptionHandler;
 import org.carobhoist.server.gateway.ingress.ForwardContext;
 import org.carobhoist.server.gateway.ingress.IngressRoutes;
 import org.carobhoist.server.gateway.job.CheckpointStore;
@@ -520,6 +521,7 @@
         .idleTimeout(CLIENT_IDLE_TIME)
         .disableServerHeader()
         .disableDateHeader()
+        .childChannelPipelineCustomizer(ConnectionOptionHandler::addTo)
         .decorator(traffic::serve)
         .serviceUnder("/", routes)
         .build();
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
@@ -153,6 +153,7 @@
                 manifest.get().accounts(),
                 CallHeaders.credentials(http.headers()),
                 manifestStale.getAsBoolean()),
+            manifest.get(),
             id,
             out);
     if (accepted.isPresent()) {
@@ -194,19 +195,21 @@
             route.get().acceptsAnonymous(),
             CallHeaders.credentials(http.headers()),
             manifestStale.getAsBoolean());
-    accept(access, id, out).ifPresent(client -> run(route.get(), client, http, out));
+    accept(access, manifest.get(), id, out)
+        .ifPresent(client -> run(route.get(), client, http, out));
   }
 
   /** Returns the identity of the client if its request is accepted; refuses the request if not. */
   private static Optional<ClientIdentity> accept(
-      AccessDecision decision, String id, HttpResponseWriter out) {
+      AccessDecision decision, Manifest manifest, String id, HttpResponseWriter out) {
     if (decision instanceof AccessDecision.Accepted a) {
       return Optional.of(a.identity());
     }
+    String version = ", version " + manifest.version();
     if (decision instanceof AccessDecision.Unauthorized u) {
-      refuse(out, id, UNAUTHORIZED, u.reason());
+      refuse(out, id, UNAUTHORIZED, u.reason() + version);
     } else if (decision instanceof AccessDecision.Unsure u) {
-      refuse(out, id, UNAVAILABLE, u.reason());
+      refuse(out, id, UNAVAILABLE, u.reason() + version);
     }
     return Optional.empty();
   }
