--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
@@ -6,7 +6,6 @@
 import com.linecorp.armeria.common.HttpObject;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponseWriter;
-import com.linecorp.armeria.common.RequestHeaders;
 import com.linecorp.armeria.common.ResponseHeaders;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -80,16 +79,11 @@
     this.out = out;
     this.id = CallHeaders.requestId(request.headers());
     this.startedAt = context.clock().elapsed();
-    this.deadline = startedAt.plus(timeLimit(route, request.headers()));
+    this.deadline = startedAt.plus(CallHeaders.timeLimit(request.headers(), route.timeout()));
     this.stateMachine =
         RequestStateMachine.create(this, route.retry(), context.budget(), route.isIdempotent());
   }
 
-  /** Returns the time until the client has its answer at the latest. */
-  static Duration timeLimit(Route route, RequestHeaders headers) {
-    return min(CallHeaders.deadline(headers).orElse(route.timeout()), route.timeout());
-  }
-
   /** Starts a call whose response is written to {@code out}. */
   static void start(
       ForwardContext context,
@@ -239,10 +233,6 @@
     return timeLeft.isNegative() ? Duration.ZERO : timeLeft;
   }
 
-  private static Duration min(Duration a, Duration b) {
-    return a.compareTo(b) < 0 ? a : b;
-  }
-
   /** One attempt on one server. */
   private final class Attempt implements Subscriber<HttpObject> {
 
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
@@ -225,7 +225,7 @@
         byte[] body = http.content().array();
         answer(jobs.submit(route, id, client, body, timeLimit), id, out, TIMEOUT);
       }
-    } else if (admit(id, ForwardedCall.timeLimit(route, http.headers()), out)) {
+    } else if (admit(id, CallHeaders.timeLimit(http.headers(), route.timeout()), out)) {
       ForwardedCall.start(context, route, client, http, out);
     }
   }
