--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -62,6 +62,7 @@
 import org.carobhoist.server.gateway.coordination.EngineWeightManager;
 import org.carobhoist.server.gateway.coordination.ProtobufLeaseCodec;
 import org.carobhoist.server.gateway.ingress.ClientLimits;
+import org.carobhoist.server.gateway.ingress.ConnectionOptionHandler;
 import org.carobhoist.server.gateway.ingress.ForwardContext;
 import org.carobhoist.server.gateway.ingress.IngressRoutes;
 import org.carobhoist.server.gateway.job.CheckpointStore;
@@ -536,6 +537,7 @@
         .idleTimeout(CLIENT_IDLE_TIME)
         .disableServerHeader()
         .disableDateHeader()
+        .childChannelPipelineCustomizer(ConnectionOptionHandler::addTo)
         .decorator(traffic::serve)
         .serviceUnder("/", routes)
         .build();
