Wire usage reports into the gateway

Cause: the decisions of core.duty and core.usage had no process that takes them.

Change: `UsageService` counts what `ForwardedCall` records, exchanges UsageReport and UsageAck on the peer links, and while the process holds the lease reports to the platform's API. It exists only with `cloud.address` and the duty `usage_report` in the boot file; without them no record, frame, gauge or timer is added. Events 7701 to 7704, four gauges, a part of the state dump. The account of a request is empty until accounts are enabled, so reports have no counts yet.

--- a/core/src/main/java/org/carobhoist/core/usage/UsageCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/usage/UsageCoordinator.java
@@ -282,7 +282,7 @@
 
     @Override
     public void onUnanswered(DutyCall call, int attempts) {
-      port.onUnanswered(call.subject(), attempts);
+      port.onReportUnanswered(call.subject(), attempts);
     }
 
     @Override
--- a/core/src/main/java/org/carobhoist/core/usage/UsagePort.java
+++ b/core/src/main/java/org/carobhoist/core/usage/UsagePort.java
@@ -20,7 +20,7 @@
   void onReported(long window, int attempts, boolean late);
 
   /** Called when a window's report got no usable answer and will be repeated. */
-  void onUnanswered(long window, int attempts);
+  void onReportUnanswered(long window, int attempts);
 
   /** Called when the platform has seen a higher fencing number. */
   void onFenced(long term);
--- a/core/src/test/java/org/carobhoist/core/usage/UsageSimulation.java
+++ b/core/src/test/java/org/carobhoist/core/usage/UsageSimulation.java
@@ -354,7 +354,7 @@
     public void onReported(long window, int attempts, boolean late) {}
 
     @Override
-    public void onUnanswered(long window, int attempts) {}
+    public void onReportUnanswered(long window, int attempts) {}
 
     @Override
     public void onFenced(long fencedTerm) {}
--- a/it/src/test/java/org/carobhoist/it/GatewayCluster.java
+++ b/it/src/test/java/org/carobhoist/it/GatewayCluster.java
@@ -113,12 +113,22 @@
 
   /** Starts an entry that reaches the store at the given address. */
   void startEntry(String name, String storeAddress) throws IOException {
+    startProcess(name, storeAddress, "");
+  }
+
+  /** Starts an entry with further lines of its boot file. */
+  void startEntryWith(String name, String bootLines) throws IOException {
+    startProcess(name, store.uri().getAuthority(), bootLines);
+  }
+
+  private void startProcess(String name, String storeAddress, String bootLines) throws IOException {
     int ready = LoopbackPorts.next();
     int clientPort = LoopbackPorts.next();
     int peers = LoopbackPorts.nextPair();
     clients.put(name, PlatformClient.of(clientPort, TIMEOUT));
     clientPorts.put(name, clientPort);
-    String boot = PlatformDocuments.bootFile(name, clientPort, ready, peers, storeAddress);
+    String boot =
+        PlatformDocuments.bootFile(name, clientPort, ready, peers, storeAddress) + bootLines;
     adminClients.put(name, WebClient.of("http://127.0.0.1:" + (peers + 1)));
     processes.put(name, RoleProcess.start("gateway", folder, name, boot));
   }
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -76,6 +76,8 @@
 import org.carobhoist.server.gateway.upstream.OutOfStepListener;
 import org.carobhoist.server.gateway.upstream.ResponseMatchingHandler;
 import org.carobhoist.server.gateway.upstream.UpstreamClients;
+import org.carobhoist.server.gateway.usage.UsageRecorder;
+import org.carobhoist.server.gateway.usage.UsageService;
 import org.carobhoist.server.link.LinkNetwork;
 import org.carobhoist.server.link.proto.Hello;
 import org.carobhoist.server.link.proto.LinkFrame;
@@ -225,6 +227,7 @@
   private final JobRequestHandler jobs;
   private final EngineWeightManager weights;
   private final LeaseManager lease;
+  private final Optional<UsageService> usage;
   private final LinkNetwork network;
   private final Server http;
   private final Server admin;
@@ -339,11 +342,13 @@
     Duration registryReadPause = boot.bounds().drain().dividedBy(REGISTRY_PAUSES_PER_DRAIN);
     tail(Topics.SERVERS, servers, READ_WAIT, () -> registryReadPause);
     tail(Topics.NODES, mesh, READ_WAIT, () -> NODE_READ_PAUSE);
+    this.usage =
+        UsageService.create(boot, incarnation, loop, clock, lease, store, storeClients, mesh::send);
     this.network =
         LinkNetwork.create(
             addressText(boot.peerAddress()),
             hello(),
-            new PeerLinkHandler(loop, mesh, runner, storeTransport),
+            new PeerLinkHandler(loop, mesh, runner, storeTransport, usage),
             thread);
     this.http = httpServer();
     this.admin = adminServer(publisher);
@@ -370,6 +375,7 @@
     tails.stream().filter(t -> !jobTails.contains(t)).forEach(ShardTailer::start);
     startSequentially(jobTails.iterator());
     coordinator.begin(lease, weights);
+    usage.ifPresent(u -> u.start(metrics));
     writeNodeRecord();
     EventLog.info(
         LogEvent.STARTED, "role", "gateway", "instance", boot.node(), "incarnation", incarnation);
@@ -496,7 +502,8 @@
         upstreams,
         BufferBudget.create(RESPONSE_BUFFER_BYTES),
         RequestMetrics.create(metrics, s -> !directory.viewsOf(s).isEmpty()),
-        drainDeadline);
+        drainDeadline,
+        () -> usage.<UsageRecorder>map(u -> u).orElse(UsageRecorder.NONE));
   }
 
   private Server httpServer() {
@@ -520,7 +527,9 @@
   }
 
   private Server adminServer(ResultPublisher publisher) {
-    StateDump dump = StateDump.of(loop, List.of(new GatewayState(publisher)));
+    List<StateSource> sources = new ArrayList<>(List.of(new GatewayState(publisher)));
+    usage.ifPresent(sources::add);
+    StateDump dump = StateDump.of(loop, sources);
     var builder = Server.builder().http(boot.adminAddress()).workerGroup(thread, false);
     AdminRoutes.create(this::isReady, metrics, dump).addTo(builder);
     return builder.disableServerHeader().build();
@@ -634,7 +643,11 @@
 
     @Override
     public void onFrame(InstanceId peer, LinkFrame frame) {
-      coordinator.onFrame(peer, frame);
+      if (usage.isPresent() && frame.hasUsageReport()) {
+        usage.get().onReport(peer, frame.getUsageReport());
+      } else {
+        coordinator.onFrame(peer, frame);
+      }
     }
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardContext.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardContext.java
@@ -1,6 +1,7 @@
 package org.carobhoist.server.gateway.ingress;
 
 import com.linecorp.armeria.common.ResponseHeaders;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
@@ -13,6 +14,7 @@
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.server.gateway.upstream.UpstreamClients;
+import org.carobhoist.server.gateway.usage.UsageRecorder;
 import org.carobhoist.server.metrics.RequestMetrics;
 import org.carobhoist.server.runtime.DecisionLoop;
 
@@ -29,7 +31,8 @@
     UpstreamClients upstreams,
     BufferBudget buffers,
     RequestMetrics metrics,
-    DrainDeadline drain) {
+    DrainDeadline drain,
+    Supplier<UsageRecorder> usage) {
 
   /** Records the load and the shutdown notice that a server reports in its response headers. */
   public void onResponseHeaders(InstanceId endpoint, ResponseHeaders head) {
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import org.carobhoist.core.account.AccountName;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
@@ -85,6 +86,11 @@
     return min(CallHeaders.deadline(headers).orElse(route.timeout()), route.timeout());
   }
 
+  /** Returns the account to which the request counts; none until accounts are enabled. */
+  private Optional<AccountName> account() {
+    return Optional.empty();
+  }
+
   /** Starts a call whose response is written to {@code out}. */
   static void start(
       ForwardContext context, Route route, AggregatedHttpRequest request, HttpResponseWriter out) {
@@ -263,6 +269,7 @@
     private Runnable cancelTimeout = () -> {};
     private final BufferBudget.Buffer buffer = context.buffers().open(this::onTooLarge);
     private final EventStreamPosition position = EventStreamPosition.atStart();
+    private final AttemptUsage usage = new AttemptUsage(context.usage().get(), account(), service);
     private boolean ended;
 
     private Attempt(InstanceId endpoint, int number) {
@@ -303,10 +310,15 @@
 
     private void markEnded() {
       ended = true;
+      usage.onEnded(!connection().isEmpty(), sinceSent());
       cancelTimeout.run();
       context.directory().onRequestEnded(endpoint);
     }
 
+    private Duration sinceSent() {
+      return context.clock().elapsed().minus(sentAt);
+    }
+
     private void onTooLarge() {
       if (!ended) {
         fail("the answer is too large, or has no end");
@@ -381,6 +393,7 @@
         }
       } else if (part instanceof HttpData data && responseHeaders != null && !data.isEmpty()) {
         if (isStreaming()) {
+          usage.onStreamEvent();
           position.advance(data.array());
           out.write(data);
         } else {
@@ -401,6 +414,8 @@
         responseHeaders = headers;
         if (isStreaming()) {
           stateMachine.onAttemptEvent(number, RequestEvent.HEAD);
+        } else {
+          usage.onPlainHead(sinceSent());
         }
       }
     }
@@ -412,6 +427,7 @@
     }
 
     private void refuse(ResponseHeaders headers) {
+      usage.onNotRun();
       markEnded();
       exchange.response().abort();
       String detail = "the server answered " + headers.status().code() + ", not run";
@@ -424,6 +440,7 @@
         return;
       }
       if (failure instanceof UnprocessedRequestException) {
+        usage.onNotRun();
         markEnded();
         context.router().onFailure(service, endpoint);
         stateMachine.onAttemptEvent(number, RequestEvent.WRITE_FAILED);
--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerLinkHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerLinkHandler.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.carobhoist.core.job.JobHead;
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.platform.StoreCall;
@@ -11,6 +12,7 @@
 import org.carobhoist.server.gateway.job.ProtobufJobRecordCodec;
 import org.carobhoist.server.gateway.job.RunMapper;
 import org.carobhoist.server.gateway.store.FailoverStoreTransport;
+import org.carobhoist.server.gateway.usage.UsageService;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
 import org.carobhoist.server.link.proto.JobNotice;
@@ -34,14 +36,20 @@
   private final PeerMesh mesh;
   private final ItemRunner runner;
   private final FailoverStoreTransport storeTransport;
+  private final Optional<UsageService> usage;
 
   /** Creates a handler for the links of this process. */
   public PeerLinkHandler(
-      DecisionLoop loop, PeerMesh mesh, ItemRunner runner, FailoverStoreTransport storeTransport) {
+      DecisionLoop loop,
+      PeerMesh mesh,
+      ItemRunner runner,
+      FailoverStoreTransport storeTransport,
+      Optional<UsageService> usage) {
     this.loop = loop;
     this.mesh = mesh;
     this.runner = runner;
     this.storeTransport = storeTransport;
+    this.usage = usage;
   }
 
   @Override
@@ -74,8 +82,11 @@
     switch (frame.getBodyCase()) {
       case PING -> link.send(pong());
       case STORE_RELAY -> relay(link, frame.getStoreRelay());
-      case RUNNER_ATTACH ->
-          runner.onAttach(frame.getRunnerAttach().getTerm(), new RemoteCoordinator(link));
+      case RUNNER_ATTACH -> {
+        runner.onAttach(frame.getRunnerAttach().getTerm(), new RemoteCoordinator(link));
+        usage.ifPresent(u -> u.onAttach(frame.getRunnerAttach().getTerm(), link::send));
+      }
+      case USAGE_ACK -> usage.ifPresent(u -> u.onAck(frame.getUsageAck()));
       case RUN_START ->
           runner.onStart(frame.getRunStart().getTerm(), RunMapper.order(frame.getRunStart()));
       case RUN_CANCEL ->
--- a/server/src/main/java/org/carobhoist/server/gateway/store/Topics.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/store/Topics.java
@@ -21,6 +21,7 @@
   public static final Shard NODES = new Shard("keyed.nodes", 0);
   public static final Shard LEASE = new Shard("keyed.lease", 0);
   public static final Shard UNFINISHED_TEXTS = new Shard("keyed.unfinished", 0);
+  public static final Shard USAGE = new Shard("keyed.usage", 0);
 
   private Topics() {}
 
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -176,7 +176,15 @@
   /** An attempt of a reward call failed. */
   REWARD_TRY_FAILED(7602, "reward call attempt failed"),
   /** A reward call was given up; the text gets no score. */
-  REWARD_GIVEN_UP(7603, "reward call given up");
+  REWARD_GIVEN_UP(7603, "reward call given up"),
+  /** The counts of a usage window are passed to the store. */
+  USAGE_DECIDED(7701, "usage window decided"),
+  /** The platform accepted a usage report. */
+  USAGE_REPORTED(7702, "usage window reported"),
+  /** A usage report got no usable answer and will be repeated. */
+  USAGE_UNANSWERED(7703, "usage report unanswered"),
+  /** The platform has seen a higher fencing number than that of this process. */
+  USAGE_FENCED(7704, "usage reports fenced");
 
   private final int number;
   private final String text;
--- a/server/src/main/java/org/carobhoist/server/metrics/Metric.java
+++ b/server/src/main/java/org/carobhoist/server/metrics/Metric.java
@@ -36,6 +36,14 @@
   ITEMS_WAITING("carobhoist.items.waiting", "", "items of jobs that wait for an engine"),
   /** Reward calls that have not ended. */
   REWARD_CALLS("carobhoist.reward.calls", "", "reward calls that have not ended"),
+  /** Usage windows that this process has reported. */
+  USAGE_REPORTED("carobhoist.usage.windows.reported", "", "usage windows reported by this process"),
+  /** Usage windows whose report was accepted after it was due. */
+  USAGE_LATE("carobhoist.usage.windows.late", "", "usage windows reported after they were due"),
+  /** Usage windows whose report was sent more than once. */
+  USAGE_REPEATED("carobhoist.usage.windows.repeated", "", "usage windows sent more than once"),
+  /** Usage windows that have ended and have no decision. */
+  USAGE_UNDECIDED("carobhoist.usage.windows.undecided", "", "usage windows ended, not decided"),
   /** Log lines dropped because the output didn't keep up and the queue was full. */
   LOG_DROPPED("carobhoist.log.dropped", "", "lines of the log left out, the queue being full"),
   /** Log events, by number. */
