--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -82,6 +82,8 @@
 import org.carobhoist.server.gateway.upstream.OutOfStepListener;
 import org.carobhoist.server.gateway.upstream.ResponseMatchingHandler;
 import org.carobhoist.server.gateway.upstream.UpstreamClients;
+import org.carobhoist.server.gateway.usage.UsageRecorder;
+import org.carobhoist.server.gateway.usage.UsageService;
 import org.carobhoist.server.link.LinkNetwork;
 import org.carobhoist.server.link.proto.Hello;
 import org.carobhoist.server.link.proto.LinkFrame;
@@ -235,6 +237,7 @@
   private final LeaseManager lease;
   private final ShardTailer operatorTail;
   private final CapacityExchange capacityExchange;
+  private final Optional<UsageService> usage;
   private final LinkNetwork network;
   private final Server http;
   private final Server admin;
@@ -355,11 +358,13 @@
     tail(Topics.NODES, mesh, READ_WAIT, () -> NODE_READ_PAUSE);
     this.capacityExchange =
         new CapacityExchange(boot.node(), clock, capacities, directory, new CapacityCoordination());
+    this.usage =
+        UsageService.create(boot, incarnation, loop, clock, lease, store, storeClients, mesh::send);
     this.network =
         LinkNetwork.create(
             addressText(boot.peerAddress()),
             hello(),
-            new PeerLinkHandler(loop, mesh, runner, storeTransport, capacityExchange),
+            new PeerLinkHandler(loop, mesh, runner, storeTransport, capacityExchange, usage),
             thread);
     this.http = httpServer();
     this.admin = adminServer(publisher);
@@ -389,6 +394,7 @@
     coordinator.begin(lease, weights);
     loop.every(CapacityExchange.PERIOD, capacityExchange::tick);
     loop.every(CAPACITY_GAUGE_PERIOD, new CapacityMonitor(capacities, directory, metrics)::tick);
+    usage.ifPresent(u -> u.start(metrics));
     writeNodeRecord();
     EventLog.info(
         LogEvent.STARTED, "role", "gateway", "instance", boot.node(), "incarnation", incarnation);
@@ -516,7 +522,8 @@
         upstreams,
         limits.budget(),
         RequestMetrics.create(metrics, s -> !directory.viewsOf(s).isEmpty()),
-        drainDeadline);
+        drainDeadline,
+        () -> usage.<UsageRecorder>map(u -> u).orElse(UsageRecorder.NONE));
   }
 
   private Server httpServer() {
@@ -544,7 +551,9 @@
   }
 
   private Server adminServer(ResultPublisher publisher) {
-    StateDump dump = StateDump.of(loop, List.of(new GatewayState(publisher)));
+    List<StateSource> sources = new ArrayList<>(List.of(new GatewayState(publisher)));
+    usage.ifPresent(sources::add);
+    StateDump dump = StateDump.of(loop, sources);
     var builder = Server.builder().http(boot.adminAddress()).workerGroup(thread, false);
     AdminRoutes.create(this::isReady, metrics, dump).addTo(builder);
     limits.applyTo(builder);
@@ -662,6 +671,8 @@
     public void onFrame(InstanceId peer, LinkFrame frame) {
       if (frame.hasLatencyReport()) {
         capacityExchange.onReport(peer, frame.getLatencyReport());
+      } else if (usage.isPresent() && frame.hasUsageReport()) {
+        usage.get().onReport(peer, frame.getUsageReport());
       } else {
         coordinator.onFrame(peer, frame);
       }
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardContext.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardContext.java
@@ -1,6 +1,7 @@
 package org.carobhoist.server.gateway.ingress;
 
 import com.linecorp.armeria.common.ResponseHeaders;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.carobhoist.core.capacity.CapacityTable;
 import org.carobhoist.core.common.Clock;
@@ -15,6 +16,7 @@
 import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.server.gateway.capacity.AttemptMeasurement;
 import org.carobhoist.server.gateway.upstream.UpstreamClients;
+import org.carobhoist.server.gateway.usage.UsageRecorder;
 import org.carobhoist.server.metrics.RequestMetrics;
 import org.carobhoist.server.runtime.DecisionLoop;
 
@@ -32,7 +34,8 @@
     UpstreamClients upstreams,
     BufferBudget buffers,
     RequestMetrics metrics,
-    DrainDeadline drain) {
+    DrainDeadline drain,
+    Supplier<UsageRecorder> usage) {
 
   /** Begins to measure an attempt that the directory already counts as in progress. */
   public AttemptMeasurement measure(InstanceId endpoint) {
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
@@ -86,6 +86,11 @@
         RequestStateMachine.create(this, route.retry(), context.budget(), route.isIdempotent());
   }
 
+  /** Returns the account to which the request counts. */
+  private Optional<AccountName> account() {
+    return client.account();
+  }
+
   /** Starts a call whose response is written to {@code out}. */
   static void start(
       ServiceRequestContext ctx,
@@ -258,6 +263,7 @@
     private Runnable cancelTimeout = () -> {};
     private final BufferBudget.Buffer buffer = context.buffers().open(this::onTooLarge);
     private final EventStreamPosition position = EventStreamPosition.atStart();
+    private final AttemptUsage usage = new AttemptUsage(context.usage().get(), account(), service);
     private boolean ended;
 
     private Attempt(InstanceId endpoint, int number) {
@@ -300,10 +306,15 @@
 
     private void markEnded() {
       ended = true;
+      usage.onEnded(!connection().isEmpty(), sinceSent());
       cancelTimeout.run();
       context.directory().onRequestEnded(endpoint);
     }
 
+    private Duration sinceSent() {
+      return context.clock().elapsed().minus(sentAt);
+    }
+
     private void onTooLarge() {
       if (!ended) {
         fail("the answer is too large, or has no end");
@@ -380,6 +391,7 @@
       } else if (part instanceof HttpData data && responseHeaders != null && !data.isEmpty()) {
         if (isStreaming()) {
           measurement.onAnswered(responseHeaders.status().code());
+          usage.onStreamEvent();
           position.advance(data.array());
           out.write(data);
         } else {
@@ -400,6 +412,8 @@
         responseHeaders = headers;
         if (isStreaming()) {
           stateMachine.onAttemptEvent(number, RequestEvent.HEAD);
+        } else {
+          usage.onPlainHead(sinceSent());
         }
       }
     }
@@ -411,6 +425,7 @@
     }
 
     private void refuse(ResponseHeaders headers) {
+      usage.onNotRun();
       markEnded();
       exchange.response().abort();
       String detail = "the server answered " + headers.status().code() + ", not run";
@@ -423,6 +438,7 @@
         return;
       }
       if (failure instanceof UnprocessedRequestException) {
+        usage.onNotRun();
         markEnded();
         context.router().onFailure(service, endpoint);
         measurement.onFailed();
--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerLinkHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerLinkHandler.java
@@ -3,6 +3,7 @@
 import com.google.protobuf.ByteString;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import org.carobhoist.core.job.JobHead;
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.platform.StoreCall;
@@ -12,6 +13,7 @@
 import org.carobhoist.server.gateway.job.ProtobufJobRecordCodec;
 import org.carobhoist.server.gateway.job.RunMapper;
 import org.carobhoist.server.gateway.store.FailoverStoreTransport;
+import org.carobhoist.server.gateway.usage.UsageService;
 import org.carobhoist.server.link.Link;
 import org.carobhoist.server.link.LinkListener;
 import org.carobhoist.server.link.proto.JobNotice;
@@ -36,6 +38,7 @@
   private final ItemRunner runner;
   private final FailoverStoreTransport storeTransport;
   private final CapacityExchange capacities;
+  private final Optional<UsageService> usage;
 
   /** Creates a handler for the links of this process. */
   public PeerLinkHandler(
@@ -43,12 +46,14 @@
       PeerMesh mesh,
       ItemRunner runner,
       FailoverStoreTransport storeTransport,
-      CapacityExchange capacities) {
+      CapacityExchange capacities,
+      Optional<UsageService> usage) {
     this.loop = loop;
     this.mesh = mesh;
     this.runner = runner;
     this.storeTransport = storeTransport;
     this.capacities = capacities;
+    this.usage = usage;
   }
 
   @Override
@@ -84,7 +89,9 @@
       case RUNNER_ATTACH -> {
         runner.onAttach(frame.getRunnerAttach().getTerm(), new RemoteCoordinator(link));
         capacities.onAttach(frame.getRunnerAttach().getTerm(), link::send);
+        usage.ifPresent(u -> u.onAttach(frame.getRunnerAttach().getTerm(), link::send));
       }
+      case USAGE_ACK -> usage.ifPresent(u -> u.onAck(frame.getUsageAck()));
       case CAPACITY_UPDATE -> capacities.onUpdate(frame.getCapacityUpdate());
       case RUN_START ->
           runner.onStart(frame.getRunStart().getTerm(), RunMapper.order(frame.getRunStart()));
