Don't refuse a body that the refusal of another one has just resumed

Cause: tick went over a copy of the waiting bodies. The refusal of one frees its memory and may resume others of the copy, which were then refused too, although they had their memory. Change: only bodies that still wait are refused for waiting, and only incomplete ones for their rate. Result: BodyAdmissionTest.bodyResumedByTheRefusalOfAnotherIsNotRefused failed without the change and passes.

--- a/core/src/main/java/org/carobhoist/core/limit/BodyAdmission.java
+++ b/core/src/main/java/org/carobhoist/core/limit/BodyAdmission.java
@@ -71,7 +71,8 @@
       resumeWaiting();
     }
     for (Body b : List.copyOf(waiting)) {
-      if (now.minus(b.waitingSince).compareTo(policy.maxWait()) >= 0) {
+      // The refusal of one body may resume others of the list.
+      if (waiting.contains(b) && now.minus(b.waitingSince).compareTo(policy.maxWait()) >= 0) {
         b.refuse(BodyRefusal.WAIT);
       }
     }
@@ -204,7 +205,9 @@
     }
 
     private void checkRate(Duration now) {
-      if (waiting.contains(this) || now.minus(periodStart).compareTo(policy.ratePeriod()) < 0) {
+      if (!incomplete.contains(this)
+          || waiting.contains(this)
+          || now.minus(periodStart).compareTo(policy.ratePeriod()) < 0) {
         return;
       }
       if (periodBytes < policy.minBytes()) {
--- a/core/src/test/java/org/carobhoist/core/limit/BodyAdmissionTest.java
+++ b/core/src/test/java/org/carobhoist/core/limit/BodyAdmissionTest.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.function.Consumer;
 import org.carobhoist.core.testing.ManualClock;
 import org.junit.jupiter.api.Test;
 
@@ -21,6 +22,7 @@
   private final BufferBudget budget = BufferBudget.create(BUDGET);
   private final BodyAdmission admission = BodyAdmission.create(budget, BodyPolicy.DEFAULT, clock);
   private final List<String> events = new ArrayList<>();
+  private Consumer<String> onRefused = name -> {};
 
   private BodyAdmission.Body open(String name, OptionalLong length) {
     return admission.open(
@@ -35,6 +37,7 @@
           @Override
           public void onRefused(BodyRefusal cause) {
             events.add(name + " " + cause);
+            onRefused.accept(name);
           }
         });
   }
@@ -138,6 +141,23 @@
     assertThat(admission.refusals(BodyRefusal.WAIT)).isEqualTo(1);
   }
 
+  @Test
+  void bodyResumedByTheRefusalOfAnotherIsNotRefused() {
+    final long running = 7_706_784;
+    BodyAdmission.Body kept = open("running", OptionalLong.of(running));
+    receive(kept, running);
+    kept.complete(1);
+    // With 1.9 MB free, each body waits, and fits once the first 192 KiB of the other are free.
+    BodyAdmission.Body first = open("first", OptionalLong.of(1_000_000));
+    BodyAdmission.Body second = open("second", OptionalLong.of(1_000_000));
+    assertThat(receive(first, 1_000_000)).isFalse();
+    assertThat(receive(second, 1_000_000)).isFalse();
+    clock.advance(BodyPolicy.DEFAULT.maxWait());
+    onRefused = name -> admission.tick();
+    admission.tick();
+    assertThat(events).containsExactly("first WAIT", "second resumed").inOrder();
+  }
+
   @Test
   void slowBodyIsRefusedWithoutPressure() {
     BodyAdmission.Body slow = open("slow", OptionalLong.of(20_000));
