--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
@@ -209,6 +209,8 @@
   private void writeResponse(Attempt attempt) {
     out.write(CallHeaders.forwardResponse(attempt.responseHeaders));
     attempt.body.forEach(out::write);
+    // Otherwise an aborted response would stay in memory with its call.
+    attempt.body.clear();
   }
 
   private void recordEnd(Verdict verdict, String reason) {
@@ -318,6 +320,9 @@
     private void onTooLarge() {
       if (!ended) {
         fail("the answer is too large, or has no end");
+      } else if (this == completeAttempt) {
+        // The client hasn't read the response, which can't be refused any more.
+        out.abort(new IllegalStateException("memory is short for a response that isn't read"));
       }
     }
 
@@ -331,6 +336,7 @@
     private void fail(String reason) {
       abort();
       buffer.close();
+      body.clear();
       context.router().onFailure(service, endpoint);
       measurement.onFailed();
       logFailure(reason);
