Apply both handlers to the connections of clients

Cause: the HTTP library accepts one customizer of the pipeline; the merge of the limits and of the keys named by a Connection header set two, and the later one replaced the limits. Change: ClientLimits takes further handlers. A test name follows the linter.

--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -535,7 +535,7 @@
       builder.http(boot.readinessAddress());
     }
     return limits
-        .applyTo(builder)
+        .applyTo(builder, ConnectionOptionHandler::addTo)
         .workerGroup(thread, false)
         .requestTimeoutMillis(0)
         .maxRequestLength(0)
@@ -544,7 +544,6 @@
         .idleTimeout(CLIENT_IDLE_TIME)
         .disableServerHeader()
         .disableDateHeader()
-        .childChannelPipelineCustomizer(ConnectionOptionHandler::addTo)
         .decorator(traffic::serve)
         .serviceUnder("/", routes)
         .build();
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/ClientLimits.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ClientLimits.java
@@ -1,8 +1,10 @@
 package org.carobhoist.server.gateway.ingress;
 
 import com.linecorp.armeria.server.ServerBuilder;
+import io.netty.channel.ChannelPipeline;
 import java.time.Duration;
 import java.util.Locale;
+import java.util.function.Consumer;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.limit.BodyAdmission;
 import org.carobhoist.core.limit.BodyPolicy;
@@ -59,8 +61,18 @@
 
   /** Applies the limits of connections to a server that runs on the loop's thread. */
   public ServerBuilder applyTo(ServerBuilder builder) {
+    return applyTo(builder, pipeline -> {});
+  }
+
+  /**
+   * Applies the limits of connections to a server that runs on the loop's thread.
+   *
+   * @param customizer adds further handlers to a new connection; the builder accepts only one
+   */
+  public ServerBuilder applyTo(ServerBuilder builder, Consumer<ChannelPipeline> customizer) {
+    Consumer<ChannelPipeline> limits = connections::addTo;
     return builder
-        .childChannelPipelineCustomizer(connections::addTo)
+        .childChannelPipelineCustomizer(limits.andThen(customizer)::accept)
         .http2MaxStreamsPerConnection(MAX_STREAMS)
         .http2InitialStreamWindowSize(STREAM_WINDOW_BYTES)
         .http2InitialConnectionWindowSize(CONNECTION_WINDOW_BYTES);
--- a/server/src/test/java/org/carobhoist/server/gateway/ingress/ClientConnectionTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/ingress/ClientConnectionTest.java
@@ -65,7 +65,7 @@
   }
 
   @Test
-  void endedRequestsLeaveNoCallbackAtAKeptConnection() throws Exception {
+  void endedRequestsLeaveNoCallbackAtKeptConnection() throws Exception {
     try (Socket client = new Socket("127.0.0.1", server.activeLocalPort())) {
       send(client, "/answered");
       assertThat(client.getInputStream().read()).isEqualTo('H');
