Serve heads of many lines, and refuse them by the memory budget only

Cause: a head of more than 256 lines was refused with 431, though a head within the manifest's bytes may have 4,096. Without that limit the process ended again: each head was refused in a later task of the event loop, so all heads of one turn were parsed first.

Change: 16,384 lines are allowed, more than fit into any legal head. A head that exceeds the memory budget is refused before its bytes are passed on; one of 64 KiB or more counts until its request has been answered.

--- a/it/src/test/java/org/carobhoist/it/UntrustedClientsTest.java
+++ b/it/src/test/java/org/carobhoist/it/UntrustedClientsTest.java
@@ -5,6 +5,8 @@
 
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.stream.Stream;
@@ -20,6 +22,10 @@
 final class UntrustedClientsTest {
 
   private static final String ENTRY = "entry-1";
+
+  /** As many lines as fit into the head that the stand-in server accepts. */
+  private static final int MANY_LINES = 1_500;
+
   private static final String BOOK = PlatformDocuments.BOOKINGS_HOST;
   private static final String JOBS = PlatformDocuments.JOBS_HOST;
 
@@ -136,6 +142,23 @@
         });
   }
 
+  /** Guards against a limit on the number of lines that refuses heads which the manifest allows. */
+  @Test
+  void singleHeadOfManyShortLinesIsServed() throws Exception {
+    try (GatewayCluster cluster = GatewayCluster.start(folder)) {
+      cluster.startEntry(ENTRY);
+      cluster.addServer("s-1", "app", false);
+      cluster.awaitReady(ENTRY);
+      String start = head(BOOK, "/seat", "content-length: 1").strip() + "\r\n";
+      String request = start + "a:\r\n".repeat(MANY_LINES) + "\r\nx";
+      try (Socket client = new Socket("127.0.0.1", cluster.clientPort(ENTRY))) {
+        client.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+        byte[] status = client.getInputStream().readNBytes("HTTP/1.1 200".length());
+        assertThat(new String(status, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 200");
+      }
+    }
+  }
+
   private void assertSurvives(Load load) throws Exception {
     try (GatewayCluster cluster = GatewayCluster.start(folder)) {
       cluster.startEntry(ENTRY);
--- a/server/src/main/java/org/carobhoist/server/runtime/RequestHeadHandler.java
+++ b/server/src/main/java/org/carobhoist/server/runtime/RequestHeadHandler.java
@@ -29,8 +29,14 @@
  */
 final class RequestHeadHandler extends ChannelInboundHandlerAdapter {
 
-  /** Lines of a head, several times what browsers and proxies send. */
-  static final int MAX_LINES = 256;
+  /**
+   * Lines of a head. The largest head that any manifest allows can't have more, since a line has at
+   * least four bytes; the memory that many lines take is limited by the budget.
+   */
+  static final int MAX_LINES = 16_384;
+
+  /** Memory of a complete head from which it is counted until its request has been answered. */
+  private static final int LARGE_HEAD_BYTES = 65_536;
 
   /** Blank bytes before a request; lenient clients send one empty line after a body. */
   static final int MAX_BLANK_BYTES = 64;
@@ -127,6 +133,9 @@
     if (head.isEnded()) {
       inBody = true;
       timer.cancel(false);
+      if (head.memoryBytes() >= LARGE_HEAD_BYTES) {
+        hold(ctx);
+      }
     } else if (head.memoryBytes() > 0) {
       startTimer(ctx);
       hold(ctx);
@@ -162,15 +171,25 @@
 
   private void hold(ChannelHandlerContext ctx) {
     if (buffer == null) {
-      buffer =
-          connections.openBuffer(
-              () -> ctx.executor().execute(() -> refuse(ctx, ConnectionRefusal.MEMORY)));
+      buffer = connections.openBuffer(() -> refuseForMemory(ctx));
     }
     long more = head.memoryBytes() - countedBytes;
     countedBytes += more;
     connections.add(buffer, more);
   }
 
+  /**
+   * Refuses the head at once if possible. Many heads may arrive before the next task of the event
+   * loop, and each would be parsed until then.
+   */
+  private void refuseForMemory(ChannelHandlerContext ctx) {
+    if (ctx.executor().inEventLoop()) {
+      refuse(ctx, ConnectionRefusal.MEMORY);
+    } else {
+      ctx.executor().execute(() -> refuse(ctx, ConnectionRefusal.MEMORY));
+    }
+  }
+
   private void releaseHead() {
     if (buffer != null) {
       connections.release(buffer);
@@ -234,7 +253,9 @@
         inBody = true;
         openResponses++;
         timer.cancel(false);
-        releaseHead();
+        if (head.memoryBytes() < LARGE_HEAD_BYTES && openResponses == 1) {
+          releaseHead();
+        }
         connections.onRequest(ctx.channel());
       }
       if (message instanceof HttpContent) {
@@ -243,6 +264,7 @@
       if (message instanceof LastHttpContent) {
         inBody = false;
         linesWithoutContent = 0;
+        countedBytes = 0;
         head.reset();
       }
       ctx.fireChannelRead(message);
@@ -256,6 +278,9 @@
       if (message instanceof LastHttpContent && !informational) {
         openResponses--;
         if (openResponses == 0 && !inBody) {
+          if (head.memoryBytes() == 0) {
+            releaseHead();
+          }
           connections.onRequestEnd(ctx.channel());
         }
       }
