Add a command that checks a manifest before it is published

Cause: operators learn only from refused requests that a route can't match, that a service is missing or that limits contradict each other.

Result: CheckManifestCommandTest, 8 tests, and CommandLineTest pass.

--- a/core/src/main/java/org/carobhoist/core/account/Accounts.java
+++ b/core/src/main/java/org/carobhoist/core/account/Accounts.java
@@ -44,6 +44,11 @@
     return new Accounts(byName, byKey);
   }
 
+  /** Returns all accounts. */
+  public Collection<Account> all() {
+    return byName.values();
+  }
+
   /** Returns the account that a key belongs to. */
   public Optional<Account> find(ApiKey key) {
     return Optional.ofNullable(byKey.get(key));
--- a/core/src/main/java/org/carobhoist/core/manifest/Manifest.java
+++ b/core/src/main/java/org/carobhoist/core/manifest/Manifest.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,7 +23,7 @@
   private final Map<ServiceName, ServiceSpec> services;
   private final Limits limits;
   private final Optional<Accounts> accounts;
-  private final Map<String, List<Route>> byHost = new HashMap<>();
+  private final Map<String, List<Route>> byHost = new LinkedHashMap<>();
 
   private Manifest(
       long version,
@@ -52,8 +52,7 @@
 
   /** Returns this manifest with accounts. */
   public Manifest withAccounts(Accounts newAccounts) {
-    List<Route> routes = byHost.values().stream().flatMap(List::stream).toList();
-    return new Manifest(version, routes, services, limits, Optional.of(newAccounts));
+    return new Manifest(version, routes(), services, limits, Optional.of(newAccounts));
   }
 
   /** Returns the version. */
@@ -61,6 +60,11 @@
     return version;
   }
 
+  /** Returns all routes; those of one host in the order in which they are compared. */
+  public List<Route> routes() {
+    return byHost.values().stream().flatMap(List::stream).toList();
+  }
+
   /** Returns the limits for client requests. */
   public Limits limits() {
     return limits;
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -27,6 +27,7 @@
       GatewayCommand.class,
       StateCommand.class,
       CheckCommand.class,
+      CheckManifestCommand.class,
       DemoCommand.class,
       StepsCommand.class,
       CompareCommand.class,
