--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -15,7 +15,6 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.UUID;
@@ -26,7 +25,6 @@
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
-import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.job.JobRecordCodec;
 import org.carobhoist.core.job.JobView;
 import org.carobhoist.core.job.ResultEntries;
@@ -44,7 +42,6 @@
 import org.carobhoist.core.routing.Router;
 import org.carobhoist.core.routing.RouterPolicy;
 import org.carobhoist.core.settings.SocketAddressText;
-import org.carobhoist.core.store.KeyedRecord;
 import org.carobhoist.core.store.RecordStore;
 import org.carobhoist.core.store.Shard;
 import org.carobhoist.core.store.ShardTailer;
@@ -59,6 +56,7 @@
 import org.carobhoist.server.gateway.capacity.CapacityExchange;
 import org.carobhoist.server.gateway.capacity.CapacityMonitor;
 import org.carobhoist.server.gateway.coordination.CoordinatorRole;
+import org.carobhoist.server.gateway.coordination.EngineEnvironment;
 import org.carobhoist.server.gateway.coordination.EngineWeightManager;
 import org.carobhoist.server.gateway.coordination.ProtobufLeaseCodec;
 import org.carobhoist.server.gateway.ingress.ClientLimits;
@@ -72,6 +70,7 @@
 import org.carobhoist.server.gateway.job.ProtobufJobRecordCodec;
 import org.carobhoist.server.gateway.job.ResultPublisher;
 import org.carobhoist.server.gateway.job.RewardCallSender;
+import org.carobhoist.server.gateway.peer.NodeRegistration;
 import org.carobhoist.server.gateway.peer.PeerLinkHandler;
 import org.carobhoist.server.gateway.peer.PeerMesh;
 import org.carobhoist.server.gateway.store.FailoverStoreTransport;
@@ -87,7 +86,6 @@
 import org.carobhoist.server.link.LinkNetwork;
 import org.carobhoist.server.link.proto.Hello;
 import org.carobhoist.server.link.proto.LinkFrame;
-import org.carobhoist.server.link.proto.NodeRecord;
 import org.carobhoist.server.log.EventLog;
 import org.carobhoist.server.log.LogEvent;
 import org.carobhoist.server.log.QueueWriter;
@@ -192,8 +190,6 @@
   /** Interval between two updates of the gauges of endpoints. */
   private static final Duration CAPACITY_GAUGE_PERIOD = Duration.ofSeconds(2);
 
-  private static final Duration NODE_RECORD_RETRY_DELAY = Duration.ofMillis(300);
-
   private final BootSettings boot;
   private final Incarnation incarnation = new Incarnation(UUID.randomUUID().toString());
   private final EventLoopGroup thread = EventLoopGroups.newEventLoopGroup(1, "gateway");
@@ -226,6 +222,7 @@
   private final PeerMesh mesh;
   private final FailoverStoreTransport storeTransport;
   private final RecordStore store;
+  private final NodeRegistration registration;
   private final RegisteredServers servers;
   private final JobView view;
   private final ForwardContext context;
@@ -271,6 +268,7 @@
             loop,
             clock);
     this.store = HttpRecordStore.over(storeTransport, STORE_TIMEOUT, PAGE_TIMEOUT);
+    this.registration = new NodeRegistration(store, loop, () -> this.draining);
     this.servers =
         RegisteredServers.create(
             directory,
@@ -347,7 +345,12 @@
     lease.setAcquireCondition(() -> jobTails.stream().allMatch(ShardTailer::isLoaded));
     this.weights =
         new EngineWeightManager(
-            boot.node(), loop, clock, upstreams, lease, new EngineEnvironment(leaseTail));
+            boot.node(),
+            loop,
+            clock,
+            upstreams,
+            lease,
+            new EngineEnvironment(coordinator.jobs(), leaseTail, servers));
     this.operatorTail =
         tail(
             Topics.OPERATORS,
@@ -395,7 +398,7 @@
     loop.every(CapacityExchange.PERIOD, capacityExchange::tick);
     loop.every(CAPACITY_GAUGE_PERIOD, new CapacityMonitor(capacities, directory, metrics)::tick);
     usage.ifPresent(u -> u.start(metrics));
-    writeNodeRecord();
+    registration.register(boot, incarnation);
     EventLog.info(
         LogEvent.STARTED, "role", "gateway", "instance", boot.node(), "incarnation", incarnation);
   }
@@ -456,7 +459,7 @@
    */
   private CompletableFuture<Void> unregister() {
     CompletableFuture<Void> deleted = new CompletableFuture<>();
-    deleteNodeRecord();
+    registration.unregister(boot);
     loop.after(RECORD_DELETION_TIME, () -> deleted.complete(null));
     return deleted;
   }
@@ -567,34 +570,6 @@
     coordinator.onServerGone(server);
   }
 
-  /** Writes the record by which other processes find this one. */
-  private void writeNodeRecord() {
-    NodeRecord node =
-        NodeRecord.newBuilder()
-            .setAddress(addressText(boot.peerAddress()).toString())
-            .setZone(boot.zone().value())
-            .setIncarnation(incarnation.value())
-            .setMilliCores(boot.milliCores())
-            .build();
-    write(new KeyedRecord(boot.node().value(), node.toByteArray()));
-  }
-
-  private void deleteNodeRecord() {
-    write(KeyedRecord.tombstone(boot.node().value()));
-  }
-
-  private void write(KeyedRecord nodeRecord) {
-    store
-        .append(Topics.NODES, List.of(nodeRecord), OptionalLong.empty())
-        .whenComplete(
-            (ok, failure) -> {
-              if (failure != null && (!draining || nodeRecord.value().length == 0)) {
-                EventLog.warn(LogEvent.MEMBER_WRITE_FAILED, "why", failure);
-                loop.after(NODE_RECORD_RETRY_DELAY, () -> write(nodeRecord));
-              }
-            });
-  }
-
   private Hello hello() {
     return Hello.newBuilder()
         .setInstance(boot.node().value())
@@ -700,48 +675,4 @@
       mesh.send(peer, frame);
     }
   }
-
-  private final class EngineEnvironment implements EngineWeightManager.Environment {
-
-    private final ShardTailer leaseTail;
-
-    private EngineEnvironment(ShardTailer leaseTail) {
-      this.leaseTail = leaseTail;
-    }
-
-    @Override
-    public int runCountAt(InstanceId engine, String model) {
-      return coordinator.jobs().runCountAt(engine, model);
-    }
-
-    @Override
-    public int singleVersionRunCountAt(InstanceId engine, String model) {
-      return coordinator.jobs().singleVersionRunCountAt(engine, model);
-    }
-
-    @Override
-    public Duration longestRemainingTimeAt(InstanceId engine, String model) {
-      return coordinator.jobs().longestRemainingTimeAt(engine, model);
-    }
-
-    @Override
-    public WeightVersion newestRequiredVersion(String model) {
-      return coordinator.jobs().newestRequiredVersion(model);
-    }
-
-    @Override
-    public CompletableFuture<Void> readLeaseShard() {
-      return leaseTail.barrier();
-    }
-
-    @Override
-    public void onEngineLeaving(InstanceId engine) {
-      servers.onLeavingReported(engine);
-    }
-
-    @Override
-    public void onServedVersion(InstanceId engine, String model, WeightVersion version) {
-      coordinator.jobs().onEngineVersion(engine, model, version);
-    }
-  }
 }
