--- a/core/src/main/java/org/carobhoist/core/job/Job.java
+++ b/core/src/main/java/org/carobhoist/core/job/Job.java
@@ -8,8 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
-import java.util.stream.Collectors;
 
 /**
  * A job as read from the store. Results are in the order of their records. A process appends a
@@ -30,7 +28,6 @@
   private boolean ended;
   private JobContent content;
   private Map<ItemId, JobItem> items;
-  private Set<ItemId> endedItems = Set.of();
 
   Job(JobHead head, int chunks, JobDecoder decoder) {
     this.head = head;
@@ -108,14 +105,6 @@
     return Optional.ofNullable(items.get(id));
   }
 
-  /**
-   * Returns whether the job has an item with the given id. If the job has ended, this is known only
-   * if this process had decoded its content.
-   */
-  public boolean hasItem(ItemId id) {
-    return ended ? endedItems.contains(id) : item(id).isPresent();
-  }
-
   /** Adds a part of the content; returns whether that completed the content. */
   boolean addChunk(int chunk, byte[] bytes) {
     boolean wasKnown = chunks[chunk] != null;
@@ -158,9 +147,6 @@
     for (int i = 0; i < chunks.length; i++) {
       chunks[i] = chunks[i] == null ? null : RELEASED;
     }
-    if (content != null) {
-      endedItems = content.items().stream().map(JobItem::id).collect(Collectors.toSet());
-    }
     content = null;
     items = null;
   }
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -85,7 +85,7 @@
     this.view = view;
     this.port = port;
     this.policy = policy;
-    this.placer = new Placer(policy, view);
+    this.placer = new Placer(policy);
     this.clock = clock;
     this.specs = specs;
     this.reusableOutputs = new ReusableOutputs(view);
@@ -535,8 +535,9 @@
       logWaiting(service, waiting, pool, now);
       return;
     }
+    int tokensPerEvent = pool.stream().mapToInt(EngineLoad::tokensPerEvent).findFirst().orElse(1);
     List<ItemState> unplaced = new ArrayList<>();
-    for (ItemState state : placer.order(waiting, pool, now, wallTime)) {
+    for (ItemState state : placer.order(waiting, tokensPerEvent)) {
       dropTextIfUnservable(state, pool, now);
       Optional<EngineLoad> engine = placer.chooseEngine(state, pool, allowed(state), now);
       if (engine.isPresent()) {
--- a/core/src/main/java/org/carobhoist/core/placement/Placer.java
+++ b/core/src/main/java/org/carobhoist/core/placement/Placer.java
@@ -1,21 +1,26 @@
 package org.carobhoist.core.placement;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
 import org.carobhoist.core.capacity.CapacityPolicy;
 import org.carobhoist.core.capacity.ExpectedTimeOrder;
-import org.carobhoist.core.job.JobView;
 
 /**
- * Chooses the order in which items are placed, by {@link StepOrder}, and an engine for each: the
- * one where the item is expected to end first.
+ * Chooses the order in which items are placed, and an engine for each. It is designed for training
+ * steps that have more items than the engines have slots, of which a few items are several times as
+ * long as the others. A step completes with the last of the items that it requires. Older jobs are
+ * therefore placed first, within a job the items with the longest expected duration, each at the
+ * engine where it is expected to end first.
  */
 final class Placer {
 
+  private static final Comparator<ItemState> OLDER_JOB_FIRST =
+      Comparator.comparing(s -> s.job().head().acceptedAt());
+
   /** Prefers the faster engine; if the speeds differ little, the one with more free slots. */
   private static final ExpectedTimeOrder ORDER =
       new ExpectedTimeOrder(CapacityPolicy.ENGINES.equalRatio());
@@ -27,17 +32,16 @@
   private static final double OVERLOAD_RATIO = 1.25;
 
   private final PlacementPolicy policy;
-  private final StepOrder stepOrder;
 
-  Placer(PlacementPolicy policy, JobView view) {
+  Placer(PlacementPolicy policy) {
     this.policy = policy;
-    this.stepOrder = new StepOrder(view);
   }
 
   /** Returns the waiting items in the order in which they should be placed. */
-  List<ItemState> order(
-      Collection<ItemState> waiting, Collection<EngineLoad> pool, Duration now, Instant wallTime) {
-    return stepOrder.order(waiting, pool, now, wallTime);
+  List<ItemState> order(Collection<ItemState> waiting, int tokensPerEvent) {
+    Comparator<ItemState> longestFirst =
+        Comparator.comparingInt((ItemState s) -> s.eventsLeft(tokensPerEvent)).reversed();
+    return waiting.stream().sorted(OLDER_JOB_FIRST.thenComparing(longestFirst)).toList();
   }
 
   /**
