Place items by the measured time between events as before

A uniformly loaded engine shows only one point of its speed, so slots were taken away where they were scarce.

--- a/core/src/main/java/org/carobhoist/core/capacity/CapacityPolicy.java
+++ b/core/src/main/java/org/carobhoist/core/capacity/CapacityPolicy.java
@@ -28,23 +28,6 @@
     double failingShare,
     double equalRatio) {
 
-  /**
-   * The policy for the time between events of engines. Each run reports it several times per
-   * second, so smaller ratios stand out from the noise; with those for requests a full engine was
-   * not recognized as slowed down by its runs.
-   */
-  public static final CapacityPolicy ENGINES =
-      new CapacityPolicy(
-          Duration.ofMillis(800),
-          Duration.ofMillis(1_500),
-          Duration.ofSeconds(8),
-          1.15,
-          1.05,
-          0.7,
-          Duration.ofSeconds(1),
-          0.4,
-          1.075);
-
   /** The policy for requests. */
   public static final CapacityPolicy DEFAULT =
       new CapacityPolicy(
--- a/core/src/main/java/org/carobhoist/core/placement/EngineLoad.java
+++ b/core/src/main/java/org/carobhoist/core/placement/EngineLoad.java
@@ -5,9 +5,6 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import org.carobhoist.core.capacity.CapacityEstimator;
-import org.carobhoist.core.capacity.CapacityPolicy;
-import org.carobhoist.core.capacity.LatencySums;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.manifest.EngineSpec;
 import org.carobhoist.core.membership.ServerEntry;
@@ -15,6 +12,12 @@
 /** The runs that a coordinator has placed at one engine, and the engine's measured speed. */
 final class EngineLoad {
 
+  /** Weight of a new measurement in the moving average of the time between events. */
+  private static final double INTERVAL_WEIGHT = 0.3;
+
+  /** Age at which a measurement is ignored, so that an engine that has recovered is used again. */
+  private static final Duration MEASUREMENT_LIFETIME = Duration.ofSeconds(6);
+
   private static final WeightVersion NO_VERSION = new WeightVersion(0);
 
   private final Duration initialInterval;
@@ -22,13 +25,15 @@
   private ServerEntry entry;
   private EngineSpec spec;
   private final Map<String, WeightVersion> versions = new HashMap<>();
-  private final CapacityEstimator capacity = new CapacityEstimator(CapacityPolicy.ENGINES);
+  private double intervalNanos;
+  private Duration measuredAt = Duration.ZERO;
   private Duration pausedUntil = Duration.ZERO;
 
   EngineLoad(ServerEntry entry, EngineSpec spec, Duration initialInterval) {
     this.entry = entry;
     this.spec = spec;
     this.initialInterval = initialInterval;
+    this.intervalNanos = initialInterval.toNanos();
   }
 
   /** Updates the registry entry and the manifest's description of the engine. */
@@ -65,32 +70,17 @@
     return items;
   }
 
-  /** Updates the time between events from a number of events of one run. */
+  /** Updates the average time between events from a number of events of one run. */
   void onProgress(int events, Duration elapsed, Duration now) {
-    Duration interval = elapsed.dividedBy(events);
-    capacity.onSums(LatencySums.ofLatency(items.size(), interval), spec.slots(), now);
+    double interval = (double) elapsed.toNanos() / events;
+    intervalNanos =
+        isMeasured(now) ? intervalNanos + INTERVAL_WEIGHT * (interval - intervalNanos) : interval;
+    measuredAt = now;
   }
 
-  /** Returns the time between two events of a run at the load of late. */
+  /** Returns the expected time between two events of a run. */
   Duration eventInterval(Duration now) {
-    double nanos = capacity.recentNanos(now);
-    return nanos > 0 ? Duration.ofNanos((long) nanos) : initialInterval;
-  }
-
-  /** Returns the expected time between two events of a run with one more run, if a slot is free. */
-  double expectedIntervalNanos(Duration now) {
-    int runs = Math.min(items.size() + 1, spec.slots());
-    return capacity.expectedNanos(runs, spec.slots(), initialInterval.toNanos(), now);
-  }
-
-  double initialIntervalNanos() {
-    return initialInterval.toNanos();
-  }
-
-  /** Returns how many runs the engine may have if it is clearly slower than others; at least 1. */
-  long runLimit(double slotShare, Duration now) {
-    double limit = Math.min(slotShare * spec.slots(), capacity.limit(spec.slots(), now));
-    return Math.max(1, Math.round(limit));
+    return isMeasured(now) ? Duration.ofNanos((long) intervalNanos) : initialInterval;
   }
 
   /** Assigns no new runs to the engine until the given time; never shortens a longer pause. */
@@ -123,4 +113,8 @@
   int freeSlots() {
     return spec.slots() - items.size();
   }
+
+  private boolean isMeasured(Duration now) {
+    return !measuredAt.isZero() && now.minus(measuredAt).compareTo(MEASUREMENT_LIFETIME) < 0;
+  }
 }
--- a/core/src/main/java/org/carobhoist/core/placement/Placer.java
+++ b/core/src/main/java/org/carobhoist/core/placement/Placer.java
@@ -6,8 +6,6 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Predicate;
-import org.carobhoist.core.capacity.CapacityPolicy;
-import org.carobhoist.core.capacity.ExpectedTimeOrder;
 
 /**
  * Chooses the order in which items are placed, and an engine for each. It is designed for training
@@ -21,16 +19,6 @@
   private static final Comparator<ItemState> OLDER_JOB_FIRST =
       Comparator.comparing(s -> s.job().head().acceptedAt());
 
-  /** Prefers the faster engine; if the speeds differ little, the one with more free slots. */
-  private static final ExpectedTimeOrder ORDER =
-      new ExpectedTimeOrder(CapacityPolicy.ENGINES.equalRatio());
-
-  /**
-   * Ratio to the typical engine above which an engine gets fewer runs than it has slots; with 1.5
-   * an engine that was half as fast when full kept 7.5 of 8 runs in a simulation.
-   */
-  private static final double OVERLOAD_RATIO = 1.25;
-
   private final PlacementPolicy policy;
 
   Placer(PlacementPolicy policy) {
@@ -52,19 +40,12 @@
   Optional<EngineLoad> chooseEngine(
       ItemState item, Collection<EngineLoad> engines, Predicate<EngineLoad> usable, Duration now) {
     EngineLoad best = null;
-    double typicalNanos = 0;
     for (EngineLoad e : engines) {
       long tokens = item.expectedTokens(e.tokensPerEvent());
       if (e.freeSlots() <= 0 || !usable.test(e) || !e.hasRoom(tokens, policy.memoryShare(), now)) {
         continue;
       }
-      if (e.expectedIntervalNanos(now) > e.initialIntervalNanos()) {
-        typicalNanos = typicalNanos > 0 ? typicalNanos : typicalIntervalNanos(engines, now);
-        if (isOverloaded(e, typicalNanos, now)) {
-          continue;
-        }
-      }
-      if (best == null || ORDER.isBetter(option(e, now), option(best, now))) {
+      if (best == null || isBetter(e, best, now)) {
         best = e;
       }
     }
@@ -88,24 +69,12 @@
     return savedPerEvent.multipliedBy(item.eventsLeft(target.tokensPerEvent()));
   }
 
-  /**
-   * Returns whether an engine is clearly slower than the typical one and has all runs that fit its
-   * speed. An engine that is always full shows only one point of its speed, so the slots are
-   * reduced in proportion as well.
-   */
-  private static boolean isOverloaded(EngineLoad e, double typicalNanos, Duration now) {
-    double share = OVERLOAD_RATIO * typicalNanos / e.expectedIntervalNanos(now);
-    return share < 1 && e.items().size() + 1 > e.runLimit(share, now);
-  }
-
-  private static ExpectedTimeOrder.Option option(EngineLoad e, Duration now) {
-    return new ExpectedTimeOrder.Option(e.expectedIntervalNanos(now), -e.freeSlots());
-  }
-
-  /** Returns the median of all engines, so that none is avoided when all are slow. */
-  private static double typicalIntervalNanos(Collection<EngineLoad> engines, Duration now) {
-    double[] sorted =
-        engines.stream().mapToDouble(e -> e.expectedIntervalNanos(now)).sorted().toArray();
-    return sorted[sorted.length / 2];
+  /** Prefers the faster engine; if the speeds differ little, the one with more free slots. */
+  private static boolean isBetter(EngineLoad a, EngineLoad b, Duration now) {
+    double ratio = (double) a.eventInterval(now).toNanos() / b.eventInterval(now).toNanos();
+    if (ratio < 0.93 || ratio > 1.07) {
+      return ratio < 1;
+    }
+    return a.freeSlots() > b.freeSlots();
   }
 }
