--- a/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
@@ -46,6 +46,7 @@
   private final Clock clock;
   private final Predicate<LeaseEntry> hasEnded;
   private BooleanSupplier acquireCondition = () -> true;
+  private Predicate<LeaseEntry> seemsEnded = entry -> false;
   private ShardTailer tail;
   private Optional<LeaseEntry> lastEntry = Optional.empty();
   private Optional<LeaseEntry> predecessor = Optional.empty();
@@ -106,6 +107,15 @@
     this.acquireCondition = condition;
   }
 
+  /**
+   * Sets a predicate that tells whether the process that wrote a record has probably ended. Its
+   * lease is then acquired after a shorter silence. Orders wait as after any silence, because the
+   * process may still be running.
+   */
+  public void setSuspicion(Predicate<LeaseEntry> suspicion) {
+    this.seemsEnded = suspicion;
+  }
+
   @Override
   public void onSnapshot(Snapshot snapshot) {
     if (snapshot.records().isEmpty()) {
@@ -220,7 +230,8 @@
     if (hasStopped(entry)) {
       return true;
     }
-    Duration expiresAt = lastRecordAt.plus(policy.silenceTimeout());
+    Duration silence = seemsEnded.test(entry) ? policy.suspicionTimeout() : policy.silenceTimeout();
+    Duration expiresAt = lastRecordAt.plus(silence);
     return !tail.isFailing() && tail.freshAsOf().compareTo(expiresAt) >= 0;
   }
 
--- a/core/src/main/java/org/carobhoist/core/lease/LeasePolicy.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeasePolicy.java
@@ -24,6 +24,12 @@
     Duration orderGap,
     Duration acquisitionDelay) {
 
+  /**
+   * Silence in renewal intervals after which the lease of a process that seems to have ended is
+   * acquired; a process that runs and reaches the store has renewed it by then.
+   */
+  private static final double SUSPICION_INTERVALS = 1.4;
+
   /** Creates the policy of a process without an acquisition delay. */
   public LeasePolicy(
       Duration renewalInterval,
@@ -40,6 +46,13 @@
         renewalInterval, silenceTimeout, validity, heirGracePeriod, orderGap, time);
   }
 
+  /**
+   * Returns the silence after which the lease of a process that seems to have ended is acquired.
+   */
+  public Duration suspicionTimeout() {
+    return Duration.ofNanos((long) (SUSPICION_INTERVALS * renewalInterval.toNanos()));
+  }
+
   /** Returns the default policy with the given time between the orders of two holders. */
   public static LeasePolicy of(Duration orderGap) {
     return new LeasePolicy(
--- a/core/src/test/java/org/carobhoist/core/lease/LeaseManagerTest.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseManagerTest.java
@@ -24,4 +24,17 @@
   void slowHolderHandsLeaseToHeirAndDoesNotReacquireItAtOnce() {
     assertThat(Schedules.explore(1, SCHEDULES, LeaseSimulation::runHandOver)).isEmpty();
   }
+
+  /**
+   * Guards against two holders after a cut that only looks like the end of the holder's process.
+   */
+  @Test
+  void wrongSuspicionsLetNoTwoProcessesIssueOrders() {
+    assertThat(Schedules.explore(1, SCHEDULES, LeaseSimulation::runWithSuspicions)).isEmpty();
+  }
+
+  @Test
+  void suspectedHolderKeepsLeaseWhileItRenewsAndLosesItEarlyOnceKilled() {
+    assertThat(Schedules.explore(1, SCHEDULES, LeaseSimulation::runSuspicion)).isEmpty();
+  }
 }
--- a/core/src/test/java/org/carobhoist/core/lease/LeaseSimulation.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseSimulation.java
@@ -35,6 +35,10 @@
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
   private static final int PROCESSES = 3;
   private static final int FAULT_PHASE_MILLIS = 15_000;
+
+  /** Less than the silence timeout of 1.5 s plus the wait of a read. */
+  private static final Duration MAX_SUSPECT_TAKEOVER = Duration.ofMillis(1_400);
+
   private static final Duration END = Duration.ofSeconds(30);
 
   private final SharedLog log = new SharedLog();
@@ -49,6 +53,7 @@
   private final Map<Long, Candidate> issuersByTerm = new HashMap<>();
   private Optional<String> violation = Optional.empty();
   private int incarnations;
+  private boolean suspicions;
 
   /** Safety rules that a test may disable, to show that the check fails without them. */
   record Rules(
@@ -88,6 +93,7 @@
       ShardTailer tail = ShardTailer.create(store, SHARD, lease, this, this::schedule, READ_WAIT);
       lease.setTail(tail);
       lease.setAcquireCondition(() -> prepared);
+      lease.setSuspicion(entry -> suspicions && !entry.holder().equals(id));
       tail.start();
       schedule(LeaseManager.TICK, this::tick);
     }
@@ -191,6 +197,35 @@
     return new LeaseSimulation(random, rules).runToEnd();
   }
 
+  /** Runs one schedule in which all processes wrongly suspect each other of having ended. */
+  static Optional<String> runWithSuspicions(SplittableRandom random) {
+    LeaseSimulation simulation = new LeaseSimulation(random, Rules.ALL);
+    simulation.suspicions = true;
+    return simulation.runToEnd();
+  }
+
+  /** A suspected process that renews its lease must keep it; one that was killed loses it early. */
+  static Optional<String> runSuspicion(SplittableRandom random) {
+    LeaseSimulation simulation = new LeaseSimulation(random, Rules.ALL);
+    simulation.suspicions = true;
+    simulation.startAll();
+    simulation.queue.run(Duration.ofSeconds(4));
+    int holder = simulation.holder();
+    simulation.queue.run(Duration.ofSeconds(8));
+    if (simulation.holder() != holder) {
+      return Optional.of(holder + " lost it to " + simulation.holder());
+    }
+    simulation.candidates.get(holder).kill();
+    Duration killedAt = simulation.clock.elapsed();
+    simulation.queue.run(killedAt.plus(MAX_SUSPECT_TAKEOVER));
+    int next = simulation.holder();
+    if (next < 0 || next == holder) {
+      return Optional.of("not acquired early, held by " + next);
+    }
+    boolean ordersEarly = simulation.candidates.get(next).issuesOrders();
+    return ordersEarly ? Optional.of("orders without the gap") : Optional.empty();
+  }
+
   /** A process with an acquisition delay must acquire the lease only if no other is alive. */
   static Optional<String> runFirstAcquisition(SplittableRandom random) {
     LeaseSimulation simulation = new LeaseSimulation(random, Rules.ALL);
@@ -346,11 +381,15 @@
     }
   }
 
-  /** Returns whether a process is known to have ended, which takes 300 ms. */
+  /**
+   * Returns whether a process is known to have ended, which takes 300 ms; never if processes can
+   * only suspect it.
+   */
   private boolean isEnded(LeaseEntry entry) {
-    return candidates.stream()
-        .filter(c -> c.incarnation.equals(entry.incarnation()))
-        .noneMatch(c -> c.alive || clock.elapsed().minus(c.diedAt).toMillis() < 300);
+    return !suspicions
+        && candidates.stream()
+            .filter(c -> c.incarnation.equals(entry.incarnation()))
+            .noneMatch(c -> c.alive || clock.elapsed().minus(c.diedAt).toMillis() < 300);
   }
 
   private void checkInvariants() {
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -339,6 +339,7 @@
             LeasePolicy.of(boot.bounds().orderGap()).withAcquisitionDelay(leaseAcquisitionDelay()),
             clock,
             entry -> mesh.hasEnded(entry.holder(), entry.incarnation()));
+    lease.setSuspicion(entry -> mesh.seemsEnded(entry.holder(), entry.incarnation()));
     ShardTailer leaseTail = tail(Topics.LEASE, lease, LEASE_READ_WAIT);
     lease.setTail(leaseTail);
     // A coordinator cancels the runs of jobs that it doesn't know, so it must have read all jobs.
--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
@@ -91,6 +91,7 @@
     private boolean linkFailed;
     private RelayPeers.Path storePath = RelayPeers.Path.UNKNOWN;
     private boolean reportedUp;
+    private boolean connectionRefused;
     private Duration lastReceivedAt = Duration.ZERO;
     private Duration lastPingAt = Duration.ZERO;
     private Duration lastAttemptAt = Duration.ZERO;
@@ -222,6 +223,15 @@
         && !peer.node.getIncarnation().equals(incarnation.value());
   }
 
+  /**
+   * Returns whether the given incarnation of a process has probably ended: its instance refused the
+   * last connection.
+   */
+  public boolean seemsEnded(InstanceId id, Incarnation incarnation) {
+    Peer peer = peers.get(id);
+    return hasEnded(id, incarnation) || (peer != null && peer.connectionRefused);
+  }
+
   /** Called when a link that this process opened has been established. */
   void onUp(Link link) {
     Peer peer = peers.get(new InstanceId(link.peer().getInstance()));
@@ -229,6 +239,7 @@
       link.close();
       return;
     }
+    peer.connectionRefused = false;
     peer.linkFailed = false;
     peer.link = link;
     peer.reportedUp = true;
@@ -265,6 +276,7 @@
     boolean restarted =
         peer.node != null && !peer.node.getIncarnation().equals(node.getIncarnation());
     peer.node = node;
+    peer.connectionRefused &= !restarted;
     peer.linkFailed &= !restarted;
     if (restarted && peer.link != null) {
       peer.closeLink();
@@ -354,7 +366,8 @@
       return;
     }
     peer.linkFailed = true;
-    if (isRefusal(failure) && peer.reportedUp) {
+    peer.connectionRefused = isRefusal(failure);
+    if (peer.connectionRefused && peer.reportedUp) {
       reportLost(peer, "connection refused");
     }
   }
--- a/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
@@ -250,6 +250,7 @@
     Incarnation refused = new Incarnation("peer-1");
     InstanceId peer = new InstanceId("peer");
     assertThat(loop.call(() -> mesh.hasEnded(peer, refused)).join()).isFalse();
+    assertThat(loop.call(() -> mesh.seemsEnded(peer, refused)).join()).isTrue();
     NodeRecord restarted =
         NodeRecord.parseFrom(peerRecord.value()).toBuilder().setIncarnation("peer-2").build();
     putRecord(new StoredRecord(1, "peer", restarted.toByteArray()));
