Remove what the taken-out capacity of engines left, and a second constant

CapacityEstimator kept an average of recent latencies that only engines had used; it was updated with each sample and read by nobody. ForwardedCall.account was the placeholder of the usage counts before accounts were merged. The largest head that a gateway receives stood in GatewayService and in ManifestCheck; it is Limits.MAX_HEADER_BYTES now. No behaviour changes, and no test is touched.

--- a/core/src/main/java/org/carobhoist/core/capacity/CapacityEstimator.java
+++ b/core/src/main/java/org/carobhoist/core/capacity/CapacityEstimator.java
@@ -38,7 +38,6 @@
 
   private final CapacityPolicy policy;
   private final MovingAverage latency;
-  private final MovingAverage recent;
   private final MovingAverage highLoadRatio;
   private final MovingAverage failureShare;
   private double limit;
@@ -51,7 +50,6 @@
   public CapacityEstimator(CapacityPolicy policy) {
     this.policy = policy;
     this.latency = new MovingAverage(policy.timeConstant());
-    this.recent = new MovingAverage(policy.timeConstant());
     this.highLoadRatio =
         new MovingAverage(policy.timeConstant().multipliedBy(HIGH_LOAD_TIME_FACTOR));
     this.failureShare = new MovingAverage(policy.timeConstant());
@@ -71,7 +69,6 @@
     }
     double mean = sums.meanNanos();
     limit = Math.max(1, Math.min(limit, slots));
-    recent.add(mean, sums.samples(), now);
     boolean lowLoad = sums.inFlight() <= Math.max(1, policy.lowLoadShare() * limit);
     if (lowLoad || latency.isEmpty()) {
       latency.add(mean, sums.samples(), now);
@@ -120,7 +117,6 @@
 
   private void forget() {
     latency.clear();
-    recent.clear();
     highLoadRatio.clear();
     samples = 0;
   }
@@ -145,11 +141,6 @@
     return freshness(now) == 0 ? 0 : latency.value();
   }
 
-  /** Returns the average latency at the load of late in nanoseconds; 0 if it is unknown. */
-  public double recentNanos(Duration now) {
-    return freshness(now) == 0 ? 0 : recent.value();
-  }
-
   /** Returns the share of requests that failed of late. */
   public double failureShare(Duration now) {
     boolean known = !failedAt.isZero();
--- a/core/src/main/java/org/carobhoist/core/manifest/Limits.java
+++ b/core/src/main/java/org/carobhoist/core/manifest/Limits.java
@@ -11,4 +11,8 @@
  * @param idleTimeout maximum time that a connection may stay idle
  */
 public record Limits(
-    int headerBytes, long bodyBytes, Duration headerTimeout, Duration idleTimeout) {}
+    int headerBytes, long bodyBytes, Duration headerTimeout, Duration idleTimeout) {
+
+  /** Largest head of a request in bytes that a gateway can receive, whatever a manifest allows. */
+  public static final int MAX_HEADER_BYTES = 65_536;
+}
--- a/core/src/main/java/org/carobhoist/core/manifest/ManifestCheck.java
+++ b/core/src/main/java/org/carobhoist/core/manifest/ManifestCheck.java
@@ -17,9 +17,6 @@
  */
 public final class ManifestCheck {
 
-  /** Largest head of a request that a gateway can receive, whatever the manifest allows. */
-  public static final int MAX_HEADER_BYTES = 65_536;
-
   private static final String SYSTEM_PREFIX = "/-/";
 
   private final Manifest manifest;
@@ -117,8 +114,8 @@
     if (l.headerBytes() < 1 || l.bodyBytes() < 1) {
       fail("limits", "the sizes of head and body must be at least 1");
     }
-    if (l.headerBytes() > MAX_HEADER_BYTES) {
-      warn("limits", "gateways receive heads of at most " + MAX_HEADER_BYTES + " bytes");
+    if (l.headerBytes() > Limits.MAX_HEADER_BYTES) {
+      warn("limits", "gateways receive heads of at most " + Limits.MAX_HEADER_BYTES + " bytes");
     }
     if (isNotPositive(l.headerTimeout()) || isNotPositive(l.idleTimeout())) {
       fail("limits", "the time limits must be above 0");
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -30,6 +30,7 @@
 import org.carobhoist.core.job.ResultEntries;
 import org.carobhoist.core.lease.LeaseManager;
 import org.carobhoist.core.lease.LeasePolicy;
+import org.carobhoist.core.manifest.Limits;
 import org.carobhoist.core.manifest.ManifestHolder;
 import org.carobhoist.core.membership.EndpointDirectory;
 import org.carobhoist.core.membership.RegisteredServers;
@@ -164,12 +165,6 @@
   /** Idle timeout of client connections, longer than any manifest requires. */
   private static final Duration CLIENT_IDLE_TIME = Duration.ofMinutes(10);
 
-  /**
-   * Maximum size of a request's headers, above what any manifest allows; {@link IngressRoutes}
-   * enforces the limit of the manifest.
-   */
-  private static final int MAX_HEADER_BYTES = 65_536;
-
   /** Fraction of the drain time for which a server is used after its registry entry disappears. */
   private static final double SERVER_REMOVAL_DELAY_FRACTION = 0.6;
 
@@ -543,8 +538,8 @@
         .workerGroup(thread, false)
         .requestTimeoutMillis(0)
         .maxRequestLength(0)
-        .http1MaxHeaderSize(MAX_HEADER_BYTES)
-        .http1MaxInitialLineLength(MAX_HEADER_BYTES)
+        .http1MaxHeaderSize(Limits.MAX_HEADER_BYTES)
+        .http1MaxInitialLineLength(Limits.MAX_HEADER_BYTES)
         .idleTimeout(CLIENT_IDLE_TIME)
         .disableServerHeader()
         .disableDateHeader()
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/ForwardedCall.java
@@ -86,11 +86,6 @@
         RequestStateMachine.create(this, route.retry(), context.budget(), route.isIdempotent());
   }
 
-  /** Returns the account to which the request counts. */
-  private Optional<AccountName> account() {
-    return client.account();
-  }
-
   /** Starts a call whose response is written to {@code out}. */
   static void start(
       ServiceRequestContext ctx,
@@ -265,7 +260,8 @@
     private Runnable cancelTimeout = () -> {};
     private final BufferBudget.Buffer buffer = context.buffers().open(this::onTooLarge);
     private final EventStreamPosition position = EventStreamPosition.atStart();
-    private final AttemptUsage usage = new AttemptUsage(context.usage().get(), account(), service);
+    private final AttemptUsage usage =
+        new AttemptUsage(context.usage().get(), client.account(), service);
     private boolean ended;
 
     private Attempt(InstanceId endpoint, int number) {
