--- a/review/lab-2/App.java
+++ b/review/lab-2/App.java
@@ -5,8 +5,10 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** A plain server that answers with the body of the request, until it exits. */
 final class App {
@@ -17,10 +19,11 @@
   private final String id;
   private final long born = System.currentTimeMillis();
   private final List<Long> runs = new ArrayList<>();
+  private final Set<String> ids = new HashSet<>();
   private final List<Socket> open = new ArrayList<>();
   private ServerSocket server;
   private long sequence;
-  private volatile boolean beating = true;
+  private boolean left;
 
   App(Store store, String id) {
     this.store = store;
@@ -41,8 +44,7 @@
         });
     Wire.thread(
         () -> {
-          while (beating) {
-            beat();
+          while (beat()) {
             Wire.sleep(1_200);
           }
         });
@@ -56,12 +58,17 @@
         + "\"cold_remaining_ms\":0,\"born\":" + born + ",\"sequence\":" + sequence + "}";
   }
 
-  synchronized void beat() {
-    store.put("keyed.servers", id, nextBeat());
+  /** Removes the entry of this server, which serves on and writes no further heartbeat. */
+  synchronized void leave() {
+    left = true;
+    store.drop("keyed.servers", id);
   }
 
-  void stopBeating() {
-    beating = false;
+  private synchronized boolean beat() {
+    if (!left) {
+      store.put("keyed.servers", id, nextBeat());
+    }
+    return !left;
   }
 
   /** Ends the server with all of its channels. */
@@ -78,6 +85,11 @@
     return List.copyOf(runs);
   }
 
+  /** Returns whether a request has reached this server. */
+  synchronized boolean hasRun(String request) {
+    return ids.contains(request);
+  }
+
   private void serve(Socket socket) throws IOException {
     socket.setTcpNoDelay(true);
     InputStream in = new BufferedInputStream(socket.getInputStream());
@@ -86,6 +98,7 @@
         String request = m.header("carobhoist-request-id");
         synchronized (this) {
           runs.add(Record.millis());
+          ids.add(request);
         }
         Record.line("run " + request + " at " + id);
         Wire.sleep(WORK_MILLIS);
--- a/review/lab-2/LateBeat.java
+++ b/review/lab-2/LateBeat.java
@@ -12,11 +12,14 @@
 final class LateBeat {
 
   private static final long DRAIN_MILLIS = 2_000;
+  private static final long STABLE_WINDOW_MILLIS = 3_000;
 
-  /** Time from the removal of the entry to the late heartbeat, which was sent 1.4 s before it. */
-  private static final long LATE_MILLIS = 2_600;
+  /** Times from the heartbeat that gets no answer. */
+  private static final long REMOVED_MILLIS = 3_300;
 
-  private static final long EXIT_MILLIS = 5_000;
+  private static final long CARRIED_OUT_MILLIS = 5_600;
+  private static final long EXPIRED_MILLIS = CARRIED_OUT_MILLIS + 3 * 1_200;
+  private static final long EXIT_MILLIS = 9_900;
 
   private static final AtomicInteger served = new AtomicInteger();
   private static final AtomicInteger failed = new AtomicInteger();
@@ -43,26 +46,29 @@
           gateways.awaitReady(30_000);
           Wire.sleep(4_000);
           String late = leaving.nextBeat();
-          Record.line("a heartbeat of i-app1 gets no answer, the next one does");
-          Wire.sleep(1_200);
-          leaving.beat();
-          Wire.sleep(200);
-          leaving.stopBeating();
-          store.drop("keyed.servers", "i-app1");
+          long beat = Record.millis();
+          Record.line("a heartbeat of i-app1 gets no answer, the next ones do");
+          Wire.sleep(REMOVED_MILLIS);
+          leaving.leave();
           long gone = Record.millis();
           Record.line("the store has acknowledged that i-app1 is gone; i-app1 serves on");
           Wire.thread(
               () -> {
-                Wire.sleep(LATE_MILLIS);
+                sleepUntil(beat + CARRIED_OUT_MILLIS);
                 if (trouble) {
                   store.put("keyed.servers", "i-app1", late);
                   Record.line("the older heartbeat is carried out: " + late);
                 }
-                Wire.sleep(EXIT_MILLIS - LATE_MILLIS);
+                sleepUntil(beat + EXPIRED_MILLIS);
+                if (trouble) {
+                  store.drop("keyed.servers", "i-app1");
+                  Record.line("the entry of i-app1 expires: three heartbeats are missing");
+                }
+                sleepUntil(beat + EXIT_MILLIS);
                 leaving.exit();
               });
           List<Thread> clients = new ArrayList<>();
-          for (int i = 0; i < 350; i++) {
+          for (int i = 0; i < 450; i++) {
             int number = i;
             clients.add(Wire.thread(() -> request(all.get(number % 2), "r" + number)));
             Wire.sleep(20);
@@ -71,13 +77,23 @@
             client.join();
           }
           gateways.killAll();
-          long tooLate = leaving.runs().stream().filter(at -> at > gone + DRAIN_MILLIS).count();
+          long tooLate = countAfter(leaving, gone + DRAIN_MILLIS);
+          long inTouch = countAfter(leaving, beat + CARRIED_OUT_MILLIS + STABLE_WINDOW_MILLIS);
           Record.line(tooLate + " requests reached i-app1 later than drain_ms after it was gone");
+          Record.line(inTouch + " of these stable_window_ms after the late heartbeat or later");
           Record.line(served + " requests were answered with 200, " + failed + " were not");
-          return tooLate > 0;
+          return inTouch > 0;
         });
   }
 
+  private static void sleepUntil(long millis) {
+    Wire.sleep(Math.max(0, millis - Record.millis()));
+  }
+
+  private static long countAfter(App server, long millis) {
+    return server.runs().stream().filter(at -> at > millis).count();
+  }
+
   private static void request(Gateways.Gateway gateway, String id) {
     String answer;
     try {
