Show gateways that end when a large batch job is submitted

One job of 21 MB, within max_body_bytes of the manifests, ends all three gateways of the case (heap space); the requests of 24 other clients at the server are lost. The stand-in of the store now refuses calls of more than call_bytes.

--- a/review/lab-2/Gateways.java
+++ b/review/lab-2/Gateways.java
@@ -186,6 +186,12 @@
     throw new IllegalStateException("no gateway took the lease");
   }
 
+  /** Writes which gateways have ended by themselves. */
+  void recordEnded() {
+    all.values()
+        .forEach(g -> Record.line(g.node + (isAlive(g) ? " runs" : " has ended by itself")));
+  }
+
   void killAll() {
     all.values().stream()
         .filter(g -> g.process != null)
--- a/review/lab-2/Store.java
+++ b/review/lab-2/Store.java
@@ -20,6 +20,9 @@
   private static final int PAGE_RECORDS = 500;
   private static final int PAGE_BYTES = 1_000_000;
 
+  /** Maximum size of the records of one call, {@code platform.call_bytes}. */
+  private static final int CALL_BYTES = 2_097_152;
+
   /** Time that an append takes. */
   private static final long APPEND_MILLIS = 3;
 
@@ -56,6 +59,10 @@
     long at = m.query("at").isEmpty() ? -1 : Long.parseLong(m.query("at"));
     List<byte[]> records = split(m.body());
     Wire.sleep(APPEND_MILLIS);
+    if (m.body().length > CALL_BYTES) {
+      Wire.answer(socket, 413, "{}");
+      return;
+    }
     long offset = append(name, at, records);
     if (offset < 0) {
       Wire.answer(socket, 412, "{\"end\":" + (-1 - offset) + "}");
