--- a/review/lab-2/KeptChannels.java
+++ b/review/lab-2/KeptChannels.java
@@ -2,6 +2,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -17,6 +18,8 @@
   /** More losses than this break the rule LOST. */
   private static final int ALLOWED_LOSSES = 3;
 
+  private static final int WAIT_MILLIS = 5_000;
+
   private final App app;
   private final List<Thread> clients = new ArrayList<>();
   private final AtomicInteger served = new AtomicInteger();
@@ -49,7 +52,7 @@
   private void send(Gateways.Gateway gateway, String name) throws IOException {
     try (Socket socket = new Socket()) {
       socket.connect(new InetSocketAddress("127.0.0.1", gateway.front), 1_000);
-      socket.setSoTimeout(5_000);
+      socket.setSoTimeout(WAIT_MILLIS);
       socket.setTcpNoDelay(true);
       BufferedInputStream in = new BufferedInputStream(socket.getInputStream());
       boolean open = true;
@@ -65,6 +68,9 @@
           byte[] body = ("body of " + id).getBytes(StandardCharsets.US_ASCII);
           Wire.write(socket.getOutputStream(), "POST /app/seat HTTP/1.1", headers, body);
           answer = "" + Wire.read(in, true).status();
+        } catch (SocketTimeoutException e) {
+          answer = "none in " + WAIT_MILLIS + " ms";
+          open = false;
         } catch (IOException e) {
           answer = "none, " + e.getMessage();
           open = false;
