--- a/it/src/test/java/org/carobhoist/it/LinkFaultTest.java
+++ b/it/src/test/java/org/carobhoist/it/LinkFaultTest.java
@@ -37,6 +37,8 @@
       cluster.startEntry("entry-1", "centro-a");
       cluster.awaitReady();
       cluster.awaitLinks("entry-1", 1);
+      // A link is up before the sidecar's announcement has been read.
+      TestCluster.await("plain-1 is announced", () -> book(cluster, "").status().isSuccess());
       assertThat(book(cluster, "bench 1").contentUtf8()).isEqualTo("done bench 1");
 
       proxy.setFrozen(true);
