Check responses against RFC 9110 and RFC 9112 before the codec reads them

Callers saw: a response with status 000 as an answer, and responses with a blank or tab in the name of a field, with that line passed on or with the first 9 of 23 bytes of the body ("content-length a: 9").

Cause: the HTTP codec accepts more than the RFCs allow. It skips bytes before a status line, reads the status as any integer, takes a blank as the end of a name and drops the rest up to the colon, drops a content length beside a transfer coding, text after the size of a chunk, and lines of informational heads and trailers. All checks were behind the codec, so that they saw the repaired response.

Bytes below 0x20 other than tabs in names or values, and lines without a colon, were refused already.

Change: ResponseValidator (core) reads the lines of all responses on a connection as they were sent and finds the end of their content itself; a handler in front of the codec closes the connection at the first malformed line, before the codec sees the end of that line. The request fails with what was wrong (event 7010); as it was sent, it may have run, so it is answered 502 or sent elsewhere where it may run twice. It is installed for the connections of gateways to servers, engines and the store.

--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -7,7 +7,6 @@
 import com.linecorp.armeria.common.HttpResponse;
 import com.linecorp.armeria.common.util.EventLoopGroups;
 import com.linecorp.armeria.server.Server;
-import io.netty.channel.ChannelPipeline;
 import io.netty.channel.EventLoopGroup;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -80,8 +79,8 @@
 import org.carobhoist.server.gateway.store.ServerChangeListener;
 import org.carobhoist.server.gateway.store.Topics;
 import org.carobhoist.server.gateway.upstream.OutOfStepListener;
-import org.carobhoist.server.gateway.upstream.ResponseMatchingHandler;
 import org.carobhoist.server.gateway.upstream.UpstreamClients;
+import org.carobhoist.server.gateway.upstream.UpstreamPipeline;
 import org.carobhoist.server.gateway.usage.UsageRecorder;
 import org.carobhoist.server.gateway.usage.UsageService;
 import org.carobhoist.server.link.LinkNetwork;
@@ -93,7 +92,6 @@
 import org.carobhoist.server.metrics.Metric;
 import org.carobhoist.server.metrics.ProcessMetrics;
 import org.carobhoist.server.metrics.RequestMetrics;
-import org.carobhoist.server.runtime.ConnectionResetHandler;
 import org.carobhoist.server.runtime.DecisionLoop;
 import org.carobhoist.server.runtime.RequestTracker;
 import org.carobhoist.server.runtime.Service;
@@ -491,15 +489,12 @@
         .connectTimeout(CONNECT_TIMEOUT)
         .idleTimeout(SERVER_IDLE_TIME)
         .useHttp1Pipelining(false)
-        .option(ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER, p -> customize(p, listener))
+        .option(
+            ClientFactoryOptions.CHANNEL_PIPELINE_CUSTOMIZER,
+            pipeline -> UpstreamPipeline.customize(pipeline, carriedIds, listener))
         .preferHttp1(true);
   }
 
-  private void customize(ChannelPipeline pipeline, OutOfStepListener listener) {
-    ResponseMatchingHandler.addTo(pipeline, carriedIds, listener);
-    ConnectionResetHandler.addTo(pipeline);
-  }
-
   private void onOutOfStep(String address) {
     if (connectionReuse.onOutOfStep(address)) {
       EventLog.info(
--- a/server/src/main/java/org/carobhoist/server/gateway/upstream/ResponseMatchingHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/upstream/ResponseMatchingHandler.java
@@ -21,6 +21,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Optional;
+import org.carobhoist.core.http.MalformedResponseException;
 import org.carobhoist.core.request.CarriedRequestIds;
 import org.carobhoist.platform.CallHeaders;
 import org.carobhoist.server.log.EventLog;
@@ -247,6 +248,25 @@
     return EmbeddedResponseDetector.create(connection::hasCarried);
   }
 
+  /** Logs that the validator in front of the codec has refused what the server sent. */
+  @Override
+  public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    ctx.fireExceptionCaught(cause);
+    if (cause instanceof MalformedResponseException && !outOfStep) {
+      EventLog.warn(
+          LogEvent.RESPONSE_MALFORMED,
+          "request",
+          connection.awaitedId(),
+          "why",
+          cause.getMessage(),
+          "address",
+          connection.address(),
+          "connection",
+          connection);
+      closeOutOfStep(ctx);
+    }
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     passHeldEnd(ctx);
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -91,6 +91,8 @@
   CONNECTIONS_NOT_REUSED(7008, "connections not reused"),
   /** A connection of a client is closed because of a limit. */
   CONNECTION_REFUSED(7009, "client connection closed"),
+  /** A server sent a response that isn't valid HTTP/1.1; the connection is closed. */
+  RESPONSE_MALFORMED(7010, "malformed response"),
   /** A job was accepted and is in the store. */
   JOB_ACCEPTED(7101, "job accepted"),
   /** A job was refused, or it is unknown whether the store has it. */
--- a/server/src/test/java/org/carobhoist/server/gateway/store/RepliesWithoutIdTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/store/RepliesWithoutIdTest.java
@@ -30,14 +30,15 @@
 import org.carobhoist.platform.StoreCall;
 import org.carobhoist.platform.StoreReply;
 import org.carobhoist.server.gateway.coordination.EngineClient;
-import org.carobhoist.server.gateway.upstream.ResponseMatchingHandler;
 import org.carobhoist.server.gateway.upstream.UpstreamClients;
-import org.carobhoist.server.runtime.ConnectionResetHandler;
+import org.carobhoist.server.gateway.upstream.UpstreamPipeline;
 import org.carobhoist.server.runtime.DecisionLoop;
 import org.carobhoist.server.runtime.SuspendAwareClock;
 import org.carobhoist.standin.RepeatingServerStandIn;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Guards against replies of the store and reports of engines, which bear no request id, that are
@@ -75,8 +76,7 @@
   }
 
   private void customize(ChannelPipeline pipeline) {
-    ResponseMatchingHandler.addTo(pipeline, carriedIds, address -> {});
-    ConnectionResetHandler.addTo(pipeline);
+    UpstreamPipeline.customize(pipeline, carriedIds, address -> {});
   }
 
   @AfterEach
@@ -119,6 +119,17 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"000 Status", "0200 OK", "200 OK\r\nx-note a: b"})
+  void malformedResponseIsNeitherReplyOfTheStoreNorReport(String head) throws IOException {
+    RepeatingServerStandIn server =
+        RepeatingServerStandIn.start(
+            request -> RepeatingServerStandIn.response(head, REPORT.formatted(1)), length -> 0);
+    assertThat(call(store(server))).isEmpty();
+    assertThat(report(server)).isEmpty();
+    server.stop();
+  }
+
   @Test
   void bytesOfTheStoreWithoutCallCloseTheConnection() throws IOException, InterruptedException {
     AtomicInteger calls = new AtomicInteger();
--- a/standin/src/main/java/org/carobhoist/standin/MisbehavingServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/MisbehavingServerStandIn.java
@@ -46,6 +46,8 @@
      * one byte later than the one before. Requests whose body begins with "fail" fail with 500.
      */
     CUT_LATE_SECOND_ANSWER,
+    /** Sends the response set last; see {@link MalformedResponse}. */
+    MALFORMED,
     /** Breaks off the body, then sends the whole response on the same connection. */
     SECOND_ANSWER_IN_BODY,
     /** Closes the connection in the middle of the header section. */
@@ -93,6 +95,7 @@
   private final AtomicInteger openConnections = new AtomicInteger();
   private final AtomicInteger cuts = new AtomicInteger();
   private final AtomicLong fillerBytes = new AtomicLong();
+  private volatile MalformedResponse malformedResponse = MalformedResponse.STATUS_000;
   private final Map<Socket, byte[]> pendingResponses = new ConcurrentHashMap<>();
   private final Map<Socket, Map<String, byte[]>> pendingResponsesById = new ConcurrentHashMap<>();
 
@@ -120,6 +123,11 @@
     }
   }
 
+  /** Sets the response of a server whose misbehavior is {@link Misbehavior#MALFORMED}. */
+  public void setMalformedResponse(MalformedResponse response) {
+    malformedResponse = response;
+  }
+
   /** Returns the address as {@code host:port}. */
   public String address() {
     return "127.0.0.1:" + socket.getLocalPort();
@@ -217,6 +225,10 @@
         out.write(responseWithLength(status, id, body));
         yield true;
       }
+      case MALFORMED -> {
+        out.write(malformedResponse.bytes(id, "stamp-of-" + instance));
+        yield true;
+      }
       case SECOND_ANSWER_IN_BODY -> {
         byte[] response = responseWithLength(id, body);
         out.write(response, 0, response.length - body.length / 2);
