Check responses of endpoints, scorers and the platform's log, too

Callers saw: a sidecar passed on malformed responses of its endpoint as answers, also to health checks; an entry took the offset of an append from a response with status 0200 or with a blank in a name, and a score likewise.

Connections that serve one request have a factory of their own, whose only check was for resets.

Change: SingleUseConnections installs the handler that gateways use.

--- a/server/src/main/java/org/carobhoist/server/runtime/SingleUseConnections.java
+++ b/server/src/main/java/org/carobhoist/server/runtime/SingleUseConnections.java
@@ -12,17 +12,17 @@
  */
 public final class SingleUseConnections {
 
-  private static final ClientFactory FACTORY = create(ConnectionResetHandler::addTo);
+  private static final ClientFactory FACTORY = create(SingleUseConnections::customize);
 
   private SingleUseConnections() {}
 
-  /** Returns the shared factory, whose responses fail if their connection is reset. */
+  /** Returns the shared factory, whose responses fail if they are malformed or reset. */
   public static ClientFactory factory() {
     return FACTORY;
   }
 
   /**
-   * Creates a factory that limits what it reads, and whose responses fail if their connection is
+   * Creates a factory that limits what it reads, and whose responses fail if they are malformed or
    * reset.
    *
    * @param maxBytes number of bytes received after which a connection is closed
@@ -30,11 +30,16 @@
   public static ClientFactory boundedFactory(long maxBytes) {
     return create(
         pipeline -> {
-          ConnectionResetHandler.addTo(pipeline);
+          customize(pipeline);
           InboundByteLimit.addTo(pipeline, maxBytes);
         });
   }
 
+  private static void customize(ChannelPipeline pipeline) {
+    ResponseValidationHandler.addTo(pipeline);
+    ConnectionResetHandler.addTo(pipeline);
+  }
+
   private static ClientFactory create(Consumer<ChannelPipeline> customizer) {
     return ClientFactory.builder()
         .maxNumRequestsPerConnection(1)
--- a/server/src/test/java/org/carobhoist/server/logservice/HttpPlatformTest.java
+++ b/server/src/test/java/org/carobhoist/server/logservice/HttpPlatformTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Checks that responses of the platform are bounded, and that each one is to its own request. */
 final class HttpPlatformTest {
@@ -71,6 +72,19 @@
     server.stop();
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"0200 OK", "200 OK\r\nx-note a: b", "200 OK\r\nx-\u0001note: a"})
+  void malformedResponseIsNotTheOffsetOfAnAppend(String statusAndHeaders) throws IOException {
+    RepeatingServerStandIn server =
+        RepeatingServerStandIn.start(
+            request -> RepeatingServerStandIn.response(statusAndHeaders, "{\"offset\":1}"),
+            length -> 0);
+    CompletableFuture<Long> offset = HttpPlatform.at(server.uri()).append(RECORD);
+    assertThat(offset.handle((ok, failure) -> failure).orTimeout(20, TimeUnit.SECONDS).join())
+        .isNotNull();
+    server.stop();
+  }
+
   @Test
   void responseThatBreaksOffDoesNotHideTheNextInstanceList() throws IOException {
     for (int cut = 1; cut < NOT_MODIFIED.length; cut++) {
--- a/server/src/test/java/org/carobhoist/server/logservice/HttpScorerTest.java
+++ b/server/src/test/java/org/carobhoist/server/logservice/HttpScorerTest.java
@@ -12,8 +12,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicReference;
 import org.carobhoist.core.common.ProfileName;
 import org.carobhoist.core.common.StepId;
 import org.carobhoist.core.common.TrainerId;
@@ -21,7 +23,10 @@
 import org.carobhoist.core.rollout.FinishedSample;
 import org.carobhoist.core.rollout.SampleKey;
 import org.carobhoist.core.rollout.StepKey;
+import org.carobhoist.standin.RepeatingServerStandIn;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against scores that belong to another sample. */
 final class HttpScorerTest {
@@ -48,6 +53,28 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(strings = {"h1c", "http"})
+  void malformedResponseIsNoScore(String scheme) throws IOException {
+    AtomicReference<String> status = new AtomicReference<>("200 OK");
+    RepeatingServerStandIn server =
+        RepeatingServerStandIn.start(
+            request -> RepeatingServerStandIn.response(status.get(), "{\"score\":1}"), length -> 0);
+    HttpScorer scorer = HttpScorer.at(URI.create(scheme + "://" + server.uri().getAuthority()));
+    assertThat(score(scorer)).hasValue(1.0);
+    status.set("0200 OK");
+    assertThat(score(scorer)).isEmpty();
+    server.stop();
+  }
+
+  private static Optional<Double> score(HttpScorer scorer) {
+    return scorer
+        .score("prompt", sample(1))
+        .handle((score, failure) -> Optional.ofNullable(score))
+        .orTimeout(20, TimeUnit.SECONDS)
+        .join();
+  }
+
   private static void accept(ServerSocket server, AtomicInteger lastScore) {
     while (!server.isClosed()) {
       try {
--- a/server/src/test/java/org/carobhoist/server/sidecar/EndpointClientTest.java
+++ b/server/src/test/java/org/carobhoist/server/sidecar/EndpointClientTest.java
@@ -24,6 +24,7 @@
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.Verdict;
 import org.carobhoist.standin.EndlessServerStandIn;
+import org.carobhoist.standin.MalformedResponse;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -36,6 +37,7 @@
  */
 final class EndpointClientTest {
 
+  private static final byte[] CONTENT = "bench 7".getBytes(StandardCharsets.UTF_8);
   private static final String OK = "HTTP/1.1 200 OK\r\n";
 
   private static final long MAX_ENDLESS_BYTES = 64L << 20;
@@ -88,6 +90,17 @@
     assertMayHaveRun(exchange());
   }
 
+  @ParameterizedTest
+  @EnumSource
+  void malformedResponseIsReportedAsMayHaveRun(MalformedResponse malformed) {
+    serve(new String(malformed.bytes("r1", "stamp"), StandardCharsets.UTF_8));
+    assertMayHaveRun(exchange());
+    CompletableFuture<AggregatedHttpResponse> reply =
+        client.call(RequestHeaders.of(HttpMethod.POST, "/load"), CONTENT, Duration.ZERO);
+    assertThat(reply.handle((ok, failure) -> failure).orTimeout(20, TimeUnit.SECONDS).join())
+        .isNotNull();
+  }
+
   @Test
   void completeResponseIsDelivered() {
     serve(OK + "Content-Length: 4\r\n\r\nfull");
@@ -160,7 +173,7 @@
   private Outcome exchange() {
     Outcome outcome = new Outcome();
     RequestHeaders headers = RequestHeaders.of(HttpMethod.POST, "/bookings");
-    client.exchange(headers, "bench 7".getBytes(StandardCharsets.UTF_8), outcome);
+    client.exchange(headers, CONTENT, outcome);
     outcome.done.orTimeout(20, TimeUnit.SECONDS).join();
     return outcome;
   }
@@ -194,7 +207,7 @@
     for (String line = in.readLine(); line != null; line = in.readLine()) {
       if (line.isEmpty()) {
         requestsRead.incrementAndGet();
-        in.skip("bench 7".length());
+        in.skip(CONTENT.length);
         return;
       }
     }
