Refuse an overlong transfer coding instead of cutting it

Callers could have seen: content of "transfer-encoding: chunked", 60 blanks and ", gzip" as an answer, still compressed.

Cause: the validator kept the first 65 characters of a value and compared those. Change: a content length or transfer coding of more than 64 characters is malformed.

--- a/core/src/main/java/org/carobhoist/core/http/ByteClasses.java
+++ b/core/src/main/java/org/carobhoist/core/http/ByteClasses.java
@@ -2,7 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 
-/** Classes of bytes in the grammar of RFC 9110, section 5.6, and the names of bytes in messages. */
+/** Classes of bytes in the grammar of RFC 9110, section 5.6. */
 final class ByteClasses {
 
   private static final int DELETE = 0x7f;
@@ -38,8 +38,14 @@
     return b >= '0' && b <= '9';
   }
 
-  /** Returns a byte as two hexadecimal digits. */
-  static String name(byte b) {
-    return String.format("byte 0x%02x", b);
+  /**
+   * Checks a condition on a byte.
+   *
+   * @param defect what is malformed if the condition is false
+   */
+  static void check(boolean valid, String defect, byte b) throws MalformedResponseException {
+    if (!valid) {
+      throw new MalformedResponseException(String.format("%s: byte 0x%02x", defect, b));
+    }
   }
 }
--- a/core/src/main/java/org/carobhoist/core/http/ChunkSizeValidator.java
+++ b/core/src/main/java/org/carobhoist/core/http/ChunkSizeValidator.java
@@ -13,29 +13,22 @@
   /** Checks the next byte of the line. */
   void onByte(byte b) throws MalformedResponseException {
     if (inExtension) {
-      check(ByteClasses.isText(b), "a control byte in the extension of a chunk", b);
+      ByteClasses.check(ByteClasses.isText(b), "a control byte in the extension of a chunk", b);
       return;
     }
     int digit = Character.digit(b, HEX);
     if (digit >= 0 && !blankSeen) {
       digitSeen = true;
       size = HEX * size + digit;
-      check(size <= Integer.MAX_VALUE, "a chunk above 2 GiB", b);
+      ByteClasses.check(size <= Integer.MAX_VALUE, "a chunk above 2 GiB", b);
     } else if (b == ';') {
       inExtension = true;
     } else {
-      check(ByteClasses.isBlank(b), "the size of a chunk is not hexadecimal", b);
+      ByteClasses.check(ByteClasses.isBlank(b), "the size of a chunk is not hexadecimal", b);
       blankSeen = true;
     }
   }
 
-  private static void check(boolean valid, String defect, byte b)
-      throws MalformedResponseException {
-    if (!valid) {
-      throw new MalformedResponseException(defect + ": " + ByteClasses.name(b));
-    }
-  }
-
   /** Checks the whole line at its end, and returns the size in bytes, up to 2 GiB. */
   int onEnd() throws MalformedResponseException {
     if (!digitSeen || blankSeen && !inExtension) {
--- a/core/src/main/java/org/carobhoist/core/http/FieldSectionValidator.java
+++ b/core/src/main/java/org/carobhoist/core/http/FieldSectionValidator.java
@@ -46,10 +46,10 @@
       valueKept = isNamed(CONTENT_LENGTH) || isNamed(TRANSFER_ENCODING);
       return;
     }
-    if (!ByteClasses.isToken(b)) {
-      String where = nameLength == 0 ? "at the beginning of a field line" : "in a field name";
-      throw new MalformedResponseException(ByteClasses.name(b) + " " + where);
-    }
+    ByteClasses.check(
+        ByteClasses.isToken(b),
+        nameLength == 0 ? "no name at the beginning of a field line" : "a malformed field name",
+        b);
     if (nameLength < MAX_KEPT_NAME) {
       name[nameLength] = b;
     }
@@ -62,10 +62,11 @@
   }
 
   private void onValueByte(byte b) throws MalformedResponseException {
-    if (!ByteClasses.isText(b)) {
-      throw new MalformedResponseException(ByteClasses.name(b) + " in the value of a field");
-    }
-    if (valueKept && value.length() <= MAX_KEPT_VALUE) {
+    ByteClasses.check(ByteClasses.isText(b), "a control byte in the value of a field", b);
+    if (valueKept) {
+      if (value.length() == MAX_KEPT_VALUE) {
+        throw new MalformedResponseException("a content length or transfer coding is too long");
+      }
       value.append((char) (b & 0xff));
     }
   }
--- a/core/src/main/java/org/carobhoist/core/http/StatusLineValidator.java
+++ b/core/src/main/java/org/carobhoist/core/http/StatusLineValidator.java
@@ -25,26 +25,20 @@
     int index = length;
     length = Math.min(length + 1, REASON + 1);
     if (index < MINOR_VERSION) {
-      check(b == PROTOCOL.charAt(index), "the status line doesn't begin with HTTP/1.", b);
+      ByteClasses.check(
+          b == PROTOCOL.charAt(index), "the status line doesn't begin with HTTP/1.", b);
     } else if (index == MINOR_VERSION) {
-      check(ByteClasses.isDigit(b), "the version in the status line is not a digit", b);
+      ByteClasses.check(ByteClasses.isDigit(b), "the version in the status line is not a digit", b);
       minorVersion = b - '0';
     } else if (index == STATUS - 1) {
-      check(b == ' ', "no single space before the status code", b);
+      ByteClasses.check(b == ' ', "no single space before the status code", b);
     } else if (index < REASON) {
-      check(ByteClasses.isDigit(b), "the status code is not of three digits", b);
+      ByteClasses.check(ByteClasses.isDigit(b), "the status code is not of three digits", b);
       status = 10 * status + b - '0';
     } else if (index == REASON) {
-      check(b == ' ', "no space after the three digits of the status code", b);
+      ByteClasses.check(b == ' ', "no space after the three digits of the status code", b);
     } else {
-      check(ByteClasses.isText(b), "a control byte in the reason phrase", b);
-    }
-  }
-
-  private static void check(boolean valid, String defect, byte b)
-      throws MalformedResponseException {
-    if (!valid) {
-      throw new MalformedResponseException(defect + ": " + ByteClasses.name(b));
+      ByteClasses.check(ByteClasses.isText(b), "a control byte in the reason phrase", b);
     }
   }
 
--- a/core/src/test/java/org/carobhoist/core/http/ResponseValidatorTest.java
+++ b/core/src/test/java/org/carobhoist/core/http/ResponseValidatorTest.java
@@ -12,6 +12,8 @@
 final class ResponseValidatorTest {
 
   private static final String OK = "HTTP/1.1 200 OK\r\n";
+  private static final String BLANKS =
+      "                                                                          ";
   private static final String CHUNKED = OK + "Transfer-Encoding: chunked\r\n\r\n";
 
   /** Returns how many responses have ended; checks pieces of the given size. */
@@ -152,6 +154,7 @@
         OK + "Content-Length:\r\n\r\n",
         OK + "Content-Length: 9999999999999999999\r\n\r\n",
         OK + "Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n",
+        OK + "Transfer-Encoding: chunked" + BLANKS + ", gzip\r\n\r\n",
         OK + "Transfer-Encoding: gzip, chunked\r\n\r\n",
         OK + "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n",
         "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
