Name the reason for a malformed response also where no id is matched

Seen: the caller of a sidecar whose endpoint sent a malformed response got "the endpoint broke off: ...ClosedSessionException", and no log said why. Cause: event 7010 was written by the handler that matches ids, which only gateways have.

Change: the handler that refuses the response writes 7010, with the id of the request if it has one. The handler that matches ids only counts the server as out of step.

--- a/it/src/test/java/org/carobhoist/it/WholePathTest.java
+++ b/it/src/test/java/org/carobhoist/it/WholePathTest.java
@@ -84,7 +84,8 @@
         "CUT_BEFORE_BLANK_LINE",
         "NO_LENGTH_AND_RESET",
         "CUT_EVENT",
-        "CUT_CHUNK"
+        "CUT_CHUNK",
+        "MALFORMED"
       })
   void responseThatEndpointCutsIsNotCompleted(Misbehavior misbehavior) throws Exception {
     MisbehavingServerStandIn endpoint = MisbehavingServerStandIn.start("plain-1", misbehavior);
--- a/server/src/main/java/org/carobhoist/server/gateway/upstream/ResponseMatchingHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/upstream/ResponseMatchingHandler.java
@@ -248,21 +248,12 @@
     return EmbeddedResponseDetector.create(connection::hasCarried);
   }
 
-  /** Logs that the validator in front of the codec has refused what the server sent. */
+  /** Counts a server that sent a malformed response as out of step. */
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+    // Passed on first, so that the request fails with the cause and not with the close.
     ctx.fireExceptionCaught(cause);
     if (cause instanceof MalformedResponseException && !outOfStep) {
-      EventLog.warn(
-          LogEvent.RESPONSE_MALFORMED,
-          "request",
-          connection.awaitedId(),
-          "why",
-          cause.getMessage(),
-          "address",
-          connection.address(),
-          "connection",
-          connection);
       closeOutOfStep(ctx);
     }
   }
--- a/server/src/main/java/org/carobhoist/server/runtime/ResponseValidationHandler.java
+++ b/server/src/main/java/org/carobhoist/server/runtime/ResponseValidationHandler.java
@@ -13,6 +13,9 @@
 import java.nio.ByteBuffer;
 import org.carobhoist.core.http.MalformedResponseException;
 import org.carobhoist.core.http.ResponseValidator;
+import org.carobhoist.platform.CallHeaders;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
 
 /**
  * Closes a connection whose server sends a malformed response, before the HTTP codec reads the
@@ -25,6 +28,7 @@
 public final class ResponseValidationHandler extends ChannelInboundHandlerAdapter {
 
   private final ResponseValidator validator = ResponseValidator.create();
+  private String awaitedId = "";
   private boolean refused;
 
   private ResponseValidationHandler() {}
@@ -52,11 +56,20 @@
       while (unchecked.hasRemaining()) {
         if (validator.check(unchecked)) {
           completeResponses = unchecked.position();
+          awaitedId = "";
         }
       }
     } catch (MalformedResponseException e) {
       refused = true;
       passOnStart(ctx, bytes, completeResponses);
+      EventLog.warn(
+          LogEvent.RESPONSE_MALFORMED,
+          "request",
+          awaitedId,
+          "why",
+          e.getMessage(),
+          "address",
+          ctx.channel().remoteAddress());
       ctx.fireExceptionCaught(e);
       ctx.close();
       return;
@@ -72,12 +85,13 @@
     bytes.release();
   }
 
-  /** Observes the methods of requests behind the codec. */
+  /** Observes the requests behind the codec. */
   private final class RequestObserver extends ChannelOutboundHandlerAdapter {
 
     @Override
     public void write(ChannelHandlerContext ctx, Object message, ChannelPromise promise) {
       if (message instanceof HttpRequest request) {
+        awaitedId = CallHeaders.requestId(request.headers());
         validator.onRequest(request.method().equals(HttpMethod.HEAD));
       }
       ctx.write(message, promise);
--- a/server/src/test/java/org/carobhoist/server/runtime/ResponseValidationHandlerTest.java
+++ b/server/src/test/java/org/carobhoist/server/runtime/ResponseValidationHandlerTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against malformed responses that the HTTP codec repairs and passes on. */
 final class ResponseValidationHandlerTest {
@@ -73,6 +74,32 @@
     }
   }
 
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        FIRST,
+        "HTTP/1.1 200\ncontent-length:\t01 \n\na",
+        "HTTP/1.0 599 \t\351\r\n!#$%&'*+-.^_`|~1A: \377 \"\r\nx:\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 204 No Content\r\ncontent-length: 0\r\n\r\n",
+        "HTTP/1.1 205 Reset Content\r\ncontent-length: 1\r\n\r\na",
+        "HTTP/1.1 205 Reset Content\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\ncontent-length: 9\r\n\r\n",
+        "HTTP/1.1 304 Not Modified\r\ntransfer-encoding: chunked\r\n\r\n",
+        "HTTP/1.1 500 A\r\ntransfer-encoding: Chunked\r\n\r\n"
+            + "01 ;b=\"c;\"\r\na\r\n0;b\ndigest: a\r\n\r\n",
+      })
+  void codecFindsTheSameEndsOfValidResponses(String response) {
+    for (int first = 1; first < response.length(); first++) {
+      EmbeddedChannel channel = connection();
+      request(channel, HttpMethod.GET);
+      receive(channel, bytes(response.substring(0, first)));
+      receive(channel, bytes(response.substring(first) + FIRST));
+      assertWithMessage("cut after %s", first).that(completeResponses(channel)).isEqualTo(2);
+      assertThat(channel.isOpen()).isTrue();
+      channel.releaseInbound();
+    }
+  }
+
   @Test
   void responseBeforeMalformedBytesIsPassedOn() {
     EmbeddedChannel channel = connection();
--- a/standin/src/main/java/org/carobhoist/standin/MisbehavingServerStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/MisbehavingServerStandIn.java
@@ -95,7 +95,7 @@
   private final AtomicInteger openConnections = new AtomicInteger();
   private final AtomicInteger cuts = new AtomicInteger();
   private final AtomicLong fillerBytes = new AtomicLong();
-  private volatile MalformedResponse malformedResponse = MalformedResponse.STATUS_000;
+  private volatile MalformedResponse malformedResponse = MalformedResponse.BLANK_IN_NAME;
   private final Map<Socket, byte[]> pendingResponses = new ConcurrentHashMap<>();
   private final Map<Socket, Map<String, byte[]>> pendingResponsesById = new ConcurrentHashMap<>();
 
