Ignore a heartbeat that is executed after its server's removal

The store may execute an unanswered heartbeat seconds later; an older entry was then taken for a new server.

The order of the last entry (born, sequence) is kept for 60 s after the removal. A newer heartbeat or a restart under the same id is used at once. The memory is bounded by the removals in 60 s.

Not covered: a late heartbeat that is newer than any that was read, or that is first read by a process started since.

--- a/core/src/main/java/org/carobhoist/core/membership/RegisteredServers.java
+++ b/core/src/main/java/org/carobhoist/core/membership/RegisteredServers.java
@@ -21,12 +21,22 @@
  * usable for a short time, since entries also expire while the registry is down and reappear when
  * it recovers. A server that has reported in a response that it is leaving stays unusable until it
  * restarts, even if its registry entry says otherwise.
+ *
+ * <p>The registry may execute a write seconds after the server sent it, also after later writes and
+ * after the removal of the entry. An entry that is older than one that was read before is therefore
+ * ignored, also for some time after the server has been removed.
  */
 public final class RegisteredServers implements TailListener {
 
   /** Maximum number of leaving servers remembered; a release replaces some hundred at most. */
   private static final int MAX_LEAVING_SERVERS = 4_096;
 
+  /**
+   * Time for which the write order of a removed server is kept. Delayed writes take effect within
+   * seconds; afterwards a server may return with a clock that was set back.
+   */
+  private static final Duration REMOVED_ORDER_RETENTION = Duration.ofSeconds(60);
+
   private final EndpointDirectory directory;
   private final ServerEntryDecoder decoder;
   private final ServerListener listener;
@@ -34,6 +44,7 @@
   private final Duration removalDelay;
   private final Map<InstanceId, ServerEntry> entries = new HashMap<>();
   private final Map<InstanceId, Runnable> pendingRemovals = new HashMap<>();
+  private final Map<InstanceId, ServerEntry.WriteOrder> removedOrders = new HashMap<>();
   private final Map<InstanceId, Long> leavingStartTimes = new LinkedHashMap<>();
 
   private RegisteredServers(
@@ -123,10 +134,14 @@
 
   private void accept(ServerEntry entry) {
     InstanceId instance = entry.announcement().instance();
-    ServerEntry known = entries.get(instance);
-    if (known != null && entry.writeOrder().isBefore(known.writeOrder())) {
+    Optional<ServerEntry.WriteOrder> newest = newestOrder(instance);
+    if (newest.isPresent() && entry.writeOrder().isBefore(newest.get())) {
+      if (!entries.containsKey(instance)) {
+        listener.onOutdated(entry);
+      }
       return;
     }
+    removedOrders.remove(instance);
     Runnable cancelRemoval = pendingRemovals.remove(instance);
     if (cancelRemoval != null) {
       cancelRemoval.run();
@@ -134,6 +149,13 @@
     update(entry);
   }
 
+  /** Returns the order of the newest entry of a server that is known or was removed lately. */
+  private Optional<ServerEntry.WriteOrder> newestOrder(InstanceId instance) {
+    return entry(instance)
+        .map(ServerEntry::writeOrder)
+        .or(() -> Optional.ofNullable(removedOrders.get(instance)));
+  }
+
   private void update(ServerEntry entry) {
     InstanceId instance = entry.announcement().instance();
     Long leavingStartTime = leavingStartTimes.get(instance);
@@ -154,7 +176,9 @@
 
   private void remove(InstanceId instance) {
     pendingRemovals.remove(instance);
-    entries.remove(instance);
+    ServerEntry.WriteOrder order = entries.remove(instance).writeOrder();
+    removedOrders.put(instance, order);
+    scheduler.after(REMOVED_ORDER_RETENTION, () -> removedOrders.remove(instance, order));
     directory.onLinkLost(instance);
     listener.onGone(instance);
   }
--- a/core/src/main/java/org/carobhoist/core/membership/ServerListener.java
+++ b/core/src/main/java/org/carobhoist/core/membership/ServerListener.java
@@ -14,6 +14,12 @@
   /** Called when a server is removed because its entry disappeared and did not reappear in time. */
   void onGone(InstanceId instance);
 
+  /**
+   * Called when an entry of a removed server is ignored because it was written before one that had
+   * been read.
+   */
+  void onOutdated(ServerEntry entry);
+
   /** Called when a record doesn't describe a usable server. */
   void onUnreadable(String key, long offset, String why);
 }
--- a/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
+++ b/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
@@ -48,6 +48,11 @@
       events.add("gone " + instance);
     }
 
+    @Override
+    public void onOutdated(ServerEntry entry) {
+      events.add("outdated " + entry.announcement().instance());
+    }
+
     @Override
     public void onUnreadable(String key, long offset, String why) {
       events.add("unreadable " + key);
@@ -146,6 +151,40 @@
     assertThat(usable()).isEmpty();
   }
 
+  /** Guards against a heartbeat executed late, which made a removed server usable again. */
+  @Test
+  void heartbeatExecutedAfterRemovalDoesNotBringServerBack() {
+    servers.onRecord(stored(0, "s1", "SERVING 5 1"));
+    servers.onRecord(stored(1, "s1", "SERVING 5 3"));
+    servers.onRecord(stored(2, "s1", ""));
+    queue.run(Duration.ofSeconds(2));
+    servers.onRecord(stored(3, "s1", "SERVING 5 2"));
+    servers.onSnapshot(Snapshot.of(List.of(stored(3, "s1", "SERVING 5 2"))));
+    assertThat(usable()).isEmpty();
+    assertThat(events).containsExactly("gone s1", "outdated s1", "outdated s1");
+  }
+
+  @Test
+  void removedServerIsUsableAtOnceAfterItsNextHeartbeatOrRestart() {
+    for (String server : List.of("s1", "s2")) {
+      servers.onRecord(stored(0, server, "SERVING 5 3"));
+      servers.onRecord(stored(1, server, ""));
+    }
+    queue.run(Duration.ofSeconds(2));
+    servers.onRecord(stored(2, "s1", "SERVING 5 4"));
+    servers.onRecord(stored(3, "s2", "SERVING 6 1"));
+    assertThat(usable()).containsExactly("s1", "s2");
+  }
+
+  @Test
+  void writeOrderOfRemovedServerIsForgottenAfterItsRetention() {
+    servers.onRecord(stored(0, "s1", "SERVING 5 3"));
+    servers.onRecord(stored(1, "s1", ""));
+    queue.run(Duration.ofSeconds(62));
+    servers.onRecord(stored(2, "s1", "SERVING 4 1"));
+    assertThat(usable()).containsExactly("s1");
+  }
+
   @Test
   void unreadableEntriesAddNoServer() {
     servers.onRecord(stored(0, "s1", "SERVING 1 1"));
--- a/server/src/main/java/org/carobhoist/server/gateway/store/ServerChangeListener.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/store/ServerChangeListener.java
@@ -42,6 +42,18 @@
     unavailableListener.accept(instance);
   }
 
+  @Override
+  public void onOutdated(ServerEntry entry) {
+    EventLog.warn(
+        LogEvent.RECORD_SKIPPED,
+        "key",
+        entry.announcement().instance(),
+        "offset",
+        entry.announcement().sequence(),
+        "why",
+        "the server has been removed, and a newer entry of it was read before");
+  }
+
   @Override
   public void onUnreadable(String key, long offset, String why) {
     EventLog.warn(LogEvent.RECORD_SKIPPED, "key", key, "offset", offset, "why", why);
