Refuse a job that the store can never hold before it is read

Cause: the store accepts the records of a job in one call only, of at most platform.call_bytes. A larger job was received and decoded nevertheless, its append was built anew every 60 ms, and it was sent whole to the coordinator, which decoded it without counting it and ended; the next coordinator got the same job.

So no job over the limit travels between processes.

--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -318,6 +318,7 @@
             loop,
             clock,
             boot.bounds().visibilityDelay(),
+            boot.storeCallBytes(),
             runner::runEarly);
     view.addListener(coordinator);
     view.addListener(jobs);
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
@@ -46,7 +46,6 @@
   private static final int TIMEOUT = 504;
 
   private static final String NO_MANIFEST = "no manifest is known yet";
-  private static final String TOO_LARGE = "larger than the manifest's limit";
 
   /** Bytes of the colon, the space and the line end of a header on the wire. */
   private static final int HEADER_FRAMING_BYTES = 4;
@@ -109,15 +108,18 @@
     }
     Optional<Limits> limits = manifests.current().map(Manifest::limits);
     if (limits.isPresent() && bytes(req.headers()) > limits.get().headerBytes()) {
-      return tooLarge(req.headers(), HEADERS_TOO_LARGE);
+      return refuseHeaders(req.headers());
     }
     HttpResponseWriter out = HttpResponse.streaming();
     String id = CallHeaders.requestId(req.headers());
     Runnable bodyEnded =
         context.drain().add(() -> refuseAtStop(out, id, "the process stops before the body ends"));
-    long maxBytes = limits.map(Limits::bodyBytes).orElse(MAX_BODY_BYTES);
+    boolean isLargeJob = isLargeJob(ctx, req);
+    long allowedBytes = limits.map(Limits::bodyBytes).orElse(MAX_BODY_BYTES);
+    // A job that the store can't hold is refused before its body is received.
+    long maxBytes = isLargeJob ? Math.min(allowedBytes, jobs.maxJobBytes()) : allowedBytes;
     bodies
-        .read(req, maxBytes, processingFactor(ctx, req), out.whenComplete())
+        .read(req, maxBytes, isLargeJob ? JOB_FACTOR : 1, out.whenComplete())
         .whenComplete(
             (http, failure) -> {
               bodyEnded.run();
@@ -127,7 +129,7 @@
               if (failure == null) {
                 dispatch(call, ctx, http, out);
               } else {
-                refuseBody(ctx, out, id, failure);
+                refuseBody(ctx, out, id, maxBytes, failure);
               }
             });
     return out;
@@ -135,10 +137,14 @@
 
   /** Refuses a request whose body wasn't received; its connection can't carry another one. */
   private static void refuseBody(
-      ServiceRequestContext ctx, HttpResponseWriter out, String id, Throwable failure) {
+      ServiceRequestContext ctx,
+      HttpResponseWriter out,
+      String id,
+      long maxBytes,
+      Throwable failure) {
     ctx.initiateConnectionShutdown();
     if (failure instanceof ContentTooLargeException) {
-      refuse(out, id, BODY_TOO_LARGE, TOO_LARGE);
+      refuse(out, id, BODY_TOO_LARGE, "body larger than " + maxBytes + " bytes");
     } else if (failure instanceof BodyRefusedException refused) {
       int status = refused.refusal() == BodyRefusal.SLOW ? REQUEST_TIMEOUT : UNAVAILABLE;
       refuse(out, id, status, failure.getMessage());
@@ -147,24 +153,23 @@
     }
   }
 
-  /** Returns the memory that processing a request takes, as a multiple of its body. */
-  private int processingFactor(ServiceRequestContext ctx, HttpRequest req) {
+  /** Returns whether a request may submit a job of more than {@link #SMALL_BODY_BYTES}. */
+  private boolean isLargeJob(ServiceRequestContext ctx, HttpRequest req) {
     long declared = req.headers().contentLength();
     if (declared >= 0 && declared <= SMALL_BODY_BYTES) {
-      return 1;
+      return false;
     }
     return manifests
         .current()
         .flatMap(m -> m.findRoute(CallHeaders.host(req.headers()), ctx.path()))
         .filter(r -> r.kind() == RouteKind.JOBS)
-        .map(r -> JOB_FACTOR)
-        .orElse(1);
+        .isPresent();
   }
 
-  private static HttpResponse tooLarge(RequestHeaders headers, int status) {
+  private static HttpResponse refuseHeaders(RequestHeaders headers) {
     String id = CallHeaders.requestId(headers);
-    logRefused(id, status, TOO_LARGE);
-    return localResponse(status, id);
+    logRefused(id, HEADERS_TOO_LARGE, "headers larger than the manifest's limit");
+    return localResponse(HEADERS_TOO_LARGE, id);
   }
 
   private static long bytes(RequestHeaders headers) {
--- a/server/src/main/java/org/carobhoist/server/gateway/job/JobRequestHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/JobRequestHandler.java
@@ -77,6 +77,7 @@
   private static final int BAD_REQUEST = 400;
   private static final int UNAUTHORIZED = 401;
   private static final int NOT_FOUND = 404;
+  private static final int CONTENT_TOO_LARGE = 413;
   private static final int UNAVAILABLE = 503;
   private static final int TIMEOUT = 504;
 
@@ -88,6 +89,7 @@
   private final DecisionLoop loop;
   private final Clock clock;
   private final Duration maxViewAge;
+  private final int maxJobBytes;
   private final BiConsumer<JobHead, byte[]> runEarly;
   private final Map<JobId, List<CompletableFuture<Void>>> readers = new HashMap<>();
 
@@ -95,6 +97,7 @@
    * Creates a handler.
    *
    * @param visibilityDelay time after which a result that any process has returned must be visible
+   * @param maxJobBytes most bytes of a job's records; the store accepts them in one call only
    * @param runEarly starts a job that the store hasn't accepted at the first attempt
    */
   public JobRequestHandler(
@@ -106,6 +109,7 @@
       DecisionLoop loop,
       Clock clock,
       Duration visibilityDelay,
+      int maxJobBytes,
       BiConsumer<JobHead, byte[]> runEarly) {
     this.store = store;
     this.view = view;
@@ -115,10 +119,19 @@
     this.loop = loop;
     this.clock = clock;
     this.maxViewAge = visibilityDelay.dividedBy(VISIBILITY_DELAY_DIVISOR);
+    this.maxJobBytes = maxJobBytes;
     this.runEarly = runEarly;
   }
 
-  /** Submits a job; responds with 202 once it is stored, or 504 if that isn't confirmed in time. */
+  /** Returns the size above which no body of a job can be stored. */
+  public int maxJobBytes() {
+    return maxJobBytes;
+  }
+
+  /**
+   * Submits a job; responds with 202 once it is stored, 413 if the store can't hold it, or 504 if
+   * that isn't confirmed in time.
+   */
   public CompletableFuture<AggregatedHttpResponse> submit(
       Route route, String id, ClientIdentity client, byte[] body, Duration timeLimit) {
     JobHead head;
@@ -140,6 +153,12 @@
       return completed(emptyResponse(BAD_REQUEST, id));
     }
     List<KeyedRecord> records = codec.acceptedRecords(head, body);
+    long bytes = records.stream().mapToLong(KeyedRecord::storedSize).sum();
+    if (bytes > maxJobBytes) {
+      String why = bytes + " bytes of records, the store accepts " + maxJobBytes;
+      EventLog.info(LogEvent.JOB_REFUSED, "job", id, "status", CONTENT_TOO_LARGE, "why", why);
+      return completed(emptyResponse(CONTENT_TOO_LARGE, id));
+    }
     Supplier<Boolean> known = () -> view.job(head.id()).isPresent();
     Runnable early = () -> runEarly.accept(head, body);
     return persist(head.id(), records, known, timeLimit, early)
--- a/server/src/test/java/org/carobhoist/server/gateway/job/JobAccessTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/job/JobAccessTest.java
@@ -94,6 +94,7 @@
             loop,
             clock,
             Duration.ofSeconds(1),
+            1 << 20,
             (head, submitted) -> {});
 
     private Gateway() {
--- a/server/src/test/java/org/carobhoist/server/gateway/job/JobRequestHandlerTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/job/JobRequestHandlerTest.java
@@ -55,6 +55,7 @@
           loop,
           clock,
           Duration.ofSeconds(1),
+          1 << 20,
           (head, submitted) -> {});
 
   /** A store that never answers, as if it were overloaded. */
--- a/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
+++ b/standin/src/main/java/org/carobhoist/standin/StoreStandIn.java
@@ -41,6 +41,7 @@
   private Predicate<String> rejectedCalls = target -> false;
   private int responsesToDrop;
   private long appendDelayMillis;
+  private int maxCallBytes = Integer.MAX_VALUE;
   private Map<String, Integer> staleEnds;
 
   /** The newest record of a key, as part of a page. */
@@ -80,6 +81,11 @@
     appendDelayMillis = millis;
   }
 
+  /** Sets the maximum size of an append; larger ones are refused with status 413. */
+  public synchronized void setMaxCallBytes(int bytes) {
+    maxCallBytes = bytes;
+  }
+
   /** While set, reads don't return records appended since; appends still succeed. */
   public synchronized void setStaleReads(boolean stale) {
     staleEnds = stale ? new HashMap<>() : null;
@@ -157,6 +163,10 @@
     if (isRejected(path, query)) {
       return CompletableFuture.completedFuture(unavailable());
     }
+    if (http.content().length() > maxCallBytes()) {
+      return CompletableFuture.completedFuture(
+          HttpResponse.of(HttpStatus.REQUEST_ENTITY_TOO_LARGE));
+    }
     QueryParams params = QueryParams.fromQueryString(query);
     List<byte[]> records = split(http.content().array());
     String expectedEnd = params.get("at");
@@ -251,6 +261,10 @@
     return rejectedCalls.test(path + "?" + query);
   }
 
+  private synchronized int maxCallBytes() {
+    return maxCallBytes;
+  }
+
   private synchronized long appendDelayMillis() {
     return appendDelayMillis;
   }
