Count the jobs that the coordinator runs before they are stored

A job of 2 MB takes about 8 MB; five from each of seven gateways take more than the heap of 112 MB.

EarlyJobs counts such a job with four times its size in the coordinator's BufferBudget until it is stored, has ended or is dropped, at most half of the budget in all. A job that doesn't fit isn't run early (event 7111); it runs once it is stored, as its submitter's gateway goes on trying. EarlyJobsTest; no run that exhausts a heap this way was made.

--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -49,7 +49,7 @@
   private static final Duration CANCEL_TIMEOUT = Duration.ofSeconds(2);
 
   /** Time within which a provisional job, which runs already, must appear in the store. */
-  private static final Duration PROVISIONAL_TIMEOUT = Duration.ofSeconds(15);
+  public static final Duration PROVISIONAL_TIMEOUT = Duration.ofSeconds(15);
 
   /** Minimum time between two log entries on the causes that items wait for. */
   private static final Duration WAIT_LOG_PERIOD = Duration.ofSeconds(1);
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -307,6 +307,7 @@
             publisher,
             completedTexts,
             new CheckpointStore(store),
+            limits.budget(),
             boot.bounds().resultRetention());
     this.jobs =
         new JobRequestHandler(
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
@@ -26,6 +26,7 @@
 import org.carobhoist.core.lease.LeaseListener;
 import org.carobhoist.core.lease.LeaseManager;
 import org.carobhoist.core.lease.TickLatenessMonitor;
+import org.carobhoist.core.limit.BufferBudget;
 import org.carobhoist.core.manifest.EngineSpec;
 import org.carobhoist.core.manifest.Manifest;
 import org.carobhoist.core.manifest.ManifestHolder;
@@ -86,6 +87,7 @@
   private final ResultPublisher publisher;
   private final CompletedTextPublisher completedTexts;
   private final CheckpointStore checkpoints;
+  private final EarlyJobs earlyJobs;
   private final Duration resultRetention;
   private final JobCoordinator jobs;
   private final TickLatenessMonitor tickMonitor = TickLatenessMonitor.create(JobCoordinator.TICK);
@@ -112,6 +114,7 @@
       ResultPublisher publisher,
       CompletedTextPublisher completedTexts,
       CheckpointStore checkpoints,
+      BufferBudget buffers,
       Duration resultRetention) {
     this.self = self;
     this.zone = zone;
@@ -126,6 +129,7 @@
     this.publisher = publisher;
     this.completedTexts = completedTexts;
     this.checkpoints = checkpoints;
+    this.earlyJobs = new EarlyJobs(buffers, loop);
     this.resultRetention = resultRetention;
     this.jobs = JobCoordinator.create(view, this, PlacementPolicy.DEFAULT, clock, this::engineSpec);
   }
@@ -243,6 +247,17 @@
   }
 
   private void runEarly(JobHead head, byte[] submitted) {
+    if (!earlyJobs.admit(head.id(), submitted.length)) {
+      EventLog.info(
+          LogEvent.JOB_AWAITS_STORE,
+          "job",
+          head.id(),
+          "items",
+          head.itemCount(),
+          "bytes",
+          submitted.length);
+      return;
+    }
     EventLog.info(LogEvent.JOB_RUNS_EARLY, "job", head.id(), "items", head.itemCount());
     jobs.onProvisional(view.createProvisionalJob(head, submitted));
   }
@@ -493,6 +508,7 @@
         "min",
         active ? job.content().minVersion() : "");
     jobs.onAccepted(job);
+    earlyJobs.release(job.id());
   }
 
   @Override
@@ -505,6 +521,7 @@
     EventLog.info(LogEvent.JOB_ENDED, "job", job.id(), "listed", job.resultCount());
     jobs.onEnded(job);
     runner.onJobEnded(job.id());
+    earlyJobs.release(job.id());
   }
 
   @Override
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -107,6 +107,8 @@
   STORE_TRIED_AGAIN(7106, "store write retried"),
   /** A job was started that is not in the store yet. */
   JOB_RUNS_EARLY(7108, "job started before it is stored"),
+  /** A job isn't started before it is stored, because the memory for that is short. */
+  JOB_AWAITS_STORE(7111, "job not started before it is stored"),
   /** A request to end a job was answered. */
   END_ANSWERED(7109, "request to end a job answered"),
   /** Entries of results were read from the store. */
