Answer requests whose deadline passes while their connection is made

Cause: at the deadline the attempt is ended and its connection named for the log. While the connection is being made the client library's log has no session, and asking for its channel throws. The actions after that, the refusal among them, were skipped, the request was in its final state, and the attempt stayed in the count of the server's requests. The same for requests whose client leaves or whose process stops, and for the next attempt of idempotent requests.

Exchange.connection() returns an empty string until the session is available. It was the only place that asks for a session that may not exist yet: ClientConnection asks for that of a request that has been received.

--- a/server/src/main/java/org/carobhoist/server/gateway/upstream/Exchange.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/upstream/Exchange.java
@@ -2,6 +2,8 @@
 
 import com.linecorp.armeria.client.ClientRequestContext;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.logging.RequestLog;
+import com.linecorp.armeria.common.logging.RequestLogProperty;
 import java.util.Optional;
 
 /** A request that is sent to a server, with its response. */
@@ -31,7 +33,8 @@
    */
   public String connection() {
     return context
-        .map(c -> c.log().partial().channel())
+        .map(c -> c.log().getIfAvailable(RequestLogProperty.SESSION))
+        .map(RequestLog::channel)
         .map(ResponseMatchingHandler::connectionName)
         .orElse("");
   }
