Run all actions of a transition, also after one that throws

All charts run through it: requests at gateways and entries, endpoints' lifecycle, samples, duties, reward calls, weight swaps.

--- a/core/src/main/java/org/carobhoist/core/chart/StateMachine.java
+++ b/core/src/main/java/org/carobhoist/core/chart/StateMachine.java
@@ -40,10 +40,31 @@
   /**
    * Handles an event: switches to the next state, then runs the actions in order. An action that
    * fires another event therefore sees the new state.
+   *
+   * <p>All actions run even if one of them throws, since the state has changed already: the actions
+   * of a final state, such as the response to a request, would not be run by any later event.
+   *
+   * @throws ActionFailedException after the last action if an action threw; it names the action
    */
   public void fire(E event) {
     Transition<S, A> t = chart.next(state, event);
     state = t.next();
-    t.actions().forEach(handler);
+    ActionFailedException failure = null;
+    for (A action : t.actions()) {
+      try {
+        handler.accept(action);
+      } catch (RuntimeException e) {
+        String text = "chart " + chart.name() + ": " + action + " failed on event " + event;
+        ActionFailedException next = new ActionFailedException(text + " to " + t.next(), e);
+        if (failure == null) {
+          failure = next;
+        } else {
+          failure.addSuppressed(next);
+        }
+      }
+    }
+    if (failure != null) {
+      throw failure;
+    }
   }
 }
