--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
@@ -127,7 +127,7 @@
                 return;
               }
               if (failure == null) {
-                dispatch(call, ctx, http, out);
+                dispatchLogged(call, ctx, http, out);
               } else {
                 refuseBody(ctx, out, id, maxBytes, failure);
               }
@@ -180,6 +180,21 @@
     return sum;
   }
 
+  /** Dispatches a request; closes its response if that fails, so that it isn't left open. */
+  private void dispatchLogged(
+      IngressCall call,
+      ServiceRequestContext ctx,
+      AggregatedHttpRequest http,
+      HttpResponseWriter out) {
+    try {
+      dispatch(call, ctx, http, out);
+    } catch (RuntimeException e) {
+      String id = CallHeaders.requestId(http.headers());
+      EventLog.error(LogEvent.DECISION_FAILED, e, "request", id);
+      out.close(e);
+    }
+  }
+
   private void dispatch(
       IngressCall call,
       ServiceRequestContext ctx,
