Order the records of processes by the start of their run

If the store executes a write of a process's former run after that of the new one, peers take the new run for ended, so another process acquires its lease at once while it still orders; if it executes the former run's deletion late, peers drop the new run and nothing brings it back.

The record has the time of the start of its run. Peers ignore a record of an earlier start, and a process that reads such a record of itself, or its deletion, after its own has been stored writes its own again (event 7408), unless it is stopping. Records without the field, of an older version, are taken as before. A machine whose clock is set back by more than its former run lasted keeps its old record at the peers: links work, its lease isn't taken at once at its end.

Not shown with real processes. A process that reads the late record only, and no record of the new run, still takes it for ended until the record is written again.

--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -1,5 +1,6 @@
 package org.carobhoist.server.gateway;
 
+import com.google.protobuf.InvalidProtocolBufferException;
 import com.linecorp.armeria.client.ClientFactory;
 import com.linecorp.armeria.client.ClientFactoryBuilder;
 import com.linecorp.armeria.client.ClientFactoryOptions;
@@ -45,6 +46,7 @@
 import org.carobhoist.core.store.RecordStore;
 import org.carobhoist.core.store.Shard;
 import org.carobhoist.core.store.ShardTailer;
+import org.carobhoist.core.store.StoredRecord;
 import org.carobhoist.core.store.TailListener;
 import org.carobhoist.platform.BootSettings;
 import org.carobhoist.platform.CallHeaders;
@@ -394,7 +396,7 @@
     loop.every(CapacityExchange.PERIOD, capacityExchange::tick);
     loop.every(CAPACITY_GAUGE_PERIOD, new CapacityMonitor(capacities, directory, metrics)::tick);
     usage.ifPresent(u -> u.start(metrics));
-    registration.register(boot, incarnation);
+    registration.register(boot, incarnation, clock.now());
     EventLog.info(
         LogEvent.STARTED, "role", "gateway", "instance", boot.node(), "incarnation", incarnation);
   }
@@ -634,6 +636,11 @@
       coordinator.onPeerLost(peer, why);
     }
 
+    @Override
+    public void onOwnRecord(StoredRecord stored) throws InvalidProtocolBufferException {
+      registration.onOwnRecord(stored);
+    }
+
     @Override
     public void onFrame(InstanceId peer, LinkFrame frame) {
       if (frame.hasLatencyReport()) {
--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
@@ -78,6 +78,9 @@
     /** Called when a peer has become unreachable or its record has been deleted. */
     void onLost(InstanceId peer, String why);
 
+    /** Called when a record of this process, its former runs or its deletion has been read. */
+    void onOwnRecord(StoredRecord stored) throws InvalidProtocolBufferException;
+
     /** Called for each frame on an opened link that the mesh doesn't handle itself. */
     void onFrame(InstanceId peer, LinkFrame frame);
   }
@@ -152,6 +155,7 @@
     try {
       InstanceId id = new InstanceId(stored.key());
       if (id.equals(self)) {
+        listener.onOwnRecord(stored);
         return;
       }
       if (stored.isTombstone()) {
@@ -273,6 +277,10 @@
 
   private void putPeer(InstanceId id, NodeRecord node) {
     Peer peer = peers.computeIfAbsent(id, Peer::new);
+    if (peer.node != null && isOutdated(node, peer.node.getStartedMillis())) {
+      EventLog.warn(LogEvent.RECORD_SKIPPED, "key", id, "why", "written by a former run");
+      return;
+    }
     boolean restarted =
         peer.node != null && !peer.node.getIncarnation().equals(node.getIncarnation());
     peer.node = node;
@@ -284,6 +292,11 @@
     chooseRelays();
   }
 
+  /** Returns whether a record was written by a run that started before the given time. */
+  static boolean isOutdated(NodeRecord node, long startedMillis) {
+    return node.getStartedMillis() != 0 && node.getStartedMillis() < startedMillis;
+  }
+
   private void remove(InstanceId id) {
     Peer peer = peers.remove(id);
     if (peer != null && peer.link != null) {
--- a/server/src/main/java/org/carobhoist/server/link/proto/NodeRecord.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/NodeRecord.java
@@ -228,6 +228,55 @@
     milliCores_ = 0;
   }
 
+  public static final int STARTED_MILLIS_FIELD_NUMBER = 5;
+  private long startedMillis_;
+
+  /**
+   *
+   *
+   * <pre>
+   * When the process started, in milliseconds of its machine's clock; 0 if it doesn't say.
+   * </pre>
+   *
+   * <code>int64 started_millis = 5;</code>
+   *
+   * @return The startedMillis.
+   */
+  @java.lang.Override
+  public long getStartedMillis() {
+    return startedMillis_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When the process started, in milliseconds of its machine's clock; 0 if it doesn't say.
+   * </pre>
+   *
+   * <code>int64 started_millis = 5;</code>
+   *
+   * @param value The startedMillis to set.
+   */
+  private void setStartedMillis(long value) {
+
+    startedMillis_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * When the process started, in milliseconds of its machine's clock; 0 if it doesn't say.
+   * </pre>
+   *
+   * <code>int64 started_millis = 5;</code>
+   */
+  private void clearStartedMillis() {
+
+    startedMillis_ = 0L;
+  }
+
   public static org.carobhoist.server.link.proto.NodeRecord parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -546,6 +595,57 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * When the process started, in milliseconds of its machine's clock; 0 if it doesn't say.
+     * </pre>
+     *
+     * <code>int64 started_millis = 5;</code>
+     *
+     * @return The startedMillis.
+     */
+    @java.lang.Override
+    public long getStartedMillis() {
+      return instance.getStartedMillis();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When the process started, in milliseconds of its machine's clock; 0 if it doesn't say.
+     * </pre>
+     *
+     * <code>int64 started_millis = 5;</code>
+     *
+     * @param value The startedMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStartedMillis(long value) {
+      copyOnWrite();
+      instance.setStartedMillis(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * When the process started, in milliseconds of its machine's clock; 0 if it doesn't say.
+     * </pre>
+     *
+     * <code>int64 started_millis = 5;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearStartedMillis() {
+      copyOnWrite();
+      instance.clearStartedMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.NodeRecord)
   }
 
@@ -568,11 +668,11 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "address_", "zone_", "incarnation_", "milliCores_",
+                "address_", "zone_", "incarnation_", "milliCores_", "startedMillis_",
               };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0208\u0002\u0208"
-                  + "\u0003\u0208\u0004\u0004";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0208\u0002\u0208"
+                  + "\u0003\u0208\u0004\u0004\u0005\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/NodeRecordOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/NodeRecordOrBuilder.java
@@ -65,4 +65,17 @@
    * @return The milliCores.
    */
   int getMilliCores();
+
+  /**
+   *
+   *
+   * <pre>
+   * When the process started, in milliseconds of its machine's clock; 0 if it doesn't say.
+   * </pre>
+   *
+   * <code>int64 started_millis = 5;</code>
+   *
+   * @return The startedMillis.
+   */
+  long getStartedMillis();
 }
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -157,6 +157,8 @@
   PEER_LOST(7404, "peer lost"),
   /** The membership record of this process couldn't be written. */
   MEMBER_WRITE_FAILED(7405, "membership record not written"),
+  /** A late write of a former run replaced the membership record, which is written again. */
+  MEMBER_RECORD_REPLACED(7408, "membership record replaced"),
   /** This process is too slow to coordinate and hands the lease over. */
   LEASE_HANDED_OVER(7406, "coordinator lease handed over"),
   /** The estimated limit of an endpoint changed by a third or more. */
--- a/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
@@ -198,6 +198,9 @@
       lost.add(peer.value() + ": " + why);
     }
 
+    @Override
+    public void onOwnRecord(StoredRecord stored) {}
+
     @Override
     public void onFrame(InstanceId peer, LinkFrame frame) {}
   }
@@ -257,6 +260,23 @@
     assertThat(loop.call(() -> mesh.hasEnded(peer, refused)).join()).isTrue();
   }
 
+  /** Guards against two holders of the lease: the record of a former run may be stored late. */
+  @Test
+  void lateRecordOfFormerRunDoesNotProveThatTheNewOneHasEnded() throws Exception {
+    start(SuspendAwareClock.create());
+    try (RawPeer raw = new RawPeer("peer")) {
+      NodeRecord former =
+          NodeRecord.parseFrom(raw.record(0).value()).toBuilder().setStartedMillis(1_000).build();
+      NodeRecord current =
+          former.toBuilder().setIncarnation("peer-2").setStartedMillis(2_000).build();
+      putRecord(new StoredRecord(0, "peer", current.toByteArray()));
+      putRecord(new StoredRecord(1, "peer", former.toByteArray()));
+    }
+    InstanceId peer = new InstanceId("peer");
+    assertThat(loop.call(() -> mesh.hasEnded(peer, new Incarnation("peer-2"))).join()).isFalse();
+    assertThat(loop.call(() -> mesh.hasEnded(peer, new Incarnation("peer-1"))).join()).isTrue();
+  }
+
   @Test
   void connectTimeoutIsNotTreatedAsRefusal() {
     assertThat(PeerMesh.isRefusal(new ConnectException("Connection refused"))).isTrue();
