--- a/review/lab-3/lab/Store.java
+++ b/review/lab-3/lab/Store.java
@@ -55,11 +55,16 @@
   }
 
   /** Writes a record as the operator or a server does. */
-  synchronized void put(String topic, String key, String value) {
+  void put(String topic, String key, String value) {
+    putBytes(topic, key, value.getBytes(StandardCharsets.UTF_8));
+  }
+
+  /** Writes a record of any bytes. */
+  synchronized void putBytes(String topic, String key, byte[] value) {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
     out.write(key.length());
     out.writeBytes(key.getBytes(StandardCharsets.US_ASCII));
-    out.writeBytes(value.getBytes(StandardCharsets.UTF_8));
+    out.writeBytes(value);
     part(topic + "/0").add(out.toByteArray());
     notifyAll();
   }
