Add review case 11: a new coordinator places nothing

A process that takes the lease while it has read some records of a batch job, but not all, gets a NullPointerException in CoordinatorRole.onAcquired. It keeps and renews the lease, but attaches no runner and never ticks, and nothing is logged, so no item is placed until it ends. LOST is broken for a step that had begun.

--- /dev/null
+++ b/review/11/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -d review/target/lab-3 ] && [ -f target/carobhoist.jar ] || exit 2
+exec timeout -s TERM 118 java -Xmx256m -cp review/target/lab-3 lab.PartRead review/11/record.txt
--- a/review/lab-3/lab/Store.java
+++ b/review/lab-3/lab/Store.java
@@ -29,6 +29,7 @@
   private final Map<String, List<byte[]>> parts = new HashMap<>();
   private volatile Predicate<String> silentFor = target -> false;
   private volatile boolean open = true;
+  private volatile long delayMillis;
 
   Store() throws IOException {
     http = HttpServer.create(new InetSocketAddress("127.0.0.1", 0), 256);
@@ -49,6 +50,11 @@
     http.stop(0);
   }
 
+  /** Sets by how much each answer is late. */
+  void setDelay(long millis) {
+    delayMillis = millis;
+  }
+
   /** Sets which calls get no answer and aren't carried out, by path and query. */
   void setSilentFor(Predicate<String> calls) {
     silentFor = calls;
@@ -191,7 +197,8 @@
     answer(call, 200, text.getBytes(StandardCharsets.UTF_8));
   }
 
-  private static void answer(HttpExchange call, int status, byte[] body) throws IOException {
+  private void answer(HttpExchange call, int status, byte[] body) throws IOException {
+    sleep(delayMillis);
     try {
       call.sendResponseHeaders(status, body.length == 0 ? -1 : body.length);
       call.getResponseBody().write(body);
