--- a/review/lab-3/lab/Turns.java
+++ b/review/lab-3/lab/Turns.java
@@ -59,7 +59,13 @@
     });
     Threads.sleep(6_000);
     record.add("leader", "node", Gateway.leader(all).node);
+    int before = count(orders);
+    if (!Threads.await(5_000, () -> count(orders) > before)) {
+      record.add("end", "why", "the leader gives no orders");
+      System.exit(2);
+    }
     if (trouble) {
+      Threads.sleep(50);
       record.add("SIGKILL", "node", first.node);
       first.kill();
       Threads.sleep(200);
@@ -70,7 +76,7 @@
         record.add("end", "why", "no other machine has taken over");
         System.exit(2);
       }
-      Threads.sleep(500);
+      Threads.sleep(700);
       Gateway second = Gateway.leader(all);
       record.add("SIGTERM", "node", second.node);
       second.terminate();
@@ -86,6 +92,12 @@
     System.exit(broken ? 1 : orders.isEmpty() ? 2 : 0);
   }
 
+  private static int count(List<Order> orders) {
+    synchronized (orders) {
+      return orders.size();
+    }
+  }
+
   private static boolean ordered(List<Order> orders, String node) {
     synchronized (orders) {
       return orders.stream().anyMatch(o -> o.holder().equals(node));
