--- a/server/src/test/java/org/carobhoist/server/gateway/job/JobRequestHandlerTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/job/JobRequestHandlerTest.java
@@ -5,15 +5,23 @@
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.carobhoist.core.account.ClientIdentity;
 import org.carobhoist.core.common.Clock;
+import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.job.ItemId;
 import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.job.JobView;
+import org.carobhoist.core.manifest.JobRules;
+import org.carobhoist.core.manifest.Route;
+import org.carobhoist.core.manifest.RouteKind;
+import org.carobhoist.core.manifest.Split;
+import org.carobhoist.core.request.RetryPolicy;
 import org.carobhoist.core.store.AppendOutcome;
 import org.carobhoist.core.store.KeyedRecord;
 import org.carobhoist.core.store.NewestPage;
@@ -97,6 +105,30 @@
     loop.stop().join();
   }
 
+  @Test
+  void bodiesThatCannotBeReadAreAnsweredWith400() {
+    JobRules rules = new JobRules(Duration.ofSeconds(10), Duration.ofSeconds(40), false);
+    Route route =
+        new Route(
+            "r",
+            "h",
+            "/p/",
+            RouteKind.JOBS,
+            Duration.ofSeconds(1),
+            List.of(new Split(new ServiceName("lm"), 1)),
+            new RetryPolicy(3),
+            false,
+            Optional.of(rules),
+            false,
+            OptionalInt.empty(),
+            Optional.empty());
+    for (byte[] body :
+        new byte[][] {{}, {'{'}, {0, 0, 0, 4, 'a', 'b', 'c', 'd'}, {(byte) 0xfe, (byte) 0xff}}) {
+      assertThat(status(() -> handler.submit(route, "j1", CLIENT, body, TIME_LIMIT)))
+          .isEqualTo(400);
+    }
+  }
+
   @Test
   void unknownJobsAreNotReportedMissingBeforeTheShardHasBeenRead() {
     loop.execute(tail::start);
