Skip a record that can't be handled instead of the whole scan

Every exception that a listener threw for one record of a scan ended the scan, and the next one met the same record, because the newest record of a key is kept for good.

One that throws is reported with its key, offset and trace (event 5004) and skipped. All six listeners use it: servers, operators, members, lease, jobs, usage. An entry of a server that can't be decoded for any reason names no server.

ShardTailerStartTest.recordThatCannotBeHandledStopsNeitherScanNorReads fails without the catch; RegisteredServersTest.entryThatCannotBeDecodedDoesNotStopTheScan failed before.

--- a/core/src/main/java/org/carobhoist/core/job/JobView.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobView.java
@@ -149,26 +149,32 @@
     @Override
     public void onSnapshot(Snapshot snapshot) {
       Set<JobId> presentJobs = new HashSet<>();
-      Map<Long, JobRecord> otherRecords = new LinkedHashMap<>();
-      for (StoredRecord stored : snapshot.records()) {
-        Optional<JobRecord> decoded = decode(stored);
-        decoded.map(JobRecord::job).ifPresent(presentJobs::add);
-        // A snapshot has only the newest record of each key. If a job was submitted twice, its
-        // newest record may follow those of its results, and results of an unknown job are ignored.
-        // Jobs are therefore added before all other records are applied.
-        if (decoded.isPresent() && decoded.get() instanceof JobRecord.Accepted a) {
-          accept(a);
-        } else {
-          decoded.ifPresent(r -> otherRecords.put(stored.offset(), r));
-        }
-      }
-      for (StoredRecord stored : snapshot.newerRecords()) {
-        if (decode(stored).orElse(null) instanceof JobRecord.Accepted a) {
-          presentJobs.add(a.job());
-          accept(a);
-        }
-      }
-      otherRecords.forEach((offset, record) -> apply(record, offset));
+      Map<StoredRecord, JobRecord> otherRecords = new LinkedHashMap<>();
+      // A snapshot has only the newest record of each key. If a job was submitted twice, its
+      // newest record may follow those of its results, and results of an unknown job are ignored.
+      // Jobs are therefore added before all other records are applied.
+      snapshot.forEach(
+          snapshot.records(),
+          stored -> {
+            Optional<JobRecord> decoded = decode(stored);
+            decoded.map(JobRecord::job).ifPresent(presentJobs::add);
+            if (decoded.isPresent() && decoded.get() instanceof JobRecord.Accepted a) {
+              accept(a);
+            } else {
+              decoded.ifPresent(r -> otherRecords.put(stored, r));
+            }
+          });
+      snapshot.forEach(
+          snapshot.newerRecords(),
+          stored -> {
+            if (decode(stored).orElse(null) instanceof JobRecord.Accepted a) {
+              presentJobs.add(a.job());
+              accept(a);
+            }
+          });
+      snapshot.forEach(
+          List.copyOf(otherRecords.keySet()),
+          stored -> apply(otherRecords.get(stored), stored.offset()));
       List.copyOf(jobs.values()).stream()
           .filter(j -> shardOf(j.id()) == shard && !presentJobs.contains(j.id()))
           .forEach(JobView.this::removeJob);
--- a/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
@@ -121,7 +121,7 @@
     if (snapshot.records().isEmpty()) {
       lastRecordAt = clock.elapsed();
     }
-    snapshot.records().forEach(this::onRecord);
+    snapshot.forEach(snapshot.records(), this::onRecord);
   }
 
   @Override
--- a/core/src/main/java/org/carobhoist/core/membership/RegisteredServers.java
+++ b/core/src/main/java/org/carobhoist/core/membership/RegisteredServers.java
@@ -77,7 +77,7 @@
 
   @Override
   public void onSnapshot(Snapshot snapshot) {
-    snapshot.records().forEach(this::onRecord);
+    snapshot.forEach(snapshot.records(), this::onRecord);
     Set<String> present = snapshot.keys();
     List.copyOf(entries.keySet()).stream()
         .filter(i -> !present.contains(i.value()))
@@ -90,12 +90,15 @@
       parseId(stored.key()).filter(entries::containsKey).ifPresent(this::scheduleRemoval);
       return;
     }
+    ServerEntry entry;
     try {
-      accept(decoder.decode(stored));
-    } catch (IllegalArgumentException e) {
-      listener.onUnreadable(stored.key(), stored.offset(), e.getMessage());
+      entry = decoder.decode(stored);
+    } catch (RuntimeException e) {
+      listener.onUnreadable(stored.key(), stored.offset(), String.valueOf(e.getMessage()));
       parseId(stored.key()).filter(entries::containsKey).ifPresent(this::scheduleRemoval);
+      return;
     }
+    accept(entry);
   }
 
   /** Returns the current entry of a known server. */
--- a/core/src/main/java/org/carobhoist/core/store/ShardTailer.java
+++ b/core/src/main/java/org/carobhoist/core/store/ShardTailer.java
@@ -321,7 +321,11 @@
   private void deliver(StoredRecord stored) {
     if (stored.offset() == nextOffset) {
       nextOffset++;
-      listener.onRecord(stored);
+      try {
+        listener.onRecord(stored);
+      } catch (RuntimeException e) {
+        listener.onRecordFailed(stored, e);
+      }
     }
   }
 
@@ -408,7 +412,7 @@
     if (loaded && scan.end < nextOffset) {
       return;
     }
-    listener.onSnapshot(Snapshot.of(scan.records, scan.end));
+    listener.onSnapshot(Snapshot.of(scan.records, scan.end, listener::onRecordFailed));
     nextOffset = scan.end;
     loaded = true;
     freshAsOf = scan.startedAt;
--- a/core/src/main/java/org/carobhoist/core/usage/UsageLedger.java
+++ b/core/src/main/java/org/carobhoist/core/usage/UsageLedger.java
@@ -225,7 +225,7 @@
     public void onSnapshot(Snapshot snapshot) {
       if (number == openings) {
         decisions.clear();
-        snapshot.records().forEach(UsageLedger.this::apply);
+        snapshot.forEach(snapshot.records(), UsageLedger.this::apply);
       }
     }
 
--- a/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
+++ b/core/src/test/java/org/carobhoist/core/membership/RegisteredServersTest.java
@@ -92,6 +92,14 @@
         .toList();
   }
 
+  @Test
+  void entryThatCannotBeDecodedDoesNotStopTheScan() {
+    servers.onSnapshot(
+        Snapshot.of(List.of(stored(0, "s0", "\0\0\0"), stored(1, "s1", "SERVING 1 1"))));
+    assertThat(usable()).containsExactly("s1");
+    assertThat(events).containsExactly("unreadable s0");
+  }
+
   @Test
   void leavingServersBecomeUnusableImmediately() {
     servers.onRecord(stored(0, "s1", "SERVING 1 1"));
--- a/core/src/test/java/org/carobhoist/core/store/ShardTailerStartTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/ShardTailerStartTest.java
@@ -4,8 +4,10 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.testing.EventQueue;
 import org.carobhoist.core.testing.ManualClock;
@@ -70,11 +72,22 @@
   private static final class Listener implements TailListener {
 
     private final List<String> known = new ArrayList<>();
+    private final List<String> skipped = new ArrayList<>();
+    private final Set<String> unreadableKeys = new HashSet<>();
     private String failsOnKey = "";
 
     @Override
     public void onSnapshot(Snapshot snapshot) {
-      snapshot.records().forEach(this::onRecord);
+      if (unreadableKeys.isEmpty()) {
+        snapshot.records().forEach(this::onRecord);
+      } else {
+        snapshot.forEach(snapshot.records(), this::onRecord);
+      }
+    }
+
+    @Override
+    public void onRecordFailed(StoredRecord stored, RuntimeException cause) {
+      skipped.add(stored.key());
     }
 
     @Override
@@ -83,6 +96,9 @@
         failsOnKey = "";
         throw new IllegalStateException("simulated failure of the listener");
       }
+      if (unreadableKeys.contains(stored.key())) {
+        throw new IllegalStateException("simulated record that can't be handled");
+      }
       known.add(stored.key());
     }
   }
@@ -146,6 +162,21 @@
     assertThat(callbackRan[0]).isTrue();
   }
 
+  @Test
+  void recordThatCannotBeHandledStopsNeitherScanNorReads() {
+    append("a", "b", "c");
+    listener.unreadableKeys.addAll(List.of("b", "e"));
+    ShardTailer tail = startTail();
+    queue.run(Duration.ofSeconds(2));
+    assertThat(tail.isLoaded()).isTrue();
+    append("d", "e", "f");
+    CompletableFuture<Void> barrier = tail.barrier();
+    queue.run(Duration.ofSeconds(4));
+    assertThat(barrier.isDone() && !barrier.isCompletedExceptionally()).isTrue();
+    assertThat(listener.known).containsExactly("a", "c", "d", "f").inOrder();
+    assertThat(listener.skipped).containsExactly("b", "e").inOrder();
+  }
+
   @Test
   void emptyPageDoesNotEndScanIfMoreFollow() {
     append("a", "b", "c", "d", "e");
--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
@@ -144,7 +144,7 @@
   @Override
   public void onSnapshot(Snapshot snapshot) {
     Set<String> present = snapshot.keys();
-    snapshot.records().forEach(this::onRecord);
+    snapshot.forEach(snapshot.records(), this::onRecord);
     List.copyOf(peers.values()).stream()
         .filter(p -> !present.contains(p.id.value()))
         .forEach(p -> remove(p.id));
--- a/server/src/main/java/org/carobhoist/server/gateway/store/LoggingTailListener.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/store/LoggingTailListener.java
@@ -30,6 +30,21 @@
     delegate.onRecord(stored);
   }
 
+  @Override
+  public void onRecordFailed(StoredRecord stored, RuntimeException cause) {
+    EventLog.warn(
+        LogEvent.RECORD_SKIPPED,
+        "shard",
+        shard,
+        "key",
+        stored.key(),
+        "offset",
+        stored.offset(),
+        "why",
+        cause);
+    delegate.onRecordFailed(stored, cause);
+  }
+
   @Override
   public void onScanFinished(ShardScan scan) {
     if (scan.failure().isPresent()) {
--- a/server/src/main/java/org/carobhoist/server/gateway/store/OperatorRecordListener.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/store/OperatorRecordListener.java
@@ -27,7 +27,7 @@
 
   @Override
   public void onSnapshot(Snapshot snapshot) {
-    snapshot.records().forEach(this::onRecord);
+    snapshot.forEach(snapshot.records(), this::onRecord);
   }
 
   @Override
