Skip the record of a process without a usable address or zone

The address and the zone of a peer's record were parsed where they are used, in loops over all peers: a malformed zone would fail each tick of the coordinator, a malformed address the check of all links. They are checked when the record is read. PeerMeshTest.skipsRecordsWithoutUsableAddressOrZone failed before.

--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
@@ -162,7 +162,9 @@
         remove(id);
         return;
       }
-      putPeer(id, NodeRecord.parseFrom(stored.value()));
+      NodeRecord node = NodeRecord.parseFrom(stored.value());
+      checkUsable(node);
+      putPeer(id, node);
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       EventLog.warn(LogEvent.RECORD_SKIPPED, "key", stored.key(), "why", e.getMessage());
     }
@@ -275,6 +277,16 @@
     }
   }
 
+  /**
+   * Checks the fields that are used later for all peers together.
+   *
+   * @throws IllegalArgumentException if the address or the zone is malformed
+   */
+  private static void checkUsable(NodeRecord node) {
+    SocketAddressText.parse(node.getAddress());
+    new Zone(node.getZone());
+  }
+
   private void putPeer(InstanceId id, NodeRecord node) {
     Peer peer = peers.computeIfAbsent(id, Peer::new);
     if (peer.node != null && isOutdated(node, peer.node.getStartedMillis())) {
--- a/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
@@ -116,6 +116,24 @@
     assertThat(linkedPeers()).isEqualTo(Set.copyOf(initial));
   }
 
+  @Test
+  void skipsRecordsWithoutUsableAddressOrZone() throws IOException {
+    start(SuspendAwareClock.create());
+    NodeRecord withoutAddress = NodeRecord.newBuilder().setAddress("nowhere").setZone("a").build();
+    NodeRecord withoutZone = NodeRecord.newBuilder().setAddress("127.0.0.1:1").build();
+    putRecord(new StoredRecord(0, "odd-1", withoutAddress.toByteArray()));
+    putRecord(new StoredRecord(1, "odd-2", withoutZone.toByteArray()));
+    loop.execute(() -> mesh.linkAll(true));
+    try (RawPeer peer = new RawPeer("peer")) {
+      putRecord(peer.record(2));
+      assertLinked(peer);
+    }
+    Incarnation former = new Incarnation("former");
+    for (String odd : List.of("odd-1", "odd-2")) {
+      assertThat(loop.call(() -> mesh.hasEnded(new InstanceId(odd), former)).join()).isFalse();
+    }
+  }
+
   private Set<String> linkedPeers() {
     return loop.call(mesh::linkedPeers).join().keySet().stream()
         .map(InstanceId::value)
