Read the other unfinished texts if one can't be decoded

An id or a version that is malformed throws IllegalArgumentException, which CheckpointStore didn't expect: a new coordinator then used none of the unfinished texts and ran all items from their start. CheckpointStoreTest.unreadableTextDoesNotHideTheOthers failed before.

--- a/server/src/main/java/org/carobhoist/server/gateway/job/CheckpointStore.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/CheckpointStore.java
@@ -81,7 +81,7 @@
       ItemKey key = new ItemKey(job, new ItemId(stored.key().substring(jobEnd + 1)));
       RunText text = RunText.parseFrom(stored.value());
       return Optional.of(new TextCheckpoint(key, RunMapper.delta(text)));
-    } catch (InvalidProtocolBufferException e) {
+    } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       EventLog.warn(
           LogEvent.RECORD_SKIPPED, "key", stored.key(), "offset", stored.offset(), "why", e);
       return Optional.empty();
