Use the other instances and records if one is malformed

An instance without a valid id, zone or address made the whole list of instances unreadable, and a record whose data isn't base64 made a read of the platform's log fail for good, so that no later record was applied. HttpPlatformTest.unusableEntryDoesNotHideOtherInstancesOrRecords failed before.

--- a/server/src/main/java/org/carobhoist/server/logservice/HttpPlatform.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/HttpPlatform.java
@@ -25,6 +25,8 @@
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Zone;
 import org.carobhoist.core.membership.ListedInstance;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
 import org.carobhoist.server.runtime.SingleUseConnections;
 
 /**
@@ -39,6 +41,8 @@
   /** Maximum size of a response; the records of a batch have to fit into a link frame, too. */
   private static final long MAX_RESPONSE_BYTES = 32L << 20;
 
+  private static final int MAX_PORT = 65_535;
+
   private static final ObjectMapper JSON = new ObjectMapper();
 
   private final WebClient client;
@@ -128,26 +132,48 @@
   private static LogBatch batch(JsonNode json) {
     List<LogBatch.StoredRecord> records = new ArrayList<>();
     for (JsonNode r : json.get("records")) {
-      byte[] data = Base64.getDecoder().decode(r.get("data").asText());
       long offset = r.get("offset").asLong();
-      records.add(new LogBatch.StoredRecord(offset, r.get("timeMillis").asLong(), data));
+      records.add(new LogBatch.StoredRecord(offset, r.get("timeMillis").asLong(), data(r, offset)));
     }
     return new LogBatch(json.get("first").asLong(), json.get("next").asLong(), records);
   }
 
+  /** Returns the content of a record; empty, which no record is, if it isn't valid base64. */
+  private static byte[] data(JsonNode stored, long offset) {
+    try {
+      return Base64.getDecoder().decode(stored.path("data").asText());
+    } catch (IllegalArgumentException e) {
+      EventLog.warn(LogEvent.RECORD_SKIPPED, "offset", offset, "why", e.getMessage());
+      return new byte[0];
+    }
+  }
+
   private static List<ListedInstance> instances(JsonNode json) {
     List<ListedInstance> out = new ArrayList<>();
     for (JsonNode i : json) {
-      out.add(
-          new ListedInstance(
-              new InstanceId(i.at("/instance/value").asText()),
-              i.get("role").asText(),
-              new Zone(i.at("/zone/value").asText()),
-              i.get("host").asText(),
-              i.get("port").asInt(),
-              i.get("leaving").asBoolean(),
-              i.path("service").asText("")));
+      try {
+        out.add(instance(i));
+      } catch (IllegalArgumentException e) {
+        EventLog.warn(
+            LogEvent.RECORD_SKIPPED, "instance", i.path("instance"), "why", e.getMessage());
+      }
     }
     return out;
   }
+
+  private static ListedInstance instance(JsonNode json) {
+    JsonNode port = json.path("port");
+    String host = json.path("host").asText();
+    if (host.isEmpty() || !port.isInt() || port.intValue() < 0 || port.intValue() > MAX_PORT) {
+      throw new IllegalArgumentException("host and port are not an address");
+    }
+    return new ListedInstance(
+        new InstanceId(json.at("/instance/value").asText()),
+        json.path("role").asText(),
+        new Zone(json.at("/zone/value").asText()),
+        host,
+        port.intValue(),
+        json.path("leaving").asBoolean(),
+        json.path("service").asText());
+  }
 }
--- a/server/src/test/java/org/carobhoist/server/logservice/HttpPlatformTest.java
+++ b/server/src/test/java/org/carobhoist/server/logservice/HttpPlatformTest.java
@@ -85,6 +85,28 @@
     server.stop();
   }
 
+  @Test
+  void unusableEntryDoesNotHideOtherInstancesOrRecords() throws IOException {
+    String odd = "{\"instance\":{\"value\":\"s 2\"},\"zone\":{\"value\":\"a\"},\"host\":\"h\"},7,";
+    String records =
+        "{\"first\":0,\"next\":2,\"records\":["
+            + "{\"offset\":0,\"timeMillis\":1,\"data\":\"???\"},"
+            + "{\"offset\":1,\"timeMillis\":1,\"data\":\"AQ==\"}]}";
+    RepeatingServerStandIn server =
+        RepeatingServerStandIn.start(
+            request ->
+                RepeatingServerStandIn.response(
+                    "200 OK",
+                    request.contains("/log/") ? records : LIST.replaceFirst("\\[", "[" + odd)),
+            length -> 0);
+    HttpPlatform platform = HttpPlatform.at(server.uri());
+    assertThat(platform.read().orTimeout(20, TimeUnit.SECONDS).join()).hasSize(1);
+    LogBatch batch = platform.read(0, Duration.ZERO).orTimeout(20, TimeUnit.SECONDS).join();
+    assertThat(batch.records()).hasSize(2);
+    assertThat(batch.records().get(1).data()).isEqualTo(RECORD);
+    server.stop();
+  }
+
   @Test
   void responseThatBreaksOffDoesNotHideTheNextInstanceList() throws IOException {
     for (int cut = 1; cut < NOT_MODIFIED.length; cut++) {
