--- a/server/src/main/java/org/carobhoist/server/entry/StepJson.java
+++ b/server/src/main/java/org/carobhoist/server/entry/StepJson.java
@@ -24,6 +24,9 @@
    * @throws IllegalArgumentException if the message is malformed
    */
   static StepRequest fromMessage(StepRequestMessage m) {
+    if (m == null) {
+      throw new IllegalArgumentException("the body is null instead of an object");
+    }
     if (m.samplesPerGroup() < 1 || m.maxTokens() < 1 || m.groups() == null) {
       throw new IllegalArgumentException("samplesPerGroup, maxTokens and groups are required");
     }
@@ -51,6 +54,9 @@
   }
 
   private static StepRequest.GroupPrompt prompt(StepRequestMessage.Group g) {
+    if (g == null) {
+      throw new IllegalArgumentException("a group is null");
+    }
     if (g.group() < 0 || g.group() >= GroupCursor.MAX_GROUPS || g.prompt() == null) {
       throw new IllegalArgumentException(
           "group " + g.group() + " is out of range or has no prompt");
