Keep orders of holders of the lease from overtaking and alternating

Causes: the wait before the first order was skipped if the predecessor had stopped, whoever held the lease before, and whether or not an order of the predecessor was still on its way. A stop or hand-over released the lease at once. A release that met a renewal was not stored. A load that had been permitted was sent without a further check, also after the lease was lost.

OrderGate decides now. A new holder waits for lease_ms after the last order that its own instance sent in an earlier term (a former run of it ended before this one started), and for orders of other holders: for lease_ms after a silence, for 1.5 s after its predecessor's process is known to have ended, and not at all after a release in which no order is on its way. A release waits for the answers to orders, 1.5 s at most, and says in the record whether all have arrived (orders_settled; a record without it counts as no). The permission is checked right before each order is sent. The heir is preferably a process that has run for 5 s, since a restarted one would have to wait.

LeaseSimulation now sends orders that take up to 1.5 s and checks their arrival at a server without fencing.

--- a/core/src/main/java/org/carobhoist/core/lease/LeaseEntry.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseEntry.java
@@ -12,10 +12,19 @@
  * @param term the term that the record renews; 0 in the record that starts a term
  * @param released whether the holder releases the lease with this record
  * @param heir the instance that should acquire the lease next, if the holder named one
+ * @param ordersSettled whether, in a record that releases the lease, no order of this holder or of
+ *     one before it can still arrive at a server
  */
 public record LeaseEntry(
     InstanceId holder,
     Incarnation incarnation,
     long term,
     boolean released,
-    Optional<InstanceId> heir) {}
+    Optional<InstanceId> heir,
+    boolean ordersSettled) {
+
+  /** Returns a record that starts a term, or renews one. */
+  static LeaseEntry held(InstanceId holder, Incarnation incarnation, long term) {
+    return new LeaseEntry(holder, incarnation, term, false, Optional.empty(), false);
+  }
+}
--- a/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
@@ -26,9 +26,9 @@
  *
  * <p>A candidate acquires the lease once it has seen no renewal in the store for a given time, or
  * at once if the holder's process is known to have ended. Time in which the store can't be read
- * doesn't count, so an outage of the store doesn't change the holder. If the lease was acquired
- * only because renewals were missing, the new holder issues no orders for a while, since the former
- * holder may still be running.
+ * doesn't count, so an outage of the store doesn't change the holder. {@link OrderGate} decides
+ * from when the new holder may issue orders. A holder that releases the lease issues no further
+ * orders, and releases it once all of its orders have been answered.
  */
 public final class LeaseManager implements TailListener {
 
@@ -49,7 +49,8 @@
   private Predicate<LeaseEntry> seemsEnded = entry -> false;
   private ShardTailer tail;
   private Optional<LeaseEntry> lastEntry = Optional.empty();
-  private Optional<LeaseEntry> predecessor = Optional.empty();
+  private Optional<LeaseEntry> runningPredecessor = Optional.empty();
+  private Duration lastTermSeenAt = Duration.ZERO;
   private long lastTerm;
   private Duration lastRecordAt = Duration.ZERO;
   private boolean appendInProgress;
@@ -59,7 +60,11 @@
   private boolean held;
   private Duration lastAppendAt = Duration.ZERO;
   private Duration renewedAt = Duration.ZERO;
-  private Duration ordersNotBefore = Duration.ZERO;
+  private final OrderGate orders;
+  private Optional<Release> release = Optional.empty();
+
+  /** A release of the lease that waits for the answers to orders. */
+  private record Release(Optional<InstanceId> heir, Duration requestedAt) {}
 
   private LeaseManager(
       InstanceId self,
@@ -78,6 +83,7 @@
     this.policy = policy;
     this.clock = clock;
     this.hasEnded = hasEnded;
+    this.orders = OrderGate.create(policy.orderGap(), clock);
   }
 
   /**
@@ -131,7 +137,11 @@
       return;
     }
     LeaseEntry entry = codec.decode(stored.value());
-    lastTerm = entry.term() == 0 ? stored.offset() + 1 : entry.term();
+    long term = entry.term() == 0 ? stored.offset() + 1 : entry.term();
+    if (term != lastTerm) {
+      lastTermSeenAt = clock.elapsed();
+    }
+    lastTerm = term;
     lastEntry = Optional.of(entry);
     if (held && isOwn(entry) && appendInProgress) {
       renewedAt = lastAppendAt;
@@ -149,17 +159,28 @@
 
   /** Renews or acquires the lease if that is due. Must be called every {@link #TICK}. */
   public void tick() {
-    if (appendInProgress || retired || !tail.isLoaded()) {
+    releaseIfDue();
+    noticeEndOfPredecessor();
+    if (appendInProgress || !tail.isLoaded()) {
       return;
     }
     if (held) {
       if (elapsedSince(renewedAt).compareTo(policy.renewalInterval()) >= 0) {
-        append(new LeaseEntry(self, incarnation, lastTerm, false, Optional.empty()));
+        append(LeaseEntry.held(self, incarnation, lastTerm));
       }
+    } else if (retired) {
+      return;
     } else if (!isVacant() || !acquireCondition.getAsBoolean()) {
       vacantSince = Optional.empty();
     } else if (mayAcquire()) {
-      append(new LeaseEntry(self, incarnation, 0, false, Optional.empty()));
+      append(LeaseEntry.held(self, incarnation, 0));
+    }
+  }
+
+  private void noticeEndOfPredecessor() {
+    if (runningPredecessor.filter(hasEnded).isPresent()) {
+      runningPredecessor = Optional.empty();
+      orders.onPredecessorEnded();
     }
   }
 
@@ -171,9 +192,30 @@
   /** Returns whether this process may currently issue orders in its term. */
   public boolean mayIssueOrders() {
     return held
+        && release.isEmpty()
         && elapsedSince(renewedAt).compareTo(policy.validity()) < 0
-        && (clock.elapsed().compareTo(ordersNotBefore) >= 0
-            || predecessor.map(this::hasStopped).orElse(true));
+        && orders.isOpen();
+  }
+
+  /** Called right before an order is sent; {@link #mayIssueOrders} must be true. */
+  public void onOrderSent() {
+    orders.onOrderSent();
+  }
+
+  /**
+   * Called for each order that was sent, when it has been answered or its answer is no longer
+   * awaited.
+   *
+   * @param mayArriveLater whether the order may still arrive at its server
+   */
+  public void onOrderEnded(boolean mayArriveLater) {
+    orders.onOrderEnded(mayArriveLater);
+    releaseIfDue();
+  }
+
+  /** Returns whether a release waits for the answers to orders. */
+  public boolean isReleasing() {
+    return release.isPresent();
   }
 
   /** Returns the term of the newest record; it increases with each acquisition. */
@@ -181,25 +223,45 @@
     return lastTerm;
   }
 
-  /** Releases the lease if it is held, and never acquires it again. */
+  /**
+   * Releases the lease if it is held, and never acquires it again. The lease is lost once all
+   * orders have been answered and no append is in progress, after {@link
+   * LeasePolicy#MAX_RELEASE_WAIT} at the latest.
+   */
   public void retire(Optional<InstanceId> heir) {
     retired = true;
-    if (held) {
-      append(new LeaseEntry(self, incarnation, lastTerm, true, heir));
-      loseLease("the process is shutting down");
-    }
+    beginRelease(heir);
   }
 
   /**
-   * Releases a held lease in favour of an instance with more resources. This process doesn't
-   * acquire it again until the hold-off time has passed. Does nothing while an append is in
-   * progress.
+   * Releases a held lease in favour of an instance with more resources, as {@link #retire} does.
+   * This process doesn't acquire it again until the hold-off time has passed.
    */
   public void handOver(InstanceId heir, Duration holdOff) {
-    if (held && !appendInProgress) {
+    if (held && release.isEmpty()) {
       acquireNotBefore = clock.elapsed().plus(holdOff);
-      append(new LeaseEntry(self, incarnation, lastTerm, true, Optional.of(heir)));
-      loseLease("handed over to " + heir);
+      beginRelease(Optional.of(heir));
+    }
+  }
+
+  private void beginRelease(Optional<InstanceId> heir) {
+    if (held) {
+      release = Optional.of(new Release(heir, clock.elapsed()));
+      releaseIfDue();
+    }
+  }
+
+  private void releaseIfDue() {
+    if (release.isEmpty()) {
+      return;
+    }
+    Release pending = release.get();
+    boolean overdue =
+        elapsedSince(pending.requestedAt()).compareTo(LeasePolicy.MAX_RELEASE_WAIT) >= 0;
+    if ((orders.isQuiet() && !appendInProgress) || overdue) {
+      boolean settled = orders.isSettled();
+      append(new LeaseEntry(self, incarnation, lastTerm, true, pending.heir(), settled));
+      loseLease(retired ? "the process is shutting down" : "handed over to " + pending.heir());
     }
   }
 
@@ -227,7 +289,7 @@
       boolean availableToSelf = entry.heir().isEmpty() || entry.heir().get().equals(self);
       return availableToSelf || elapsedSince(lastRecordAt).compareTo(policy.heirGracePeriod()) >= 0;
     }
-    if (hasStopped(entry)) {
+    if (isOfFormerRun(entry) || hasEnded.test(entry)) {
       return true;
     }
     Duration silence = seemsEnded.test(entry) ? policy.suspicionTimeout() : policy.silenceTimeout();
@@ -242,17 +304,20 @@
     // The append succeeds only if this is the record right before the new one. It is saved now,
     // since a read may bring the new record before the append's response arrives.
     Optional<LeaseEntry> preceding = lastEntry;
+    boolean precedingTermIsLong = elapsedSince(lastTermSeenAt).compareTo(policy.orderGap()) >= 0;
     KeyedRecord record = new KeyedRecord(KEY, codec.encode(entry));
     store
         .append(tail.shard(), List.of(record), OptionalLong.of(tail.nextOffset()))
         .whenComplete(
             (outcome, failure) ->
-                onAppendResult(entry, preceding, record, appendedAt, outcome, failure));
+                onAppendResult(
+                    entry, preceding, precedingTermIsLong, record, appendedAt, outcome, failure));
   }
 
   private void onAppendResult(
       LeaseEntry entry,
       Optional<LeaseEntry> preceding,
+      boolean precedingTermIsLong,
       KeyedRecord record,
       Duration appendedAt,
       AppendOutcome outcome,
@@ -266,27 +331,28 @@
       return;
     }
     tail.onAppended(((AppendOutcome.Appended) outcome).offset(), List.of(record));
-    if (entry.released() || retired) {
+    if (entry.released() || (retired && !held)) {
       return;
     }
     if (!held) {
       held = true;
-      predecessor = preceding;
-      ordersNotBefore = clock.elapsed().plus(policy.orderGap());
+      orders.onAcquired(preceding, preceding.filter(this::isOfFormerRun).isPresent());
+      runningPredecessor = preceding.filter(p -> precedingTermIsLong);
       port.onAcquired(lastTerm);
     }
     renewedAt = appendedAt;
+    releaseIfDue();
   }
 
-  /** Returns whether the writer of a record is known to issue no more orders. */
-  private boolean hasStopped(LeaseEntry entry) {
-    boolean isFormerIncarnation =
-        entry.holder().equals(self) && !entry.incarnation().equals(incarnation);
-    return entry.released() || isFormerIncarnation || hasEnded.test(entry);
+  /** Returns whether a record was written by a former run of this instance. */
+  private boolean isOfFormerRun(LeaseEntry entry) {
+    return entry.holder().equals(self) && !entry.incarnation().equals(incarnation);
   }
 
   private void loseLease(String why) {
     held = false;
+    release = Optional.empty();
+    runningPredecessor = Optional.empty();
     port.onLost(lastTerm, why);
   }
 
--- a/core/src/main/java/org/carobhoist/core/lease/LeasePolicy.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeasePolicy.java
@@ -11,8 +11,8 @@
  * @param validity time after sending a renewal in which the holder may rely on it; shorter than the
  *     silence timeout
  * @param heirGracePeriod time in which only the heir may acquire a released lease
- * @param orderGap time that a new holder waits before its first order, unless the former holder is
- *     known to have stopped; otherwise orders of both could alternate
+ * @param orderGap time in which a server must not receive orders of two holders by turns; longer
+ *     than an order is on its way
  * @param acquisitionDelay time for which this process leaves a vacant lease to processes with more
  *     resources
  */
@@ -30,6 +30,12 @@
    */
   private static final double SUSPICION_INTERVALS = 1.4;
 
+  /**
+   * Maximum time for which a release waits for the answers to orders. An order times out after 1.2
+   * s at most, 0.4 s of them for its connection.
+   */
+  static final Duration MAX_RELEASE_WAIT = Duration.ofMillis(1_500);
+
   /** Creates the policy of a process without an acquisition delay. */
   public LeasePolicy(
       Duration renewalInterval,
--- a/core/src/test/java/org/carobhoist/core/lease/LeaseScheduleTest.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseScheduleTest.java
@@ -13,6 +13,10 @@
   private static final int SCHEDULES = 6_000;
   private static final int MUTANT_SCHEDULES = 3_000;
 
+  /**
+   * Guards against orders of A, B and A within the order gap, and against an order that is
+   * overtaken by one of the next holder.
+   */
   @Test
   void onlyOneProcessIssuesOrders() {
     assertThat(Schedules.explore(FIRST_SEED, SCHEDULES, r -> LeaseSimulation.run(r, Rules.ALL)))
@@ -21,17 +25,27 @@
 
   @Test
   void detectsTwoHoldersWithoutConditionalAppends() {
-    assertViolationDetected(new Rules(false, true, true, false));
+    assertViolationDetected(new Rules(false, true, true, false, true));
   }
 
   @Test
   void detectsTwoIssuersIfValidityNeverExpires() {
-    assertViolationDetected(new Rules(true, false, true, false));
+    assertViolationDetected(new Rules(true, false, true, false, true));
   }
 
   @Test
   void detectsTwoIssuersIfPausesAreNotCounted() {
-    assertViolationDetected(new Rules(true, true, false, false));
+    assertViolationDetected(new Rules(true, true, false, false, true));
+  }
+
+  @Test
+  void detectsOrdersByTurnsWithoutOrderGap() {
+    assertViolationDetected(new Rules(true, true, true, false, true));
+  }
+
+  @Test
+  void detectsOvertakenOrderIfReleaseDoesNotAwaitAnswers() {
+    assertViolationDetected(new Rules(true, true, true, true, false));
   }
 
   private static void assertViolationDetected(Rules rules) {
--- a/core/src/test/java/org/carobhoist/core/lease/LeaseSimulation.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseSimulation.java
@@ -23,15 +23,17 @@
 
 /**
  * Simulates several candidates for one lease. Any of them may be killed, frozen, cut off from the
- * store or stopped, and the store loses, delays and rejects calls. Checks that no two candidates
- * issue orders at the same time or in the same term, and that one of them issues orders after the
- * faults have ended.
+ * store or stopped, and the store loses, delays and rejects calls. Their orders take up to {@link
+ * OrderGate#MAX_TRANSIT} to a server. Checks that no two candidates issue orders at the same time
+ * or in the same term, that the server receives no order of a former term and none by turns, and
+ * that one of the candidates issues orders after the faults have ended.
  */
 final class LeaseSimulation {
 
   private static final Shard SHARD = new Shard("lease", 0);
   private static final Duration READ_WAIT = Duration.ofMillis(400);
   private static final Duration ORDER_GAP = Duration.ofSeconds(3);
+  private static final Duration ORDER_TIMEOUT = Duration.ofMillis(800);
   private static final Duration CHECK_INTERVAL = Duration.ofMillis(50);
   private static final int PROCESSES = 3;
   private static final int FAULT_PHASE_MILLIS = 15_000;
@@ -52,14 +54,23 @@
   private final List<Candidate> candidates = new ArrayList<>();
   private final Map<Long, Candidate> issuersByTerm = new HashMap<>();
   private Optional<String> violation = Optional.empty();
+  private final List<Arrival> arrivals = new ArrayList<>();
   private int incarnations;
   private boolean suspicions;
+  private boolean slowOrders;
+
+  /** An order that has reached the server. */
+  private record Arrival(Duration at, int machine, long term) {}
 
   /** Safety rules that a test may disable, to show that the check fails without them. */
   record Rules(
-      boolean conditional, boolean validityExpires, boolean pausesCounted, boolean orderGap) {
+      boolean conditional,
+      boolean validityExpires,
+      boolean pausesCounted,
+      boolean orderGap,
+      boolean ordersAwaited) {
 
-    static final Rules ALL = new Rules(true, true, true, true);
+    static final Rules ALL = new Rules(true, true, true, true, true);
   }
 
   private final class Candidate implements LeaseListener, Clock {
@@ -100,9 +111,25 @@
 
     private void tick() {
       lease.tick();
+      if (lease.mayIssueOrders()) {
+        sendOrder();
+      }
       schedule(LeaseManager.TICK, this::tick);
     }
 
+    private void sendOrder() {
+      if (rules.ordersAwaited()) {
+        lease.onOrderSent();
+      }
+      long term = lease.term();
+      Duration transit = randomTransit();
+      queue.after(transit, () -> arrive(index, term));
+      boolean answered = transit.compareTo(ORDER_TIMEOUT) < 0;
+      if (rules.ordersAwaited()) {
+        schedule(answered ? transit : ORDER_TIMEOUT, () -> lease.onOrderEnded(!answered));
+      }
+    }
+
     private Runnable schedule(Duration delay, Runnable task) {
       queue.after(delay, () -> runIfAlive(task));
       return () -> {};
@@ -171,7 +198,8 @@
               e.incarnation().value(),
               Long.toString(e.term()),
               Boolean.toString(e.released()),
-              heir)
+              heir,
+              Boolean.toString(e.ordersSettled()))
           .getBytes(StandardCharsets.US_ASCII);
     }
 
@@ -183,7 +211,8 @@
           new Incarnation(p[1]),
           Long.parseLong(p[2]),
           Boolean.parseBoolean(p[3]),
-          p[4].equals("-") ? Optional.empty() : Optional.of(new InstanceId(p[4])));
+          p[4].equals("-") ? Optional.empty() : Optional.of(new InstanceId(p[4])),
+          Boolean.parseBoolean(p[5]));
     }
   }
 
@@ -279,6 +308,31 @@
         : Optional.of("then " + simulation.holder());
   }
 
+  /** Returns how long an order is on its way; some lose a segment or two. */
+  private Duration randomTransit() {
+    int maxMillis =
+        slowOrders && random.nextInt(5) == 0 ? (int) OrderGate.MAX_TRANSIT.toMillis() : 50;
+    return Duration.ofMillis(random.nextInt(1, maxMillis));
+  }
+
+  /** Checks an order that reaches the server, which knows no fencing. */
+  private void arrive(int machine, long term) {
+    Duration now = clock.elapsed();
+    arrivals.removeIf(a -> now.minus(a.at()).compareTo(ORDER_GAP) >= 0);
+    for (int i = 0; i < arrivals.size(); i++) {
+      Arrival first = arrivals.get(i);
+      if (first.term() > term) {
+        violation = Optional.of("order of term " + term + " after " + first.term() + " at " + now);
+      }
+      boolean otherSince =
+          arrivals.subList(i, arrivals.size()).stream().anyMatch(a -> a.machine() != machine);
+      if (first.machine() == machine && otherSince) {
+        violation = Optional.of("orders of " + machine + " by turns at " + now);
+      }
+    }
+    arrivals.add(new Arrival(now, machine, term));
+  }
+
   private void startAll() {
     for (int i = 0; i < PROCESSES; i++) {
       candidates.add(new Candidate(i, 0));
@@ -303,6 +357,7 @@
   }
 
   private Optional<String> runToEnd() {
+    slowOrders = true;
     double faultShare = random.nextInt(3) == 0 ? 0 : random.nextDouble() * 0.3;
     for (int i = 0; i < PROCESSES; i++) {
       candidates.add(new Candidate(i, faultShare));
--- /dev/null
+++ b/core/src/test/java/org/carobhoist/core/lease/OrderGateTest.java
@@ -0,0 +1,110 @@
+package org.carobhoist.core.lease;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.carobhoist.core.common.Incarnation;
+import org.carobhoist.core.common.InstanceId;
+import org.carobhoist.core.testing.ManualClock;
+import org.junit.jupiter.api.Test;
+
+final class OrderGateTest {
+
+  private static final Duration GAP = Duration.ofSeconds(3);
+  private static final Duration LONG = Duration.ofMinutes(1);
+
+  private final ManualClock clock = new ManualClock();
+
+  private static Optional<LeaseEntry> record(boolean released, boolean settled) {
+    return Optional.of(
+        new LeaseEntry(
+            new InstanceId("b"), new Incarnation("b-1"), 4, released, Optional.empty(), settled));
+  }
+
+  private OrderGate gateOfRunThatStarted(Duration ago) {
+    OrderGate gate = OrderGate.create(GAP, clock);
+    clock.advance(ago);
+    return gate;
+  }
+
+  private void assertOpensAfter(OrderGate gate, Duration wait) {
+    clock.advance(wait.minusMillis(1));
+    assertThat(gate.isOpen()).isFalse();
+    clock.advance(Duration.ofMillis(1));
+    assertThat(gate.isOpen()).isTrue();
+  }
+
+  @Test
+  void firstHolderAndHeirOfSettledReleaseNeedNotWait() {
+    OrderGate first = gateOfRunThatStarted(Duration.ZERO);
+    first.onAcquired(Optional.empty(), false);
+    assertThat(first.isOpen()).isTrue();
+    OrderGate heir = gateOfRunThatStarted(LONG);
+    heir.onAcquired(record(true, true), false);
+    assertThat(heir.isOpen()).isTrue();
+  }
+
+  @Test
+  void successorWaitsIfOrdersOfFormerHolderMayBeOnTheirWay() {
+    OrderGate afterKill = gateOfRunThatStarted(LONG);
+    afterKill.onAcquired(record(false, false), false);
+    assertOpensAfter(afterKill, GAP);
+    OrderGate afterRelease = gateOfRunThatStarted(LONG);
+    afterRelease.onAcquired(record(true, false), false);
+    assertOpensAfter(afterRelease, GAP);
+  }
+
+  @Test
+  void successorWaitsForOrdersOnTheirWayOnceItsPredecessorIsKnownToHaveEnded() {
+    OrderGate gate = gateOfRunThatStarted(LONG);
+    gate.onAcquired(record(false, false), false);
+    clock.advance(Duration.ofMillis(500));
+    gate.onPredecessorEnded();
+    assertOpensAfter(gate, OrderGate.MAX_TRANSIT);
+  }
+
+  /** Guards against orders of A, B and A: the predecessor has stopped, but this run was before. */
+  @Test
+  void holderThatIssuedOrdersBeforeItsPredecessorWaitsAfterItsLastOne() {
+    OrderGate gate = gateOfRunThatStarted(LONG);
+    gate.onAcquired(record(true, true), false);
+    gate.onOrderSent();
+    gate.onOrderEnded(false);
+    clock.advance(Duration.ofSeconds(1));
+    gate.onAcquired(record(true, true), false);
+    assertOpensAfter(gate, Duration.ofSeconds(2));
+  }
+
+  /** Guards against orders of A, B and A of which the first was sent before A's process ended. */
+  @Test
+  void restartedHolderWaitsSinceItsFormerRunMayHaveIssuedOrders() {
+    OrderGate gate = gateOfRunThatStarted(Duration.ofSeconds(1));
+    gate.onAcquired(record(true, true), false);
+    assertOpensAfter(gate, OrderGate.MAX_TRANSIT.plus(GAP).minusSeconds(1));
+  }
+
+  @Test
+  void releaseIsNotSettledWhileAnOrderMayArrive() {
+    OrderGate gate = gateOfRunThatStarted(LONG);
+    gate.onAcquired(record(true, true), false);
+    assertThat(gate.isSettled()).isTrue();
+    gate.onOrderSent();
+    assertThat(gate.isQuiet()).isFalse();
+    assertThat(gate.isSettled()).isFalse();
+    gate.onOrderEnded(true);
+    assertThat(gate.isQuiet()).isTrue();
+    assertThat(gate.isSettled()).isFalse();
+    clock.advance(OrderGate.MAX_TRANSIT);
+    assertThat(gate.isSettled()).isTrue();
+  }
+
+  @Test
+  void releaseIsNotSettledWhileOrdersOfFormerHolderMayArrive() {
+    OrderGate gate = gateOfRunThatStarted(LONG);
+    gate.onAcquired(record(false, false), false);
+    assertThat(gate.isSettled()).isFalse();
+    clock.advance(GAP);
+    assertThat(gate.isSettled()).isTrue();
+  }
+}
--- a/core/src/test/java/org/carobhoist/core/usage/UsageSimulation.java
+++ b/core/src/test/java/org/carobhoist/core/usage/UsageSimulation.java
@@ -375,7 +375,12 @@
     @Override
     public byte[] encode(LeaseEntry e) {
       return String.join(
-              " ", e.holder().value(), e.incarnation().value(), e.term() + "", e.released() + "")
+              " ",
+              e.holder().value(),
+              e.incarnation().value(),
+              e.term() + "",
+              e.released() + "",
+              e.ordersSettled() + "")
           .getBytes(StandardCharsets.US_ASCII);
     }
 
@@ -387,7 +392,8 @@
           new Incarnation(p[1]),
           Long.parseLong(p[2]),
           Boolean.parseBoolean(p[3]),
-          Optional.empty());
+          Optional.empty(),
+          Boolean.parseBoolean(p[4]));
     }
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
@@ -307,18 +307,18 @@
   }
 
   /**
-   * Hands the lease over to the heir, because this process is too slow. Returns whether there was
-   * an heir and this process no longer coordinates.
+   * Hands the lease over to the heir, if there is one, because this process is too slow. Returns
+   * whether this process no longer coordinates; it still does while orders await their answers.
    */
   private boolean handOver() {
-    Optional<InstanceId> heir = mesh.heir();
+    Optional<InstanceId> heir = mesh.heir().filter(h -> !lease.isReleasing());
     heir.ifPresent(
         h -> {
           EventLog.warn(
               LogEvent.LEASE_HANDED_OVER, "heir", h, "late", tickMonitor.averageLateness());
           lease.handOver(h, HOLD_OFF);
         });
-    return heir.isPresent() && !active;
+    return !active;
   }
 
   /**
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineClient.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineClient.java
@@ -1,8 +1,10 @@
 package org.carobhoist.server.gateway.coordination;
 
+import com.linecorp.armeria.client.UnprocessedRequestException;
 import com.linecorp.armeria.common.AggregatedHttpResponse;
 import com.linecorp.armeria.common.HttpRequest;
 import com.linecorp.armeria.common.HttpResponse;
+import com.linecorp.armeria.common.util.Exceptions;
 import java.time.Duration;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -29,6 +31,18 @@
 
   private static final Duration CALL_TIMEOUT = Duration.ofMillis(800);
 
+  /** Receives the outcome of an order. */
+  @FunctionalInterface
+  interface OrderCallback {
+
+    /**
+     * Called when the engine has answered, or its answer is no longer awaited.
+     *
+     * @param mayArriveLater whether the order may still arrive at the engine
+     */
+    void onOrderEnded(EngineOrders.Answer answer, boolean mayArriveLater);
+  }
+
   private final InstanceId id;
   private final String address;
   private final long startedAtMillis;
@@ -109,19 +123,17 @@
   /**
    * Orders the engine to load a version.
    *
+   * @param callback called once, with the outcome
    * @throws java.util.NoSuchElementException if no report has been received yet
    */
   void orderLoad(
-      String model,
-      WeightVersion version,
-      InstanceId holder,
-      long fence,
-      Consumer<EngineOrders.Answer> callback) {
+      String model, WeightVersion version, InstanceId holder, long fence, OrderCallback callback) {
     long expected = acceptedOrders.orElseThrow();
     HttpRequest request =
         EngineOrders.loadRequest(
             id, model, version, EngineOrders.Mode.RETAIN, holder, fence, expected);
-    aggregate(upstreams.sendOnNewConnection(address, request, CALL_TIMEOUT))
+    CompletableFuture.completedFuture(request)
+        .thenCompose(r -> aggregate(upstreams.sendOnNewConnection(address, r, CALL_TIMEOUT)))
         .whenCompleteAsync(
             (reply, failure) -> {
               int status = failure == null ? reply.status().code() : 0;
@@ -142,11 +154,16 @@
                     "orders",
                     expected);
               }
-              callback.accept(answer);
+              callback.onOrderEnded(answer, failure != null && !wasNotSent(failure));
             },
             loop);
   }
 
+  /** Returns whether a failure shows that no byte of the request was sent. */
+  private static boolean wasNotSent(Throwable failure) {
+    return Exceptions.peel(failure) instanceof UnprocessedRequestException;
+  }
+
   private CompletableFuture<AggregatedHttpResponse> aggregate(HttpResponse response) {
     return response
         .aggregate()
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineSwap.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineSwap.java
@@ -116,7 +116,8 @@
 
   @Override
   public void load(long call, WeightOrder order) {
-    if (engine.acceptedOrders().isEmpty()) {
+    // The lease may have been lost since the load was permitted.
+    if (engine.acceptedOrders().isEmpty() || !manager.mayIssueOrders()) {
       manager.loop().execute(() -> coordinator.onCallEnded(call, SwapEvent.FAILED));
       return;
     }
@@ -135,8 +136,16 @@
         engine.acceptedOrders().getAsLong(),
         "runs",
         manager.environment().runCountAt(engine.id(), model));
+    manager.onOrderSent();
     engine.orderLoad(
-        model, order.version(), manager.self(), fence, answer -> onAnswer(call, fence, answer));
+        model,
+        order.version(),
+        manager.self(),
+        fence,
+        (answer, mayArriveLater) -> {
+          manager.onOrderEnded(mayArriveLater);
+          onAnswer(call, fence, answer);
+        });
   }
 
   private void onAnswer(long call, long fence, EngineOrders.Answer answer) {
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineWeightManager.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineWeightManager.java
@@ -238,7 +238,7 @@
   }
 
   private boolean isNextToLoad(EngineSwap swap) {
-    if (!lease.mayIssueOrders() || lease.term() == fencedTerm || swap.engine().isLoading()) {
+    if (!mayIssueOrders() || swap.engine().isLoading()) {
       return false;
     }
     int loading = 0;
@@ -258,6 +258,21 @@
         .contains(swap.engine().id());
   }
 
+  /** Returns whether this process may send an order right now. */
+  boolean mayIssueOrders() {
+    return lease.mayIssueOrders() && lease.term() != fencedTerm;
+  }
+
+  /** Called right before an order is sent. */
+  void onOrderSent() {
+    lease.onOrderSent();
+  }
+
+  /** Called when an order has been answered or its answer is no longer awaited. */
+  void onOrderEnded(boolean mayArriveLater) {
+    lease.onOrderEnded(mayArriveLater);
+  }
+
   /** Called when an engine rejected an order because it has received one with a later term. */
   void onFenced(long fence) {
     fencedTerm = fence;
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/ProtobufLeaseCodec.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/ProtobufLeaseCodec.java
@@ -19,6 +19,7 @@
         .setTerm(entry.term())
         .setReleased(entry.released())
         .setHeir(entry.heir().map(InstanceId::value).orElse(""))
+        .setOrdersSettled(entry.ordersSettled())
         .build()
         .toByteArray();
   }
@@ -32,7 +33,8 @@
           new Incarnation(message.getIncarnation()),
           message.getTerm(),
           message.getReleased(),
-          Optional.of(message.getHeir()).filter(h -> !h.isEmpty()).map(InstanceId::new));
+          Optional.of(message.getHeir()).filter(h -> !h.isEmpty()).map(InstanceId::new),
+          message.getOrdersSettled());
     } catch (InvalidProtocolBufferException e) {
       throw new IllegalArgumentException("lease record is malformed", e);
     }
--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
@@ -56,6 +56,9 @@
   /** Time since the last frame from an unlinked peer after which the peer counts as lost. */
   private static final Duration LOST_TIMEOUT = Duration.ofMillis(1_700);
 
+  /** Time for which a process should have run before it is the heir of the lease. */
+  private static final Duration HEIR_RUN_TIME = Duration.ofSeconds(5);
+
   private static final Duration RECONNECT_PERIOD = Duration.ofMillis(700);
 
   private final InstanceId self;
@@ -98,6 +101,7 @@
     private Duration lastReceivedAt = Duration.ZERO;
     private Duration lastPingAt = Duration.ZERO;
     private Duration lastAttemptAt = Duration.ZERO;
+    private Duration runKnownSince = Duration.ZERO;
 
     private Peer(InstanceId id) {
       this.id = id;
@@ -206,14 +210,17 @@
   }
 
   /**
-   * Returns the preferred next holder of the lease: of the linked peers that reach the store, the
-   * one with the most CPU.
+   * Returns the preferred next holder of the lease: of the linked peers that reach the store, one
+   * that may issue orders at once rather than one that has just started, and of these the one with
+   * the most CPU.
    */
   public Optional<InstanceId> heir() {
-    Comparator<Peer> byCores = Comparator.comparing(p -> p.node.getMilliCores());
+    Duration now = clock.elapsed();
+    Comparator<Peer> byReadiness =
+        Comparator.comparing(p -> now.minus(p.runKnownSince).compareTo(HEIR_RUN_TIME) >= 0);
     return peers.values().stream()
         .filter(Peer::reachesStore)
-        .max(byCores.thenComparing(p -> p.id))
+        .max(byReadiness.thenComparing(p -> p.node.getMilliCores()).thenComparing(p -> p.id))
         .map(p -> p.id);
   }
 
@@ -295,6 +302,9 @@
     }
     boolean restarted =
         peer.node != null && !peer.node.getIncarnation().equals(node.getIncarnation());
+    if (restarted || peer.node == null) {
+      peer.runKnownSince = clock.elapsed();
+    }
     peer.node = node;
     peer.connectionRefused &= !restarted;
     peer.linkFailed &= !restarted;
--- a/server/src/main/java/org/carobhoist/server/link/proto/LeaseRecord.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/LeaseRecord.java
@@ -289,6 +289,55 @@
     incarnation_ = value.toStringUtf8();
   }
 
+  public static final int ORDERS_SETTLED_FIELD_NUMBER = 6;
+  private boolean ordersSettled_;
+
+  /**
+   *
+   *
+   * <pre>
+   * In a release: no order of this holder or of one before it can still arrive at a server.
+   * </pre>
+   *
+   * <code>bool orders_settled = 6;</code>
+   *
+   * @return The ordersSettled.
+   */
+  @java.lang.Override
+  public boolean getOrdersSettled() {
+    return ordersSettled_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * In a release: no order of this holder or of one before it can still arrive at a server.
+   * </pre>
+   *
+   * <code>bool orders_settled = 6;</code>
+   *
+   * @param value The ordersSettled to set.
+   */
+  private void setOrdersSettled(boolean value) {
+
+    ordersSettled_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * In a release: no order of this holder or of one before it can still arrive at a server.
+   * </pre>
+   *
+   * <code>bool orders_settled = 6;</code>
+   */
+  private void clearOrdersSettled() {
+
+    ordersSettled_ = false;
+  }
+
   public static org.carobhoist.server.link.proto.LeaseRecord parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -670,6 +719,57 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * In a release: no order of this holder or of one before it can still arrive at a server.
+     * </pre>
+     *
+     * <code>bool orders_settled = 6;</code>
+     *
+     * @return The ordersSettled.
+     */
+    @java.lang.Override
+    public boolean getOrdersSettled() {
+      return instance.getOrdersSettled();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * In a release: no order of this holder or of one before it can still arrive at a server.
+     * </pre>
+     *
+     * <code>bool orders_settled = 6;</code>
+     *
+     * @param value The ordersSettled to set.
+     * @return This builder for chaining.
+     */
+    public Builder setOrdersSettled(boolean value) {
+      copyOnWrite();
+      instance.setOrdersSettled(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * In a release: no order of this holder or of one before it can still arrive at a server.
+     * </pre>
+     *
+     * <code>bool orders_settled = 6;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearOrdersSettled() {
+      copyOnWrite();
+      instance.clearOrdersSettled();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.LeaseRecord)
   }
 
@@ -692,11 +792,11 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "holder_", "term_", "released_", "heir_", "incarnation_",
+                "holder_", "term_", "released_", "heir_", "incarnation_", "ordersSettled_",
               };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0208\u0002\u0002"
-                  + "\u0003\u0007\u0004\u0208\u0005\u0208";
+              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u0208\u0002\u0002"
+                  + "\u0003\u0007\u0004\u0208\u0005\u0208\u0006\u0007";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/LeaseRecordOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/LeaseRecordOrBuilder.java
@@ -84,4 +84,17 @@
    * @return The bytes for incarnation.
    */
   com.google.protobuf.ByteString getIncarnationBytes();
+
+  /**
+   *
+   *
+   * <pre>
+   * In a release: no order of this holder or of one before it can still arrive at a server.
+   * </pre>
+   *
+   * <code>bool orders_settled = 6;</code>
+   *
+   * @return The ordersSettled.
+   */
+  boolean getOrdersSettled();
 }
--- a/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
@@ -134,6 +134,24 @@
     }
   }
 
+  @Test
+  void heirIsProcessThatHasRunLongRatherThanRestartedOne() throws InterruptedException {
+    ManualClock clock = new ManualClock();
+    start(clock);
+    StorePeer longRunning = new StorePeer("a");
+    StorePeer restarted = new StorePeer("b");
+    putRecord(longRunning.record);
+    next(ups);
+    for (int i = 0; i < 10; i++) {
+      clock.elapsed = clock.elapsed.plus(PING_PERIOD);
+      awaitPongs(Set.of("a"));
+    }
+    putRecord(restarted.record);
+    next(ups);
+    awaitPongs(Set.of("b"));
+    assertThat(loop.call(mesh::heir).join().map(InstanceId::value)).hasValue("a");
+  }
+
   private Set<String> linkedPeers() {
     return loop.call(mesh::linkedPeers).join().keySet().stream()
         .map(InstanceId::value)
