Place items beside a job that is known in part, and never hold an unused lease

Cause: JobCoordinator.activate asked every job of the view for its content, which threw on an unknown part. The exception ended CoordinatorRole.onAcquired before the runners were attached and the tick was scheduled, and the future of the append dropped it.

JobView.jobs() has only jobs of which all parts are known; the others are placed when their last part arrives. Only their deletion and the state dump look at allJobs(). Activation takes each job by itself, so that one that can't be decoded costs no other. All listeners of the jobs learn of a change, also after one that throws: an end is told only once, and items of an ended job would fail each tick. Callbacks.runReported passes such exceptions to the uncaught exception handler, which logs them (event 1004).

--- a/core/src/main/java/org/carobhoist/core/job/Job.java
+++ b/core/src/main/java/org/carobhoist/core/job/Job.java
@@ -79,12 +79,16 @@
   /**
    * Returns the content as submitted; decodes it on the first call.
    *
-   * @throws IllegalStateException if the job has ended, since its content is no longer kept then
+   * @throws IllegalStateException if the job has ended, since its content is no longer kept then,
+   *     or if a part of the content isn't known yet
    */
   public JobContent content() {
     if (ended) {
       throw new IllegalStateException("job " + id() + " has ended, its content is not kept");
     }
+    if (!isContentComplete()) {
+      throw new IllegalStateException("job " + id() + " has parts that are not known yet");
+    }
     if (content == null) {
       ByteArrayOutputStream bytes = new ByteArrayOutputStream();
       Arrays.stream(chunks).forEach(bytes::writeBytes);
--- a/core/src/main/java/org/carobhoist/core/job/JobView.java
+++ b/core/src/main/java/org/carobhoist/core/job/JobView.java
@@ -9,6 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.store.AppendTiming;
 import org.carobhoist.core.store.Snapshot;
 import org.carobhoist.core.store.StoredRecord;
@@ -56,8 +58,16 @@
     return Optional.ofNullable(jobs.get(id)).filter(Job::isContentComplete);
   }
 
-  /** Returns all jobs in the order in which their first records were read. */
-  public Collection<Job> jobs() {
+  /** Returns the jobs of which all parts are known, in the order of their first records. */
+  public List<Job> jobs() {
+    return jobs.values().stream().filter(Job::isContentComplete).toList();
+  }
+
+  /**
+   * Returns all jobs in the order in which their first records were read, also those of which some
+   * parts are unknown, so that their content can't be used.
+   */
+  public Collection<Job> allJobs() {
     return Collections.unmodifiableCollection(jobs.values());
   }
 
@@ -88,7 +98,7 @@
     try {
       return Optional.of(codec.decode(stored));
     } catch (IllegalArgumentException e) {
-      listeners.forEach(l -> l.onUnreadableRecord(stored.key(), stored.offset(), e.getMessage()));
+      notifyListeners(l -> l.onUnreadableRecord(stored.key(), stored.offset(), e.getMessage()));
       return Optional.empty();
     }
   }
@@ -114,25 +124,30 @@
   private void accept(JobRecord.Accepted a) {
     Job job = jobs.computeIfAbsent(a.job(), id -> new Job(a.head(), a.chunks(), decoder));
     if (job.addChunk(a.chunk(), a.content()) && !job.isEnded()) {
-      listeners.forEach(l -> l.onAccepted(job));
+      notifyListeners(l -> l.onAccepted(job));
     }
   }
 
   private void addResult(Job job, ItemResult result, long offset) {
     if (job.addResult(result, offset)) {
-      listeners.forEach(l -> l.onResultPublished(job, result));
+      notifyListeners(l -> l.onResultPublished(job, result));
     } else if (job.resultOffset(result.item()) != offset) {
-      listeners.forEach(l -> l.onDuplicateResult(job, result, offset));
+      notifyListeners(l -> l.onDuplicateResult(job, result, offset));
     }
   }
 
   private void end(Job job) {
     if (job.end()) {
-      listeners.forEach(l -> l.onEnded(job));
+      notifyListeners(l -> l.onEnded(job));
       job.releaseContent();
     }
   }
 
+  /** Notifies all listeners, also after one that throws, since a change is reported only once. */
+  private void notifyListeners(Consumer<JobListener> change) {
+    listeners.forEach(l -> Callbacks.runReported(() -> change.accept(l)));
+  }
+
   private void removeJob(Job job) {
     jobs.remove(job.id());
     end(job);
--- a/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
@@ -338,12 +338,25 @@
       held = true;
       orders.onAcquired(preceding, preceding.filter(this::isOfFormerRun).isPresent());
       runningPredecessor = preceding.filter(p -> precedingTermIsLong);
-      port.onAcquired(lastTerm);
+      renewedAt = appendedAt;
+      activate();
+      return;
     }
     renewedAt = appendedAt;
     releaseIfDue();
   }
 
+  /** Starts the duties of the holder; a holder that can't perform them releases the lease. */
+  private void activate() {
+    try {
+      port.onAcquired(lastTerm);
+    } catch (RuntimeException e) {
+      port.onAcquisitionFailed(lastTerm, e);
+      acquireNotBefore = clock.elapsed().plus(policy.silenceTimeout());
+      beginRelease(Optional.empty());
+    }
+  }
+
   /** Returns whether a record was written by a former run of this instance. */
   private boolean isOfFormerRun(LeaseEntry entry) {
     return entry.holder().equals(self) && !entry.incarnation().equals(incarnation);
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -14,6 +14,7 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
@@ -117,7 +118,9 @@
     runs.clear();
     engines.clear();
     checkpoints.reset();
-    view.jobs().stream().filter(Job::isOpen).forEach(this::onAccepted);
+    view.jobs().stream()
+        .filter(Job::isOpen)
+        .forEach(j -> Callbacks.runReported(() -> onAccepted(j)));
   }
 
   /** Stops placing items; running items continue at their runners. */
--- a/core/src/main/java/org/carobhoist/core/placement/ReusableOutputs.java
+++ b/core/src/main/java/org/carobhoist/core/placement/ReusableOutputs.java
@@ -34,7 +34,7 @@
     WeightVersion minVersion = job.content().minVersion();
     boolean singleVersion = job.head().rules().singleVersion();
     return view.jobs().stream()
-        .filter(j -> j != job && j.isContentComplete())
+        .filter(j -> j != job)
         .filter(j -> j.head().account().equals(job.head().account()))
         .filter(j -> j.head().service().equals(job.head().service()))
         .filter(j -> j.result(item.id()).filter(r -> r.fits(minVersion, singleVersion)).isPresent())
--- a/core/src/test/java/org/carobhoist/core/job/JobViewTest.java
+++ b/core/src/test/java/org/carobhoist/core/job/JobViewTest.java
@@ -121,6 +121,42 @@
     assertThat(events.seen).doesNotContain("duplicate b");
   }
 
+  @Test
+  void jobsWithUnknownPartsAreNotAmongTheUsableOnes() {
+    shard.onRecord(stored(0, "part/j1/0/2"));
+    assertThat(view.jobs()).isEmpty();
+    assertThat(view.allJobs()).hasSize(1);
+    shard.onRecord(stored(1, "part/j1/1/2"));
+    assertThat(view.jobs()).hasSize(1);
+    assertThat(events.seen).containsExactly("accepted");
+  }
+
+  @Test
+  void listenerThatThrowsDoesNotKeepOthersFromLearningOfAnEnd() {
+    List<String> reported = new ArrayList<>();
+    Thread.currentThread().setUncaughtExceptionHandler((t, e) -> reported.add(e.getMessage()));
+    JobView other = JobView.create(new PlainRecords(id -> HEAD), bytes -> null, 1);
+    other.addListener(new FailingListener());
+    other.addListener(events);
+    other.shardListener(0).onRecord(stored(0, "job/j1"));
+    other.shardListener(0).onRecord(stored(1, "end/j1"));
+    Thread.currentThread().setUncaughtExceptionHandler(null);
+    assertThat(events.seen).containsExactly("accepted", "ended").inOrder();
+    assertThat(reported).containsExactly("simulated failure at an end");
+    assertThat(other.job(JOB).orElseThrow().contentBytes()).isEqualTo(0);
+  }
+
+  private static final class FailingListener implements JobListener {
+
+    @Override
+    public void onResultPublished(Job job, ItemResult result) {}
+
+    @Override
+    public void onEnded(Job job) {
+      throw new IllegalStateException("simulated failure at an end");
+    }
+  }
+
   @Test
   void removesJobThatIsMissingInSnapshot() {
     shard.onRecord(stored(0, "job/j1"));
--- a/core/src/test/java/org/carobhoist/core/job/PlainRecords.java
+++ b/core/src/test/java/org/carobhoist/core/job/PlainRecords.java
@@ -49,6 +49,12 @@
           stored.isTombstone()
               ? new JobRecord.Deleted(job)
               : new JobRecord.Accepted(heads.apply(job), 0, 1, stored.value());
+      case "part" ->
+          new JobRecord.Accepted(
+              heads.apply(job),
+              Integer.parseInt(parts[2]),
+              Integer.parseInt(parts[3]),
+              stored.value());
       case "result" ->
           new JobRecord.ResultPublished(
               job,
--- a/core/src/test/java/org/carobhoist/core/lease/LeaseManagerTest.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseManagerTest.java
@@ -25,6 +25,12 @@
     assertThat(Schedules.explore(1, SCHEDULES, LeaseSimulation::runHandOver)).isEmpty();
   }
 
+  /** Guards against a holder that keeps the lease and does nothing. */
+  @Test
+  void holderThatCannotStartItsDutiesReleasesTheLease() {
+    assertThat(Schedules.explore(1, SCHEDULES, LeaseSimulation::runFailingHolder)).isEmpty();
+  }
+
   /**
    * Guards against two holders after a cut that only looks like the end of the holder's process.
    */
--- a/core/src/test/java/org/carobhoist/core/lease/LeaseSimulation.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseSimulation.java
@@ -81,6 +81,7 @@
     private final LeaseManager lease;
     private boolean alive = true;
     private boolean prepared = true;
+    private boolean failsAsHolder;
     private Duration frozenUntil = Duration.ZERO;
     private Duration frozenTotal = Duration.ZERO;
     private Duration diedAt = Duration.ZERO;
@@ -177,7 +178,14 @@
     }
 
     @Override
-    public void onAcquired(long term) {}
+    public void onAcquired(long term) {
+      if (failsAsHolder) {
+        throw new IllegalStateException("simulated failure of a new holder");
+      }
+    }
+
+    @Override
+    public void onAcquisitionFailed(long term, RuntimeException cause) {}
 
     @Override
     public void onLost(long term, String why) {}
@@ -289,6 +297,17 @@
     return simulation.holder() == 0 ? Optional.empty() : Optional.of("not held when prepared");
   }
 
+  /** A holder that can't start its duties must leave the lease to another process. */
+  static Optional<String> runFailingHolder(SplittableRandom random) {
+    LeaseSimulation simulation = new LeaseSimulation(random, Rules.ALL);
+    simulation.startAll();
+    simulation.candidates.stream().filter(c -> c.index != 1).forEach(c -> c.failsAsHolder = true);
+    simulation.queue.run(Duration.ofSeconds(12));
+    return simulation.holder() == 1
+        ? Optional.empty()
+        : Optional.of("held by " + simulation.holder() + ", which can't start its duties");
+  }
+
   /** After a hand-over the heir must issue orders soon and remain the holder. */
   static Optional<String> runHandOver(SplittableRandom random) {
     LeaseSimulation simulation = new LeaseSimulation(random, Rules.ALL);
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorFixture.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorFixture.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -43,6 +44,7 @@
   static final WeightVersion V5 = new WeightVersion(5);
   static final WeightVersion V6 = new WeightVersion(6);
   static final WeightVersion V7 = new WeightVersion(7);
+  static final byte[] UNDECODABLE = {0, 0, 0};
   static final InstanceId RUNNER = new InstanceId("entry-1");
   static final InstanceId OTHER_RUNNER = new InstanceId("entry-2");
 
@@ -168,7 +170,10 @@
     }
   }
 
-  JobContent content(byte[] any) {
+  JobContent content(byte[] submitted) {
+    if (Arrays.equals(submitted, UNDECODABLE)) {
+      throw new IllegalArgumentException("simulated job that can't be decoded");
+    }
     return new JobContent(0, "m", minVersion, 0, items);
   }
 
@@ -203,17 +208,7 @@
   Job submit(String id, Optional<AccountName> account, JobItem... jobItems) {
     items = List.of(jobItems);
     JobId jobId = new JobId(id);
-    JobHead head =
-        new JobHead(
-            account.map(jobId::scopedTo).orElse(jobId),
-            SERVICE,
-            "a.example",
-            "jobs",
-            clock.now(),
-            new JobRules(Duration.ofSeconds(7), Duration.ofSeconds(40), singleVersion),
-            3,
-            jobItems.length,
-            account);
+    JobHead head = head(account.map(jobId::scopedTo).orElse(jobId), jobItems.length, account);
     heads.put(head.id(), head);
     view.shardListener(0)
         .onRecord(new StoredRecord(heads.size(), "job/" + head.id(), new byte[] {1}));
@@ -223,6 +218,23 @@
     return job;
   }
 
+  JobHead headOf(String id, int itemCount) {
+    return head(new JobId(id), itemCount, Optional.empty());
+  }
+
+  private JobHead head(JobId id, int itemCount, Optional<AccountName> account) {
+    return new JobHead(
+        id,
+        SERVICE,
+        "a.example",
+        "jobs",
+        clock.now(),
+        new JobRules(Duration.ofSeconds(7), Duration.ofSeconds(40), singleVersion),
+        3,
+        itemCount,
+        account);
+  }
+
   void activate() {
     coordinator.activate(1);
     advance(400);
--- a/core/src/test/java/org/carobhoist/core/usage/UsageSimulation.java
+++ b/core/src/test/java/org/carobhoist/core/usage/UsageSimulation.java
@@ -362,6 +362,9 @@
     @Override
     public void onAcquired(long newTerm) {}
 
+    @Override
+    public void onAcquisitionFailed(long failedTerm, RuntimeException cause) {}
+
     @Override
     public void onLost(long lostTerm, String why) {}
 
--- a/server/src/main/java/org/carobhoist/server/app/Main.java
+++ b/server/src/main/java/org/carobhoist/server/app/Main.java
@@ -1,6 +1,8 @@
 package org.carobhoist.server.app;
 
 import java.util.Arrays;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
 import picocli.AutoComplete;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
@@ -44,6 +46,9 @@
 
   /** Runs the command line and ends the process with its exit code. */
   public static void main(String[] args) {
+    Thread.setDefaultUncaughtExceptionHandler(
+        (thread, failure) ->
+            EventLog.error(LogEvent.DECISION_FAILED, failure, "thread", thread.getName()));
     System.exit(execute(args));
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/GatewayService.java
@@ -613,7 +613,7 @@
       return new State(
           manifests.current().map(m -> m.version()).orElse(0L),
           servers.size(),
-          view.jobs().size(),
+          view.allJobs().size(),
           runner.runCount(),
           coordinator.isActive(),
           lease.term(),
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
@@ -172,6 +172,11 @@
     }
   }
 
+  @Override
+  public void onAcquisitionFailed(long term, RuntimeException cause) {
+    EventLog.error(LogEvent.LEASE_UNUSED, cause, "term", term);
+  }
+
   private void loadCheckpoints(long term) {
     checkpoints
         .load()
@@ -330,7 +335,7 @@
       return;
     }
     Optional<Job> expired =
-        view.jobs().stream()
+        view.allJobs().stream()
             .filter(j -> now.isAfter(j.head().acceptedAt().plus(resultRetention)))
             .filter(j -> j.isEnded() || j.head().isExpired(now))
             .findFirst();
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -8,7 +8,7 @@
   STOPPING(1002, "planned stop started"),
   /** A process has stopped. */
   STOPPED(1003, "process stopped"),
-  /** A task of the decision loop threw an exception. */
+  /** A task of the decision loop, or a callback, threw an exception. */
   DECISION_FAILED(1004, "decision task failed"),
   /** The settings file was compared with the settings in use; changes apply at the next start. */
   SETTINGS_READ(1005, "settings file checked for changes"),
@@ -151,6 +151,8 @@
   LEASE_TAKEN(7401, "coordinator lease acquired"),
   /** This process no longer holds the coordinator's lease. */
   LEASE_LOST(7402, "coordinator lease lost"),
+  /** This process could not start the duties of the coordinator and releases the lease. */
+  LEASE_UNUSED(7409, "coordinator not started"),
   /** The lease has a different holder. */
   LEASE_SEEN(7403, "coordinator lease changed"),
   /** A peer is no longer reachable. */
