--- a/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
+++ b/server/src/test/java/org/carobhoist/server/gateway/peer/PeerMeshTest.java
@@ -139,13 +139,13 @@
     ManualClock clock = new ManualClock();
     start(clock);
     StorePeer longRunning = new StorePeer("a");
-    StorePeer restarted = new StorePeer("b");
     putRecord(longRunning.record);
     next(ups);
     for (int i = 0; i < 10; i++) {
       clock.elapsed = clock.elapsed.plus(PING_PERIOD);
       awaitPongs(Set.of("a"));
     }
+    StorePeer restarted = new StorePeer("b");
     putRecord(restarted.record);
     next(ups);
     awaitPongs(Set.of("b"));
