--- a/core/src/main/java/org/carobhoist/core/common/Callbacks.java
+++ b/core/src/main/java/org/carobhoist/core/common/Callbacks.java
@@ -1,7 +1,8 @@
 package org.carobhoist.core.common;
 
-import java.util.concurrent.CompletionStage;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BiConsumer;
+import java.util.function.Supplier;
 
 /**
  * Runs callbacks and steps that have no caller who could handle their exceptions. A future drops
@@ -12,10 +13,18 @@
 
   private Callbacks() {}
 
-  /** Runs a callback with the outcome of a future; exceptions of the callback are reported. */
-  public static <T> void whenDone(
-      CompletionStage<T> future, BiConsumer<? super T, ? super Throwable> callback) {
-    future.whenComplete((value, failure) -> runReported(() -> callback.accept(value, failure)));
+  /** Returns a callback of a future that reports what the given callback throws. */
+  public static <T> BiConsumer<T, Throwable> reported(BiConsumer<T, Throwable> callback) {
+    return (value, failure) -> runReported(() -> callback.accept(value, failure));
+  }
+
+  /** Starts an operation; its future fails if the operation can't be started. */
+  public static <T> CompletableFuture<T> start(Supplier<CompletableFuture<T>> operation) {
+    try {
+      return operation.get();
+    } catch (RuntimeException e) {
+      return CompletableFuture.failedFuture(e);
+    }
   }
 
   /**
--- a/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
+++ b/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.core.common.Scheduler;
@@ -189,7 +190,14 @@
     return shards.get(Math.floorMod(job.value().hashCode(), shards.size()));
   }
 
+  /** Appends what is pending; starts again after an exception, since nothing else would. */
   private void flush(Shard shard) {
+    if (!Callbacks.runReported(() -> appendPending(shard))) {
+      scheduler.after(backoff.nextDelay(), () -> flush(shard));
+    }
+  }
+
+  private void appendPending(Shard shard) {
     List<PendingEntry> all = pendingByShard.get(shard);
     all.stream().filter(p -> !p.wanted().getAsBoolean()).forEach(p -> p.done().complete(-1L));
     all.removeIf(p -> p.done().isDone());
@@ -198,9 +206,10 @@
       return;
     }
     List<PendingEntry> batch = batch(all);
-    store
-        .append(shard, batch.stream().map(PendingEntry::entry).toList(), OptionalLong.empty())
-        .whenComplete((outcome, failure) -> afterAppend(shard, batch, outcome, failure));
+    List<KeyedRecord> records = batch.stream().map(PendingEntry::entry).toList();
+    Callbacks.start(() -> store.append(shard, records, OptionalLong.empty()))
+        .whenComplete(
+            Callbacks.reported((outcome, failure) -> afterAppend(shard, batch, outcome, failure)));
   }
 
   private static List<PendingEntry> batch(List<PendingEntry> all) {
--- a/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
@@ -6,6 +6,7 @@
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
 import java.util.function.Predicate;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
@@ -306,12 +307,19 @@
     Optional<LeaseEntry> preceding = lastEntry;
     boolean precedingTermIsLong = elapsedSince(lastTermSeenAt).compareTo(policy.orderGap()) >= 0;
     KeyedRecord record = new KeyedRecord(KEY, codec.encode(entry));
-    store
-        .append(tail.shard(), List.of(record), OptionalLong.of(tail.nextOffset()))
+    Callbacks.start(
+            () -> store.append(tail.shard(), List.of(record), OptionalLong.of(tail.nextOffset())))
         .whenComplete(
-            (outcome, failure) ->
-                onAppendResult(
-                    entry, preceding, precedingTermIsLong, record, appendedAt, outcome, failure));
+            Callbacks.reported(
+                (outcome, failure) ->
+                    onAppendResult(
+                        entry,
+                        preceding,
+                        precedingTermIsLong,
+                        record,
+                        appendedAt,
+                        outcome,
+                        failure)));
   }
 
   private void onAppendResult(
@@ -327,7 +335,8 @@
       // The record may have been stored nevertheless. Reading the shard to its end shows whether it
       // was; no other record is appended meanwhile.
       appendInProgress = true;
-      tail.barrier().whenComplete((ok, readFailure) -> appendInProgress = false);
+      tail.barrier()
+          .whenComplete(Callbacks.reported((ok, readFailure) -> appendInProgress = false));
       return;
     }
     tail.onAppended(((AppendOutcome.Appended) outcome).offset(), List.of(record));
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -19,8 +19,10 @@
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.job.ItemId;
 import org.carobhoist.core.job.ItemResult;
 import org.carobhoist.core.job.Job;
+import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.job.JobItem;
 import org.carobhoist.core.job.JobView;
 import org.carobhoist.core.manifest.EngineSpec;
@@ -227,6 +229,14 @@
     }
   }
 
+  /** Called when the result of a former job can't be used for an item after all; the item runs. */
+  public void onReuseFailed(JobId job, ItemId item) {
+    ItemState state = items.get(new ItemKey(job, item));
+    if (state != null && state.phase() == Phase.DONE && !state.text().isComplete()) {
+      state.clearRun(Phase.WAITING, clock.elapsed());
+    }
+  }
+
   /** Called when a runner reports all its runs to this coordinator. */
   public void onRunnerState(InstanceId runner, Collection<RunReport> reports) {
     reports.forEach(r -> adoptRun(runner, r));
@@ -301,13 +311,14 @@
       return;
     }
     Duration now = clock.elapsed();
-    giveUpExpired(wallTime);
-    checkRuns(now);
-    publishOverdue(now);
+    // A step that throws must not keep the others from being made at every tick.
+    Callbacks.runReported(() -> giveUpExpired(wallTime));
+    Callbacks.runReported(() -> checkRuns(now));
+    Callbacks.runReported(() -> publishOverdue(now));
     if (now.compareTo(placementStartsAt) >= 0) {
-      place(now, wallTime);
-      moveRunExpectedToEndLast(now);
-      checkpoints.tick(items);
+      Callbacks.runReported(() -> place(now, wallTime));
+      Callbacks.runReported(() -> moveRunExpectedToEndLast(now));
+      Callbacks.runReported(() -> checkpoints.tick(items));
     }
   }
 
@@ -524,7 +535,9 @@
         waiting.computeIfAbsent(s.job().head().service(), k -> new ArrayList<>()).add(s);
       }
     }
-    waiting.forEach((service, states) -> place(service, states, runners, now, wallTime));
+    waiting.forEach(
+        (service, states) ->
+            Callbacks.runReported(() -> place(service, states, runners, now, wallTime)));
   }
 
   private void place(
--- a/core/src/main/java/org/carobhoist/core/placement/TextCheckpoints.java
+++ b/core/src/main/java/org/carobhoist/core/placement/TextCheckpoints.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.placement.ItemState.Phase;
 
@@ -67,8 +68,8 @@
       return;
     }
     appending = true;
-    port.storeCheckpoints(texts, obsolete)
-        .whenComplete((ok, failure) -> onAppended(texts, obsolete, failure));
+    Callbacks.start(() -> port.storeCheckpoints(texts, obsolete))
+        .whenComplete(Callbacks.reported((ok, failure) -> onAppended(texts, obsolete, failure)));
   }
 
   private void onAppended(List<TextCheckpoint> texts, List<ItemKey> obsolete, Throwable failure) {
--- a/core/src/main/java/org/carobhoist/core/store/OrderedAppender.java
+++ b/core/src/main/java/org/carobhoist/core/store/OrderedAppender.java
@@ -9,6 +9,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.core.common.Scheduler;
 
@@ -95,7 +96,14 @@
     return pendingByKey.size();
   }
 
+  /** Appends what is pending; starts again after an exception, since nothing else would. */
   private void process() {
+    if (!Callbacks.runReported(this::appendPending)) {
+      scheduler.after(backoff.nextDelay(), this::process);
+    }
+  }
+
+  private void appendPending() {
     if (pendingByKey.isEmpty()) {
       active = false;
     } else if (!tail.isLoaded() || tail.isPaused()) {
@@ -117,12 +125,10 @@
       return;
     }
     long expectedEnd = tail.nextOffset();
-    store
-        .append(
-            tail.shard(),
-            batch.stream().map(Pending::content).toList(),
-            OptionalLong.of(expectedEnd))
-        .whenComplete((outcome, failure) -> afterAppend(batch, outcome, failure));
+    List<KeyedRecord> records = batch.stream().map(Pending::content).toList();
+    Callbacks.start(() -> store.append(tail.shard(), records, OptionalLong.of(expectedEnd)))
+        .whenComplete(
+            Callbacks.reported((outcome, failure) -> afterAppend(batch, outcome, failure)));
   }
 
   private void afterAppend(List<Pending> batch, AppendOutcome outcome, Throwable failure) {
@@ -144,13 +150,20 @@
   private void readThenAppend() {
     tail.barrier()
         .whenComplete(
-            (ok, failure) -> {
-              if (failure == null) {
-                appendBatch();
-              } else {
-                scheduler.after(backoff.nextDelay(), this::process);
-              }
-            });
+            Callbacks.reported(
+                (ok, failure) -> {
+                  if (failure == null) {
+                    appendAfterRead();
+                  } else {
+                    scheduler.after(backoff.nextDelay(), this::process);
+                  }
+                }));
+  }
+
+  private void appendAfterRead() {
+    if (!Callbacks.runReported(this::appendBatch)) {
+      scheduler.after(backoff.nextDelay(), this::process);
+    }
   }
 
   private void dropUnwanted() {
--- a/core/src/main/java/org/carobhoist/core/store/ShardTailer.java
+++ b/core/src/main/java/org/carobhoist/core/store/ShardTailer.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.core.common.Scheduler;
@@ -175,7 +176,7 @@
     if (activeBarrier == null) {
       activeBarrier = readToCurrentEnd();
       CompletableFuture<Void> started = activeBarrier;
-      started.whenComplete((ok, failure) -> startQueuedBarrier());
+      started.whenComplete(Callbacks.reported((ok, failure) -> startQueuedBarrier()));
       return started;
     }
     if (queuedBarrier == null) {
@@ -189,7 +190,7 @@
     activeBarrier = null;
     queuedBarrier = null;
     if (queued != null) {
-      barrier().whenComplete((ok, failure) -> complete(queued, failure));
+      barrier().whenComplete(Callbacks.reported((ok, failure) -> complete(queued, failure)));
     }
   }
 
@@ -234,8 +235,7 @@
   /** Reads up to an offset, or up to the end that the first response reports. */
   private CompletableFuture<Void> readTo(long end) {
     Duration sentAt = clock.elapsed();
-    return store
-        .read(shard, nextOffset, Duration.ZERO)
+    return Callbacks.start(() -> store.read(shard, nextOffset, Duration.ZERO))
         .thenCompose(
             outcome -> {
               if (!(outcome instanceof ReadOutcome.Batch batch)) {
@@ -251,15 +251,14 @@
 
   private void poll() {
     if (!loaded) {
-      scan().whenComplete((ok, failure) -> afterPoll(failure));
+      scan().whenComplete(Callbacks.reported((ok, failure) -> afterPoll(failure)));
       return;
     }
     Duration sentAt = clock.elapsed();
     offsetAtLastPoll = nextOffset;
-    store
-        .read(shard, nextOffset, wait)
+    Callbacks.start(() -> store.read(shard, nextOffset, wait))
         .thenCompose(outcome -> afterRead(outcome, sentAt))
-        .whenComplete((ok, failure) -> afterPoll(failure));
+        .whenComplete(Callbacks.reported((ok, failure) -> afterPoll(failure)));
   }
 
   private CompletableFuture<Void> afterRead(ReadOutcome outcome, Duration sentAt) {
@@ -276,11 +275,11 @@
       scheduleNextPoll();
       return;
     }
+    scheduler.after(backoff.nextDelay(), this::poll);
     if (!failing) {
       failing = true;
       listener.onReadFailed(failure);
     }
-    scheduler.after(backoff.nextDelay(), this::poll);
   }
 
   private void scheduleNextPoll() {
@@ -306,7 +305,7 @@
     backoff.reset();
     if (failing) {
       failing = false;
-      listener.onReadRecovered();
+      Callbacks.runReported(listener::onReadRecovered);
     }
   }
 
@@ -340,11 +339,13 @@
     CompletableFuture<Void> completion = readPages(scan).thenRun(() -> install(scan));
     activeScan = completion;
     completion.whenComplete(
-        (ok, failure) -> {
-          activeScan = null;
-          listener.onScanFinished(scan.statistics(clock.elapsed(), failure));
-          endFirstScan();
-        });
+        Callbacks.reported(
+            (ok, failure) -> {
+              activeScan = null;
+              ShardScan statistics = scan.statistics(clock.elapsed(), failure);
+              Callbacks.runReported(() -> listener.onScanFinished(statistics));
+              endFirstScan();
+            }));
     return completion;
   }
 
@@ -352,7 +353,7 @@
     firstScanEnded = true;
     Runnable task = onFirstScanEnded;
     onFirstScanEnded = () -> {};
-    task.run();
+    Callbacks.runReported(task);
   }
 
   /** Progress of a scan over the newest records. */
@@ -389,8 +390,7 @@
   }
 
   private CompletableFuture<Void> readPages(Scan scan) {
-    return store
-        .newest(shard, scan.lastKey)
+    return Callbacks.start(() -> store.newest(shard, scan.lastKey))
         .thenCompose(
             page -> {
               scan.add(page);
--- a/core/src/main/java/org/carobhoist/core/usage/UsageLedger.java
+++ b/core/src/main/java/org/carobhoist/core/usage/UsageLedger.java
@@ -7,6 +7,7 @@
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.Function;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.store.AppendOutcome;
 import org.carobhoist.core.store.KeyedRecord;
 import org.carobhoist.core.store.RecordStore;
@@ -155,24 +156,26 @@
   private void append(List<KeyedRecord> records) {
     ShardTailer current = tail.orElseThrow();
     busy = true;
-    store
-        .append(current.shard(), records, OptionalLong.of(current.nextOffset()))
+    Callbacks.start(
+            () -> store.append(current.shard(), records, OptionalLong.of(current.nextOffset())))
         .whenComplete(
-            (outcome, failure) -> {
-              if (!isCurrent(current)) {
-                return;
-              }
-              busy = false;
-              if (outcome instanceof AppendOutcome.Appended appended) {
-                current.onAppended(appended.offset(), records);
-              } else {
-                // The records may have been stored nevertheless, or another process has appended
-                // some; reading the shard shows which.
-                appendFailed = true;
-                read = false;
-                readToEnd(current);
-              }
-            });
+            Callbacks.reported(
+                (outcome, failure) -> {
+                  if (!isCurrent(current)) {
+                    return;
+                  }
+                  busy = false;
+                  if (outcome instanceof AppendOutcome.Appended appended) {
+                    current.onAppended(appended.offset(), records);
+                  } else {
+                    // The records may have been stored nevertheless, or another process has
+                    // appended
+                    // some; reading the shard shows which.
+                    appendFailed = true;
+                    read = false;
+                    readToEnd(current);
+                  }
+                }));
   }
 
   private void readToEnd(ShardTailer current) {
@@ -180,12 +183,13 @@
     current
         .barrier()
         .whenComplete(
-            (ok, failure) -> {
-              if (isCurrent(current)) {
-                busy = false;
-                read = failure == null;
-              }
-            });
+            Callbacks.reported(
+                (ok, failure) -> {
+                  if (isCurrent(current)) {
+                    busy = false;
+                    read = failure == null;
+                  }
+                }));
   }
 
   private boolean isCurrent(ShardTailer other) {
--- a/core/src/test/java/org/carobhoist/core/placement/JobActivationTest.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobActivationTest.java
@@ -3,6 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import java.util.List;
+import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.job.ItemId;
+import org.carobhoist.core.job.Job;
 import org.carobhoist.core.job.JobId;
 import org.carobhoist.core.store.StoredRecord;
 import org.junit.jupiter.api.Test;
@@ -31,6 +34,26 @@
     assertThat(port.started).hasSize(2);
   }
 
+  /**
+   * Guards against an item that neither runs nor has a result, since the former one is unusable.
+   */
+  @Test
+  void itemRunsIfResultOfFormerJobCannotBeUsed() {
+    minVersion = new WeightVersion(1);
+    addEngine("e1", V6);
+    activate();
+    Job former = submit("j1", item("i1", 9));
+    read("result/j1/i1", new byte[] {'x'});
+    coordinator.onResultPublished(former, former.resultsFrom(0).get(0));
+    port.reusesResults = false;
+    Job later = submit("j2", item("i1", 9));
+    advance(50);
+    assertThat(port.started).isEmpty();
+    coordinator.onReuseFailed(later.id(), new ItemId("i1"));
+    advance(50);
+    assertThat(port.started).hasSize(1);
+  }
+
   /** Guards against a coordinator that places nothing because a job can't be decoded. */
   @Test
   void jobThatCannotBeDecodedDoesNotKeepOthersFromBeingPlaced() {
--- a/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorFixture.java
+++ b/core/src/test/java/org/carobhoist/core/placement/JobCoordinatorFixture.java
@@ -78,6 +78,7 @@
     final List<Map<WaitCause, Integer>> waits = new ArrayList<>();
     final List<Runner> runners = new ArrayList<>(List.of(new Runner(RUNNER, ZONE, 1_000)));
     boolean storeAway;
+    boolean reusesResults = true;
     int appends;
 
     @Override
@@ -128,6 +129,9 @@
 
     @Override
     public void reuse(Job job, JobItem item, ItemResult former, boolean sameScore) {
+      if (!reusesResults) {
+        return;
+      }
       if (sameScore) {
         publish(job.id(), former);
       } else {
--- a/core/src/test/java/org/carobhoist/core/store/OrderedAppenderTest.java
+++ b/core/src/test/java/org/carobhoist/core/store/OrderedAppenderTest.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.carobhoist.core.testing.EventQueue;
 import org.carobhoist.core.testing.ManualClock;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** An append must not fail with a conflict just because the tailer pauses between reads. */
@@ -29,15 +30,19 @@
   /** Records the outcomes of appends. */
   private final class RecordingStore implements RecordStore {
 
+    private Runnable beforeCall = () -> {};
+
     @Override
     public CompletableFuture<AppendOutcome> append(
         Shard shard, List<KeyedRecord> records, OptionalLong at) {
+      beforeCall.run();
       return link.append(shard, records, at)
           .whenComplete((outcome, failure) -> outcomes.add(outcome));
     }
 
     @Override
     public CompletableFuture<ReadOutcome> read(Shard shard, long from, Duration wait) {
+      beforeCall.run();
       return link.read(shard, from, wait);
     }
 
@@ -48,6 +53,7 @@
 
     @Override
     public CompletableFuture<NewestPage> newest(Shard shard, String after) {
+      beforeCall.run();
       return link.newest(shard, after);
     }
   }
@@ -65,6 +71,45 @@
     log.append(SHARD, List.of(new KeyedRecord(key, new byte[] {1})), OptionalLong.empty());
   }
 
+  /** Guards against an appender that stops for good, so that no result is published any more. */
+  @Test
+  void appendsAgainAfterExceptionsOfTheStoreAndOfTheCondition() {
+    Thread.currentThread().setUncaughtExceptionHandler((thread, failure) -> {});
+    int[] failuresLeft = {3};
+    Runnable failSometimes =
+        () -> {
+          if (failuresLeft[0]-- > 0) {
+            throw new IllegalStateException("simulated failure");
+          }
+        };
+    RecordingStore store = new RecordingStore();
+    store.beforeCall = failSometimes;
+    ShardTailer tail =
+        ShardTailer.create(store, SHARD, new NoOpListener(), clock, queue::schedule, POLL_WAIT);
+    final OrderedAppender appender =
+        OrderedAppender.create(
+            store,
+            tail,
+            key -> {
+              failSometimes.run();
+              return AppendTiming.NOW;
+            },
+            queue::schedule,
+            LINGER);
+    tail.start();
+    queue.run(Duration.ofSeconds(3));
+    assertThat(tail.isLoaded()).isTrue();
+    failuresLeft[0] = 5;
+    CompletableFuture<Boolean> appended = appender.append(new KeyedRecord("own", new byte[] {2}));
+    queue.run(Duration.ofSeconds(10));
+    assertThat(appended.isDone() && appended.join()).isTrue();
+  }
+
+  @AfterEach
+  void removeExceptionHandler() {
+    Thread.currentThread().setUncaughtExceptionHandler(null);
+  }
+
   @Test
   void readsBeforeAppendWhileTailPauses() {
     RecordStore store = new RecordingStore();
--- a/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
+++ b/server/src/main/java/org/carobhoist/server/entry/EntryCall.java
@@ -9,6 +9,7 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.Set;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
@@ -109,11 +110,12 @@
     EntryCall call = new EntryCall(context, request, out, startedAt);
     out.whenComplete()
         .whenCompleteAsync(
-            (ok, failure) -> {
-              if (failure instanceof ClosedStreamException) {
-                call.run.onCancel();
-              }
-            },
+            Callbacks.reported(
+                (ok, failure) -> {
+                  if (failure instanceof ClosedStreamException) {
+                    call.run.onCancel();
+                  }
+                }),
             context.loop());
     Duration remaining = call.expiry.minus(context.clock().elapsed());
     call.cancelTimer = context.loop().after(remaining, call.run::onDeadline);
@@ -176,7 +178,8 @@
     }
     link.get()
         .send(startFrame())
-        .whenCompleteAsync((ok, failure) -> onWritten(attempt, failure), context.loop());
+        .whenCompleteAsync(
+            Callbacks.reported((ok, failure) -> onWritten(attempt, failure)), context.loop());
   }
 
   @Override
--- a/server/src/main/java/org/carobhoist/server/entry/LinkPool.java
+++ b/server/src/main/java/org/carobhoist/server/entry/LinkPool.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.Zone;
@@ -173,7 +174,7 @@
   }
 
   private void refresh() {
-    list.read().whenCompleteAsync(this::onInstanceListRead, loop);
+    list.read().whenCompleteAsync(Callbacks.reported(this::onInstanceListRead), loop);
   }
 
   /**
@@ -260,7 +261,7 @@
     target.opening = true;
     network
         .open(target.listing.host(), target.listing.port())
-        .whenCompleteAsync((ok, failure) -> onOpened(target, failure), loop);
+        .whenCompleteAsync(Callbacks.reported((ok, failure) -> onOpened(target, failure)), loop);
   }
 
   private void onOpened(Target target, Throwable failure) {
--- a/server/src/main/java/org/carobhoist/server/entry/RequestBodies.java
+++ b/server/src/main/java/org/carobhoist/server/entry/RequestBodies.java
@@ -7,6 +7,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.RefusedException;
 import org.carobhoist.core.common.RequestId;
 import org.carobhoist.core.request.DrainDeadline;
@@ -42,14 +43,15 @@
     CompletableFuture<Runnable> removeFromDrain = loop.call(() -> addToDrain(body));
     req.aggregate()
         .whenCompleteAsync(
-            (http, failure) -> {
-              removeFromDrain.thenAccept(Runnable::run);
-              if (failure == null) {
-                body.complete(http);
-              } else {
-                body.completeExceptionally(failure);
-              }
-            },
+            Callbacks.reported(
+                (http, failure) -> {
+                  removeFromDrain.thenAccept(Runnable::run);
+                  if (failure == null) {
+                    body.complete(http);
+                  } else {
+                    body.completeExceptionally(failure);
+                  }
+                }),
             loop);
     return body;
   }
--- a/server/src/main/java/org/carobhoist/server/entry/WeightRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/entry/WeightRoutes.java
@@ -18,6 +18,7 @@
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Refusal;
 import org.carobhoist.core.common.RefusalReason;
 import org.carobhoist.core.common.RequestId;
@@ -109,9 +110,11 @@
     }
     Waiter waiter = new Waiter(model, version, accepted);
     waiters.add(waiter);
-    accepted.whenCompleteAsync((order, failure) -> waiters.remove(waiter), loop);
+    accepted.whenCompleteAsync(
+        Callbacks.reported((order, failure) -> waiters.remove(waiter)), loop);
     log.append(WeightOrderRecords.encode(model, version))
-        .whenCompleteAsync((offset, failure) -> onAppendEnded(waiter, failure), loop);
+        .whenCompleteAsync(
+            Callbacks.reported((offset, failure) -> onAppendEnded(waiter, failure)), loop);
     return accepted.orTimeout(ACCEPT_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/CoordinatorRole.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
@@ -30,6 +31,7 @@
 import org.carobhoist.core.manifest.EngineSpec;
 import org.carobhoist.core.manifest.Manifest;
 import org.carobhoist.core.manifest.ManifestHolder;
+import org.carobhoist.core.manifest.ServiceSpec;
 import org.carobhoist.core.membership.EndpointPhase;
 import org.carobhoist.core.membership.RegisteredServers;
 import org.carobhoist.core.membership.ServerEntry;
@@ -181,21 +183,22 @@
     checkpoints
         .load()
         .whenComplete(
-            (texts, failure) -> {
-              if (failure != null) {
-                EventLog.warn(LogEvent.UNFINISHED_TEXTS_UNREAD, "term", term, "why", failure);
-              } else if (active && lease.term() == term) {
-                int restored = jobs.onCheckpointsLoaded(texts);
-                EventLog.info(
-                    LogEvent.UNFINISHED_TEXTS_READ,
-                    "term",
-                    term,
-                    "texts",
-                    texts.size(),
-                    "used",
-                    restored);
-              }
-            });
+            Callbacks.reported(
+                (texts, failure) -> {
+                  if (failure != null) {
+                    EventLog.warn(LogEvent.UNFINISHED_TEXTS_UNREAD, "term", term, "why", failure);
+                  } else if (active && lease.term() == term) {
+                    int restored = jobs.onCheckpointsLoaded(texts);
+                    EventLog.info(
+                        LogEvent.UNFINISHED_TEXTS_READ,
+                        "term",
+                        term,
+                        "texts",
+                        texts.size(),
+                        "used",
+                        restored);
+                  }
+                }));
   }
 
   @Override
@@ -299,16 +302,11 @@
     if (tickMonitor.recordTick(clock.elapsed()) && handOver()) {
       return;
     }
-    manifests
-        .current()
-        .ifPresent(
-            m ->
-                m.services()
-                    .values()
-                    .forEach(s -> s.engine().ifPresent(e -> updateEngines(s.name(), e))));
-    weights.tick();
-    jobs.tick(clock.now());
-    deleteOneExpiredJob(clock.now());
+    // One service, or one of these duties, must not keep the others from being performed.
+    manifests.current().ifPresent(m -> m.services().values().forEach(this::updateEngines));
+    Callbacks.runReported(weights::tick);
+    Callbacks.runReported(() -> jobs.tick(clock.now()));
+    Callbacks.runReported(() -> deleteOneExpiredJob(clock.now()));
   }
 
   /**
@@ -341,13 +339,25 @@
             .findFirst();
     if (expired.isPresent()) {
       deletingJob = true;
-      publisher.delete(expired.get()).whenComplete((ok, failure) -> deletingJob = false);
+      JobId job = expired.get().id();
+      Callbacks.start(() -> publisher.delete(expired.get()))
+          .whenComplete(
+              (ok, failure) -> {
+                deletingJob = false;
+                if (failure != null) {
+                  EventLog.info(LogEvent.STORE_TRIED_AGAIN, "job", job, "why", failure);
+                }
+              });
     }
   }
 
-  private void updateEngines(ServiceName service, EngineSpec spec) {
-    Collection<ServerEntry> engines = engines(service);
-    weights.onEngines(service, spec.models(), engines);
+  private void updateEngines(ServiceSpec service) {
+    ServiceName name = service.name();
+    service
+        .engine()
+        .ifPresent(
+            spec ->
+                Callbacks.runReported(() -> weights.onEngines(name, spec.models(), engines(name))));
   }
 
   private Optional<EngineSpec> engineSpec(ServiceName service) {
@@ -429,14 +439,17 @@
     publisher
         .load(List.of(former))
         .whenComplete(
-            (loaded, failure) -> {
-              if (failure == null) {
-                reuse(job, item, scored, loaded.get(0));
-              } else if (active && job.isOpen() && job.result(item.id()).isEmpty()) {
-                EventLog.info(LogEvent.READ_UNSURE, "job", job.id(), "why", failure);
-                loop.after(REUSE_RETRY_DELAY, () -> reuse(job, item, former, scored));
-              }
-            });
+            Callbacks.reported(
+                (loaded, failure) -> {
+                  if (failure == null) {
+                    if (!Callbacks.runReported(() -> reuse(job, item, scored, loaded.get(0)))) {
+                      jobs.onReuseFailed(job.id(), item.id());
+                    }
+                  } else if (active && job.isOpen() && job.result(item.id()).isEmpty()) {
+                    EventLog.info(LogEvent.READ_UNSURE, "job", job.id(), "why", failure);
+                    loop.after(REUSE_RETRY_DELAY, () -> reuse(job, item, former, scored));
+                  }
+                }));
   }
 
   private void reuse(Job job, JobItem item, boolean scored, ItemResult loaded) {
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineClient.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/EngineClient.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.WeightVersion;
 import org.carobhoist.core.swap.SwapState;
@@ -108,15 +109,16 @@
     aggregate(upstreams.sendOnNewConnection(address, EngineOrders.reportRequest(id), CALL_TIMEOUT))
         .thenApply(reply -> EngineOrders.report(reply.content().array(), model))
         .whenCompleteAsync(
-            (report, failure) -> {
-              if (failure == null) {
-                acceptedOrders = OptionalLong.of(report.orderCount());
-              } else {
-                EventLog.warn(
-                    LogEvent.ENGINE_REPORT_FAILED, "engine", id, "why", failure.toString());
-              }
-              callback.accept(Optional.ofNullable(report));
-            },
+            Callbacks.reported(
+                (report, failure) -> {
+                  if (failure == null) {
+                    acceptedOrders = OptionalLong.of(report.orderCount());
+                  } else {
+                    EventLog.warn(
+                        LogEvent.ENGINE_REPORT_FAILED, "engine", id, "why", failure.toString());
+                  }
+                  callback.accept(Optional.ofNullable(report));
+                }),
             loop);
   }
 
@@ -135,27 +137,28 @@
     CompletableFuture.completedFuture(request)
         .thenCompose(r -> aggregate(upstreams.sendOnNewConnection(address, r, CALL_TIMEOUT)))
         .whenCompleteAsync(
-            (reply, failure) -> {
-              int status = failure == null ? reply.status().code() : 0;
-              EngineOrders.Answer answer = EngineOrders.answer(status);
-              if (answer == EngineOrders.Answer.TAKEN) {
-                acceptedOrders = OptionalLong.of(expected + 1);
-              } else if (answer != EngineOrders.Answer.HOLDS) {
-                EventLog.warn(
-                    LogEvent.ENGINE_ORDER_FAILED,
-                    "engine",
-                    id,
-                    "model",
-                    model,
-                    "status",
-                    status,
-                    "fence",
-                    fence,
-                    "orders",
-                    expected);
-              }
-              callback.onOrderEnded(answer, failure != null && !wasNotSent(failure));
-            },
+            Callbacks.reported(
+                (reply, failure) -> {
+                  int status = failure == null ? reply.status().code() : 0;
+                  EngineOrders.Answer answer = EngineOrders.answer(status);
+                  if (answer == EngineOrders.Answer.TAKEN) {
+                    acceptedOrders = OptionalLong.of(expected + 1);
+                  } else if (answer != EngineOrders.Answer.HOLDS) {
+                    EventLog.warn(
+                        LogEvent.ENGINE_ORDER_FAILED,
+                        "engine",
+                        id,
+                        "model",
+                        model,
+                        "status",
+                        status,
+                        "fence",
+                        fence,
+                        "orders",
+                        expected);
+                  }
+                  callback.onOrderEnded(answer, failure != null && !wasNotSent(failure));
+                }),
             loop);
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/ingress/IngressRoutes.java
@@ -17,6 +17,7 @@
 import java.util.function.BooleanSupplier;
 import org.carobhoist.core.account.AccessDecision;
 import org.carobhoist.core.account.ClientIdentity;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.limit.BodyRefusal;
 import org.carobhoist.core.limit.BufferBudget;
 import org.carobhoist.core.manifest.Limits;
@@ -126,11 +127,16 @@
               if (!out.isOpen()) {
                 return;
               }
-              if (failure == null) {
-                dispatchLogged(call, ctx, http, out);
-              } else {
-                refuseBody(ctx, out, id, maxBytes, failure);
-              }
+              closeOnException(
+                  id,
+                  out,
+                  () -> {
+                    if (failure == null) {
+                      dispatch(call, ctx, http, out);
+                    } else {
+                      refuseBody(ctx, out, id, maxBytes, failure);
+                    }
+                  });
             });
     return out;
   }
@@ -180,16 +186,11 @@
     return sum;
   }
 
-  /** Dispatches a request; closes its response if that fails, so that it isn't left open. */
-  private void dispatchLogged(
-      IngressCall call,
-      ServiceRequestContext ctx,
-      AggregatedHttpRequest http,
-      HttpResponseWriter out) {
+  /** Handles a request; closes its response if that fails, so that it isn't left open. */
+  private static void closeOnException(String id, HttpResponseWriter out, Runnable handling) {
     try {
-      dispatch(call, ctx, http, out);
+      handling.run();
     } catch (RuntimeException e) {
-      String id = CallHeaders.requestId(http.headers());
       EventLog.error(LogEvent.DECISION_FAILED, e, "request", id);
       out.close(e);
     }
@@ -325,23 +326,24 @@
     Runnable answered =
         context.drain().add(() -> refuse(out, id, statusAtStop, "the process stops"));
     response.whenCompleteAsync(
-        (http, failure) -> {
-          answered.run();
-          if (!out.isOpen()) {
-            return;
-          }
-          if (failure != null) {
-            EventLog.error(LogEvent.DECISION_FAILED, failure);
-            out.close(failure);
-            return;
-          }
-          out.write(http.headers());
-          if (!http.content().isEmpty()) {
-            count(http.content().length(), out);
-            out.write(http.content());
-          }
-          out.close();
-        },
+        Callbacks.reported(
+            (http, failure) -> {
+              answered.run();
+              if (!out.isOpen()) {
+                return;
+              }
+              if (failure != null) {
+                EventLog.error(LogEvent.DECISION_FAILED, failure);
+                out.close(failure);
+                return;
+              }
+              out.write(http.headers());
+              if (!http.content().isEmpty()) {
+                count(http.content().length(), out);
+                out.write(http.content());
+              }
+              out.close();
+            }),
         context.loop());
   }
 
--- a/server/src/main/java/org/carobhoist/server/gateway/job/CompletedTextPublisher.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/CompletedTextPublisher.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.job.ItemResult;
 import org.carobhoist.core.job.Job;
 import org.carobhoist.core.job.JobId;
@@ -13,6 +14,8 @@
 import org.carobhoist.core.reward.RewardCallScheduler;
 import org.carobhoist.core.reward.RewardKey;
 import org.carobhoist.platform.JobJson;
+import org.carobhoist.server.log.EventLog;
+import org.carobhoist.server.log.LogEvent;
 
 /**
  * Publishes the results of completed texts. If the item has a reward call, the call is made first
@@ -87,7 +90,18 @@
   }
 
   private void store(RewardKey key, ItemResult result) {
-    publisher.publish(key.job(), result).thenRun(() -> removeAndNotify(key));
+    publisher
+        .publish(key.job(), result)
+        .whenComplete(
+            Callbacks.reported(
+                (published, failure) -> {
+                  if (failure == null) {
+                    removeAndNotify(key);
+                  } else {
+                    EventLog.error(
+                        LogEvent.RESULT_UNPUBLISHED, failure, "job", key.job(), "item", key.item());
+                  }
+                }));
   }
 
   private void removeAndNotify(RewardKey key) {
--- a/server/src/main/java/org/carobhoist/server/gateway/job/JobRequestHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/JobRequestHandler.java
@@ -15,6 +15,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Supplier;
 import org.carobhoist.core.account.ClientIdentity;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Verdict;
 import org.carobhoist.core.job.ItemId;
@@ -387,19 +388,21 @@
       done.complete(Verdict.MAY_HAVE_RUN);
       return;
     }
-    store
-        .append(tails.get(view.shardOf(id)).shard(), records, OptionalLong.empty())
+    Callbacks.start(
+            () -> store.append(tails.get(view.shardOf(id)).shard(), records, OptionalLong.empty()))
         .whenComplete(
-            (outcome, failure) -> {
-              if (failure == null && outcome instanceof AppendOutcome.Appended) {
-                done.complete(Verdict.COMPLETED);
-                return;
-              }
-              EventLog.info(LogEvent.STORE_TRIED_AGAIN, "job", id, "why", failure);
-              onFailure.run();
-              loop.after(
-                  RETRY_DELAY, () -> tryToPersist(id, records, known, deadline, onFailure, done));
-            });
+            Callbacks.reported(
+                (outcome, failure) -> {
+                  if (failure == null && outcome instanceof AppendOutcome.Appended) {
+                    done.complete(Verdict.COMPLETED);
+                    return;
+                  }
+                  EventLog.info(LogEvent.STORE_TRIED_AGAIN, "job", id, "why", failure);
+                  loop.after(
+                      RETRY_DELAY,
+                      () -> tryToPersist(id, records, known, deadline, onFailure, done));
+                  onFailure.run();
+                }));
   }
 
   private void wakeReaders(Job job) {
--- a/server/src/main/java/org/carobhoist/server/gateway/job/RewardCallSender.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/job/RewardCallSender.java
@@ -14,6 +14,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.job.RewardRequest;
@@ -129,7 +130,9 @@
             service, endpoint, context.clock().elapsed(), response, context.measure(endpoint)));
     response
         .aggregate()
-        .whenCompleteAsync((answer, failure) -> onAnswer(number, answer, failure), context.loop());
+        .whenCompleteAsync(
+            Callbacks.reported((answer, failure) -> onAnswer(number, answer, failure)),
+            context.loop());
   }
 
   @Override
--- a/server/src/main/java/org/carobhoist/server/gateway/peer/NodeRegistration.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/NodeRegistration.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.function.BooleanSupplier;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.settings.SocketAddressText;
 import org.carobhoist.core.store.AppendOutcome;
@@ -92,13 +93,14 @@
     store
         .append(Topics.NODES, List.of(node), OptionalLong.empty())
         .whenComplete(
-            (outcome, failure) -> {
-              if (failure == null && outcome instanceof AppendOutcome.Appended appended) {
-                storedAt = OptionalLong.of(appended.offset());
-              } else if (!draining.getAsBoolean() || node.value().length == 0) {
-                EventLog.warn(LogEvent.MEMBER_WRITE_FAILED, "why", failure);
-                loop.after(RETRY_DELAY, () -> write(node));
-              }
-            });
+            Callbacks.reported(
+                (outcome, failure) -> {
+                  if (failure == null && outcome instanceof AppendOutcome.Appended appended) {
+                    storedAt = OptionalLong.of(appended.offset());
+                  } else if (!draining.getAsBoolean() || node.value().length == 0) {
+                    EventLog.warn(LogEvent.MEMBER_WRITE_FAILED, "why", failure);
+                    loop.after(RETRY_DELAY, () -> write(node));
+                  }
+                }));
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerLinkHandler.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerLinkHandler.java
@@ -4,6 +4,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.job.JobHead;
 import org.carobhoist.core.placement.RunReport;
 import org.carobhoist.platform.StoreCall;
@@ -122,7 +123,8 @@
             Duration.ofMillis(call.getTimeoutMillis()));
     storeTransport
         .callForPeer(toStore)
-        .whenComplete((reply, failure) -> link.send(relayReply(call.getCall(), reply)));
+        .whenComplete(
+            Callbacks.reported((reply, failure) -> link.send(relayReply(call.getCall(), reply))));
   }
 
   /** Encodes the reply to a relayed call; status 0 means that the store didn't answer. */
--- a/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/peer/PeerMesh.java
@@ -13,6 +13,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
@@ -390,9 +391,8 @@
     peer.connecting = true;
     peer.lastAttemptAt = clock.elapsed();
     SocketAddressText address = SocketAddressText.parse(peer.node.getAddress());
-    network
-        .open(address.host(), address.port())
-        .whenCompleteAsync((ok, failure) -> onOpened(peer, failure), loop);
+    Callbacks.start(() -> network.open(address.host(), address.port()))
+        .whenCompleteAsync(Callbacks.reported((ok, failure) -> onOpened(peer, failure)), loop);
   }
 
   private void onOpened(Peer peer, Throwable failure) {
--- a/server/src/main/java/org/carobhoist/server/gateway/store/FailoverStoreTransport.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/store/FailoverStoreTransport.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.platform.StoreCall;
 import org.carobhoist.platform.StoreReply;
@@ -114,13 +115,13 @@
       return out;
     }
     smallCalls.add(out);
-    direct
-        .call(call)
+    Callbacks.start(() -> direct.call(call))
         .whenCompleteAsync(
-            (reply, failure) -> {
-              smallCalls.remove(out);
-              complete(out, reply, failure);
-            },
+            Callbacks.reported(
+                (reply, failure) -> {
+                  smallCalls.remove(out);
+                  complete(out, reply, failure);
+                }),
             loop);
     return out;
   }
@@ -129,15 +130,15 @@
   private void sendLarge(StoreCall call, CompletableFuture<StoreReply> out) {
     LargeCall sending = new LargeCall(call, clock.elapsed());
     largeCalls.put(out, sending);
-    direct
-        .call(call)
+    Callbacks.start(() -> direct.call(call))
         .whenCompleteAsync(
-            (reply, failure) -> {
-              if (failure == null || largeCalls.get(out) == sending) {
-                largeCalls.remove(out);
-                complete(out, reply, failure);
-              }
-            },
+            Callbacks.reported(
+                (reply, failure) -> {
+                  if (failure == null || largeCalls.get(out) == sending) {
+                    largeCalls.remove(out);
+                    complete(out, reply, failure);
+                  }
+                }),
             loop);
   }
 
@@ -174,14 +175,15 @@
     lastProbeSentAt = clock.elapsed();
     probeAll()
         .whenCompleteAsync(
-            (reachable, failure) -> {
-              verifying = false;
-              if (reachable) {
-                verifiedUntil = clock.elapsed().plus(PROBE_PERIOD);
-              } else {
-                giveUpDirectPath(why);
-              }
-            },
+            Callbacks.reported(
+                (reachable, failure) -> {
+                  verifying = false;
+                  if (reachable) {
+                    verifiedUntil = clock.elapsed().plus(PROBE_PERIOD);
+                  } else {
+                    giveUpDirectPath(why);
+                  }
+                }),
             loop);
   }
 
@@ -206,11 +208,12 @@
     lastProbeSentAt = clock.elapsed();
     probeAll()
         .whenCompleteAsync(
-            (reachable, failure) -> {
-              if (reachable && directPathDown) {
-                restoreDirectPath(previousSentAt);
-              }
-            },
+            Callbacks.reported(
+                (reachable, failure) -> {
+                  if (reachable && directPathDown) {
+                    restoreDirectPath(previousSentAt);
+                  }
+                }),
             loop);
     cancelNextProbe = loop.after(PROBE_PERIOD, this::probe);
   }
@@ -239,8 +242,7 @@
     List<CompletableFuture<Void>> all = new ArrayList<>();
     for (StoreCall probe : probes) {
       all.add(
-          direct
-              .call(probe)
+          Callbacks.start(() -> direct.call(probe))
               .thenAccept(reply -> completeIfServed(reachable, reply))
               .exceptionally(unreachable -> null));
     }
--- a/server/src/main/java/org/carobhoist/server/gateway/usage/UsageService.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/usage/UsageService.java
@@ -11,6 +11,7 @@
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.carobhoist.core.account.AccountName;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
@@ -243,11 +244,14 @@
     api.execute(UsageJson.request(self, sentTerm, body), options)
         .aggregate()
         .whenComplete(
-            (response, failure) -> {
-              DutyAnswer answer =
-                  failure == null ? UsageJson.answer(response.status().code()) : DutyAnswer.NONE;
-              loop.execute(() -> coordinator.onAnswer(number, answer));
-            });
+            Callbacks.reported(
+                (response, failure) -> {
+                  DutyAnswer answer =
+                      failure == null
+                          ? UsageJson.answer(response.status().code())
+                          : DutyAnswer.NONE;
+                  loop.execute(() -> coordinator.onAnswer(number, answer));
+                }));
   }
 
   @Override
--- a/server/src/main/java/org/carobhoist/server/log/LogEvent.java
+++ b/server/src/main/java/org/carobhoist/server/log/LogEvent.java
@@ -121,6 +121,8 @@
   ITEM_WAITS_AGAIN(7202, "item requeued"),
   /** A run was removed from its engine. */
   RUN_MOVED(7203, "run removed from its engine"),
+  /** The result of an item could not be built or published. */
+  RESULT_UNPUBLISHED(7213, "result not published"),
   /** A result of an earlier job was reused for an item. */
   RESULT_REUSED(7204, "result of an earlier job reused"),
   /** An item was given up. */
--- a/server/src/main/java/org/carobhoist/server/logservice/AppliedOffsetWatch.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/AppliedOffsetWatch.java
@@ -10,6 +10,7 @@
 import java.util.TreeSet;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.membership.ListedInstance;
 import org.carobhoist.core.settings.SocketAddressText;
@@ -74,7 +75,7 @@
 
   private void poll() {
     if (!done.isDone()) {
-      list.read().whenCompleteAsync(this::onInstanceListRead, loop);
+      list.read().whenCompleteAsync(Callbacks.reported(this::onInstanceListRead), loop);
     }
   }
 
--- a/server/src/main/java/org/carobhoist/server/logservice/ConfigFollower.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/ConfigFollower.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.profile.ConfigSyncCoordinator;
@@ -161,7 +162,8 @@
     public void readLog(long from, Duration wait) {
       logListeners.forEach(LogReadListener::onReadSent);
       log.read(from, wait)
-          .whenCompleteAsync((batch, failure) -> onRead(from, batch, failure), loop);
+          .whenCompleteAsync(
+              Callbacks.reported((batch, failure) -> onRead(from, batch, failure)), loop);
     }
 
     @Override
--- a/server/src/main/java/org/carobhoist/server/logservice/HomeViewReader.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/HomeViewReader.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.concurrent.Executor;
 import java.util.function.BiConsumer;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.ServiceName;
 import org.carobhoist.core.idempotency.HomeView;
 
@@ -102,7 +103,8 @@
     }
     readingSkipped = true;
     log.read(nextOffset, Duration.ZERO)
-        .whenCompleteAsync((batch, failure) -> onSkippedRead(batch, failure), loop);
+        .whenCompleteAsync(
+            Callbacks.reported((batch, failure) -> onSkippedRead(batch, failure)), loop);
   }
 
   private void onSkippedRead(LogBatch batch, Throwable failure) {
--- a/server/src/main/java/org/carobhoist/server/logservice/LogAppender.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/LogAppender.java
@@ -5,6 +5,7 @@
 import java.util.Deque;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.server.runtime.DecisionLoop;
 
@@ -65,7 +66,8 @@
     busy = true;
     PendingAppend head = queue.remove();
     log.append(head.record())
-        .whenCompleteAsync((offset, failure) -> onAppended(head, offset, failure), loop);
+        .whenCompleteAsync(
+            Callbacks.reported((offset, failure) -> onAppended(head, offset, failure)), loop);
   }
 
   private void onAppended(PendingAppend head, Long offset, Throwable failure) {
--- a/server/src/main/java/org/carobhoist/server/logservice/OperatorClient.java
+++ b/server/src/main/java/org/carobhoist/server/logservice/OperatorClient.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.core.profile.ChangeSubmission;
 import org.carobhoist.core.profile.ConfigReplica;
@@ -110,7 +111,9 @@
     long from = replica.readFrom();
     platform
         .read(from, wait)
-        .whenCompleteAsync((batch, failure) -> onRead(from, batch, failure, onEndReached), loop);
+        .whenCompleteAsync(
+            Callbacks.reported((batch, failure) -> onRead(from, batch, failure, onEndReached)),
+            loop);
   }
 
   private void onRead(long from, LogBatch batch, Throwable failure, Runnable onEndReached) {
--- a/server/src/main/java/org/carobhoist/server/sidecar/EndpointSupervisor.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/EndpointSupervisor.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.LongFunction;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.limit.AdmissionQueue;
@@ -232,10 +233,16 @@
   private CompletableFuture<Void> probe() {
     return endpoint
         .call(RequestHeaders.of(HttpMethod.GET, "/load"), NO_CONTENT, PROBE_TIMEOUT)
-        .handleAsync(this::onProbe, loop);
+        .handleAsync(
+            (response, failure) -> {
+              loop.after(PROBE_PERIOD, this::probe);
+              Callbacks.runReported(() -> onProbe(response, failure));
+              return null;
+            },
+            loop);
   }
 
-  private Void onProbe(AggregatedHttpResponse response, Throwable failure) {
+  private void onProbe(AggregatedHttpResponse response, Throwable failure) {
     boolean answered = failure == null && !response.status().equals(HttpStatus.SERVICE_UNAVAILABLE);
     EndpointPhase before = lifecycle.phase();
     lifecycle.onProbe(answered);
@@ -245,8 +252,6 @@
     if (answered) {
       onLoadReport(response);
     }
-    loop.after(PROBE_PERIOD, this::probe);
-    return null;
   }
 
   private void onLoadReport(AggregatedHttpResponse response) {
@@ -267,13 +272,14 @@
     instanceList
         .read(self)
         .whenCompleteAsync(
-            (line, failure) -> {
-              if (failure == null) {
-                listedAsLeaving = line.map(ListedInstance::leaving).orElse(listedAsLeaving);
-                lifecycle.onLeaving(listedAsLeaving || reportedAsLeaving);
-              }
-              loop.after(PROBE_PERIOD, this::readInstanceList);
-            },
+            Callbacks.reported(
+                (line, failure) -> {
+                  loop.after(PROBE_PERIOD, this::readInstanceList);
+                  if (failure == null) {
+                    listedAsLeaving = line.map(ListedInstance::leaving).orElse(listedAsLeaving);
+                    lifecycle.onLeaving(listedAsLeaving || reportedAsLeaving);
+                  }
+                }),
             loop);
   }
 
--- a/server/src/main/java/org/carobhoist/server/sidecar/SampleScorer.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SampleScorer.java
@@ -7,6 +7,7 @@
 import java.util.SplittableRandom;
 import java.util.function.BooleanSupplier;
 import java.util.function.DoubleConsumer;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.JitteredBackoff;
 import org.carobhoist.core.rollout.FinishedSample;
 import org.carobhoist.server.logservice.HttpScorer;
@@ -64,15 +65,16 @@
     scorer
         .score(prompt, sample)
         .whenCompleteAsync(
-            (score, failure) -> {
-              if (failure == null) {
-                onScore(score, wanted, result);
-                return;
-              }
-              loop.after(
-                  backoff.nextDelay(),
-                  () -> score(scorer, prompt, sample, wanted, result, backoff));
-            },
+            Callbacks.reported(
+                (score, failure) -> {
+                  if (failure == null) {
+                    onScore(score, wanted, result);
+                    return;
+                  }
+                  loop.after(
+                      backoff.nextDelay(),
+                      () -> score(scorer, prompt, sample, wanted, result, backoff));
+                }),
             loop);
   }
 
--- a/server/src/main/java/org/carobhoist/server/sidecar/SwapWorker.java
+++ b/server/src/main/java/org/carobhoist/server/sidecar/SwapWorker.java
@@ -13,6 +13,7 @@
 import java.util.Collection;
 import java.util.List;
 import java.util.Optional;
+import org.carobhoist.core.common.Callbacks;
 import org.carobhoist.core.common.Clock;
 import org.carobhoist.core.common.InstanceId;
 import org.carobhoist.core.common.ServiceName;
@@ -123,7 +124,8 @@
   public void readServed(long call) {
     engine
         .call(RequestHeaders.of(HttpMethod.GET, "/served"), NO_CONTENT, Duration.ZERO)
-        .whenCompleteAsync((response, failure) -> onServed(call, response, failure), loop);
+        .whenCompleteAsync(
+            Callbacks.reported((response, failure) -> onServed(call, response, failure)), loop);
   }
 
   @Override
@@ -174,12 +176,14 @@
     instanceList
         .read()
         .whenCompleteAsync(
-            (listed, failure) -> {
-              if (failure == null) {
-                peers = listed.stream().filter(this::isPeer).map(ListedInstance::instance).toList();
-              }
-              coordinator.onOrder(order);
-            },
+            Callbacks.reported(
+                (listed, failure) -> {
+                  if (failure == null) {
+                    peers =
+                        listed.stream().filter(this::isPeer).map(ListedInstance::instance).toList();
+                  }
+                  coordinator.onOrder(order);
+                }),
             loop);
   }
 
@@ -193,7 +197,9 @@
     engine
         .call(headers, body(op, order), Duration.ZERO)
         .whenCompleteAsync(
-            (response, failure) -> coordinator.onCallEnded(call, outcome(response, failure)), loop);
+            Callbacks.reported(
+                (response, failure) -> coordinator.onCallEnded(call, outcome(response, failure))),
+            loop);
   }
 
   private static byte[] body(String op, WeightOrder order) {
@@ -232,7 +238,8 @@
 
   private void readLogFrom(long from, Duration sentAt) {
     log.read(from, Duration.ZERO)
-        .whenCompleteAsync((batch, failure) -> onLog(batch, failure, sentAt), loop);
+        .whenCompleteAsync(
+            Callbacks.reported((batch, failure) -> onLog(batch, failure, sentAt)), loop);
   }
 
   private void onLog(LogBatch batch, Throwable failure, Duration sentAt) {
