Let an item that no engine has room for delay no other item

Cause: an engine rejects such a request as if it were full, so each refusal paused the engine for all items for 0.2 s, and at the end of the pause the item, which is of an older job, came first again.

A refusal of an item whose tokens exceed the engine's memory says nothing about the engine. It pauses the item instead: for 0.4 s, doubling up to 3 s, since an item must not be at no engine for 5 s. Such an item is placed after the others until it gets an event. Any other refusal pauses the engine as before; if the engine had no other run, the refused item waits 0.2 s longer than the engine, so that another item gets it first.

--- a/core/src/main/java/org/carobhoist/core/placement/EngineLoad.java
+++ b/core/src/main/java/org/carobhoist/core/placement/EngineLoad.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.carobhoist.core.common.WeightVersion;
+import org.carobhoist.core.job.JobItem;
 import org.carobhoist.core.manifest.EngineSpec;
 import org.carobhoist.core.membership.ServerEntry;
 
@@ -102,6 +103,11 @@
     return items.isEmpty() || used + tokens <= memoryShare * spec.memoryTokens();
   }
 
+  /** Returns whether an item may need more memory than the engine has. */
+  boolean isExceededBy(JobItem item) {
+    return (long) item.promptTokens() + item.maxTokens() > spec.memoryTokens();
+  }
+
   boolean isPaused(Duration now) {
     return now.compareTo(pausedUntil) < 0;
   }
--- a/core/src/main/java/org/carobhoist/core/placement/ItemState.java
+++ b/core/src/main/java/org/carobhoist/core/placement/ItemState.java
@@ -31,6 +31,8 @@
   private Duration changedAt = Duration.ZERO;
   private Duration textChangedAt = Duration.ZERO;
   private boolean cancelling;
+  private Duration pausedUntil = Duration.ZERO;
+  private int sizeRefusals;
   private InstanceId publisher;
 
   /** Processing phase of an item. */
@@ -100,6 +102,25 @@
     return cancelling;
   }
 
+  /** Offers the item to no engine until the given time. */
+  void pause(Duration until) {
+    pausedUntil = until;
+  }
+
+  boolean isPaused(Duration now) {
+    return now.compareTo(pausedUntil) < 0;
+  }
+
+  /** Counts a refusal by an engine whose memory the item exceeds; returns their number. */
+  int countSizeRefusal() {
+    return ++sizeRefusals;
+  }
+
+  /** Returns whether engines have refused the item, which exceeds their memory. */
+  boolean isRefusedForSize() {
+    return sizeRefusals > 0;
+  }
+
   int countFailure() {
     return ++failures;
   }
@@ -121,6 +142,7 @@
   void markTextChanged(Duration now) {
     changedAt = now;
     textChangedAt = now;
+    sizeRefusals = 0;
   }
 
   void markCancelling(Duration now) {
--- a/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
+++ b/core/src/main/java/org/carobhoist/core/placement/JobCoordinator.java
@@ -67,6 +67,7 @@
   private final PlacementPort port;
   private final PlacementPolicy policy;
   private final Placer placer;
+  private final Refusals refusals;
   private final Clock clock;
   private final Function<ServiceName, Optional<EngineSpec>> specs;
   private final Map<ItemKey, ItemState> items = new LinkedHashMap<>();
@@ -89,6 +90,7 @@
     this.port = port;
     this.policy = policy;
     this.placer = new Placer(policy);
+    this.refusals = new Refusals(policy);
     this.clock = clock;
     this.specs = specs;
     this.reusableOutputs = new ReusableOutputs(view);
@@ -411,7 +413,7 @@
         }
         engine.pause(now.plus(policy.refusalPause()));
       }
-      case NOT_RUN -> engine.pause(now.plus(policy.refusalPause()));
+      case NOT_RUN -> refusals.onNotRun(state, engine, now);
       case BROKEN, MISPLACED -> engine.pause(now.plus(policy.failurePause()));
       default -> {}
     }
@@ -578,6 +580,9 @@
   }
 
   private WaitCause waitCause(ItemState state, Collection<EngineLoad> pool, Duration now) {
+    if (state.isPaused(now)) {
+      return WaitCause.REFUSED;
+    }
     WaitCause nearest = WaitCause.NO_ENGINE;
     for (EngineLoad e : pool) {
       WaitCause cause =
--- a/core/src/main/java/org/carobhoist/core/placement/PlacementPolicy.java
+++ b/core/src/main/java/org/carobhoist/core/placement/PlacementPolicy.java
@@ -14,6 +14,10 @@
  * @param loadingSilenceTimeout the same while the engine loads weights
  * @param refusalPause time without new runs for an engine that had no room or answered with an
  *     error
+ * @param refusedItemPause time for which an item isn't offered to an engine again that an idle
+ *     engine had no room for, so that other items get the engine first
+ * @param maxRefusedItemPause the same for an item that is larger than the engine's memory; doubles
+ *     from the time above up to this one. An item must not be at no engine for 5 s.
  * @param failurePause time without new runs for an engine whose run broke off, fell silent or was
  *     misplaced
  * @param publishTimeout time after which the coordinator publishes a result that its runner hasn't
@@ -30,6 +34,8 @@
     Duration silenceTimeout,
     Duration loadingSilenceTimeout,
     Duration refusalPause,
+    Duration refusedItemPause,
+    Duration maxRefusedItemPause,
     Duration failurePause,
     Duration publishTimeout,
     Duration maxVersionWait,
@@ -45,6 +51,8 @@
           Duration.ofMillis(1_500),
           Duration.ofMillis(4_000),
           Duration.ofMillis(200),
+          Duration.ofMillis(400),
+          Duration.ofMillis(3_000),
           Duration.ofMillis(800),
           Duration.ofMillis(2_500),
           Duration.ofMillis(2_000),
--- a/core/src/main/java/org/carobhoist/core/placement/Placer.java
+++ b/core/src/main/java/org/carobhoist/core/placement/Placer.java
@@ -11,11 +11,15 @@
  * Chooses the order in which items are placed, and an engine for each. It is designed for training
  * steps that have more items than the engines have slots, of which a few items are several times as
  * long as the others. A step completes with the last of the items that it requires. Older jobs are
- * therefore placed first, within a job the items with the longest expected duration, each at the
- * engine where it is expected to end first.
+ * therefore placed first, except items that no engine has the memory for; within a job the items
+ * with the longest expected duration, each at the engine where it is expected to end first.
  */
 final class Placer {
 
+  /** Items that engines refuse for their size get an engine that no other item can use. */
+  private static final Comparator<ItemState> FITTING_FIRST =
+      Comparator.comparing(ItemState::isRefusedForSize);
+
   private static final Comparator<ItemState> OLDER_JOB_FIRST =
       Comparator.comparing(s -> s.job().head().acceptedAt());
 
@@ -29,16 +33,22 @@
   List<ItemState> order(Collection<ItemState> waiting, int tokensPerEvent) {
     Comparator<ItemState> longestFirst =
         Comparator.comparingInt((ItemState s) -> s.eventsLeft(tokensPerEvent)).reversed();
-    return waiting.stream().sorted(OLDER_JOB_FIRST.thenComparing(longestFirst)).toList();
+    return waiting.stream()
+        .sorted(FITTING_FIRST.thenComparing(OLDER_JOB_FIRST).thenComparing(longestFirst))
+        .toList();
   }
 
   /**
-   * Returns the best engine for an item; empty if no usable engine has room.
+   * Returns the best engine for an item; empty if no usable engine has room, or the item waits
+   * after a refusal.
    *
    * @param usable whether an engine's weights and state allow the item
    */
   Optional<EngineLoad> chooseEngine(
       ItemState item, Collection<EngineLoad> engines, Predicate<EngineLoad> usable, Duration now) {
+    if (item.isPaused(now)) {
+      return Optional.empty();
+    }
     EngineLoad best = null;
     for (EngineLoad e : engines) {
       long tokens = item.expectedTokens(e.tokensPerEvent());
--- a/core/src/main/java/org/carobhoist/core/placement/WaitCause.java
+++ b/core/src/main/java/org/carobhoist/core/placement/WaitCause.java
@@ -13,5 +13,7 @@
   /** The suitable engines have no free slot. */
   SLOTS,
   /** The engines with a free slot lack memory for the item. */
-  MEMORY
+  MEMORY,
+  /** An idle engine refused the item; it waits for a short time. */
+  REFUSED
 }
