Store other result entries if the store refuses one

An entry that the store refuses for good, such as one over its limit for a record, was the first of each batch of its shard: no result behind it was listed any more.

After a failed append entries are appended one by one until one succeeds, the failed ones last.

--- a/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
+++ b/core/src/main/java/org/carobhoist/core/job/ResultEntries.java
@@ -4,11 +4,13 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
@@ -60,6 +62,7 @@
   private final String writer;
   private final JitteredBackoff backoff;
   private final Map<Shard, List<PendingEntry>> pendingByShard = new HashMap<>();
+  private final Set<Shard> failingShards = new HashSet<>();
   private final Map<String, byte[]> cache = new LinkedHashMap<>(64, 0.75f, true);
   private int cacheBytes;
   private long entryCount;
@@ -205,7 +208,7 @@
       pendingByShard.remove(shard);
       return;
     }
-    List<PendingEntry> batch = batch(all);
+    List<PendingEntry> batch = failingShards.contains(shard) ? List.of(all.get(0)) : batch(all);
     List<KeyedRecord> records = batch.stream().map(PendingEntry::entry).toList();
     Callbacks.start(() -> store.append(shard, records, OptionalLong.empty()))
         .whenComplete(
@@ -227,15 +230,21 @@
 
   /**
    * Completes the stored entries, or retries a failed append. The failed one may have been stored;
-   * the retry uses the same keys, so no entry is duplicated.
+   * the retry uses the same keys, so no entry is duplicated. The store may refuse a single entry
+   * for good, such as one that is too large. After a failure entries are therefore appended one by
+   * one, and the failed ones last.
    */
   private void afterAppend(
       Shard shard, List<PendingEntry> batch, AppendOutcome outcome, Throwable failure) {
     if (failure != null || !(outcome instanceof AppendOutcome.Appended appended)) {
+      failingShards.add(shard);
+      pendingByShard.get(shard).removeAll(batch);
+      pendingByShard.get(shard).addAll(batch);
       scheduler.after(backoff.nextDelay(), () -> flush(shard));
       return;
     }
     backoff.reset();
+    failingShards.remove(shard);
     pendingByShard.get(shard).removeAll(batch);
     for (int i = 0; i < batch.size(); i++) {
       batch.get(i).done().complete(appended.offset() + i);
