Shorten the waits of a new holder after all processes have ended

Records of the lease say how long it has been held (held_millis). A predecessor that held it for twice the lease time separates this instance's own orders from the next ones, so there is no wait for them; after one that held it for the lease time, the known end of its process ends the wait 1 s later. That second is the assumed time of an order on its way (1.5 s before), with two losses of a segment.

--- a/core/src/main/java/org/carobhoist/core/lease/LeaseEntry.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseEntry.java
@@ -1,5 +1,6 @@
 package org.carobhoist.core.lease;
 
+import java.time.Duration;
 import java.util.Optional;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
@@ -14,6 +15,7 @@
  * @param heir the instance that should acquire the lease next, if the holder named one
  * @param ordersSettled whether, in a record that releases the lease, no order of this holder or of
  *     one before it can still arrive at a server
+ * @param heldFor how long the holder had held the lease when it wrote the record; zero if unknown
  */
 public record LeaseEntry(
     InstanceId holder,
@@ -21,10 +23,11 @@
     long term,
     boolean released,
     Optional<InstanceId> heir,
-    boolean ordersSettled) {
+    boolean ordersSettled,
+    Duration heldFor) {
 
   /** Returns a record that starts a term, or renews one. */
-  static LeaseEntry held(InstanceId holder, Incarnation incarnation, long term) {
-    return new LeaseEntry(holder, incarnation, term, false, Optional.empty(), false);
+  static LeaseEntry held(InstanceId holder, Incarnation incarnation, long term, Duration heldFor) {
+    return new LeaseEntry(holder, incarnation, term, false, Optional.empty(), false, heldFor);
   }
 }
--- a/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
+++ b/core/src/main/java/org/carobhoist/core/lease/LeaseManager.java
@@ -51,7 +51,8 @@
   private ShardTailer tail;
   private Optional<LeaseEntry> lastEntry = Optional.empty();
   private Optional<LeaseEntry> runningPredecessor = Optional.empty();
-  private Duration lastTermSeenAt = Duration.ZERO;
+  private Duration lastTermSince = Duration.ZERO;
+  private Duration acquiredAt = Duration.ZERO;
   private long lastTerm;
   private Duration lastRecordAt = Duration.ZERO;
   private boolean appendInProgress;
@@ -139,8 +140,9 @@
     }
     LeaseEntry entry = codec.decode(stored.value());
     long term = entry.term() == 0 ? stored.offset() + 1 : entry.term();
-    if (term != lastTerm) {
-      lastTermSeenAt = clock.elapsed();
+    Duration heldSince = clock.elapsed().minus(entry.heldFor());
+    if (term != lastTerm || heldSince.compareTo(lastTermSince) < 0) {
+      lastTermSince = heldSince;
     }
     lastTerm = term;
     lastEntry = Optional.of(entry);
@@ -167,14 +169,14 @@
     }
     if (held) {
       if (elapsedSince(renewedAt).compareTo(policy.renewalInterval()) >= 0) {
-        append(LeaseEntry.held(self, incarnation, lastTerm));
+        append(LeaseEntry.held(self, incarnation, lastTerm, elapsedSince(acquiredAt)));
       }
     } else if (retired) {
       return;
     } else if (!isVacant() || !acquireCondition.getAsBoolean()) {
       vacantSince = Optional.empty();
     } else if (mayAcquire()) {
-      append(LeaseEntry.held(self, incarnation, 0));
+      append(LeaseEntry.held(self, incarnation, 0, Duration.ZERO));
     }
   }
 
@@ -261,7 +263,8 @@
         elapsedSince(pending.requestedAt()).compareTo(LeasePolicy.MAX_RELEASE_WAIT) >= 0;
     if ((orders.isQuiet() && !appendInProgress) || overdue) {
       boolean settled = orders.isSettled();
-      append(new LeaseEntry(self, incarnation, lastTerm, true, pending.heir(), settled));
+      Duration heldFor = elapsedSince(acquiredAt);
+      append(new LeaseEntry(self, incarnation, lastTerm, true, pending.heir(), settled, heldFor));
       loseLease(retired ? "the process is shutting down" : "handed over to " + pending.heir());
     }
   }
@@ -305,7 +308,7 @@
     // The append succeeds only if this is the record right before the new one. It is saved now,
     // since a read may bring the new record before the append's response arrives.
     Optional<LeaseEntry> preceding = lastEntry;
-    boolean precedingTermIsLong = elapsedSince(lastTermSeenAt).compareTo(policy.orderGap()) >= 0;
+    Duration precedingTermSince = lastTermSince;
     KeyedRecord record = new KeyedRecord(KEY, codec.encode(entry));
     Callbacks.start(
             () -> store.append(tail.shard(), List.of(record), OptionalLong.of(tail.nextOffset())))
@@ -315,7 +318,7 @@
                     onAppendResult(
                         entry,
                         preceding,
-                        precedingTermIsLong,
+                        precedingTermSince,
                         record,
                         appendedAt,
                         outcome,
@@ -325,7 +328,7 @@
   private void onAppendResult(
       LeaseEntry entry,
       Optional<LeaseEntry> preceding,
-      boolean precedingTermIsLong,
+      Duration precedingTermSince,
       KeyedRecord record,
       Duration appendedAt,
       AppendOutcome outcome,
@@ -345,8 +348,10 @@
     }
     if (!held) {
       held = true;
-      orders.onAcquired(preceding, preceding.filter(this::isOfFormerRun).isPresent());
-      runningPredecessor = preceding.filter(p -> precedingTermIsLong);
+      acquiredAt = clock.elapsed();
+      boolean isOfFormerRun = preceding.filter(this::isOfFormerRun).isPresent();
+      orders.onAcquired(preceding, isOfFormerRun, appendedAt.minus(precedingTermSince));
+      runningPredecessor = preceding;
       renewedAt = appendedAt;
       activate();
       return;
--- a/core/src/main/java/org/carobhoist/core/lease/OrderGate.java
+++ b/core/src/main/java/org/carobhoist/core/lease/OrderGate.java
@@ -14,7 +14,8 @@
  *       when no order of the predecessor or of a holder before it was on its way any more. The wait
  *       ends earlier if the predecessor's process is known to have ended;
  *   <li>for the order gap after the last order that this instance issued in an earlier term. An
- *       order of a former run of this instance was issued before this run started.
+ *       order of a former run of this instance was issued before this run started, and before the
+ *       predecessor's term.
  * </ul>
  *
  * <p>An instance that has not held the lease lately issues orders right after such a release, so a
@@ -24,15 +25,16 @@
 
   /**
    * Time in which an order without an answer arrives at its server or is lost. TCP repeats a lost
-   * segment after 0.2, 0.6 and 1.4 s; four losses in a row are not provided for.
+   * segment after 0.2 and 0.6 s; three losses in a row are not provided for.
    */
-  static final Duration MAX_TRANSIT = Duration.ofMillis(1_500);
+  static final Duration MAX_TRANSIT = Duration.ofSeconds(1);
 
   private final Duration orderGap;
   private final Clock clock;
   private Duration ownOrdersUntil;
   private Duration formerOrdersUntil = Duration.ZERO;
   private Duration ownGapEnd = Duration.ZERO;
+  private boolean onlyPredecessorIsOutstanding;
   private int awaitingAnswer;
 
   private OrderGate(Duration orderGap, Clock clock) {
@@ -51,28 +53,36 @@
    *
    * @param preceding the record right before the acquisition; empty if the lease was never held
    * @param isOfFormerRun whether a former run of this instance wrote that record
+   * @param termAge minimum time since the predecessor acquired the lease
    */
-  void onAcquired(Optional<LeaseEntry> preceding, boolean isOfFormerRun) {
+  void onAcquired(Optional<LeaseEntry> preceding, boolean isOfFormerRun, Duration termAge) {
     Duration now = clock.elapsed();
     formerOrdersUntil = now;
     ownGapEnd = now;
     if (preceding.isEmpty()) {
       return;
     }
-    ownGapEnd = ownOrdersUntil.plus(orderGap);
+    // A holder relies on its lease for 1.2 s, and an order is on its way for 1.4 s at most with the
+    // time for its connection. So orders of earlier terms arrive within the order gap after the
+    // beginning of the predecessor's term.
+    onlyPredecessorIsOutstanding = termAge.compareTo(orderGap) >= 0;
+    if (termAge.compareTo(orderGap.multipliedBy(2)) < 0) {
+      ownGapEnd = ownOrdersUntil.plus(orderGap);
+    }
     if (!preceding.get().ordersSettled()) {
-      // All terms before those of a former run ended before this run started.
-      formerOrdersUntil = isOfFormerRun ? ownGapEnd : now.plus(orderGap);
+      formerOrdersUntil = now.plus(orderGap);
+      if (isOfFormerRun && onlyPredecessorIsOutstanding) {
+        formerOrdersUntil = ownOrdersUntil;
+      }
     }
   }
 
-  /**
-   * Called when the predecessor's process is known to have ended, and its term began so long ago
-   * that no order of a holder before it is on its way.
-   */
+  /** Called when the predecessor's process is known to have ended. */
   void onPredecessorEnded() {
-    Duration lastArrival = clock.elapsed().plus(MAX_TRANSIT);
-    formerOrdersUntil = earliest(formerOrdersUntil, lastArrival);
+    if (onlyPredecessorIsOutstanding) {
+      Duration lastArrival = clock.elapsed().plus(MAX_TRANSIT);
+      formerOrdersUntil = earliest(formerOrdersUntil, lastArrival);
+    }
   }
 
   /** Returns whether the holder may issue orders now. */
--- a/core/src/test/java/org/carobhoist/core/lease/LeaseSimulation.java
+++ b/core/src/test/java/org/carobhoist/core/lease/LeaseSimulation.java
@@ -207,7 +207,8 @@
               Long.toString(e.term()),
               Boolean.toString(e.released()),
               heir,
-              Boolean.toString(e.ordersSettled()))
+              Boolean.toString(e.ordersSettled()),
+              Long.toString(e.heldFor().toMillis()))
           .getBytes(StandardCharsets.US_ASCII);
     }
 
@@ -220,7 +221,8 @@
           Long.parseLong(p[2]),
           Boolean.parseBoolean(p[3]),
           p[4].equals("-") ? Optional.empty() : Optional.of(new InstanceId(p[4])),
-          Boolean.parseBoolean(p[5]));
+          Boolean.parseBoolean(p[5]),
+          Duration.ofMillis(Long.parseLong(p[6])));
     }
   }
 
--- a/core/src/test/java/org/carobhoist/core/lease/OrderGateTest.java
+++ b/core/src/test/java/org/carobhoist/core/lease/OrderGateTest.java
@@ -13,13 +13,20 @@
 
   private static final Duration GAP = Duration.ofSeconds(3);
   private static final Duration LONG = Duration.ofMinutes(1);
+  private static final Duration SHORT_TERM = GAP.minusMillis(1);
 
   private final ManualClock clock = new ManualClock();
 
   private static Optional<LeaseEntry> record(boolean released, boolean settled) {
     return Optional.of(
         new LeaseEntry(
-            new InstanceId("b"), new Incarnation("b-1"), 4, released, Optional.empty(), settled));
+            new InstanceId("b"),
+            new Incarnation("b-1"),
+            4,
+            released,
+            Optional.empty(),
+            settled,
+            LONG));
   }
 
   private OrderGate gateOfRunThatStarted(Duration ago) {
@@ -38,28 +45,41 @@
   @Test
   void firstHolderAndHeirOfSettledReleaseNeedNotWait() {
     OrderGate first = gateOfRunThatStarted(Duration.ZERO);
-    first.onAcquired(Optional.empty(), false);
+    first.onAcquired(Optional.empty(), false, SHORT_TERM);
     assertThat(first.isOpen()).isTrue();
     OrderGate heir = gateOfRunThatStarted(LONG);
-    heir.onAcquired(record(true, true), false);
+    heir.onAcquired(record(true, true), false, SHORT_TERM);
     assertThat(heir.isOpen()).isTrue();
   }
 
   @Test
   void successorWaitsIfOrdersOfFormerHolderMayBeOnTheirWay() {
     OrderGate afterKill = gateOfRunThatStarted(LONG);
-    afterKill.onAcquired(record(false, false), false);
+    afterKill.onAcquired(record(false, false), false, SHORT_TERM);
     assertOpensAfter(afterKill, GAP);
     OrderGate afterRelease = gateOfRunThatStarted(LONG);
-    afterRelease.onAcquired(record(true, false), false);
+    afterRelease.onAcquired(record(true, false), false, SHORT_TERM);
     assertOpensAfter(afterRelease, GAP);
   }
 
   @Test
   void successorWaitsForOrdersOnTheirWayOnceItsPredecessorIsKnownToHaveEnded() {
-    OrderGate gate = gateOfRunThatStarted(LONG);
-    gate.onAcquired(record(false, false), false);
+    OrderGate afterLongTerm = gateOfRunThatStarted(LONG);
+    afterLongTerm.onAcquired(record(false, false), false, GAP);
     clock.advance(Duration.ofMillis(500));
+    afterLongTerm.onPredecessorEnded();
+    assertOpensAfter(afterLongTerm, OrderGate.MAX_TRANSIT);
+    OrderGate afterShortTerm = gateOfRunThatStarted(LONG);
+    afterShortTerm.onAcquired(record(false, false), false, SHORT_TERM);
+    afterShortTerm.onPredecessorEnded();
+    assertOpensAfter(afterShortTerm, GAP);
+  }
+
+  /** Guards against a needless wait of all processes after all of them have ended. */
+  @Test
+  void restartedProcessNeedNotWaitForOwnOrdersThatPrecedeLongTermOfItsPredecessor() {
+    OrderGate gate = gateOfRunThatStarted(Duration.ofSeconds(1));
+    gate.onAcquired(record(false, false), false, GAP.multipliedBy(2));
     gate.onPredecessorEnded();
     assertOpensAfter(gate, OrderGate.MAX_TRANSIT);
   }
@@ -68,11 +88,11 @@
   @Test
   void holderThatIssuedOrdersBeforeItsPredecessorWaitsAfterItsLastOne() {
     OrderGate gate = gateOfRunThatStarted(LONG);
-    gate.onAcquired(record(true, true), false);
+    gate.onAcquired(record(true, true), false, SHORT_TERM);
     gate.onOrderSent();
     gate.onOrderEnded(false);
     clock.advance(Duration.ofSeconds(1));
-    gate.onAcquired(record(true, true), false);
+    gate.onAcquired(record(true, true), false, SHORT_TERM);
     assertOpensAfter(gate, Duration.ofSeconds(2));
   }
 
@@ -80,14 +100,14 @@
   @Test
   void restartedHolderWaitsSinceItsFormerRunMayHaveIssuedOrders() {
     OrderGate gate = gateOfRunThatStarted(Duration.ofSeconds(1));
-    gate.onAcquired(record(true, true), false);
+    gate.onAcquired(record(true, true), false, SHORT_TERM);
     assertOpensAfter(gate, OrderGate.MAX_TRANSIT.plus(GAP).minusSeconds(1));
   }
 
   @Test
   void releaseIsNotSettledWhileAnOrderMayArrive() {
     OrderGate gate = gateOfRunThatStarted(LONG);
-    gate.onAcquired(record(true, true), false);
+    gate.onAcquired(record(true, true), false, SHORT_TERM);
     assertThat(gate.isSettled()).isTrue();
     gate.onOrderSent();
     assertThat(gate.isQuiet()).isFalse();
@@ -102,7 +122,7 @@
   @Test
   void releaseIsNotSettledWhileOrdersOfFormerHolderMayArrive() {
     OrderGate gate = gateOfRunThatStarted(LONG);
-    gate.onAcquired(record(false, false), false);
+    gate.onAcquired(record(false, false), false, SHORT_TERM);
     assertThat(gate.isSettled()).isFalse();
     clock.advance(GAP);
     assertThat(gate.isSettled()).isTrue();
--- a/core/src/test/java/org/carobhoist/core/usage/UsageSimulation.java
+++ b/core/src/test/java/org/carobhoist/core/usage/UsageSimulation.java
@@ -383,7 +383,8 @@
               e.incarnation().value(),
               e.term() + "",
               e.released() + "",
-              e.ordersSettled() + "")
+              e.ordersSettled() + "",
+              e.heldFor().toMillis() + "")
           .getBytes(StandardCharsets.US_ASCII);
     }
 
@@ -396,7 +397,8 @@
           Long.parseLong(p[2]),
           Boolean.parseBoolean(p[3]),
           Optional.empty(),
-          Boolean.parseBoolean(p[4]));
+          Boolean.parseBoolean(p[4]),
+          Duration.ofMillis(Long.parseLong(p[5])));
     }
   }
 }
--- a/server/src/main/java/org/carobhoist/server/gateway/coordination/ProtobufLeaseCodec.java
+++ b/server/src/main/java/org/carobhoist/server/gateway/coordination/ProtobufLeaseCodec.java
@@ -1,6 +1,7 @@
 package org.carobhoist.server.gateway.coordination;
 
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.time.Duration;
 import java.util.Optional;
 import org.carobhoist.core.common.Incarnation;
 import org.carobhoist.core.common.InstanceId;
@@ -20,6 +21,7 @@
         .setReleased(entry.released())
         .setHeir(entry.heir().map(InstanceId::value).orElse(""))
         .setOrdersSettled(entry.ordersSettled())
+        .setHeldMillis(entry.heldFor().toMillis())
         .build()
         .toByteArray();
   }
@@ -34,7 +36,8 @@
           message.getTerm(),
           message.getReleased(),
           Optional.of(message.getHeir()).filter(h -> !h.isEmpty()).map(InstanceId::new),
-          message.getOrdersSettled());
+          message.getOrdersSettled(),
+          Duration.ofMillis(Math.max(0, message.getHeldMillis())));
     } catch (InvalidProtocolBufferException e) {
       throw new IllegalArgumentException("lease record is malformed", e);
     }
--- a/server/src/main/java/org/carobhoist/server/link/proto/LeaseRecord.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/LeaseRecord.java
@@ -338,6 +338,55 @@
     ordersSettled_ = false;
   }
 
+  public static final int HELD_MILLIS_FIELD_NUMBER = 7;
+  private long heldMillis_;
+
+  /**
+   *
+   *
+   * <pre>
+   * How long the holder had held the lease when it wrote this record.
+   * </pre>
+   *
+   * <code>int64 held_millis = 7;</code>
+   *
+   * @return The heldMillis.
+   */
+  @java.lang.Override
+  public long getHeldMillis() {
+    return heldMillis_;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * How long the holder had held the lease when it wrote this record.
+   * </pre>
+   *
+   * <code>int64 held_millis = 7;</code>
+   *
+   * @param value The heldMillis to set.
+   */
+  private void setHeldMillis(long value) {
+
+    heldMillis_ = value;
+  }
+
+  /**
+   *
+   *
+   * <pre>
+   * How long the holder had held the lease when it wrote this record.
+   * </pre>
+   *
+   * <code>int64 held_millis = 7;</code>
+   */
+  private void clearHeldMillis() {
+
+    heldMillis_ = 0L;
+  }
+
   public static org.carobhoist.server.link.proto.LeaseRecord parseFrom(java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(DEFAULT_INSTANCE, data);
@@ -770,6 +819,57 @@
       return this;
     }
 
+    /**
+     *
+     *
+     * <pre>
+     * How long the holder had held the lease when it wrote this record.
+     * </pre>
+     *
+     * <code>int64 held_millis = 7;</code>
+     *
+     * @return The heldMillis.
+     */
+    @java.lang.Override
+    public long getHeldMillis() {
+      return instance.getHeldMillis();
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * How long the holder had held the lease when it wrote this record.
+     * </pre>
+     *
+     * <code>int64 held_millis = 7;</code>
+     *
+     * @param value The heldMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldMillis(long value) {
+      copyOnWrite();
+      instance.setHeldMillis(value);
+      return this;
+    }
+
+    /**
+     *
+     *
+     * <pre>
+     * How long the holder had held the lease when it wrote this record.
+     * </pre>
+     *
+     * <code>int64 held_millis = 7;</code>
+     *
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldMillis() {
+      copyOnWrite();
+      instance.clearHeldMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:carobhoist.link.LeaseRecord)
   }
 
@@ -792,11 +892,17 @@
         {
           java.lang.Object[] objects =
               new java.lang.Object[] {
-                "holder_", "term_", "released_", "heir_", "incarnation_", "ordersSettled_",
+                "holder_",
+                "term_",
+                "released_",
+                "heir_",
+                "incarnation_",
+                "ordersSettled_",
+                "heldMillis_",
               };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0000\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u0208\u0002\u0002"
-                  + "\u0003\u0007\u0004\u0208\u0005\u0208\u0006\u0007";
+              "\u0000\u0007\u0000\u0000\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u0208\u0002\u0002"
+                  + "\u0003\u0007\u0004\u0208\u0005\u0208\u0006\u0007\u0007\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
         }
       case GET_DEFAULT_INSTANCE:
--- a/server/src/main/java/org/carobhoist/server/link/proto/LeaseRecordOrBuilder.java
+++ b/server/src/main/java/org/carobhoist/server/link/proto/LeaseRecordOrBuilder.java
@@ -97,4 +97,17 @@
    * @return The ordersSettled.
    */
   boolean getOrdersSettled();
+
+  /**
+   *
+   *
+   * <pre>
+   * How long the holder had held the lease when it wrote this record.
+   * </pre>
+   *
+   * <code>int64 held_millis = 7;</code>
+   *
+   * @return The heldMillis.
+   */
+  long getHeldMillis();
 }
